--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# `make demo` and `make test` set up everything they need in .venv.
+
+PYTHON ?= python3
+BIN := .venv/bin
+SEEDS ?= 0:10000
+
+.PHONY: test lint demo measure sweep capacity lock clean
+
+.venv/ready: requirements/dev.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements/dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch .venv/ready
+
+test: .venv/ready
+	$(BIN)/python -m tools.run_tests
+
+lint: .venv/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/python -m tools.check_purity
+	$(BIN)/python -m tools.check_links
+
+demo: .venv/ready
+	$(BIN)/python -m tools.demo
+
+measure: .venv/ready
+	$(BIN)/python -m tools.measure
+
+sweep: .venv/ready
+	$(BIN)/python -m tools.sweep --seeds $(SEEDS)
+
+capacity: .venv/ready
+	$(BIN)/python -m tools.capacity
+
+lock:
+	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --extra dev --no-emit-index-url --no-emit-trusted-host --strip-extras --output-file requirements/dev.txt pyproject.toml
+
+clean:
+	rm -rf .venv build *.egg-info
--- /dev/null
+++ b/pistachiopath/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits per customer and early refusal."""
--- /dev/null
+++ b/pistachiopath/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent program: the process beside each target."""
--- /dev/null
+++ b/pistachiopath/agent/core.py
@@ -0,0 +1,217 @@
+"""Decisions of an agent, without any I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..effects import Send
+from ..gate.effects import RecordOutcome
+from ..gate.gate import Gate, GateLimits
+from ..messages.claims import Done, Finish, FinishItem
+from ..messages.dispatch import Attach, Cancel, Dispatch
+from ..messages.membership import (
+    CrashReport,
+    Heartbeat,
+    HeartbeatAck,
+    Rate,
+    Register,
+    Registered,
+    Retire,
+)
+from ..messages.replication import NotLeader
+from ..replication.leader_client import LeaderClient
+
+if TYPE_CHECKING:
+    import random
+
+    from ..messages.base import Message
+
+HEARTBEAT_S = 0.5
+FINISH_BATCH = 256
+NONCE_BYTES = 16
+
+
+class AgentCore:
+    """Registers a target, renews its lease and guards its engine.
+
+    An agent without an incarnation or with an expired lease starts nothing.
+    The lease counts from when the acknowledged heartbeat was sent, on the
+    agent's own clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        address: str,
+        zone: str,
+        models: tuple[str, ...],
+        services: tuple[str, ...],
+        controls: tuple[str, ...],
+        rng: random.Random,
+        limits: GateLimits | None = None,
+    ) -> None:
+        self.gate = Gate(limits=limits or GateLimits())
+        self.leader = LeaderClient(addresses=controls, rng=rng)
+        self.target = target
+        self.fence = 0
+        self.revision = 0
+        self.rates: tuple[Rate, ...] = ()
+        self._address = address
+        self._zone = zone
+        self._models = models
+        self._services = services
+        self._controls = controls
+        self._rng = rng
+        self._last_call = 0
+        self._sequence = 0
+        self._heartbeat_at = 0.0
+        self._heartbeat_sent: dict[int, float] = {}
+        self._register_call = 0
+        self._finished: list[FinishItem] = []
+        self._finish_call = 0
+        self._retire_call = 0
+        self._retired = False
+
+    @property
+    def is_drained(self) -> bool:
+        """Tell whether a planned departure is complete."""
+        told = not self._finished and not self._finish_call
+        return self.gate.departing and self.gate.is_idle and told and self._retired
+
+    def depart(self, now: float) -> list:
+        """Begin a planned departure."""
+        effects = self._from_gate(self.gate.depart(now))
+        self._heartbeat_at = now
+        return effects + self.tick(now)
+
+    def receive(self, sender: str, call: int, body: Message, now: float) -> list:
+        """Handle a message."""
+        match body:
+            case Dispatch():
+                return self._from_gate(self.gate.dispatch(sender, body, now))
+            case Attach():
+                return self._from_gate(self.gate.attach(sender, body, now))
+            case Cancel():
+                return self._from_gate(self.gate.cancel(sender, body, now))
+            case HeartbeatAck():
+                return self._on_heartbeat_ack(body, now)
+            case Registered() | Done() | NotLeader():
+                return self._on_leader(sender, call, body, now)
+        return []
+
+    def from_engine(self, effects: list) -> list:
+        """Take in effects of the gate that the engine's answer led to."""
+        return self._from_gate(effects)
+
+    def engine_crashed(self, keys: tuple[bytes, ...], now: float) -> list:
+        """Report the requests that ran when the engine crashed."""
+        report = CrashReport(
+            target=self.target, crash_id=self._rng.randbytes(NONCE_BYTES), keys=keys
+        )
+        return self.leader.ask(self._next_call(), report, now)
+
+    def tick(self, now: float) -> list:
+        """Let time pass."""
+        effects = self.leader.tick(now)
+        if not self.gate.incarnation and not self._register_call:
+            effects += self._register(now)
+        if self.gate.incarnation and now >= self._heartbeat_at:
+            effects += self._send_heartbeat(now)
+        effects += self._from_gate(self.gate.tick(now))
+        effects += self._report_finished(now)
+        if self.gate.departing and self.gate.is_idle and not self._retire_call:
+            effects += self._retire(now)
+        return effects
+
+    def _on_heartbeat_ack(self, ack: HeartbeatAck, now: float) -> list:
+        sent_at = self._heartbeat_sent.get(ack.sequence)
+        if sent_at is None:
+            return []
+        if ack.lease_ms == 0:
+            return self._lose_incarnation(now)
+        self.revision = max(self.revision, ack.revision)
+        until = sent_at + ack.lease_ms / 1000
+        self.gate.lease_until = max(self.gate.lease_until, until)
+        return self._from_gate(self.gate.tick(now))
+
+    def _lose_incarnation(self, now: float) -> list:
+        """Register anew: the control replicas retired this incarnation."""
+        if self.gate.departing or not self.gate.incarnation:
+            return []
+        self.gate.lease_until = 0.0
+        self._heartbeat_sent.clear()
+        return self._from_gate(self.gate.start_incarnation(0, now))
+
+    def _register(self, now: float) -> list:
+        self._register_call = self._next_call()
+        nonce = self._rng.randbytes(NONCE_BYTES)
+        ask = Register(target=self.target, nonce=nonce)
+        return self.leader.ask(self._register_call, ask, now)
+
+    def _on_leader(self, sender: str, call: int, body: Message, now: float) -> list:
+        final, effects = self.leader.answered(sender, call, body, now)
+        if not final:
+            return effects
+        if call == self._register_call and isinstance(body, Registered):
+            self._register_call = 0
+            self.fence = max(self.fence, body.fence)
+            effects += self._from_gate(
+                self.gate.start_incarnation(body.incarnation, now)
+            )
+            self._heartbeat_at = now
+        if call == self._finish_call:
+            self._finish_call = 0
+        if call == self._retire_call:
+            self._retired = True
+        return effects
+
+    def _send_heartbeat(self, now: float) -> list:
+        self._heartbeat_at = now + HEARTBEAT_S
+        self._sequence += 1
+        self._heartbeat_sent[self._sequence] = now
+        self._heartbeat_sent.pop(self._sequence - 20, None)
+        beat = Heartbeat(
+            target=self.target,
+            incarnation=self.gate.incarnation,
+            sequence=self._sequence,
+            address=self._address,
+            zone=self._zone,
+            models=self._models,
+            services=self._services,
+            departing=self.gate.departing,
+            revision=self.revision,
+            load=self.gate.load(),
+            rates=self.rates,
+        )
+        return [Send(to=address, call=0, body=beat) for address in self._controls]
+
+    def _report_finished(self, now: float) -> list:
+        if self._finish_call or not self._finished:
+            return []
+        batch = tuple(self._finished[:FINISH_BATCH])
+        del self._finished[:FINISH_BATCH]
+        self._finish_call = self._next_call()
+        return self.leader.ask(self._finish_call, Finish(items=batch), now)
+
+    def _retire(self, now: float) -> list:
+        if self._finished or self._finish_call:
+            return []
+        self._retire_call = self._next_call()
+        retire = Retire(
+            target=self.target, incarnation=self.gate.incarnation, crashed=False
+        )
+        return self.leader.ask(self._retire_call, retire, now)
+
+    def _from_gate(self, effects: list) -> list:
+        out = []
+        for effect in effects:
+            if isinstance(effect, RecordOutcome):
+                self._finished.append(effect.item)
+            else:
+                out.append(effect)
+        return out
+
+    def _next_call(self) -> int:
+        self._last_call += 1
+        return self._last_call
--- /dev/null
+++ b/pistachiopath/agent/engine_client.py
@@ -0,0 +1,179 @@
+"""HTTP client of the engine or plain service beside the agent."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import gevent
+import urllib3
+
+from ..errors.outcomes import OutcomeKind
+from ..gate.run import RunState
+from ..messages.claims import OutcomeRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..gate.run import Run
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 300.0
+READ_BYTES = 64 * 1024
+MAX_RESUMES = 3
+RESUME_WAIT_S = 0.2
+REFUSAL_STATUSES = (429, 503)
+DEFAULT_RETRY_MS = 500
+SERVER_ERROR = 500
+
+
+class EngineClient:
+    """Runs requests on the engine, one greenlet each.
+
+    `on_data`, `on_end` and `on_refused` are called with the run; `on_crash`
+    when the engine does not accept connections after it broke one.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_data: Callable[[Run, int, str, bytes], None],
+        on_end: Callable[[Run, OutcomeRecord], None],
+        on_refused: Callable[[Run, int], None],
+        on_crash: Callable[[], None],
+    ) -> None:
+        self._base = f'http://{address}'
+        self._on_data = on_data
+        self._on_end = on_end
+        self._on_refused = on_refused
+        self._on_crash = on_crash
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._pool = urllib3.PoolManager(
+            timeout=timeout, retries=False, maxsize=64, block=False
+        )
+        self._greenlets: dict[bytes, gevent.Greenlet] = {}
+        self._streams: dict[bytes, str] = {}
+
+    def start(self, run: Run) -> None:
+        """Ask the engine, or resume its stream."""
+        self._greenlets[run.key] = gevent.spawn(self._run, run)
+
+    def stop(self, run: Run) -> None:
+        """Break the stream off; the engine frees its place."""
+        greenlet = self._greenlets.pop(run.key, None)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+        if run.state is not RunState.PAUSED:
+            self._streams.pop(run.key, None)
+
+    def _run(self, run: Run) -> None:
+        try:
+            self._ask(run)
+        except urllib3.exceptions.NewConnectionError:
+            # Nothing was sent, so nothing ran.
+            self._on_refused(run, DEFAULT_RETRY_MS)
+        except urllib3.exceptions.HTTPError as exc:
+            logger.warning(
+                'engine_stream_broke',
+                extra={'request': run.key.hex(), 'error': type(exc).__name__},
+            )
+            self._resume(run)
+
+    def _ask(self, run: Run) -> None:
+        if run.key in self._streams:
+            self._read(run, self._request_stream(run))
+            return
+        if run.answer:
+            lost = OutcomeRecord(kind=OutcomeKind.FAILED, reason='not_resumable')
+            self._on_end(run, lost)
+            return
+        headers = {'Content-Type': run.work.content_type}
+        if run.work.traceparent:
+            headers['traceparent'] = run.work.traceparent
+        response = self._pool.request(
+            run.work.method,
+            self._base + run.work.path,
+            body=run.work.body or None,
+            headers=headers,
+            preload_content=False,
+        )
+        if response.status in REFUSAL_STATUSES:
+            response.drain_conn()
+            self._on_refused(run, DEFAULT_RETRY_MS)
+            return
+        stream = response.headers.get('X-Stream-Id')
+        if stream:
+            self._streams[run.key] = stream
+        self._read(run, response)
+
+    def _request_stream(self, run: Run) -> urllib3.BaseHTTPResponse:
+        url = f'{self._base}/v1/streams/{self._streams[run.key]}'
+        return self._pool.request(
+            'GET',
+            url,
+            fields={'offset': str(len(run.answer))},
+            preload_content=False,
+        )
+
+    def _read(self, run: Run, response: urllib3.BaseHTTPResponse) -> None:
+        status = response.status
+        content_type = response.headers.get('Content-Type', '')
+        complete = False
+        try:
+            while data := response.read1(READ_BYTES):
+                self._on_data(run, status, content_type, data)
+            complete = True
+        finally:
+            if complete:
+                response.release_conn()
+            else:
+                response.close()
+        self._forget(run)
+        self._on_end(run, self._outcome(run, status, content_type))
+
+    @staticmethod
+    def _outcome(run: Run, status: int, content_type: str) -> OutcomeRecord:
+        if status >= SERVER_ERROR:
+            return OutcomeRecord(kind=OutcomeKind.FAILED, reason=f'engine_{status}')
+        return OutcomeRecord(
+            kind=OutcomeKind.COMPLETED, status=status, content_type=content_type
+        )
+
+    def _resume(self, run: Run) -> None:
+        """Go on with a broken stream, without running the request again."""
+        for _ in range(MAX_RESUMES if run.key in self._streams else 0):
+            gevent.sleep(RESUME_WAIT_S)
+            try:
+                response = self._request_stream(run)
+            except urllib3.exceptions.NewConnectionError:
+                self._on_crash()
+                break
+            except urllib3.exceptions.HTTPError:
+                continue
+            if response.status >= 400:  # noqa: PLR2004
+                response.drain_conn()
+                break
+            try:
+                self._read(run, response)
+            except urllib3.exceptions.HTTPError:
+                continue
+            return
+        self._forget(run)
+        if not self._is_alive():
+            self._on_crash()
+        failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='engine_lost')
+        self._on_end(run, failed)
+
+    def _is_alive(self) -> bool:
+        try:
+            self._pool.request('GET', self._base + '/health', timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    def _forget(self, run: Run) -> None:
+        self._streams.pop(run.key, None)
+        self._greenlets.pop(run.key, None)
--- /dev/null
+++ b/pistachiopath/agent/main.py
@@ -0,0 +1,33 @@
+"""Program `pistachiopath-agent`."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import random
+
+from ..telemetry.traces import set_up
+from ..util.metrics_server import serve_metrics
+from ..util.program import parse_settings, run_until_stopped
+from .settings import AgentSettings
+from .shell import AgentShell
+
+
+def main() -> None:
+    """Announce and guard one target until stopped."""
+    cfg = parse_settings(
+        'pistachiopath-agent',
+        'The process beside one target: announces it and guards its engine.',
+        AgentSettings,
+    )
+    tracer = set_up('pistachiopath-agent', cfg.name, cfg.trace_file)
+    shell = AgentShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
+    serve_metrics(cfg.metrics, shell.metrics)
+    shell.start()
+    run_until_stopped(shell.stop)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/pistachiopath/agent/shell.py
@@ -0,0 +1,178 @@
+"""Sockets and timers around the decisions of an agent."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.event
+
+from ..effects import Send
+from ..gate.effects import StartRun, StopRun
+from ..gate.gate import GateLimits
+from ..telemetry.metrics import Metrics
+from ..telemetry.traces import child, context_of
+from ..transport.handshake import ROLE_NODE, Identity
+from ..transport.network import Network
+from .core import AgentCore
+from .engine_client import EngineClient
+from .rates import RateLearner
+
+if TYPE_CHECKING:
+    import random
+
+    from opentelemetry.trace import Span, Tracer
+
+    from ..gate.run import Run
+    from ..messages.base import Message
+    from ..messages.claims import OutcomeRecord
+    from .settings import AgentSettings
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+CRASH_REPORT_GAP_S = 1.0
+
+
+class AgentShell:
+    """Wires the core, the network and the engine's client."""
+
+    def __init__(
+        self, *, cfg: AgentSettings, rng: random.Random, tracer: Tracer
+    ) -> None:
+        self._cfg = cfg
+        self.metrics = Metrics()
+        self._tracer = tracer
+        self._spans: dict[bytes, Span] = {}
+        self._rates = RateLearner()
+        self._crash_at = -CRASH_REPORT_GAP_S
+        self.core = AgentCore(
+            target=cfg.target,
+            address=cfg.address,
+            zone=cfg.zone,
+            models=cfg.models,
+            services=cfg.services,
+            controls=cfg.controls,
+            rng=rng,
+            limits=GateLimits(window=cfg.window, max_queued=cfg.max_queued),
+        )
+        self.network = Network(
+            identity=Identity(
+                name=cfg.address,
+                role=ROLE_NODE,
+                secrets={ROLE_NODE: cfg.secret.encode()},
+            ),
+            on_message=self._on_message,
+            on_lost=lambda peer: None,
+        )
+        self._engine = EngineClient(
+            address=cfg.engine,
+            on_data=self._on_data,
+            on_end=self._on_end,
+            on_refused=self._on_refused,
+            on_crash=self._on_crash,
+        )
+
+    def start(self) -> None:
+        """Listen, register and begin to renew the lease."""
+        self.network.listen(self._cfg.address)
+        gevent.spawn(self._loop)
+
+    def stop(self) -> None:
+        """Depart as planned: finish what runs, then leave."""
+        logger.info('departing', extra={'target': self._cfg.target})
+        self._carry_out(self.core.depart(time.monotonic()))
+        while not self.core.is_drained:
+            gevent.sleep(TICK_S)
+        self.network.close()
+        logger.info('departed', extra={'target': self._cfg.target})
+
+    def _loop(self) -> None:
+        while True:
+            self._carry_out(self.core.tick(time.monotonic()))
+            gevent.sleep(TICK_S)
+
+    def _on_message(self, sender: str, call: int, body: Message) -> None:
+        effects = self.core.receive(sender, call, body, time.monotonic())
+        self._carry_out(effects)
+
+    def _carry_out(self, effects: list) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.network.send(effect.to, effect.call, effect.body)
+                case StartRun():
+                    self._start_run(effect.run)
+                case StopRun():
+                    self._engine.stop(effect.run)
+                    self.metrics.count('runs_stopped_total')
+
+    def _start_run(self, run: Run) -> None:
+        self.metrics.observe('queue', run.started_at - run.arrived_at)
+        context = context_of(run.work.traceparent)
+        waited = self._tracer.start_span(
+            'agent_queue', context=context, start_time=_wall_ns(run.arrived_at)
+        )
+        waited.end()
+        self._spans[run.key] = child(self._tracer, 'engine', context)
+        logger.info(
+            'run_started',
+            extra={
+                'request': run.key.hex(),
+                'binding': run.binding,
+                'target': self._cfg.target,
+                'traceparent': run.work.traceparent,
+            },
+        )
+        self._engine.start(run)
+
+    def _on_data(self, run: Run, status: int, content_type: str, data: bytes) -> None:
+        effects = self.core.gate.engine_data(
+            run, status, content_type, data, time.monotonic()
+        )
+        self._carry_out(self.core.from_engine(effects))
+
+    def _on_end(self, run: Run, outcome: OutcomeRecord) -> None:
+        effects = self.core.gate.engine_end(run, outcome, time.monotonic())
+        self._rates.ended(run, run.work.output_tokens)
+        self.core.rates = self._rates.rates()
+        self._end_span(run)
+        self.metrics.count('runs_total', outcome=outcome.kind)
+        logger.info(
+            'run_ended',
+            extra={
+                'request': run.key.hex(),
+                'outcome': outcome.kind,
+                'reason': outcome.reason,
+                'target': self._cfg.target,
+            },
+        )
+        self._carry_out(self.core.from_engine(effects))
+
+    def _on_refused(self, run: Run, retry_after_ms: int) -> None:
+        effects = self.core.gate.engine_refused(run, retry_after_ms, time.monotonic())
+        self._end_span(run)
+        self._carry_out(self.core.from_engine(effects))
+
+    def _on_crash(self) -> None:
+        """Report one crash for all streams that it broke."""
+        now = time.monotonic()
+        if now - self._crash_at < CRASH_REPORT_GAP_S:
+            return
+        self._crash_at = now
+        keys = self.core.gate.running_keys()
+        logger.error(
+            'engine_crashed', extra={'target': self._cfg.target, 'running': len(keys)}
+        )
+        self._carry_out(self.core.engine_crashed(keys, now))
+
+    def _end_span(self, run: Run) -> None:
+        span = self._spans.pop(run.key, None)
+        if span is not None:
+            span.end()
+
+
+def _wall_ns(monotonic_s: float) -> int:
+    return time.time_ns() - int((time.monotonic() - monotonic_s) * 1e9)
--- /dev/null
+++ b/pistachiopath/claims/claim.py
@@ -0,0 +1,42 @@
+"""One claim of the claim table."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from ..messages.claims import OutcomeRecord
+
+
+class ClaimState(enum.StrEnum):
+    """State of a claim; at most one binding is live in `BOUND`."""
+
+    BOUND = 'bound'
+    RELEASED = 'released'
+    REFUSED = 'refused'
+    FINISHED = 'finished'
+
+
+@attrs.define(kw_only=True)
+class Claim:
+    """A request and the binding that it has or had.
+
+    Times are milliseconds of the replicated clock; `binding` counts the
+    bindings of the request from 1.
+    """
+
+    key: bytes
+    fingerprint: bytes
+    state: ClaimState = attrs.field(converter=ClaimState)
+    expires_ms: int
+    attempt: bytes = b''
+    binding: int = 0
+    target: str = ''
+    incarnation: int = 0
+    address: str = ''
+    once: bool = False
+    bound_ms: int = 0
+    refusal_index: int = 0
+    refused_ms: int = 0
+    outcome: OutcomeRecord = OutcomeRecord()
--- /dev/null
+++ b/pistachiopath/claims/flow.py
@@ -0,0 +1,366 @@
+"""The life of one submission at an entry."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from ..effects import Send
+from ..errors.outcomes import (
+    Completed,
+    Failed,
+    Outcome,
+    OutcomeKind,
+    Quarantined,
+    Refused,
+    Rejected,
+    Unknown,
+)
+from ..messages.claims import Bind, OutcomeRecord, Refuse, Release
+from ..messages.dispatch import (
+    Accepted,
+    Attach,
+    Cancel,
+    Chunk,
+    Dispatch,
+    End,
+    NotHeld,
+    NotStarted,
+)
+from ..routing.chooser import Choice
+from .effects import Ask, Conclude, Deliver
+from .outcome_records import from_record
+from .status import ClaimStatus
+
+if TYPE_CHECKING:
+    from ..messages.base import Message
+    from ..messages.claims import ClaimReply
+    from ..routing.chooser import Chooser
+    from .submission import Submission
+
+RESEND_S = 0.5
+SILENT_S = 6.0
+GRACE_S = 2.0
+LATE_S = 60.0
+MAX_BINDINGS = 8
+DISPATCH_TRANSIT_MS = 1000
+RECENT_BINDING_MS = 30 * 60 * 1000
+CLOCK_RATE_MARGIN = 0.99
+SUSPECT_RETRY_MS = 1000
+
+
+class FlowState(enum.StrEnum):
+    """What a flow waits for."""
+
+    BINDING = 'binding'
+    STREAMING = 'streaming'
+    RELEASING = 'releasing'
+    REFUSING = 'refusing'
+    DONE = 'done'
+
+
+class RequestFlow:
+    """Binds, dispatches and relays one submission; returns effects.
+
+    The caller is told *not run* only after a refusal is committed, and
+    *unknown* as soon as nobody can tell any more.  The answer is delivered
+    as a gapless prefix whatever order its parts arrive in.
+    """
+
+    def __init__(self, *, submission: Submission, chooser: Chooser) -> None:
+        self.submission = submission
+        self.state = FlowState.BINDING
+        self.address = ''
+        self.target = ''
+        self.bindings = 0
+        self._chooser = chooser
+        self._excluded: set[str] = set()
+        self._binding = 0
+        self._incarnation = 0
+        self._bound_at = 0.0
+        self._bound_age_ms = 0
+        self._own = False
+        self._acknowledged = False
+        self._received = 0
+        self._sent_at = 0.0
+        self._heard_at = 0.0
+        self._give_up_at = submission.deadline + GRACE_S
+        self._refusal = Refused(reason='', retry_after_ms=0)
+        self._asked = False
+
+    @property
+    def key(self) -> bytes:
+        """Claim key of the request."""
+        return self.submission.key
+
+    @property
+    def received(self) -> int:
+        """Bytes of the answer delivered so far."""
+        return self._received
+
+    def start(self, now: float) -> list:
+        """Choose a target and bind the request to it."""
+        return self._bind(now, after_refusal=0)
+
+    def refuse(self, kind: OutcomeKind, reason: str, retry_after_ms: int) -> list:
+        """Give up on the request; the caller is told once that is safe."""
+        self._refusal = Refused(reason=reason, retry_after_ms=retry_after_ms)
+        cmd = Refuse(
+            key=self.key,
+            fingerprint=self.submission.fingerprint,
+            kind=kind,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+        )
+        if not self._asked and not self.submission.named:
+            # Nobody else knows the id and no message about it was sent.
+            return self._conclude(
+                from_record(
+                    OutcomeRecord(
+                        kind=kind, reason=reason, retry_after_ms=retry_after_ms
+                    )
+                )
+            )
+        self.state = FlowState.REFUSING
+        return self._ask(cmd)
+
+    def on_claim(self, reply: ClaimReply, now: float) -> list:
+        """Take in the leader's answer."""
+        match reply.status:
+            case ClaimStatus.BOUND | ClaimStatus.HELD:
+                return self._on_bound(reply, now)
+            case ClaimStatus.FINISHED:
+                return self._on_finished(reply, now)
+            case ClaimStatus.REFUSED:
+                return self._on_refused(reply, now)
+            case ClaimStatus.RELEASED:
+                return self._on_released(now)
+            case ClaimStatus.TARGET_RETIRED:
+                return self._choose_again(now)
+            case ClaimStatus.SUSPECT_BUSY:
+                return self._choose_again(now)
+            case ClaimStatus.QUARANTINED:
+                return self._conclude(Quarantined(reason='crashed_targets'))
+            case ClaimStatus.CONFLICT:
+                return self._conclude(Rejected(reason='id_reused'))
+            case ClaimStatus.TOO_OLD:
+                return self._conclude(Rejected(reason='id_too_old'))
+        return self._conclude(Unknown(reason='unexpected_reply'))
+
+    def on_agent(self, msg: Message, now: float) -> list:
+        """Take in a message of the agent about the live binding."""
+        if self.state is not FlowState.STREAMING or msg.binding != self._binding:
+            return []
+        self._heard_at = now
+        match msg:
+            case Accepted():
+                self._acknowledged = True
+                return []
+            case Chunk():
+                return self._on_chunk(msg, now)
+            case End():
+                return self._on_end(msg, now)
+            case NotStarted():
+                return self._on_not_started(msg)
+            case NotHeld():
+                return self._on_not_held(now)
+        return []
+
+    def tick(self, now: float) -> list:
+        """Let time pass: resends, silence and the deadline."""
+        if self.state is FlowState.DONE:
+            return []
+        if self.state is FlowState.STREAMING:
+            return self._tick_streaming(now)
+        if now >= self._give_up_at:
+            return self._conclude(Unknown(reason='control_unavailable'))
+        late = now >= self.submission.deadline
+        if late and self.state is FlowState.BINDING:
+            return self.refuse(OutcomeKind.EXPIRED, 'deadline', 0)
+        return []
+
+    def link_lost(self, address: str, now: float) -> list:
+        """Ask again over a new link when the one to the agent broke."""
+        if self.state is not FlowState.STREAMING or address != self.address:
+            return []
+        return self._resend(now)
+
+    def caller_left(self) -> list:
+        """Stop: nobody waits for the answer at this entry any more."""
+        streaming = self.state is FlowState.STREAMING
+        self.state = FlowState.DONE
+        self._chooser.ended(self.submission)
+        if not streaming:
+            return []
+        cancel = Cancel(key=self.key, binding=self._binding)
+        return [Send(to=self.address, call=0, body=cancel)]
+
+    # Claim
+
+    def _bind(self, now: float, *, after_refusal: int) -> list:
+        choice = self._chooser.choose(self.submission, frozenset(self._excluded), now)
+        if not isinstance(choice, Choice):
+            reason, retry_after_ms = choice.reason, choice.retry_after_ms
+            return self.refuse(OutcomeKind.REFUSED, reason, retry_after_ms)
+        self.state = FlowState.BINDING
+        self.target = choice.target
+        sub = self.submission
+        return self._ask(
+            Bind(
+                key=sub.key,
+                fingerprint=sub.fingerprint,
+                attempt=sub.attempt,
+                target=choice.target,
+                incarnation=choice.incarnation,
+                address=choice.address,
+                once=sub.work.once,
+                dated_ms=sub.dated_ms,
+                after_refusal=after_refusal,
+            )
+        )
+
+    def _on_bound(self, reply: ClaimReply, now: float) -> list:
+        self._own = reply.status == ClaimStatus.BOUND
+        self._attend(reply, now)
+        if self._own and self.state is FlowState.BINDING:
+            self.state = FlowState.STREAMING
+            return [self._dispatch(now)]
+        self._chooser.ended(self.submission)
+        self.state = FlowState.STREAMING
+        return [self._attach(now)]
+
+    def _attend(self, reply: ClaimReply, now: float) -> None:
+        self._binding = reply.binding
+        self._incarnation = reply.incarnation
+        self._bound_age_ms = reply.bound_age_ms
+        self._bound_at = now
+        self.target = reply.target
+        self.address = reply.address
+        self._acknowledged = False
+        self._heard_at = now
+        self.bindings += 1
+
+    def _on_finished(self, reply: ClaimReply, now: float) -> list:
+        outcome = from_record(reply.outcome)
+        if not isinstance(outcome, Completed):
+            return self._conclude(outcome)
+        if outcome.length == len(outcome.answer):
+            deliver = Deliver(
+                status=outcome.status,
+                content_type=outcome.content_type,
+                data=outcome.answer[self._received :],
+            )
+            return [deliver, *self._conclude(outcome)]
+        self._attend(reply, now)
+        self.state = FlowState.STREAMING
+        return [self._attach(now)]
+
+    def _on_refused(self, reply: ClaimReply, now: float) -> list:
+        outcome = from_record(reply.outcome)
+        if self.state is FlowState.REFUSING:
+            return self._conclude(outcome)
+        elapsed_ms = (now - self.submission.submitted_at) * 1000
+        if elapsed_ms <= reply.refused_age_ms * CLOCK_RATE_MARGIN:
+            # This submission came after the refusal, so it is a new try.
+            return self._bind(now, after_refusal=reply.refusal_index)
+        return self._conclude(outcome)
+
+    def _on_released(self, now: float) -> list:
+        if self.state is FlowState.REFUSING:
+            return self._conclude(self._refusal)
+        if now >= self.submission.deadline:
+            return self.refuse(OutcomeKind.EXPIRED, 'deadline', 0)
+        if self._refusal.reason == 'shed':
+            refusal = self._refusal
+            return self.refuse(
+                OutcomeKind.REFUSED, refusal.reason, refusal.retry_after_ms
+            )
+        return self._choose_again(now)
+
+    def _choose_again(self, now: float) -> list:
+        self._excluded.add(self.target)
+        if self.bindings + len(self._excluded) > 2 * MAX_BINDINGS:
+            reason = 'no_target'
+            return self.refuse(OutcomeKind.REFUSED, reason, SUSPECT_RETRY_MS)
+        return self._bind(now, after_refusal=0)
+
+    # Answer
+
+    def _on_chunk(self, msg: Chunk, now: float) -> list:
+        self._acknowledged = True
+        if msg.offset > self._received:
+            return self._resend(now)
+        data = msg.data[self._received - msg.offset :]
+        if not data:
+            return []
+        self._received += len(data)
+        return [Deliver(status=msg.status, content_type=msg.content_type, data=data)]
+
+    def _on_end(self, msg: End, now: float) -> list:
+        outcome = from_record(msg.outcome)
+        if isinstance(outcome, Completed) and msg.length != self._received:
+            return self._resend(now)
+        return self._conclude(outcome)
+
+    def _on_not_started(self, msg: NotStarted) -> list:
+        if self._received:
+            return self._conclude(Failed(reason='contradiction'))
+        self._refusal = Refused(reason=msg.reason, retry_after_ms=msg.retry_after_ms)
+        self.state = FlowState.RELEASING
+        return self._ask(Release(key=self.key, binding=self._binding))
+
+    def _on_not_held(self, now: float) -> list:
+        if self._age_ms(now) < DISPATCH_TRANSIT_MS:
+            # The dispatch of another entry may still be on its way.
+            return []
+        return self._conclude(Unknown(reason='not_held'))
+
+    def _tick_streaming(self, now: float) -> list:
+        if now - self._heard_at >= SILENT_S:
+            return self._conclude(Unknown(reason='target_silent'))
+        if now >= self.submission.deadline + LATE_S:
+            return self._conclude(Unknown(reason='deadline'))
+        if now - max(self._sent_at, self._heard_at) >= RESEND_S:
+            return self._resend(now)
+        return []
+
+    def _resend(self, now: float) -> list:
+        if self._own and not self._acknowledged:
+            return [self._dispatch(now)]
+        return [self._attach(now)]
+
+    def _dispatch(self, now: float) -> Send:
+        self._sent_at = now
+        left_s = max(0.0, self.submission.deadline - now)
+        msg = Dispatch(
+            key=self.key,
+            binding=self._binding,
+            incarnation=self._incarnation,
+            deadline_ms=int(left_s * 1000),
+            work=self.submission.work,
+        )
+        return Send(to=self.address, call=0, body=msg)
+
+    def _attach(self, now: float) -> Send:
+        self._sent_at = now
+        age_ms = self._age_ms(now)
+        msg = Attach(
+            key=self.key,
+            binding=self._binding,
+            incarnation=self._incarnation,
+            offset=self._received,
+            recent=DISPATCH_TRANSIT_MS <= age_ms < RECENT_BINDING_MS,
+        )
+        return Send(to=self.address, call=0, body=msg)
+
+    def _age_ms(self, now: float) -> float:
+        return self._bound_age_ms + (now - self._bound_at) * 1000
+
+    def _ask(self, body: Message) -> list:
+        self._asked = True
+        return [Ask(body=body)]
+
+    def _conclude(self, outcome: Outcome) -> list:
+        self.state = FlowState.DONE
+        self._chooser.ended(self.submission)
+        return [Conclude(outcome=outcome)]
--- /dev/null
+++ b/pistachiopath/claims/status.py
@@ -0,0 +1,20 @@
+"""Status of a claim as told to an entry."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ClaimStatus(enum.StrEnum):
+    """What a command found or did."""
+
+    BOUND = 'bound'
+    HELD = 'held'
+    RELEASED = 'released'
+    REFUSED = 'refused'
+    FINISHED = 'finished'
+    CONFLICT = 'conflict'
+    QUARANTINED = 'quarantined'
+    SUSPECT_BUSY = 'suspect_busy'
+    TARGET_RETIRED = 'target_retired'
+    TOO_OLD = 'too_old'
--- /dev/null
+++ b/pistachiopath/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Questionnaire, generated configuration and settings files."""
--- /dev/null
+++ b/pistachiopath/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program: replicated durable state."""
--- /dev/null
+++ b/pistachiopath/control/core.py
@@ -0,0 +1,255 @@
+"""Decisions of a control replica, without any I/O."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from ..effects import Apply, RestoreState, Send
+from ..messages.claims import Done
+from ..messages.configuration import ConfigurationReply, ConfigurationRequest
+from ..messages.membership import (
+    Heartbeat,
+    HeartbeatAck,
+    Retire,
+    Status,
+    StatusRequest,
+    View,
+    ViewRequest,
+)
+from ..messages.replication import (
+    Append,
+    AppendReply,
+    Form,
+    InstallSnapshot,
+    NotLeader,
+    Probe,
+    ProbeReply,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from ..replication.entry_kind import EntryKind
+from ..replication.group import Group
+from ..replication.timing import Timing
+from ..transport.codec import decode_message, encode_message
+from .registry import LEASE_S, RETIRE_S, Registry
+from .replicated_state import COMMANDS, ReplicatedState
+from .snapshot import pack_state, unpack_state
+
+if TYPE_CHECKING:
+    import random
+
+    from ..effects import Effect
+    from ..messages.base import Message
+    from ..messages.replication import Entry
+    from ..replication.persisted import Persisted
+
+PROTOCOL = (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot)
+PROTOCOL += (SnapshotReply, Probe, ProbeReply, Form)
+SNAPSHOT_MIN_ENTRIES = 4000
+RETIRE_CHECK_S = 1.0
+
+
+class ControlCore:
+    """Replicated state, its log and the registry of targets.
+
+    Storage effects must be carried out and synced before the sends that
+    came with them; then `synced` must be called and its effects handled.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        addresses: tuple[str, ...],
+        persisted: Persisted,
+        rng: random.Random,
+        now: float,
+        timing: Timing | None = None,
+        snapshot_entries: int = SNAPSHOT_MIN_ENTRIES,
+    ) -> None:
+        self.address = address
+        self.state = ReplicatedState()
+        self.registry = Registry()
+        self.group = Group(
+            address=address,
+            addresses=addresses,
+            persisted=persisted,
+            rng=rng,
+            now=now,
+            timing=timing or Timing(),
+        )
+        self._replica = self.group.replica
+        self._waiting: dict[int, tuple[str, int]] = {}
+        self._applied = self._replica.commit
+        self._snapshot_entries = snapshot_entries
+        self._revisions: dict[str, int] = {}
+        self._retire_at = now
+        self._handle(self._replica.restored())
+
+    def tick(self, now: float, time_ms: int) -> list[Effect]:
+        """Let time pass."""
+        effects = self.group.tick(now, time_ms)
+        if self._replica.is_settled and now >= self._retire_at:
+            self._retire_at = now + RETIRE_CHECK_S
+            effects += self._retire_silent(now, time_ms)
+        self.registry.prune(now)
+        return self._handle(effects) + self._compact()
+
+    def flush(self, now: float) -> list[Effect]:
+        """Send to the followers what was proposed since the last flush."""
+        return self._handle(self._replica.flush(now))
+
+    def synced(self, now: float) -> list[Effect]:
+        """Take note that all storage effects so far are durable."""
+        return self._handle(self._replica.synced(now))
+
+    def receive(
+        self, sender: str, call: int, body: Message, now: float, time_ms: int
+    ) -> list[Effect]:
+        """Handle a message from any process."""
+        if isinstance(body, PROTOCOL):
+            effects = self.group.receive(sender, body, now, time_ms)
+            return self._handle(effects)
+        if isinstance(body, COMMANDS):
+            return self._on_command(sender, call, body, now, time_ms)
+        reply = self._answer(sender, body, now)
+        return [Send(to=sender, call=call, body=reply)] if reply else []
+
+    def _answer(self, sender: str, body: Message, now: float) -> Message | None:
+        match body:
+            case Heartbeat():
+                return self._on_heartbeat(sender, body, now)
+            case ViewRequest():
+                return self._on_view(body, now)
+            case ConfigurationRequest():
+                return ConfigurationReply(
+                    revision=self.state.revision, content=self.state.configuration
+                )
+            case StatusRequest():
+                return Status(document=json.dumps(self.describe(now)))
+        return None
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return what operators see, as plain data."""
+        return {
+            'address': self.address,
+            'role': str(self._replica.role),
+            'term': self._replica.term,
+            'leader': self._replica.leader,
+            'commit': self._replica.commit,
+            'revision': self.state.revision,
+            'claims': len(self.state.claims),
+            'members': [
+                {'member': m.member, 'address': m.address, 'voter': m.voter}
+                for m in self._replica.members
+            ],
+            'targets': [
+                {
+                    'target': view.report.target,
+                    'incarnation': view.report.incarnation,
+                    'address': view.report.address,
+                    'zone': view.report.zone,
+                    'models': list(view.report.models),
+                    'services': list(view.report.services),
+                    'departing': view.report.departing,
+                    'queued': view.report.load.queued,
+                    'running': view.report.load.running,
+                }
+                for view in self.registry.live(now)
+            ],
+            'revisions': dict(self._revisions),
+        }
+
+    def _on_command(
+        self, sender: str, call: int, cmd: Message, now: float, time_ms: int
+    ) -> list[Effect]:
+        if not self._replica.is_leader:
+            reply = NotLeader(leader=self._replica.leader)
+            return [Send(to=sender, call=call, body=reply)]
+        index, effects = self._replica.propose(
+            EntryKind.COMMAND, now, time_ms, command=encode_message(cmd)
+        )
+        self._waiting[index] = (sender, call)
+        return effects
+
+    def _on_heartbeat(
+        self, sender: str, report: Heartbeat, now: float
+    ) -> HeartbeatAck | None:
+        record = self.state.targets.get(report.target)
+        if record is None or record.incarnation != report.incarnation:
+            # A replica that is behind must not take the lease away.
+            return None
+        if record.retired:
+            return HeartbeatAck(sequence=report.sequence, lease_ms=0, revision=0)
+        self.registry.heard(report, now)
+        self._revisions[sender] = report.revision
+        return HeartbeatAck(
+            sequence=report.sequence,
+            lease_ms=int(LEASE_S * 1000),
+            revision=self.state.revision,
+        )
+
+    def _on_view(self, request: ViewRequest, now: float) -> View:
+        self._revisions[request.entry] = request.revision
+        return View(revision=self.state.revision, targets=self.registry.live(now))
+
+    def _retire_silent(self, now: float, time_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for record in self.state.targets.values():
+            if record.retired:
+                continue
+            heard = self.registry.last_heard(record.target, record.incarnation)
+            silent_since = max(heard or 0.0, self._replica.led_since)
+            if now - silent_since >= RETIRE_S:
+                cmd = Retire(
+                    target=record.target, incarnation=record.incarnation, crashed=True
+                )
+                effects += self._on_command('', 0, cmd, now, time_ms)
+        return effects
+
+    def _handle(self, effects: list[Effect]) -> list[Effect]:
+        """Apply committed records; return the effects left for the shell."""
+        left: list[Effect] = []
+        for effect in effects:
+            match effect:
+                case Apply(entry=entry):
+                    left += self._apply(entry)
+                case RestoreState():
+                    self.state = unpack_state(effect.data)
+                    self._applied = effect.index
+                case _:
+                    left.append(effect)
+        if not self._replica.is_leader and self._waiting:
+            left += self._reject_waiting()
+        return left
+
+    def _apply(self, entry: Entry) -> list[Effect]:
+        self._applied = entry.index
+        waiting = self._waiting.pop(entry.index, None)
+        reply: Message = Done()
+        if entry.kind == EntryKind.COMMAND:
+            cmd = decode_message(entry.command)
+            reply = self.state.apply(entry.index, entry.time_ms, cmd)
+        if waiting is None or not waiting[0]:
+            return []
+        if entry.term != self._replica.term:
+            return []
+        return [Send(to=waiting[0], call=waiting[1], body=reply)]
+
+    def _reject_waiting(self) -> list[Effect]:
+        """Tell those who wait that another replica has to be asked.
+
+        Their commands may still be committed: commands are idempotent.
+        """
+        reply = NotLeader(leader=self._replica.leader)
+        waiting = [w for w in self._waiting.values() if w[0]]
+        self._waiting.clear()
+        return [Send(to=to, call=call, body=reply) for to, call in waiting]
+
+    def _compact(self) -> list[Effect]:
+        held = self._applied - self._replica.log.base_index
+        if held < max(self._snapshot_entries, len(self.state.claims) // 2):
+            return []
+        return self._replica.compact(self._applied, pack_state(self.state))
--- /dev/null
+++ b/pistachiopath/control/registry.py
@@ -0,0 +1,52 @@
+"""Targets as one control replica hears of them."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..messages.membership import Heartbeat, TargetView
+
+LEASE_S = 2.0
+RETIRE_S = 10.0
+FORGET_S = 60.0
+
+
+@attrs.define(kw_only=True)
+class _Heard:
+    at: float
+    report: Heartbeat
+
+
+class Registry:
+    """Soft state from heartbeats, by target name; `now` is in seconds."""
+
+    def __init__(self) -> None:
+        self._heard: dict[str, _Heard] = {}
+
+    def heard(self, report: Heartbeat, now: float) -> None:
+        """Take in a heartbeat unless a newer incarnation is known."""
+        known = self._heard.get(report.target)
+        if known is not None and known.report.incarnation > report.incarnation:
+            return
+        self._heard[report.target] = _Heard(at=now, report=report)
+
+    def live(self, now: float) -> tuple[TargetView, ...]:
+        """Return the targets whose lease has not run out."""
+        return tuple(
+            TargetView(age_ms=int((now - heard.at) * 1000), report=heard.report)
+            for heard in self._heard.values()
+            if now - heard.at < LEASE_S
+        )
+
+    def last_heard(self, target: str, incarnation: int) -> float | None:
+        """Return when an incarnation was heard last, or None."""
+        known = self._heard.get(target)
+        if known is None or known.report.incarnation != incarnation:
+            return None
+        return known.at
+
+    def prune(self, now: float) -> None:
+        """Forget targets that have been silent for long."""
+        for name, heard in list(self._heard.items()):
+            if now - heard.at >= FORGET_S:
+                del self._heard[name]
--- /dev/null
+++ b/pistachiopath/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Timing model of a continuously batching engine."""
--- /dev/null
+++ b/pistachiopath/engine/tokens.py
@@ -0,0 +1,42 @@
+"""Tokens, prefix blocks and answers of the timing model."""
+
+from __future__ import annotations
+
+import hashlib
+
+import xxhash
+
+BYTES_PER_TOKEN = 4
+
+
+def count_tokens(text: str) -> int:
+    """Return the estimated number of tokens of a text."""
+    return max(1, len(text.encode()) // BYTES_PER_TOKEN)
+
+
+def prefix_blocks(text: str, block_tokens: int) -> tuple[int, ...]:
+    """Return the chained hashes of the whole blocks of a text."""
+    data = text.encode()
+    size = block_tokens * BYTES_PER_TOKEN
+    chain = 0
+    blocks = []
+    for start in range(0, len(data) - size + 1, size):
+        chain = xxhash.xxh3_64_intdigest(data[start : start + size], seed=chain)
+        blocks.append(chain)
+    return tuple(blocks)
+
+
+def answer_word(digest: str, position: int) -> str:
+    """Return one token of an answer."""
+    return f'{digest}.{position} '
+
+
+def answer_digest(prompt: str) -> str:
+    """Return what ties an answer to its prompt."""
+    return hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
+
+
+def answer_text(prompt: str, tokens: int) -> str:
+    """Return the whole answer to a prompt."""
+    digest = answer_digest(prompt)
+    return ''.join(answer_word(digest, position) for position in range(tokens))
--- /dev/null
+++ b/pistachiopath/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: callers' HTTP, claims, routing and relay."""
--- /dev/null
+++ b/pistachiopath/entry/core.py
@@ -0,0 +1,200 @@
+"""Decisions of an entry, without any I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..claims.effects import Ask, Conclude, Deliver
+from ..claims.flow import FlowState, RequestFlow
+from ..effects import Send
+from ..messages.claims import ClaimReply
+from ..messages.configuration import ConfigurationReply, ConfigurationRequest
+from ..messages.dispatch import Accepted, Chunk, End, NotHeld, NotStarted
+from ..messages.membership import View, ViewRequest
+from ..messages.replication import NotLeader
+from ..replication.leader_client import LeaderClient
+from ..routing.targets import TargetTable
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from ..claims.submission import Submission
+    from ..messages.base import Message
+    from ..routing.chooser import Chooser
+
+AGENT_MESSAGES = (Accepted, Chunk, End, NotHeld, NotStarted)
+VIEW_INTERVAL_S = 0.25
+VIEW_TIMEOUT_S = 1.0
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ToCaller:
+    """Something for the caller of a flow."""
+
+    flow: int
+    effect: Deliver | Conclude
+
+
+@attrs.define(kw_only=True, frozen=True)
+class InForce:
+    """A newer configuration came into force."""
+
+    revision: int
+    content: bytes
+
+
+class EntryCore:
+    """All flows of one entry, its view of the targets and the revision."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        controls: tuple[str, ...],
+        rng: random.Random,
+        make_chooser: Callable[[TargetTable, random.Random], Chooser],
+    ) -> None:
+        self.name = name
+        self.revision = 0
+        self.targets = TargetTable()
+        self.leader = LeaderClient(addresses=controls, rng=rng)
+        self._controls = controls
+        self._chooser = make_chooser(self.targets, rng)
+        self._flows: dict[int, RequestFlow] = {}
+        self._by_key: dict[bytes, set[int]] = {}
+        self._calls: dict[int, int] = {}
+        self._flow_call: dict[int, int] = {}
+        self._last_number = 0
+        self._view_source = rng.randrange(len(controls))
+        self._view_sent_at = -VIEW_TIMEOUT_S
+        self._view_heard_at = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of flows that are not concluded."""
+        return len(self._flows)
+
+    def flow(self, number: int) -> RequestFlow | None:
+        """Return a flow that is not concluded."""
+        return self._flows.get(number)
+
+    def submit(self, submission: Submission, now: float) -> tuple[int, list]:
+        """Begin a flow; return its number and effects."""
+        number = self._next_number()
+        flow = RequestFlow(submission=submission, chooser=self._chooser)
+        self._flows[number] = flow
+        self._by_key.setdefault(submission.key, set()).add(number)
+        return number, self._carry_out(number, flow.start(now), now)
+
+    def caller_left(self, number: int, now: float) -> list:
+        """End a flow whose caller has gone."""
+        flow = self._flows.get(number)
+        if flow is None:
+            return []
+        effects = flow.caller_left()
+        self._remove(number)
+        if flow.key in self._by_key:
+            return []
+        return effects
+
+    def receive(self, sender: str, call: int, body: Message, now: float) -> list:
+        """Handle a message."""
+        if isinstance(body, AGENT_MESSAGES):
+            return self._on_agent(body, now)
+        if isinstance(body, (ClaimReply, NotLeader)):
+            return self._on_leader(sender, call, body, now)
+        if isinstance(body, View):
+            return self._on_view(sender, body, now)
+        if isinstance(body, ConfigurationReply) and body.revision > self.revision:
+            self.revision = body.revision
+            return [InForce(revision=body.revision, content=body.content)]
+        return []
+
+    def link_lost(self, address: str, now: float) -> list:
+        """Ask again where a link broke."""
+        effects = []
+        for number, flow in list(self._flows.items()):
+            effects += self._carry_out(number, flow.link_lost(address, now), now)
+        return effects
+
+    def tick(self, now: float) -> list:
+        """Let time pass."""
+        effects = self.leader.tick(now) + self._poll_view(now)
+        for number, flow in list(self._flows.items()):
+            effects += self._carry_out(number, flow.tick(now), now)
+        return effects
+
+    def _on_agent(self, body: Message, now: float) -> list:
+        effects = []
+        for number in list(self._by_key.get(body.key, ())):
+            flow = self._flows[number]
+            effects += self._carry_out(number, flow.on_agent(body, now), now)
+        return effects
+
+    def _on_leader(self, sender: str, call: int, body: Message, now: float) -> list:
+        final, effects = self.leader.answered(sender, call, body, now)
+        number = self._calls.pop(call, None) if final else None
+        flow = self._flows.get(number)
+        if flow is not None:
+            self._flow_call.pop(number, None)
+            effects += self._carry_out(number, flow.on_claim(body, now), now)
+        return effects
+
+    def _on_view(self, sender: str, view: View, now: float) -> list:
+        self._view_heard_at = now
+        self.targets.take(view, now)
+        if view.revision <= self.revision:
+            return []
+        return [Send(to=sender, call=0, body=ConfigurationRequest())]
+
+    def _poll_view(self, now: float) -> list:
+        if now - self._view_sent_at < VIEW_INTERVAL_S:
+            return []
+        if now - self._view_heard_at >= VIEW_TIMEOUT_S:
+            self._view_source = (self._view_source + 1) % len(self._controls)
+        self._view_sent_at = now
+        source = self._controls[self._view_source]
+        request = ViewRequest(revision=self.revision, entry=self.name)
+        return [Send(to=source, call=0, body=request)]
+
+    def _carry_out(self, number: int, effects: list, now: float) -> list:
+        out = []
+        for effect in effects:
+            if isinstance(effect, Ask):
+                out += self._ask(number, effect.body, now)
+            elif isinstance(effect, Send):
+                out.append(effect)
+            else:
+                out.append(ToCaller(flow=number, effect=effect))
+        flow = self._flows.get(number)
+        if flow is not None and flow.state is FlowState.DONE:
+            self._remove(number)
+        return out
+
+    def _ask(self, number: int, body: Message, now: float) -> list:
+        self._forget_call(number)
+        call = self._next_number()
+        self._calls[call] = number
+        self._flow_call[number] = call
+        return self.leader.ask(call, body, now)
+
+    def _remove(self, number: int) -> None:
+        flow = self._flows.pop(number)
+        self._forget_call(number)
+        same = self._by_key[flow.key]
+        same.discard(number)
+        if not same:
+            del self._by_key[flow.key]
+
+    def _forget_call(self, number: int) -> None:
+        call = self._flow_call.pop(number, None)
+        if call is not None:
+            self._calls.pop(call, None)
+            self.leader.forget(call)
+
+    def _next_number(self) -> int:
+        self._last_number += 1
+        return self._last_number
--- /dev/null
+++ b/pistachiopath/entry/http.py
@@ -0,0 +1,287 @@
+"""HTTP application that callers use."""
+
+from __future__ import annotations
+
+import json
+import math
+import time
+from typing import TYPE_CHECKING
+
+import bottle
+
+from ..claims.effects import Conclude, Deliver
+from ..errors.admission import BadRequest
+from ..errors.outcomes import Completed, Refused, Unknown
+from .requests import CallerHeaders, RequestParser
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..errors.outcomes import Outcome
+    from .requests import ParsedRequest
+    from .settings import EntrySettings
+    from .shell import Call, EntryShell
+
+REQUEST_ID_HEADER = 'Pistachiopath-Request-Id'
+DEADLINE_HEADER = 'Pistachiopath-Deadline-Ms'
+METRICS_TYPE = 'text/plain; version=0.0.4'
+STARTING_RETRY_MS = 1000
+
+
+class CallerApp:
+    """Routes of an entry: completions, plain services, models and health."""
+
+    def __init__(self, *, cfg: EntrySettings, shell: EntryShell) -> None:
+        self._cfg = cfg
+        self._shell = shell
+        self.app = bottle.Bottle(catchall=True)
+        for path in ('/v1/chat/completions', '/v1/completions'):
+            self.app.post(path, callback=self._completion)
+        self.app.route(
+            '/services/<service>/<path:path>',
+            method=['GET', 'POST', 'PUT', 'DELETE'],
+            callback=self._service,
+        )
+        self.app.get('/v1/models', callback=self._models)
+        self.app.get('/healthz', callback=self._health)
+        self.app.get('/metrics', callback=self._metrics)
+        self.app.default_error_handler = _default_error
+
+    # Routes
+
+    def _completion(self) -> bottle.HTTPResponse | Iterator[bytes]:
+        path = bottle.request.path
+        return self._answer(
+            lambda parser, body, headers: parser.completion(
+                path, body, headers, time.monotonic(), _time_ms()
+            )
+        )
+
+    def _service(
+        self, service: str, path: str
+    ) -> bottle.HTTPResponse | Iterator[bytes]:
+        request = bottle.request
+        return self._answer(
+            lambda parser, body, headers: parser.service(
+                service,
+                f'/{path}',
+                request.method,
+                request.query_string,
+                body,
+                headers,
+                time.monotonic(),
+                _time_ms(),
+            )
+        )
+
+    def _models(self) -> bottle.HTTPResponse:
+        try:
+            parser = self._parser()
+            parser.customer(_headers(), time.monotonic())
+        except BadRequest as exc:
+            return _bad_request(exc)
+        models = [
+            {'id': name, 'object': 'model', 'created': 0, 'owned_by': 'pistachiopath'}
+            for name in self._shell.rules.model_names()
+        ]
+        return _json({'object': 'list', 'data': models}, 200)
+
+    def _health(self) -> bottle.HTTPResponse:
+        ready = self._shell.rules is not None and not self._shell.draining
+        document = {
+            'ready': ready,
+            'draining': self._shell.draining,
+            'revision': self._shell.core.revision,
+            'in_flight': self._shell.core.in_flight,
+        }
+        return _json(document, 200 if ready else 503)
+
+    def _metrics(self) -> str:
+        bottle.response.content_type = METRICS_TYPE
+        return self._shell.metrics.render() + '\n'
+
+    # Answers
+
+    def _answer(self, parse) -> bottle.HTTPResponse | Iterator[bytes]:  # noqa: ANN001
+        try:
+            parser = self._parser()
+            parsed = parse(parser, self._body(), _headers())
+        except BadRequest as exc:
+            return _bad_request(exc)
+        call = self._shell.submit(parsed)
+        if parsed.streams:
+            return self._streamed(call)
+        return self._whole(call)
+
+    def _whole(self, call: Call) -> bottle.HTTPResponse:
+        parts: list[Deliver] = []
+        try:
+            effect = call.effects.get()
+            while isinstance(effect, Deliver):
+                parts.append(effect)
+                effect = call.effects.get()
+            return self._concluded(call, effect.outcome, parts)
+        finally:
+            self._shell.leave(call)
+
+    def _concluded(
+        self, call: Call, outcome: Outcome, parts: list[Deliver]
+    ) -> bottle.HTTPResponse:
+        self._shell.finished(call, outcome.kind)
+        if not isinstance(outcome, Completed):
+            return _outcome_response(outcome, call.parsed)
+        response = bottle.HTTPResponse(
+            b''.join(part.data for part in parts), status=outcome.status
+        )
+        response.content_type = outcome.content_type or 'application/octet-stream'
+        response.set_header(REQUEST_ID_HEADER, call.parsed.request_id)
+        return response
+
+    def _streamed(self, call: Call) -> bottle.HTTPResponse | Iterator[bytes]:
+        effect = call.effects.get()
+        if isinstance(effect, Conclude):
+            try:
+                return self._concluded(call, effect.outcome, [])
+            finally:
+                self._shell.leave(call)
+        bottle.response.status = effect.status
+        bottle.response.content_type = effect.content_type
+        bottle.response.set_header(REQUEST_ID_HEADER, call.parsed.request_id)
+        return _Stream(call=call, shell=self._shell, first=effect)
+
+    # Requests
+
+    def _parser(self) -> RequestParser:
+        if self._shell.rules is None or self._shell.draining:
+            code = 'stopping' if self._shell.draining else 'no_configuration'
+            raise BadRequest(
+                code=code,
+                detail='this entry serves nothing now',
+                http_status=503,
+                retry_after_ms=STARTING_RETRY_MS,
+            )
+        return RequestParser(rules=self._shell.rules)
+
+    def _body(self) -> bytes:
+        limit = self._cfg.max_body_bytes
+        if (bottle.request.content_length or 0) > limit:
+            raise _too_large(limit)
+        body = bottle.request.environ['wsgi.input'].read(limit + 1)
+        if len(body) > limit:
+            raise _too_large(limit)
+        return body
+
+
+class _Stream:
+    """Iterates over the parts of an answer; WSGI servers call `close`."""
+
+    def __init__(self, *, call: Call, shell: EntryShell, first: Deliver) -> None:
+        self._call = call
+        self._shell = shell
+        self._next: Deliver | None = first
+        self._over = False
+
+    def __iter__(self) -> _Stream:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._over:
+            raise StopIteration
+        effect = self._next or self._call.effects.get()
+        self._next = None
+        if isinstance(effect, Deliver):
+            return effect.data
+        self._over = True
+        outcome = effect.outcome
+        self._shell.finished(self._call, outcome.kind)
+        if isinstance(outcome, Completed):
+            raise StopIteration
+        document = _error_document(outcome, self._call.parsed.request_id)
+        return b'data: ' + json.dumps(document).encode() + b'\n\n'
+
+    def close(self) -> None:
+        """End the flow, also when the caller went away."""
+        self._shell.leave(self._call)
+
+
+def _time_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def _headers() -> CallerHeaders:
+    request = bottle.request
+    return CallerHeaders(
+        authorization=request.get_header('Authorization', ''),
+        request_id=request.get_header('Idempotency-Key', ''),
+        deadline_ms=request.get_header(DEADLINE_HEADER, ''),
+        content_type=request.content_type or 'application/json',
+        traceparent=request.get_header('traceparent', ''),
+    )
+
+
+def _json(document: dict, status: int) -> bottle.HTTPResponse:
+    response = bottle.HTTPResponse(json.dumps(document), status=status)
+    response.content_type = 'application/json'
+    return response
+
+
+def _set_retry_after(response: bottle.HTTPResponse, retry_after_ms: int) -> None:
+    seconds = max(1, math.ceil(retry_after_ms / 1000))
+    response.set_header('Retry-After', str(seconds))
+    response.set_header('Retry-After-Ms', str(retry_after_ms))
+
+
+def _bad_request(exc: BadRequest) -> bottle.HTTPResponse:
+    error = {
+        'type': 'rejected',
+        'code': exc.code,
+        'message': exc.detail,
+        'ran': 'no',
+    }
+    response = _json({'error': error}, exc.http_status)
+    if exc.retry_after_ms:
+        _set_retry_after(response, exc.retry_after_ms)
+    return response
+
+
+def _error_document(outcome: Outcome, request_id: str) -> dict:
+    ran = {'failed': 'yes', 'unknown': 'unknown'}.get(outcome.kind, 'no')
+    error = {
+        'type': str(outcome.kind),
+        'code': outcome.reason,
+        'message': f'{outcome.kind}: {outcome.reason}',
+        'ran': ran,
+        'request_id': request_id,
+    }
+    if isinstance(outcome, Refused):
+        error['retry_after_ms'] = outcome.retry_after_ms
+    return {'error': error}
+
+
+def _outcome_response(outcome: Outcome, parsed: ParsedRequest) -> bottle.HTTPResponse:
+    document = _error_document(outcome, parsed.request_id)
+    response = _json(document, outcome.http_status)
+    response.set_header(REQUEST_ID_HEADER, parsed.request_id)
+    if isinstance(outcome, Refused):
+        _set_retry_after(response, outcome.retry_after_ms)
+    if isinstance(outcome, Unknown):
+        # A client library must not send it again by itself as a new request.
+        response.set_header('X-Should-Retry', 'false')
+    return response
+
+
+def _too_large(limit: int) -> BadRequest:
+    return BadRequest(
+        code='body_too_large', detail=f'at most {limit} bytes', http_status=413
+    )
+
+
+def _default_error(error: bottle.HTTPError) -> str:
+    bottle.response.content_type = 'application/json'
+    document = {
+        'type': 'rejected',
+        'code': f'http_{error.status_code}',
+        'message': str(error.body),
+        'ran': 'no',
+    }
+    return json.dumps({'error': document})
--- /dev/null
+++ b/pistachiopath/entry/main.py
@@ -0,0 +1,44 @@
+"""Program `pistachiopath-entry`."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import random
+
+from gevent.pywsgi import WSGIServer
+
+from ..telemetry.traces import set_up
+from ..transport.network import split_address
+from ..util.program import parse_settings, run_until_stopped
+from .http import CallerApp
+from .settings import EntrySettings
+from .shell import EntryShell
+
+
+def main() -> None:
+    """Serve callers until stopped."""
+    cfg = parse_settings(
+        'pistachiopath-entry',
+        "Takes callers' requests, claims, routes and relays the answers.",
+        EntrySettings,
+    )
+    tracer = set_up('pistachiopath-entry', cfg.name, cfg.trace_file)
+    shell = EntryShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
+    caller_app = CallerApp(cfg=cfg, shell=shell)
+    server = WSGIServer(split_address(cfg.http), caller_app.app, log=None)
+    shell.start()
+    server.start()
+
+    def stop() -> None:
+        server.stop_accepting()
+        shell.drain(cfg.drain_s)
+        server.stop(timeout=1)
+
+    run_until_stopped(stop)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/pistachiopath/entry/settings.py
@@ -0,0 +1,23 @@
+"""Settings of an entry."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True, frozen=True)
+class EntrySettings:
+    """Settings file of `pistachiopath-entry`.
+
+    `name` is unique among the entries; `http` is where callers connect.
+    """
+
+    name: str
+    zone: str
+    http: str
+    controls: tuple[str, ...]
+    secret: str
+    max_body_bytes: int = 4 * 1024 * 1024
+    drain_s: float = 120.0
+    log_level: str = 'info'
+    trace_file: str = ''
--- /dev/null
+++ b/pistachiopath/entry/shell.py
@@ -0,0 +1,190 @@
+"""Sockets and timers around the decisions of an entry."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+import gevent.queue
+from opentelemetry.trace import Span
+
+from ..admission.rules import Rules
+from ..claims.effects import Conclude, Deliver
+from ..configuration.configuration import Configuration
+from ..effects import Send
+from ..routing.earliest_finish import EarliestFinish
+from ..telemetry.metrics import Metrics
+from ..telemetry.traces import child, context_of, traceparent_of
+from ..transport.handshake import ROLE_NODE, Identity
+from ..transport.network import Network
+from .core import EntryCore, InForce, ToCaller
+from .requests import ParsedRequest
+
+if TYPE_CHECKING:
+    import random
+
+    from opentelemetry.trace import Tracer
+
+    from ..messages.base import Message
+    from .settings import EntrySettings
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A caller's request while the entry works on it."""
+
+    number: int
+    parsed: ParsedRequest
+    began_at: float
+    span: Span
+    claim_span: Span
+    effects: gevent.queue.Queue = attrs.field(factory=gevent.queue.Queue)
+    first_byte_at: float = 0.0
+
+
+class EntryShell:
+    """Wires the core, the network and the callers' greenlets."""
+
+    def __init__(
+        self, *, cfg: EntrySettings, rng: random.Random, tracer: Tracer
+    ) -> None:
+        self.rules: Rules | None = None
+        self.metrics = Metrics()
+        self.draining = False
+        self._tracer = tracer
+        self._calls: dict[int, Call] = {}
+        self.core = EntryCore(
+            name=cfg.name,
+            controls=cfg.controls,
+            rng=rng,
+            make_chooser=lambda targets, r: EarliestFinish(targets=targets, rng=r),
+        )
+        self.network = Network(
+            identity=Identity(
+                name=cfg.name,
+                role=ROLE_NODE,
+                secrets={ROLE_NODE: cfg.secret.encode()},
+            ),
+            on_message=self._on_message,
+            on_lost=self._on_lost,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the targets and the configuration."""
+        gevent.spawn(self._loop)
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait until every caller has its answer."""
+        self.draining = True
+        deadline = time.monotonic() + timeout_s
+        while self._calls and time.monotonic() < deadline:
+            gevent.sleep(TICK_S)
+        self.network.close()
+
+    def submit(self, parsed: ParsedRequest) -> Call:
+        """Begin the flow of a request."""
+        now = time.monotonic()
+        work = parsed.submission.work
+        span = child(self._tracer, 'entry', context_of(work.traceparent))
+        span.set_attribute('request_id', parsed.request_id)
+        span.set_attribute('tier', parsed.tier)
+        traceparent = traceparent_of(span) or work.traceparent
+        work = attrs.evolve(work, traceparent=traceparent)
+        submission = attrs.evolve(parsed.submission, work=work)
+        parsed = attrs.evolve(parsed, submission=submission)
+        claim_span = child(self._tracer, 'claim', context_of(traceparent))
+        number, effects = self.core.submit(submission, now)
+        call = Call(
+            number=number,
+            parsed=parsed,
+            began_at=now,
+            span=span,
+            claim_span=claim_span,
+        )
+        self._calls[number] = call
+        self._carry_out(effects)
+        return call
+
+    def leave(self, call: Call) -> None:
+        """Forget a call; stop its flow if it is not over."""
+        if self._calls.pop(call.number, None) is None:
+            return
+        _end_once(call.claim_span)
+        call.span.end()
+        self._carry_out(self.core.caller_left(call.number, time.monotonic()))
+
+    def finished(self, call: Call, outcome: str) -> None:
+        """Count an outcome and log it."""
+        now = time.monotonic()
+        tier = call.parsed.tier
+        call.span.set_attribute('outcome', outcome)
+        self.metrics.count('requests_total', tier=tier, outcome=outcome)
+        self.metrics.observe('request', now - call.began_at, tier=tier)
+        logger.info(
+            'request_ended',
+            extra={
+                'request_id': call.parsed.request_id,
+                'request': call.parsed.submission.key.hex(),
+                'customer': call.parsed.submission.work.customer,
+                'tier': tier,
+                'outcome': outcome,
+                'revision': self.core.revision,
+                'traceparent': call.parsed.submission.work.traceparent,
+                'duration_ms': int((now - call.began_at) * 1000),
+            },
+        )
+
+    def _loop(self) -> None:
+        while True:
+            self._carry_out(self.core.tick(time.monotonic()))
+            gevent.sleep(TICK_S)
+
+    def _on_message(self, sender: str, call: int, body: Message) -> None:
+        now = time.monotonic()
+        self._carry_out(self.core.receive(sender, call, body, now))
+
+    def _on_lost(self, peer: str) -> None:
+        self._carry_out(self.core.link_lost(peer, time.monotonic()))
+
+    def _carry_out(self, effects: list) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.network.send(effect.to, effect.call, effect.body)
+                case ToCaller():
+                    self._to_caller(effect)
+                case InForce():
+                    self._put_in_force(effect)
+
+    def _to_caller(self, effect: ToCaller) -> None:
+        call = self._calls.get(effect.flow)
+        if call is None:
+            return
+        if isinstance(effect.effect, Deliver) and not call.first_byte_at:
+            call.first_byte_at = time.monotonic()
+            self.metrics.observe(
+                'first_byte',
+                call.first_byte_at - call.began_at,
+                tier=call.parsed.tier,
+            )
+            _end_once(call.claim_span)
+        if isinstance(effect.effect, Conclude):
+            _end_once(call.claim_span)
+        call.effects.put(effect.effect)
+
+    def _put_in_force(self, effect: InForce) -> None:
+        configuration = Configuration.from_bytes(effect.content)
+        self.rules = Rules(configuration=configuration)
+        logger.info('configuration_in_force', extra={'revision': effect.revision})
+
+
+def _end_once(span: Span) -> None:
+    if span.is_recording():
+        span.end()
--- /dev/null
+++ b/pistachiopath/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Typed outcomes and failures."""
--- /dev/null
+++ b/pistachiopath/fencing/__init__.py
@@ -0,0 +1,1 @@
+"""Fencing numbers of orders to engines."""
--- /dev/null
+++ b/pistachiopath/gate/gate.py
@@ -0,0 +1,365 @@
+"""The last gate before an engine."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..effects import Send
+from ..errors.outcomes import OutcomeKind
+from ..messages.claims import FinishItem, OutcomeRecord
+from ..messages.dispatch import (
+    Accepted,
+    Attach,
+    Chunk,
+    End,
+    NotHeld,
+    NotStarted,
+    Work,
+)
+from ..messages.membership import Load
+from .effects import RecordOutcome, StartRun, StopRun
+from .queue import RunQueue
+from .run import Run, RunState
+
+if TYPE_CHECKING:
+    from ..messages.base import Message
+    from ..messages.dispatch import Cancel, Dispatch
+
+CHUNK_BYTES = 64 * 1024
+
+
+@attrs.define(kw_only=True, frozen=True)
+class GateLimits:
+    """Bounds of the gate; durations in seconds."""
+
+    window: int = 8
+    max_queued: int = 256
+    retention_s: float = 3600.0
+    answer_retention_s: float = 300.0
+    max_answer_bytes: int = 16 * 1024 * 1024
+    max_retained_bytes: int = 8 * 1024 * 1024
+
+
+class Gate:
+    """Runs each bound request at most once on one target incarnation.
+
+    All entries meet here: a bounded window of runs on the engine, and a
+    priority queue before it.  A run that never started can be given back
+    with a tombstone, which is the proof that lets its binding move.
+    Methods return effects; `now` is the agent's monotonic clock.
+    """
+
+    def __init__(self, *, limits: GateLimits) -> None:
+        self.incarnation = 0
+        self.lease_until = 0.0
+        self.departing = False
+        self._limits = limits
+        self._incarnations: set[int] = set()
+        self._runs: dict[bytes, Run] = {}
+        self._queue = RunQueue()
+        self._running: dict[bytes, Run] = {}
+        self._order = 0
+        self._ended: deque[Run] = deque()
+        self._answers: deque[Run] = deque()
+        self._retained_bytes = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits or runs."""
+        return not self._queue and not self._running
+
+    def running_keys(self) -> tuple[bytes, ...]:
+        """Return the keys that the engine is running."""
+        return tuple(self._running)
+
+    def load(self) -> Load:
+        """Return the load to announce."""
+        held = [*self._queue, *self._running.values()]
+        return Load(
+            running=len(self._running),
+            queued=len(self._queue),
+            window=self._limits.window,
+            promised=sum(1 for run in held if run.work.promised),
+            prompt_tokens=sum(r.work.prompt_tokens for r in held if not r.answer),
+            output_tokens=sum(r.work.output_tokens for r in held),
+        )
+
+    def start_incarnation(self, incarnation: int, now: float) -> list:
+        """Begin anew: what was queued under the old incarnation is void."""
+        self.incarnation = incarnation
+        if incarnation:
+            self._incarnations.add(incarnation)
+        effects = []
+        for run in list(self._queue):
+            effects += self._give_back(run, 'incarnation', now)
+        return effects
+
+    def depart(self, now: float) -> list:
+        """Take no more work, give back the queue, finish what runs."""
+        self.departing = True
+        effects = []
+        for run in list(self._queue):
+            if not run.started:
+                effects += self._give_back(run, 'departing', now)
+        return effects
+
+    def dispatch(self, sender: str, msg: Dispatch, now: float) -> list:
+        """Take a bound request, once."""
+        run = self._runs.get(msg.key)
+        if run is not None and run.binding >= msg.binding:
+            return self._answer_known(sender, run, msg.binding, now)
+        foreign = msg.incarnation not in self._incarnations
+        if foreign or (run is not None and run.state is not RunState.TOMBSTONE):
+            # Another process may have run what was bound to an incarnation
+            # that this one never had.
+            held = NotHeld(key=msg.key, binding=msg.binding)
+            return [Send(to=sender, call=0, body=held)]
+        refusal = self._refusal(msg)
+        self._order += 1
+        run = Run(
+            key=msg.key,
+            binding=msg.binding,
+            work=msg.work,
+            deadline=now + msg.deadline_ms / 1000,
+            arrived_at=now,
+            order=self._order,
+        )
+        run.subscribers[sender] = 0
+        self._runs[msg.key] = run
+        if refusal:
+            return self._give_back(run, refusal, now)
+        self._queue.push(run)
+        accepted = Accepted(key=run.key, binding=run.binding)
+        effects = [Send(to=sender, call=0, body=accepted)]
+        return effects + self._shed(now) + self._start_due(now)
+
+    def attach(self, sender: str, msg: Attach, now: float) -> list:
+        """Subscribe an entry to a run from a byte offset on."""
+        run = self._runs.get(msg.key)
+        if run is None and msg.recent and msg.incarnation in self._incarnations:
+            run = self._tombstone_unseen(msg, now)
+        if run is None or run.binding != msg.binding:
+            held = NotHeld(key=msg.key, binding=msg.binding)
+            return [Send(to=sender, call=0, body=held)]
+        if run.state is RunState.TOMBSTONE:
+            return [Send(to=sender, call=0, body=_not_started(run))]
+        run.subscribers[sender] = msg.offset
+        return self._publish_to(sender, run)
+
+    def cancel(self, sender: str, msg: Cancel, now: float) -> list:
+        """Unsubscribe an entry; stop a repeatable run nobody waits for."""
+        run = self._runs.get(msg.key)
+        if run is None or run.binding != msg.binding:
+            return []
+        run.subscribers.pop(sender, None)
+        if run.subscribers or run.work.once:
+            return []
+        if run.state in (RunState.QUEUED, RunState.PAUSED):
+            self._queue.remove(run)
+            return self._end_cancelled(run, now)
+        if run.state is RunState.RUNNING:
+            effects = [StopRun(run=run), *self._end_cancelled(run, now)]
+            return effects + self._start_due(now)
+        return []
+
+    def engine_data(
+        self, run: Run, status: int, content_type: str, data: bytes, now: float
+    ) -> list:
+        """Take in a part of the engine's answer."""
+        if run.state is not RunState.RUNNING:
+            return []
+        run.first_byte_at = run.first_byte_at or now
+        run.status = status
+        run.content_type = content_type
+        run.answer += data
+        return self._publish(run)
+
+    def engine_end(self, run: Run, outcome: OutcomeRecord, now: float) -> list:
+        """Take in the end of a run."""
+        if run.state is not RunState.RUNNING:
+            return []
+        return self._end(run, outcome, now) + self._start_due(now)
+
+    def engine_refused(self, run: Run, retry_after_ms: int, now: float) -> list:
+        """Take in the engine's proof that it did not admit the run."""
+        if run.state is not RunState.RUNNING:
+            return []
+        self._running.pop(run.key, None)
+        run.retry_after_ms = retry_after_ms
+        effects = self._give_back(run, 'engine_refused', now)
+        return effects + self._start_due(now)
+
+    def tick(self, now: float) -> list:
+        """Let time pass: expiry, starts after a renewed lease, retention."""
+        effects = []
+        for run in list(self._queue):
+            if run.deadline <= now and not run.started:
+                effects += self._give_back(run, 'deadline', now)
+        effects += self._start_due(now)
+        self._forget(now)
+        return effects
+
+    def _tombstone_unseen(self, msg: Attach, now: float) -> Run:
+        """Make sure that a dispatch still on its way never starts."""
+        run = Run(
+            key=msg.key,
+            binding=msg.binding,
+            work=Work(path=''),
+            deadline=now,
+            arrived_at=now,
+            order=0,
+        )
+        self._runs[run.key] = run
+        self._give_back(run, 'never_received', now)
+        return run
+
+    # Queue and window
+
+    def _refusal(self, msg: Dispatch) -> str:
+        if msg.incarnation != self.incarnation:
+            return 'incarnation'
+        if self.departing:
+            return 'departing'
+        return ''
+
+    def _start_due(self, now: float) -> list:
+        effects = []
+        while self._queue and now < self.lease_until:
+            run = self._queue.peek()
+            if len(self._running) >= self._limits.window:
+                victim = self._preemptible(run)
+                if victim is None:
+                    break
+                effects += self._pause(victim)
+            self._queue.pop()
+            run.state = RunState.RUNNING
+            run.started = True
+            run.started_at = now
+            self._running[run.key] = run
+            effects.append(StartRun(run=run))
+        return effects
+
+    def _preemptible(self, run: Run) -> Run | None:
+        """Return a running run that has to give way to a promised one."""
+        if not run.work.promised:
+            return None
+        others = [
+            r for r in self._running.values() if not r.work.promised and not r.work.once
+        ]
+        return max(others, key=lambda r: r.priority, default=None)
+
+    def _pause(self, run: Run) -> list:
+        del self._running[run.key]
+        run.state = RunState.PAUSED
+        self._queue.push(run)
+        return [StopRun(run=run)]
+
+    def _shed(self, now: float) -> list:
+        if len(self._queue) <= self._limits.max_queued:
+            return []
+        worst = max(
+            (r for r in self._queue if not r.started),
+            key=lambda r: r.priority,
+            default=None,
+        )
+        return self._give_back(worst, 'shed', now) if worst else []
+
+    def _give_back(self, run: Run, reason: str, now: float) -> list:
+        """Tombstone a run that never started, and say so."""
+        self._queue.remove(run)
+        run.state = RunState.TOMBSTONE
+        run.reason = reason
+        run.ended_at = now
+        self._ended.append(run)
+        reply = _not_started(run)
+        return [Send(to=name, call=0, body=reply) for name in run.subscribers]
+
+    # Answers
+
+    def _answer_known(self, sender: str, run: Run, binding: int, now: float) -> list:
+        if run.binding > binding or run.state is RunState.TOMBSTONE:
+            stale = attrs.evolve(_not_started(run), binding=binding)
+            return [Send(to=sender, call=0, body=stale)]
+        run.subscribers.setdefault(sender, 0)
+        accepted = Accepted(key=run.key, binding=run.binding)
+        effects = [Send(to=sender, call=0, body=accepted)]
+        return effects + self._publish_to(sender, run)
+
+    def _publish(self, run: Run) -> list:
+        effects = []
+        for name in list(run.subscribers):
+            effects += self._publish_to(name, run)
+        return effects
+
+    def _publish_to(self, name: str, run: Run) -> list:
+        effects: list = []
+        offset = run.subscribers[name]
+        while offset < len(run.answer):
+            data = bytes(run.answer[offset : offset + CHUNK_BYTES])
+            chunk = Chunk(
+                key=run.key,
+                binding=run.binding,
+                offset=offset,
+                status=run.status,
+                content_type=run.content_type,
+                data=data,
+            )
+            effects.append(Send(to=name, call=0, body=chunk))
+            offset += len(data)
+        run.subscribers[name] = offset
+        if run.state is RunState.ENDED:
+            effects.append(Send(to=name, call=0, body=_end(run, offset)))
+        return effects
+
+    def _end_cancelled(self, run: Run, now: float) -> list:
+        outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='cancelled')
+        return self._end(run, outcome, now)
+
+    def _end(self, run: Run, outcome: OutcomeRecord, now: float) -> list:
+        self._running.pop(run.key, None)
+        run.state = RunState.ENDED
+        run.ended_at = now
+        run.outcome = attrs.evolve(outcome, length=len(run.answer))
+        self._ended.append(run)
+        self._answers.append(run)
+        self._retained_bytes += len(run.answer)
+        stored = run.outcome
+        if run.work.once:
+            stored = attrs.evolve(stored, answer=bytes(run.answer))
+        item = FinishItem(key=run.key, binding=run.binding, outcome=stored)
+        return [RecordOutcome(item=item), *self._publish(run)]
+
+    def _forget(self, now: float) -> None:
+        """Drop answers, then records, that are past their retention."""
+        limits = self._limits
+        while self._answers and (
+            self._retained_bytes > limits.max_retained_bytes
+            or now - self._answers[0].ended_at >= limits.answer_retention_s
+        ):
+            run = self._answers.popleft()
+            self._retained_bytes -= len(run.answer)
+            run.answer = bytearray()
+            run.answer_held = False
+        while self._ended and now - self._ended[0].ended_at >= limits.retention_s:
+            run = self._ended.popleft()
+            if self._runs.get(run.key) is run:
+                del self._runs[run.key]
+
+
+def _not_started(run: Run) -> Message:
+    return NotStarted(
+        key=run.key,
+        binding=run.binding,
+        reason=run.reason,
+        retry_after_ms=run.retry_after_ms,
+    )
+
+
+def _end(run: Run, sent: int) -> Message:
+    outcome = run.outcome
+    if sent < outcome.length:
+        outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='answer_not_held')
+    return End(key=run.key, binding=run.binding, length=outcome.length, outcome=outcome)
--- /dev/null
+++ b/pistachiopath/gate/run.py
@@ -0,0 +1,54 @@
+"""One run of a request on this target."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from ..messages.claims import OutcomeRecord
+from ..messages.dispatch import Work
+
+
+class RunState(enum.StrEnum):
+    """State of a run at the gate."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    PAUSED = 'paused'
+    ENDED = 'ended'
+    TOMBSTONE = 'tombstone'
+
+
+@attrs.define(kw_only=True)
+class Run:
+    """A run, its answer so far and who waits for it.
+
+    Times are seconds of the agent's clock.  `subscribers` maps the name of
+    an entry to the next byte it has to be sent.
+    """
+
+    key: bytes
+    binding: int
+    work: Work
+    deadline: float
+    arrived_at: float
+    order: int
+    state: RunState = RunState.QUEUED
+    started: bool = False
+    started_at: float = 0.0
+    ended_at: float = 0.0
+    first_byte_at: float = 0.0
+    status: int = 0
+    content_type: str = ''
+    answer: bytearray = attrs.field(factory=bytearray)
+    answer_held: bool = True
+    subscribers: dict[str, int] = attrs.field(factory=dict)
+    outcome: OutcomeRecord | None = None
+    reason: str = ''
+    retry_after_ms: int = 0
+
+    @property
+    def priority(self) -> tuple[bool, int, float, int]:
+        """Order in the queue: smaller runs first."""
+        return (not self.work.promised, self.work.tier, self.deadline, self.order)
--- /dev/null
+++ b/pistachiopath/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/pistachiopath/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, incarnations and leases of targets."""
--- /dev/null
+++ b/pistachiopath/messages/membership.py
@@ -0,0 +1,122 @@
+"""Messages about targets: registration, heartbeats and views."""
+
+from __future__ import annotations
+
+from .base import Message, message
+
+
+@message
+class Rate(Message):
+    """Speed of one model on one target, in tokens a second."""
+
+    model: str
+    prefill: float
+    decode: float
+
+
+@message
+class Load(Message):
+    """Load of one target; token counts cover queued and running work."""
+
+    running: int = 0
+    queued: int = 0
+    window: int = 1
+    promised: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@message
+class Register(Message):
+    """Asks for a new incarnation; `nonce` makes a resend idempotent."""
+
+    target: str
+    nonce: bytes
+
+
+@message
+class Registered(Message):
+    """The incarnation of a target and the highest fencing number."""
+
+    incarnation: int
+    fence: int
+
+
+@message
+class Retire(Message):
+    """Ends an incarnation whose lease ran out or that left as planned."""
+
+    target: str
+    incarnation: int
+    crashed: bool
+
+
+@message
+class Heartbeat(Message):
+    """Announces a target and renews its lease."""
+
+    target: str
+    incarnation: int
+    sequence: int
+    address: str
+    zone: str
+    models: tuple[str, ...]
+    services: tuple[str, ...]
+    departing: bool
+    revision: int
+    load: Load
+    rates: tuple[Rate, ...]
+
+
+@message
+class HeartbeatAck(Message):
+    """Renews the lease of the sender, counted from when it sent `sequence`."""
+
+    sequence: int
+    lease_ms: int
+    revision: int
+
+
+@message
+class CrashReport(Message):
+    """An engine crashed while it ran `keys`; `crash_id` makes it idempotent."""
+
+    target: str
+    crash_id: bytes
+    keys: tuple[bytes, ...]
+
+
+@message
+class ViewRequest(Message):
+    """Asks a control replica for its view of the targets."""
+
+    revision: int
+    entry: str
+
+
+@message
+class TargetView(Message):
+    """A target as a control replica last heard of it, `age_ms` ago."""
+
+    age_ms: int
+    report: Heartbeat
+
+
+@message
+class View(Message):
+    """All live targets, the revision in force and the retired incarnations."""
+
+    revision: int
+    targets: tuple[TargetView, ...]
+
+
+@message
+class StatusRequest(Message):
+    """Asks a control replica for what operators want to see."""
+
+
+@message
+class Status(Message):
+    """State of one replica as a JSON document."""
+
+    document: str
--- /dev/null
+++ b/pistachiopath/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/pistachiopath/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests suspected of crashing their targets."""
--- /dev/null
+++ b/pistachiopath/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: elections, commit, repair and membership."""
--- /dev/null
+++ b/pistachiopath/replication/group.py
@@ -0,0 +1,188 @@
+"""A replica with the forming of its group and the repair of its members."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..effects import AppendEntries, Send
+from ..messages.replication import Entry, Form, Member, Probe, ProbeReply
+from .entry_kind import EntryKind
+from .replica import Replica
+
+if TYPE_CHECKING:
+    import random
+
+    from ..effects import Effect
+    from ..messages.base import Message
+    from .persisted import Persisted
+    from .timing import Timing
+
+BLANK_FRESH_S = 1.0
+PROMOTION_LAG_ENTRIES = 256
+
+
+class Group:
+    """Wraps a `Replica` whose group forms and repairs itself.
+
+    Members with empty data folders form the first group only when every
+    configured address answers that it is empty too.  A member that comes
+    back with an empty folder is a new member: the leader adds it without a
+    vote, gives it a vote when it holds all that is committed, and then
+    removes the lost one, one change at a time.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        addresses: tuple[str, ...],
+        persisted: Persisted,
+        rng: random.Random,
+        now: float,
+        timing: Timing,
+    ) -> None:
+        self.replica = Replica(
+            address=address, persisted=persisted, rng=rng, now=now, timing=timing
+        )
+        self._others = tuple(a for a in addresses if a != address)
+        self._timing = timing
+        self._blank: dict[str, tuple[float, str]] = {}
+        self._probe_at = now
+
+    @property
+    def is_blank(self) -> bool:
+        """Tell whether this member holds no log at all."""
+        return self.replica.log.last_index == 0
+
+    def tick(self, now: float, time_ms: int) -> list[Effect]:
+        """Let time pass."""
+        replica = self.replica
+        effects = replica.tick(now)
+        if self.is_blank and now >= self._probe_at:
+            self._probe_at = now + self._timing.probe_s
+            effects += self._probe()
+        if replica.is_settled:
+            effects += self._repair(now, time_ms)
+        return effects
+
+    def receive(
+        self, sender: str, body: Message, now: float, time_ms: int
+    ) -> list[Effect]:
+        """Handle a message of the protocol."""
+        if isinstance(body, Probe):
+            return self._on_probe(sender, body, now, time_ms)
+        if isinstance(body, ProbeReply):
+            return self._on_probe_reply(body, now)
+        if isinstance(body, Form):
+            return self._on_form(body)
+        return self.replica.receive(sender, body, now)
+
+    # Forming the first group
+
+    def _probe(self) -> list[Effect]:
+        if not self._others:
+            return self._form(())
+        probe = Probe(member=self.replica.member, address=self.replica.address)
+        return [Send(to=a, call=0, body=probe) for a in self._others]
+
+    def _on_probe(
+        self, sender: str, probe: Probe, now: float, time_ms: int
+    ) -> list[Effect]:
+        reply = ProbeReply(
+            member=self.replica.member,
+            address=self.replica.address,
+            blank=self.is_blank,
+        )
+        effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
+        if self.replica.is_settled:
+            effects += self._add_learner(probe, now, time_ms)
+        return effects
+
+    def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
+        if not reply.blank:
+            self._blank.pop(reply.address, None)
+            return []
+        self._blank[reply.address] = (now, reply.member)
+        fresh = all(
+            a in self._blank and now - self._blank[a][0] < BLANK_FRESH_S
+            for a in self._others
+        )
+        first = all(self.replica.address < a for a in self._others)
+        if not (self.is_blank and fresh and first):
+            return []
+        return self._form(
+            tuple(Member(member=self._blank[a][1], address=a) for a in self._others)
+        )
+
+    def _form(self, others: tuple[Member, ...]) -> list[Effect]:
+        own = Member(member=self.replica.member, address=self.replica.address)
+        form = Form(members=(own, *others))
+        effects = self._on_form(form)
+        return effects + [Send(to=m.address, call=0, body=form) for m in others]
+
+    def _on_form(self, form: Form) -> list[Effect]:
+        listed = any(m.member == self.replica.member for m in form.members)
+        if not self.is_blank or not listed:
+            return []
+        entry = Entry(
+            index=1, term=0, kind=EntryKind.MEMBERS, time_ms=0, members=form.members
+        )
+        self.replica.log.append(entry)
+        return [AppendEntries(entries=(entry,))]
+
+    # Repair by the leader
+
+    def _add_learner(self, probe: Probe, now: float, time_ms: int) -> list[Effect]:
+        members = self.replica.members
+        if any(m.member == probe.member for m in members) or self._is_changing():
+            return []
+        if sum(1 for m in members if m.address == probe.address and m.voter) > 1:
+            return []
+        if not any(m.address == probe.address for m in members):
+            return []
+        kept = tuple(m for m in members if m.voter or m.address != probe.address)
+        learner = Member(member=probe.member, address=probe.address, voter=False)
+        return self._change((*kept, learner), now, time_ms)
+
+    def _repair(self, now: float, time_ms: int) -> list[Effect]:
+        if self._is_changing():
+            return []
+        for member in self.replica.members:
+            if not member.voter and self._lag(member) <= PROMOTION_LAG_ENTRIES:
+                return self._change(self._promoted(member), now, time_ms)
+        for old in self.replica.members:
+            if self._is_replaced(old):
+                kept = tuple(m for m in self.replica.members if m != old)
+                return self._change(kept, now, time_ms)
+        return []
+
+    def _promoted(self, learner: Member) -> tuple[Member, ...]:
+        voter = Member(member=learner.member, address=learner.address)
+        return tuple(voter if m == learner else m for m in self.replica.members)
+
+    def _is_replaced(self, old: Member) -> bool:
+        """Tell whether a newer voter at the same address holds everything."""
+        members = self.replica.members
+        newer = members[members.index(old) + 1 :]
+        return any(
+            m.voter and m.address == old.address and self._lag(m) <= 0 for m in newer
+        )
+
+    def _is_changing(self) -> bool:
+        return self.replica.log.members_index > self.replica.commit
+
+    def _lag(self, member: Member) -> int:
+        """Return how many records up to the newest member record it lacks."""
+        progress = self.replica.progress_of(member.member)
+        match = progress.match if progress else 0
+        if member.voter:
+            return self.replica.log.members_index - match
+        return self.replica.commit - match
+
+    def _change(
+        self, members: tuple[Member, ...], now: float, time_ms: int
+    ) -> list[Effect]:
+        _, effects = self.replica.propose(
+            EntryKind.MEMBERS, now, time_ms, members=members
+        )
+        return effects + self.replica.flush(now)
--- /dev/null
+++ b/pistachiopath/replication/replica.py
@@ -0,0 +1,564 @@
+"""One replica of the log: elections, replication and commit."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from ..effects import (
+    AppendEntries,
+    Apply,
+    RestoreState,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+    TruncateFrom,
+)
+from ..messages.replication import (
+    Append,
+    AppendReply,
+    Entry,
+    InstallSnapshot,
+    Member,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from .entry_kind import EntryKind
+from .log import Log
+from .progress import Progress
+from .timing import Timing
+
+if TYPE_CHECKING:
+    import random
+
+    from ..effects import Effect
+    from ..messages.base import Message
+    from .persisted import Persisted
+
+
+class Role(enum.StrEnum):
+    """Role of a replica in its term."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class Replica:
+    """Deterministic state machine of the replication protocol.
+
+    Every method returns effects.  The shell carries out the storage effects,
+    syncs them, calls `synced`, and only then sends messages.  `now` is a
+    monotonic clock in seconds; addresses name peers.
+
+    The protocol has terms and votes, elections with a pre-vote, a leader that
+    steps down when it hears no majority for an election timeout, changes of
+    members one at a time, learners without a vote, and snapshots.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        persisted: Persisted,
+        rng: random.Random,
+        now: float,
+        timing: Timing | None = None,
+    ) -> None:
+        self.address = address
+        self.member = persisted.member
+        self.term = persisted.term
+        self.role = Role.FOLLOWER
+        self.leader = ''
+        self.log = Log(
+            base_index=persisted.snapshot_index,
+            base_term=persisted.snapshot_term,
+            base_members=persisted.snapshot_members,
+            entries=persisted.entries,
+        )
+        self.commit = persisted.snapshot_index
+        self.led_since = now
+        self._voted_for = persisted.voted_for
+        self._snapshot = persisted.snapshot
+        self._durable = self.log.last_index
+        self._timing = timing or Timing()
+        self._rng = rng
+        self._votes: set[str] = set()
+        self._pre_voting = False
+        self._progress: dict[str, Progress] = {}
+        self._heard_leader_at = -self._timing.election_max_s
+        self._incoming = bytearray()
+        self._incoming_id = (0, 0)
+        self._out: list[Effect] = []
+        self._election_at = 0.0
+        self._reset_election(now)
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members by the newest record, committed or not."""
+        return self.log.members()
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether a leader has committed a record of its own term."""
+        return self.is_leader and self.log.term_at(self.commit) == self.term
+
+    def progress_of(self, member: str) -> Progress | None:
+        """Return what the leader knows of a follower."""
+        return self._progress.get(member)
+
+    def restored(self) -> list[Effect]:
+        """Return the effect that restores the state after a start."""
+        if not self._snapshot:
+            return []
+        return [RestoreState(index=self.log.base_index, data=self._snapshot)]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Let time pass: elections, heartbeats, resends and step-down."""
+        if self.is_leader:
+            self._check_quorum(now)
+        if self.is_leader:
+            self._send_due(now)
+        elif now >= self._election_at and self._is_voter():
+            self._start_election(now, pre=True)
+        return self._take()
+
+    def propose(
+        self, kind: EntryKind, now: float, time_ms: int, **content: object
+    ) -> tuple[int, list[Effect]]:
+        """Append a record as the leader; return its index and effects."""
+        entry = Entry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=kind,
+            time_ms=time_ms,
+            **content,
+        )
+        self.log.append(entry)
+        self._out.append(AppendEntries(entries=(entry,)))
+        if kind is EntryKind.MEMBERS:
+            self._adopt_members(now)
+        return entry.index, self._take()
+
+    def flush(self, now: float) -> list[Effect]:
+        """Send what was proposed since the last flush."""
+        if self.is_leader:
+            self._replicate_all(now)
+        return self._take()
+
+    def synced(self, now: float) -> list[Effect]:
+        """Take note that all storage effects so far are on disk."""
+        self._durable = self.log.last_index
+        if self.is_leader:
+            self._advance_commit()
+        return self._take()
+
+    def compact(self, index: int, data: bytes) -> list[Effect]:
+        """Replace the records up to an applied index by a snapshot."""
+        members = self.log.members(index)
+        term = self.log.term_at(index) or 0
+        self.log.compact(index, members)
+        self._snapshot = data
+        return [SaveSnapshot(index=index, term=term, members=members, data=data)]
+
+    def receive(self, sender: str, body: Message, now: float) -> list[Effect]:
+        """Handle a message of the protocol."""
+        if self._ignores(sender, body, now):
+            return self._take()
+        if body.term > self.term and not self._is_tentative(body):
+            self._follow(body.term, '', now)
+        handlers = {
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            Append: self._on_append,
+            AppendReply: self._on_append_reply,
+            InstallSnapshot: self._on_install,
+            SnapshotReply: self._on_snapshot_reply,
+        }
+        handlers[type(body)](sender, body, now)
+        return self._take()
+
+    # Elections
+
+    def _ignores(self, sender: str, body: Message, now: float) -> bool:
+        """Tell whether a message is for another folder or disturbs a leader.
+
+        A removed or returning member must not disturb a group that works.
+        """
+        if isinstance(body, (Append, InstallSnapshot)):
+            return body.to_member != self.member
+        if not isinstance(body, VoteRequest):
+            return False
+        if self.is_leader:
+            alive = True
+        else:
+            alive = now - self._heard_leader_at < self._timing.election_min_s
+        if alive and body.pre:
+            self._reply_vote(sender, body, granted=False)
+        return alive
+
+    @staticmethod
+    def _is_tentative(body: Message) -> bool:
+        if isinstance(body, VoteRequest):
+            return body.pre
+        return isinstance(body, VoteReply) and body.pre and body.granted
+
+    def _start_election(self, now: float, *, pre: bool) -> None:
+        self._reset_election(now)
+        self.leader = ''
+        self._pre_voting = pre
+        if not pre:
+            self.role = Role.CANDIDATE
+            self.term += 1
+            self._voted_for = self.member
+            self._save_vote()
+        self._votes = {self.member}
+        if self._has_majority(self._votes):
+            self._election_won(now)
+            return
+        request = VoteRequest(
+            member=self.member,
+            term=self.term + 1 if pre else self.term,
+            pre=pre,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+        )
+        for peer in self._others():
+            if peer.voter:
+                self._send(peer.address, request)
+
+    def _on_vote_request(self, sender: str, req: VoteRequest, now: float) -> None:
+        current = (req.last_term, req.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if req.pre:
+            self._reply_vote(sender, req, granted=current and req.term > self.term)
+            return
+        free = self._voted_for in ('', req.member)
+        granted = current and free and req.term == self.term
+        if granted:
+            self._voted_for = req.member
+            self._save_vote()
+            self._reset_election(now)
+        self._reply_vote(sender, req, granted=granted)
+
+    def _reply_vote(self, to: str, req: VoteRequest, *, granted: bool) -> None:
+        term = req.term if req.pre and granted else self.term
+        reply = VoteReply(member=self.member, term=term, pre=req.pre, granted=granted)
+        self._send(to, reply)
+
+    def _on_vote_reply(self, sender: str, reply: VoteReply, now: float) -> None:
+        expected = self.term + 1 if self._pre_voting else self.term
+        if reply.pre != self._pre_voting or reply.term != expected:
+            return
+        if not reply.granted or self.is_leader or not self._votes:
+            return
+        self._votes.add(reply.member)
+        if self._has_majority(self._votes):
+            self._election_won(now)
+
+    def _election_won(self, now: float) -> None:
+        if self._pre_voting:
+            self._start_election(now, pre=False)
+            return
+        self.role = Role.LEADER
+        self.leader = self.address
+        self.led_since = now
+        self._votes = set()
+        self._progress = {}
+        self._adopt_members(now)
+        noop = Entry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=EntryKind.NOOP,
+            time_ms=0,
+        )
+        self.log.append(noop)
+        self._out.append(AppendEntries(entries=(noop,)))
+        self._replicate_all(now)
+
+    def _follow(self, term: int, leader: str, now: float) -> None:
+        if term > self.term:
+            self.term = term
+            self._voted_for = ''
+            self._save_vote()
+        if self.role is not Role.FOLLOWER:
+            self._reset_election(now)
+        self.role = Role.FOLLOWER
+        self._votes = set()
+        self._pre_voting = False
+        self.leader = leader
+        self._progress = {}
+
+    def _check_quorum(self, now: float) -> None:
+        limit = self._timing.election_max_s
+        heard = {m for m, p in self._progress.items() if now - p.heard_at < limit}
+        if not self._has_majority(heard | {self.member}):
+            self._follow(self.term, '', now)
+
+    # Replication by the leader
+
+    def _send_due(self, now: float) -> None:
+        for peer in self._others():
+            if now - self._progress[peer.member].sent_at >= self._timing.heartbeat_s:
+                self._replicate(peer, now, resend=True)
+
+    def _replicate_all(self, now: float) -> None:
+        for peer in self._others():
+            self._replicate(peer, now)
+
+    def _replicate(self, peer: Member, now: float, *, resend: bool = False) -> None:
+        progress = self._progress[peer.member]
+        if progress.next_index <= self.log.base_index:
+            self._send_snapshot(peer, progress, now, resend=resend)
+            return
+        first = progress.next_index
+        entries = self.log.slice(first, self._timing.max_entries)
+        if not entries and not resend and progress.round:
+            return
+        progress.round += 1
+        progress.sent_at = now
+        progress.next_index = first + len(entries)
+        self._send(
+            peer.address,
+            Append(
+                to_member=peer.member,
+                term=self.term,
+                round=progress.round,
+                previous_index=first - 1,
+                previous_term=self.log.term_at(first - 1) or 0,
+                commit=self.commit,
+                entries=entries,
+            ),
+        )
+
+    def _send_snapshot(
+        self, peer: Member, progress: Progress, now: float, *, resend: bool
+    ) -> None:
+        if progress.snapshot and not resend:
+            return
+        if not progress.snapshot:
+            progress.offset = 0
+        progress.snapshot = True
+        progress.round += 1
+        progress.sent_at = now
+        start = progress.offset
+        data = self._snapshot[start : start + self._timing.snapshot_chunk_bytes]
+        self._send(
+            peer.address,
+            InstallSnapshot(
+                to_member=peer.member,
+                term=self.term,
+                round=progress.round,
+                index=self.log.base_index,
+                index_term=self.log.base_term,
+                members=self.log.base_members,
+                offset=start,
+                total=len(self._snapshot),
+                data=data,
+            ),
+        )
+
+    def _on_append_reply(self, sender: str, reply: AppendReply, now: float) -> None:
+        peer = self._replying_peer(reply)
+        if peer is None:
+            return
+        progress = self._progress[peer.member]
+        progress.heard_at = now
+        progress.acked_round = max(progress.acked_round, reply.round)
+        if not reply.success:
+            progress.next_index = max(progress.match, reply.match) + 1
+            self._replicate(peer, now)
+            return
+        progress.match = max(progress.match, reply.match)
+        progress.next_index = max(progress.next_index, progress.match + 1)
+        if progress.snapshot and progress.match >= self.log.base_index:
+            progress.snapshot = False
+        self._advance_commit()
+        if progress.next_index <= self.log.last_index:
+            self._replicate(peer, now)
+
+    def _on_snapshot_reply(self, sender: str, reply: SnapshotReply, now: float) -> None:
+        peer = self._replying_peer(reply)
+        if peer is None:
+            return
+        progress = self._progress[peer.member]
+        progress.heard_at = now
+        progress.acked_round = max(progress.acked_round, reply.round)
+        if reply.index != self.log.base_index or not progress.snapshot:
+            progress.snapshot = False
+            return
+        progress.offset = reply.offset
+        if reply.offset >= len(self._snapshot):
+            progress.snapshot = False
+            progress.match = max(progress.match, reply.index)
+            progress.next_index = progress.match + 1
+            self._replicate(peer, now)
+        else:
+            self._send_snapshot(peer, progress, now, resend=True)
+
+    def _advance_commit(self) -> None:
+        voters = [m.member for m in self.members if m.voter]
+        matches = sorted(self._match(member) for member in voters)
+        index = matches[(len(voters) - 1) // 2]
+        if index > self.commit and self.log.term_at(index) == self.term:
+            self._commit_to(index)
+
+    def _match(self, member: str) -> int:
+        if member == self.member:
+            return self._durable
+        progress = self._progress.get(member)
+        return progress.match if progress else 0
+
+    def _commit_to(self, index: int) -> None:
+        for position in range(self.commit + 1, index + 1):
+            entry = self.log.get(position)
+            self._out.append(Apply(entry=entry))
+        self.commit = index
+
+    # Replication on followers
+
+    def _on_append(self, sender: str, msg: Append, now: float) -> None:
+        if msg.term < self.term:
+            self._reply_append(sender, msg, success=False, match=0)
+            return
+        self._hear_leader(sender, msg.term, now)
+        if msg.previous_index < self.commit:
+            # Committed records agree; skip what the snapshot covers.
+            self._append_after(sender, msg, now)
+            return
+        if self.log.term_at(msg.previous_index) != msg.previous_term:
+            hint = min(self.log.last_index, msg.previous_index - 1)
+            self._reply_append(sender, msg, success=False, match=hint)
+            return
+        self._append_after(sender, msg, now)
+
+    def _append_after(self, sender: str, msg: Append, now: float) -> None:
+        added = []
+        for entry in msg.entries:
+            if entry.index <= self.commit:
+                continue
+            term = self.log.term_at(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                self.log.truncate_from(entry.index)
+                self._out.append(TruncateFrom(index=entry.index))
+            self.log.append(entry)
+            added.append(entry)
+        if added:
+            self._out.append(AppendEntries(entries=tuple(added)))
+        match = msg.previous_index + len(msg.entries)
+        self._commit_to(max(self.commit, min(msg.commit, match)))
+        self._reply_append(sender, msg, success=True, match=match)
+
+    def _reply_append(self, to: str, msg: Append, *, success: bool, match: int) -> None:
+        reply = AppendReply(
+            member=self.member,
+            term=self.term,
+            round=msg.round,
+            success=success,
+            match=match,
+        )
+        self._send(to, reply)
+
+    def _on_install(self, sender: str, msg: InstallSnapshot, now: float) -> None:
+        if msg.term < self.term:
+            return
+        self._hear_leader(sender, msg.term, now)
+        if msg.index <= self.commit:
+            self._reply_snapshot(sender, msg, msg.total)
+            return
+        if (msg.term, msg.index) != self._incoming_id:
+            self._incoming = bytearray()
+            self._incoming_id = (msg.term, msg.index)
+        if msg.offset == len(self._incoming):
+            self._incoming += msg.data
+        held = len(self._incoming)
+        if held >= msg.total:
+            self._install(msg)
+        self._reply_snapshot(sender, msg, held)
+
+    def _install(self, msg: InstallSnapshot) -> None:
+        data = bytes(self._incoming)
+        self._incoming = bytearray()
+        self._incoming_id = (0, 0)
+        self.log.reset(msg.index, msg.index_term, msg.members)
+        self.commit = msg.index
+        self._snapshot = data
+        self._out.append(
+            SaveSnapshot(
+                index=msg.index, term=msg.index_term, members=msg.members, data=data
+            )
+        )
+        self._out.append(RestoreState(index=msg.index, data=data))
+
+    def _reply_snapshot(self, to: str, msg: InstallSnapshot, held: int) -> None:
+        reply = SnapshotReply(
+            member=self.member,
+            term=self.term,
+            round=msg.round,
+            index=msg.index,
+            offset=held,
+        )
+        self._send(to, reply)
+
+    def _hear_leader(self, sender: str, term: int, now: float) -> None:
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(term, sender, now)
+        self._pre_voting = False
+        self._votes = set()
+        self._heard_leader_at = now
+        self._reset_election(now)
+
+    # Helpers
+
+    def _adopt_members(self, now: float) -> None:
+        known = self._progress
+        self._progress = {
+            peer.member: known.get(peer.member)
+            or Progress(next_index=self.log.last_index + 1, heard_at=now)
+            for peer in self._others()
+        }
+
+    def _others(self) -> list[Member]:
+        return [m for m in self.members if m.member != self.member]
+
+    def _replying_peer(self, reply: AppendReply | SnapshotReply) -> Member | None:
+        if not self.is_leader or reply.term != self.term:
+            return None
+        for peer in self._others():
+            if peer.member == reply.member:
+                return peer
+        return None
+
+    def _is_voter(self) -> bool:
+        return any(m.voter and m.member == self.member for m in self.members)
+
+    def _has_majority(self, members: set[str]) -> bool:
+        voters = [m.member for m in self.members if m.voter]
+        held = sum(1 for member in voters if member in members)
+        return 2 * held > len(voters)
+
+    def _reset_election(self, now: float) -> None:
+        low = self._timing.election_min_s
+        high = self._timing.election_max_s
+        self._election_at = now + self._rng.uniform(low, high)
+
+    def _save_vote(self) -> None:
+        self._out.append(SaveVote(term=self.term, voted_for=self._voted_for))
+
+    def _send(self, to: str, body: Message) -> None:
+        self._out.append(Send(to=to, call=0, body=body))
+
+    def _take(self) -> list[Effect]:
+        out = self._out
+        self._out = []
+        return out
--- /dev/null
+++ b/pistachiopath/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target for a request."""
--- /dev/null
+++ b/pistachiopath/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines and plain services."""
--- /dev/null
+++ b/pistachiopath/standin/main.py
@@ -0,0 +1,35 @@
+"""Program `pistachiopath-standin`."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from ..transport.network import split_address
+from ..util.program import parse_settings, run_until_stopped
+from .engine import StandinEngine
+from .service import StandinService
+from .settings import StandinSettings
+
+
+def main() -> None:
+    """Serve a stand-in engine or plain service until stopped."""
+    cfg = parse_settings(
+        'pistachiopath-standin',
+        'Stand-in for an engine or a plain service, for tests and measurement.',
+        StandinSettings,
+    )
+    kinds = {'engine': StandinEngine, 'service': StandinService}
+    standin = kinds[cfg.kind](cfg=cfg)
+    server = WSGIServer(split_address(cfg.listen), standin.app, log=None)
+    server.start()
+    gevent.spawn(standin.run)
+    run_until_stopped(server.stop)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/pistachiopath/standin/service.py
@@ -0,0 +1,37 @@
+"""Stand-in plain service with a ledger that can be read afterwards."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import bottle
+import gevent
+
+if TYPE_CHECKING:
+    from .settings import StandinSettings
+
+
+class StandinService:
+    """Adds a ledger line for each POST; answers lookups for each GET."""
+
+    def __init__(self, *, cfg: StandinSettings) -> None:
+        self._cfg = cfg
+        self._ledger: list[dict] = []
+        self.app = bottle.Bottle()
+        self.app.get('/ledger', callback=lambda: {'ledger': self._ledger})
+        self.app.get('/health', callback=lambda: {'status': 'ok'})
+        self.app.post('/<path:path>', callback=self._post)
+        self.app.get('/<path:path>', callback=self._get)
+
+    def run(self) -> None:
+        """Do nothing: the service has no work of its own."""
+
+    def _post(self, path: str) -> dict:
+        line = {'path': path, 'body': bottle.request.body.read().decode()}
+        self._ledger.append(line)
+        gevent.sleep(self._cfg.service_time_s)
+        return {'entry': len(self._ledger), 'echo': line['body']}
+
+    def _get(self, path: str) -> dict:
+        gevent.sleep(self._cfg.service_time_s)
+        return {'path': path, 'query': dict(bottle.request.query)}
--- /dev/null
+++ b/pistachiopath/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Synced records and snapshots in the data folder."""
--- /dev/null
+++ b/pistachiopath/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, histograms and spans."""
--- /dev/null
+++ b/pistachiopath/telemetry/logs.py
@@ -0,0 +1,36 @@
+"""One key=value line per event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import logfmter
+
+
+class _ProcessFields(logging.Filter):
+    """Adds the program and the name of the process to each event."""
+
+    def __init__(self, *, program: str, node: str) -> None:
+        super().__init__()
+        self._program = program
+        self._node = node
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Add the fields; keep every event."""
+        record.program = self._program
+        record.node = self._node
+        return True
+
+
+def set_up(program: str, node: str, level: str) -> None:
+    """Send logs of this process to stderr, one line per event."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(_ProcessFields(program=program, node=node))
+    handler.setFormatter(
+        logfmter.Logfmter(
+            keys=['at', 'level', 'logger'],
+            mapping={'at': 'asctime', 'level': 'levelname', 'logger': 'name'},
+        )
+    )
+    logging.basicConfig(handlers=[handler], level=level.upper(), force=True)
--- /dev/null
+++ b/pistachiopath/telemetry/traces.py
@@ -0,0 +1,50 @@
+"""Spans exported to a file, one JSON document a line."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+if TYPE_CHECKING:
+    from opentelemetry.context import Context
+    from opentelemetry.trace import Span
+
+_propagator = TraceContextTextMapPropagator()
+
+
+def set_up(program: str, node: str, path: str) -> trace.Tracer:
+    """Return a tracer that appends to a file, or one that does nothing."""
+    if not path:
+        return trace.NoOpTracer()
+    resource = Resource.create({'service.name': program, 'host.name': node})
+    provider = TracerProvider(resource=resource)
+    file = open(path, 'a', encoding='utf-8')  # noqa: SIM115
+    exporter = ConsoleSpanExporter(
+        out=file, formatter=lambda span: span.to_json(indent=None) + '\n'
+    )
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+    return provider.get_tracer(program)
+
+
+def context_of(traceparent: str) -> Context:
+    """Return the context that a `traceparent` header names."""
+    return _propagator.extract({'traceparent': traceparent})
+
+
+def traceparent_of(span: Span) -> str:
+    """Return the `traceparent` header of a span; empty if it records nothing."""
+    carrier: dict[str, str] = {}
+    _propagator.inject(carrier, trace.set_span_in_context(span))
+    return carrier.get('traceparent', '')
+
+
+def child(tracer: trace.Tracer, name: str, parent: Context) -> Span:
+    """Start a span below a context."""
+    return tracer.start_span(name, context=parent)
--- /dev/null
+++ b/pistachiopath/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Codec, framing and gevent links between the processes."""
--- /dev/null
+++ b/pistachiopath/transport/frames.py
@@ -0,0 +1,85 @@
+"""Length-prefixed, checksummed frames on a stream socket."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import crc32c
+
+from ..errors.transport import FrameTooLarge, LinkClosed, MalformedFrame
+
+if TYPE_CHECKING:
+    import socket
+
+HEADER = struct.Struct('<II')
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+def pack(payload: bytes) -> bytes:
+    """Return the frame of a payload; raises `FrameTooLarge`."""
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FrameTooLarge(size=len(payload), limit=MAX_FRAME_BYTES)
+    return HEADER.pack(len(payload), crc32c.crc32c(payload)) + payload
+
+
+class FrameBuffer:
+    """Splits a byte stream into payloads.
+
+    `feed` takes what arrived; `next` returns a payload or None when the
+    frame is not complete yet.  Both raise `FrameTooLarge` or
+    `MalformedFrame` and are of no use after that.
+    """
+
+    def __init__(self, *, limit: int = MAX_FRAME_BYTES) -> None:
+        self._data = bytearray()
+        self._limit = limit
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes that arrived."""
+        self._data += data
+
+    def next(self) -> bytes | None:
+        """Return the next whole payload, or None."""
+        if len(self._data) < HEADER.size:
+            return None
+        size, checksum = HEADER.unpack_from(self._data)
+        if size > self._limit:
+            raise FrameTooLarge(size=size, limit=self._limit)
+        end = HEADER.size + size
+        if len(self._data) < end:
+            return None
+        payload = bytes(self._data[HEADER.size : end])
+        del self._data[:end]
+        if crc32c.crc32c(payload) != checksum:
+            raise MalformedFrame(reason='checksum')
+        return payload
+
+
+class FrameSocket:
+    """Reads and writes frames on one connected socket."""
+
+    def __init__(self, *, sock: socket.socket, peer: str) -> None:
+        self._sock = sock
+        self._peer = peer
+        self._buffer = FrameBuffer()
+
+    def read(self) -> bytes:
+        """Return the next payload; raises `LinkClosed` at the end."""
+        payload = self._buffer.next()
+        while payload is None:
+            data = self._sock.recv(READ_BYTES)
+            if not data:
+                raise LinkClosed(peer=self._peer)
+            self._buffer.feed(data)
+            payload = self._buffer.next()
+        return payload
+
+    def write(self, payloads: list[bytes]) -> None:
+        """Write whole frames."""
+        self._sock.sendall(b''.join(pack(payload) for payload in payloads))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
--- /dev/null
+++ b/pistachiopath/transport/link.py
@@ -0,0 +1,113 @@
+"""One authenticated link to another process."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.event
+import gevent.queue
+
+from ..errors.base import PistachiopathError
+from .codec import decode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..messages.envelope import Envelope
+    from .frames import FrameSocket
+
+MAX_QUEUED_BYTES = 32 * 1024 * 1024
+MAX_BATCH = 64
+SILENCE_S = 5.0
+
+
+class Link:
+    """Reads and writes frames in two greenlets until either fails.
+
+    A link that has sent something and heard nothing for `SILENCE_S` is
+    closed: a silent cut must not swallow messages for longer.
+    """
+
+    def __init__(
+        self,
+        *,
+        peer: str,
+        role: str,
+        frames: FrameSocket,
+        on_envelope: Callable[[Link, Envelope], None],
+        on_closed: Callable[[Link], None],
+    ) -> None:
+        self.peer = peer
+        self.role = role
+        self.bytes_sent = 0
+        self._frames = frames
+        self._on_envelope = on_envelope
+        self._on_closed = on_closed
+        self._queue: gevent.queue.Queue = gevent.queue.Queue()
+        self._queued_bytes = 0
+        self._unanswered_since: float | None = None
+        self._closed = False
+        self._writer = gevent.spawn(self._write)
+
+    def send(self, payload: bytes) -> None:
+        """Queue an encoded envelope."""
+        if self._closed:
+            return
+        now = time.monotonic()
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        stuck = now - self._unanswered_since > SILENCE_S
+        if stuck or self._queued_bytes > MAX_QUEUED_BYTES:
+            self.close()
+            return
+        self._queued_bytes += len(payload)
+        self._queue.put(payload)
+
+    def read(self) -> None:
+        """Read envelopes until the link ends; run by the owner's greenlet."""
+        try:
+            while True:
+                payload = self._frames.read()
+                self._unanswered_since = None
+                self._on_envelope(self, decode(payload))
+        except (OSError, PistachiopathError):
+            self.close()
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait until what was queued is handed to the kernel."""
+        deadline = time.monotonic() + timeout_s
+        while self._queued_bytes and not self._closed:
+            if time.monotonic() >= deadline:
+                return
+            gevent.sleep(0.01)
+
+    def close(self) -> None:
+        """Close the link once."""
+        if self._closed:
+            return
+        self._closed = True
+        self._queue.put(None)
+        self._frames.close()
+        self._on_closed(self)
+
+    def _write(self) -> None:
+        while True:
+            payload = self._queue.get()
+            if payload is None:
+                return
+            batch = [payload]
+            while len(batch) < MAX_BATCH and not self._queue.empty():
+                following = self._queue.get()
+                if following is None:
+                    return
+                batch.append(following)
+            try:
+                self._frames.write(batch)
+            except OSError:
+                self.close()
+                return
+            size = sum(len(part) for part in batch)
+            self._queued_bytes -= size
+            self.bytes_sent += size
--- /dev/null
+++ b/pistachiopath/transport/network.py
@@ -0,0 +1,162 @@
+"""Links of one process to all others, by name."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.server
+import gevent.socket as gsocket
+
+from ..errors.base import PistachiopathError
+from ..messages.configuration import Accept, ConfigurationRequest
+from ..messages.envelope import Envelope
+from ..messages.membership import StatusRequest
+from ..messages.session import Rejected
+from .codec import encode
+from .frames import FrameSocket
+from .handshake import ROLE_NODE, ROLE_OPERATOR, Identity, accept, dial
+from .link import Link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..messages.base import Message
+
+logger = logging.getLogger(__name__)
+
+HANDSHAKE_TIMEOUT_S = 3.0
+DIAL_TIMEOUT_S = 1.0
+REDIAL_S = 0.1
+OPERATOR_MESSAGES = (StatusRequest, Accept, ConfigurationRequest)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class Network:
+    """Sends messages by address or name over authenticated links.
+
+    A message to a name that nobody has dialled from and that is no address
+    is dropped, as is one whose link breaks: the protocols resend.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        on_message: Callable[[str, int, Message], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._identity = identity
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._links: dict[str, Link] = {}
+        self._dialling: dict[str, list[bytes]] = {}
+        self._failed_at: dict[str, float] = {}
+        self._server: gevent.server.StreamServer | None = None
+        self.sent_bytes = 0
+        self.sent_messages = 0
+
+    def listen(self, address: str) -> None:
+        """Accept links at an address."""
+        self._server = gevent.server.StreamServer(split_address(address), self._serve)
+        self._server.start()
+
+    def send(self, to: str, call: int, body: Message) -> None:
+        """Send a message, dialling if there is no link."""
+        payload = encode(Envelope(call=call, body=body))
+        self.sent_bytes += len(payload)
+        self.sent_messages += 1
+        link = self._links.get(to)
+        if link is not None:
+            link.send(payload)
+        elif to in self._dialling:
+            self._dialling[to].append(payload)
+        elif ':' in to:
+            self._begin_dial(to, payload)
+
+    def close(self, drain_s: float = 1.0) -> None:
+        """Stop accepting, hand over what is queued and close all links."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        for link in list(self._links.values()):
+            link.drain(drain_s)
+            link.close()
+
+    def _begin_dial(self, to: str, payload: bytes) -> None:
+        if time.monotonic() - self._failed_at.get(to, -REDIAL_S) < REDIAL_S:
+            return
+        self._dialling[to] = [payload]
+        gevent.spawn(self._dial, to)
+
+    def _dial(self, to: str) -> None:
+        try:
+            sock = gsocket.create_connection(split_address(to), DIAL_TIMEOUT_S)
+            frames = FrameSocket(sock=_tuned(sock), peer=to)
+            with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
+                dial(frames, self._identity, to)
+        except (OSError, PistachiopathError) as exc:
+            if to not in self._failed_at:
+                logger.warning(
+                    'link_failed', extra={'peer': to, 'error': type(exc).__name__}
+                )
+            self._dialling.pop(to, None)
+            self._failed_at[to] = time.monotonic()
+            self._on_lost(to)
+            return
+        self._failed_at.pop(to, None)
+        link = self._add(to, ROLE_NODE, frames)
+        for payload in self._dialling.pop(to, ()):
+            link.send(payload)
+        link.read()
+
+    def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
+        frames = FrameSocket(sock=_tuned(sock), peer='')
+        try:
+            with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
+                hello = accept(frames, self._identity)
+        except (OSError, PistachiopathError) as exc:
+            logger.warning('link_refused', extra={'error': type(exc).__name__})
+            frames.close()
+            return
+        self._add(hello.name, hello.role, frames).read()
+
+    def _add(self, peer: str, role: str, frames: FrameSocket) -> Link:
+        link = Link(
+            peer=peer,
+            role=role,
+            frames=frames,
+            on_envelope=self._on_envelope,
+            on_closed=self._on_closed,
+        )
+        self._links[peer] = link
+        return link
+
+    def _on_envelope(self, link: Link, envelope: Envelope) -> None:
+        body = envelope.body
+        if link.role == ROLE_OPERATOR and not isinstance(body, OPERATOR_MESSAGES):
+            refusal = Rejected(error='forbidden', detail=type(body).__name__)
+            link.send(encode(Envelope(call=envelope.call, body=refusal)))
+            return
+        if link.role == ROLE_NODE and isinstance(body, Accept):
+            refusal = Rejected(error='forbidden', detail='Accept')
+            link.send(encode(Envelope(call=envelope.call, body=refusal)))
+            return
+        self._on_message(link.peer, envelope.call, body)
+
+    def _on_closed(self, link: Link) -> None:
+        if self._links.get(link.peer) is link:
+            del self._links[link.peer]
+            self._on_lost(link.peer)
+
+
+def _tuned(sock: gsocket.socket) -> gsocket.socket:
+    sock.settimeout(None)
+    sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
+    return sock
--- /dev/null
+++ b/pistachiopath/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of all programs."""
--- /dev/null
+++ b/pistachiopath/util/metrics_server.py
@@ -0,0 +1,29 @@
+"""HTTP server for metrics alone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import bottle
+from gevent.pywsgi import WSGIServer
+
+from ..transport.network import split_address
+
+if TYPE_CHECKING:
+    from ..telemetry.metrics import Metrics
+
+CONTENT_TYPE = 'text/plain; version=0.0.4'
+
+
+def serve_metrics(address: str, metrics: Metrics) -> None:
+    """Serve `/metrics` at an address, unless it is empty."""
+    if not address:
+        return
+    app = bottle.Bottle()
+
+    @app.get('/metrics')
+    def render() -> str:
+        bottle.response.content_type = CONTENT_TYPE
+        return metrics.render() + '\n'
+
+    WSGIServer(split_address(address), app, log=None).start()
--- /dev/null
+++ b/pistachiopath/util/program.py
@@ -0,0 +1,59 @@
+"""What every program does at its start and end."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, TypeVar
+
+import gevent
+import gevent.event
+
+from .. import __version__
+from ..configuration.toml_file import load
+from ..errors.settings import InvalidFile
+from ..telemetry.logs import set_up
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar('T')
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def parse_settings(program: str, description: str, cls: type[T]) -> T:
+    """Return the checked settings named on the command line.
+
+    Prints every finding and exits with 2 when the file can't be used.
+    """
+    parser = argparse.ArgumentParser(prog=program, description=description)
+    parser.add_argument('--version', action='version', version=__version__)
+    parser.add_argument(
+        '--settings',
+        required=True,
+        type=Path,
+        metavar='FILE',
+        help='TOML file with the settings; see docs/settings.md',
+    )
+    args = parser.parse_args()
+    try:
+        cfg = load(args.settings, cls)
+    except InvalidFile as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from exc
+    set_up(program, cfg.name, cfg.log_level)
+    return cfg
+
+
+def run_until_stopped(stop: Callable[[], None]) -> None:
+    """Wait for SIGTERM or SIGINT, then stop gracefully."""
+    stopped = gevent.event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    stopped.wait()
+    stop()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools; not part of the package."""
--- /dev/null
+++ b/tools/check_links.py
@@ -0,0 +1,24 @@
+"""Checks that the relative links of the documentation lead somewhere."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+
+LINK = re.compile(r'\]\(([^)#]+)(?:#[^)]*)?\)')
+
+
+def main() -> int:
+    """Print each broken link; return 1 if there is any."""
+    bad = 0
+    for page in [*Path('.').glob('*.md'), *Path('docs').rglob('*.md')]:
+        for target in LINK.findall(page.read_text()):
+            if '://' not in target and not (page.parent / target).exists():
+                print(f'{page}: no file {target}')
+                bad = 1
+    return bad
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,237 @@
+"""Starts and stops the processes of a small deployment on loopback."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import tomli_w
+import urllib3
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SECRET = 'a secret that only this test deployment uses'
+OPERATOR_SECRET = 'the secret of its operators'
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+def free_address() -> str:
+    """Return a loopback address that is free now."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def wait_until(condition, what: str, timeout_s: float = START_TIMEOUT_S):
+    """Return the first true value of a condition; raise after a timeout."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise TimeoutError(what)
+
+
+class Cluster:
+    """Processes of one deployment; use as a context manager."""
+
+    def __init__(self, *, folder: Path, controls: int = 3, traces: bool = False):
+        self.folder = folder
+        self.controls = [free_address() for _ in range(controls)]
+        self.entries: dict[str, str] = {}
+        self.agents: dict[str, dict] = {}
+        self.engines: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._commands: dict[str, list[str]] = {}
+        self._traces = traces
+        self.http = urllib3.PoolManager(retries=False, maxsize=64, timeout=60.0)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # Starting
+
+    def start_controls(self):
+        """Start all control replicas."""
+        for number, address in enumerate(self.controls):
+            name = f'control-{number}'
+            self._launch(
+                name,
+                'control',
+                address=address,
+                controls=self.controls,
+                data_folder=str(self.folder / name),
+                secret=SECRET,
+                operator_secret=OPERATOR_SECRET,
+                name=name,
+                zone=f'dc{number}',
+            )
+        self._write(
+            'operator',
+            controls=self.controls,
+            operator_secret=OPERATOR_SECRET,
+        )
+
+    def start_engine(self, name: str, **settings):
+        """Start a stand-in engine."""
+        self._start_standin(name, 'engine', settings)
+
+    def start_service(self, name: str, **settings):
+        """Start a stand-in plain service."""
+        self._start_standin(name, 'service', settings)
+
+    def start_agent(self, target: str, **settings):
+        """Start the agent of an engine or service of the same name."""
+        address = free_address()
+        self.agents[target] = {'address': address, **settings}
+        self._launch(
+            f'agent-{target}',
+            'agent',
+            target=target,
+            name=f'agent-{target}',
+            address=address,
+            controls=self.controls,
+            secret=SECRET,
+            engine=self.engines[target],
+            **{'zone': 'dc0', **settings},
+            **self._trace_setting(f'agent-{target}'),
+        )
+
+    def start_entry(self, name: str, **settings):
+        """Start an entry."""
+        self.entries[name] = free_address()
+        self._launch(
+            name,
+            'entry',
+            name=name,
+            http=self.entries[name],
+            controls=self.controls,
+            secret=SECRET,
+            **{'zone': 'dc0', **settings},
+            **self._trace_setting(name),
+        )
+
+    def restart(self, name: str):
+        """Start a process that has ended again, with the same settings."""
+        log = (self.folder / f'{name}.log').open('ab')
+        self.processes[name] = subprocess.Popen(
+            self._commands[name], stdout=log, stderr=log
+        )
+
+    def _start_standin(self, name: str, kind: str, settings: dict):
+        self.engines[name] = free_address()
+        self._launch(
+            f'{kind}-{name}',
+            'standin',
+            kind=kind,
+            name=name,
+            listen=self.engines[name],
+            **settings,
+        )
+
+    def _launch(self, process: str, program: str, **settings):
+        path = self._write(process, **settings)
+        module = f'pistachiopath.{program}.main'
+        self._commands[process] = [
+            sys.executable,
+            '-m',
+            module,
+            '--settings',
+            str(path),
+        ]
+        self.restart(process)
+
+    def _write(self, stem: str, **settings) -> Path:
+        path = self.folder / f'{stem}.toml'
+        path.write_text(tomli_w.dumps(settings))
+        return path
+
+    def _trace_setting(self, name: str) -> dict:
+        if not self._traces:
+            return {}
+        return {'trace_file': str(self.folder / f'{name}.spans')}
+
+    # Operating
+
+    def operate(self, *args: str) -> subprocess.CompletedProcess:
+        """Run the operators' program."""
+        command = [sys.executable, '-m', 'pistachiopath.operator.main', *args]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
+    @property
+    def operator_settings(self) -> str:
+        """Path of the operators' settings file."""
+        return str(self.folder / 'operator.toml')
+
+    def accept(self, answers: Path) -> subprocess.CompletedProcess:
+        """Generate a configuration from answers and accept it."""
+        output = str(self.folder / 'configuration.json')
+        generated = self.operate('generate', str(answers), '--output', output)
+        if generated.returncode:
+            return generated
+        return self.operate('accept', output, '--settings', self.operator_settings)
+
+    def wait_ready(self):
+        """Wait until every entry serves and every agent's target is seen."""
+        for name in self.entries:
+            wait_until(lambda name=name: self.is_ready(name), f'{name} is not ready')
+        wait_until(self._targets_seen, 'targets are missing')
+
+    def is_ready(self, entry: str) -> bool:
+        """Tell whether an entry serves."""
+        try:
+            url = f'http://{self.entries[entry]}/healthz'
+            return self.http.request('GET', url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _targets_seen(self) -> bool:
+        status = self.operate('status', '--settings', self.operator_settings)
+        lines = status.stdout.splitlines()
+        seen = sum(1 for line in lines if line.startswith('target '))
+        return seen >= len(self.agents)
+
+    # Stopping
+
+    def signal(self, name: str, number: int):
+        """Send a signal to a process."""
+        os.kill(self.processes[name].pid, number)
+
+    def kill(self, name: str):
+        """Kill a process at once."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def stop(self, name: str) -> int:
+        """Stop a process gracefully; return its exit code."""
+        self.processes[name].terminate()
+        return self.processes[name].wait(timeout=STOP_TIMEOUT_S)
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop everything gracefully: callers' side first."""
+        order = ('entry', 'agent', 'engine', 'service', 'control')
+        codes = {}
+        for prefix in order:
+            names = [n for n in self.processes if n.startswith(prefix)]
+            for name in names:
+                self.processes[name].terminate()
+            for name in names:
+                codes[name] = self.processes[name].wait(timeout=STOP_TIMEOUT_S)
+        return codes
