--- a/pistachiopath/entry/shell.py
+++ b/pistachiopath/entry/shell.py
@@ -12,9 +12,10 @@
 from opentelemetry.trace import Span
 
 from ..admission.rules import Rules
-from ..claims.effects import Conclude, Deliver
+from ..claims.effects import Deliver
 from ..configuration.configuration import Configuration
 from ..effects import Send
+from ..messages.dispatch import Attach, Dispatch
 from ..routing.earliest_finish import EarliestFinish
 from ..telemetry.metrics import Metrics
 from ..telemetry.traces import child, context_of, traceparent_of
@@ -60,6 +61,7 @@
         self.draining = False
         self._tracer = tracer
         self._calls: dict[int, Call] = {}
+        self._claiming: dict[bytes, Call] = {}
         self.core = EntryCore(
             name=cfg.name,
             controls=cfg.controls,
@@ -109,6 +111,7 @@
             claim_span=claim_span,
         )
         self._calls[number] = call
+        self._claiming[submission.key] = call
         self._carry_out(effects)
         return call
 
@@ -116,6 +119,7 @@
         """Forget a call; stop its flow if it is not over."""
         if self._calls.pop(call.number, None) is None:
             return
+        self._claiming.pop(call.parsed.submission.key, None)
         _end_once(call.claim_span)
         call.span.end()
         self._carry_out(self.core.caller_left(call.number, time.monotonic()))
@@ -158,6 +162,7 @@
             match effect:
                 case Send():
                     self.network.send(effect.to, effect.call, effect.body)
+                    self._end_claim_span(effect.body)
                 case ToCaller():
                     self._to_caller(effect)
                 case InForce():
@@ -174,11 +179,16 @@
                 call.first_byte_at - call.began_at,
                 tier=call.parsed.tier,
             )
-            _end_once(call.claim_span)
-        if isinstance(effect.effect, Conclude):
-            _end_once(call.claim_span)
         call.effects.put(effect.effect)
 
+    def _end_claim_span(self, body: Message) -> None:
+        """End the claim span of a call whose request is bound."""
+        if not isinstance(body, (Dispatch, Attach)):
+            return
+        call = self._claiming.pop(body.key, None)
+        if call is not None:
+            _end_once(call.claim_span)
+
     def _put_in_force(self, effect: InForce) -> None:
         configuration = Configuration.from_bytes(effect.content)
         self.rules = Rules(configuration=configuration)
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -75,9 +75,17 @@
         """Return the keys that the engine is running."""
         return tuple(self._running)
 
+    def run(self, key: bytes) -> Run | None:
+        """Return the run of a key, or None."""
+        return self._runs.get(key)
+
+    def held(self) -> list[Run]:
+        """Return the runs that wait or run."""
+        return [*self._queue, *self._running.values()]
+
     def load(self) -> Load:
         """Return the load to announce."""
-        held = [*self._queue, *self._running.values()]
+        held = self.held()
         return Load(
             running=len(self._running),
             queued=len(self._queue),
--- /dev/null
+++ b/tests/harness/checkers.py
@@ -0,0 +1,95 @@
+"""The promises, checked all the time."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from pistachiopath.errors.outcomes import NOT_RUN, Completed
+from pistachiopath.messages.dispatch import NotStarted
+
+LEAVING_S = 3.0
+
+
+class Violation(AssertionError):
+    """A promise was broken."""
+
+
+class Checkers:
+    """Collects what happened and raises `Violation` at once."""
+
+    def __init__(self, *, world):
+        self._world = world
+        self.runs = defaultdict(list)
+        self._submitted = defaultdict(list)
+        self._not_run = {}
+        self._contents = {}
+        self._revisions = defaultdict(int)
+        self._accepted = {}
+
+    def submitted(self, key: bytes):
+        self._submitted[key].append(self._world.net.now)
+
+    def run_started(self, target, key: bytes):
+        """A run began on an engine, for the first time there."""
+        now = self._world.net.now
+        self.runs[key].append((now, target.name))
+        if len(self.runs[key]) > 1:
+            raise Violation(f'dispatched twice: {key.hex()} {self.runs[key]}')
+        told = self._not_run.get(key)
+        again = [at for at in self._submitted[key] if told and at >= told]
+        if told is not None and not again:
+            raise Violation(f'ran after it was told not run: {key.hex()}')
+        left = target.departed_at
+        if left is not None and now > left + LEAVING_S:
+            raise Violation(f'{target.name} got new work after it left')
+
+    def concluded(self, call, outcome):
+        """A caller was told the outcome of a call."""
+        key = call.key
+        if outcome.kind in NOT_RUN:
+            if self.runs[key]:
+                raise Violation(f'told {outcome} but it ran: {self.runs[key]}')
+            self._not_run[key] = self._world.net.now
+        if isinstance(outcome, Completed) and bytes(call.data) != call.expected:
+            raise Violation(f'not the whole own answer: {call}')
+        if not call.expected.startswith(bytes(call.data)):
+            raise Violation(f'not a prefix of the own answer: {call}')
+
+    def agent_sends(self, agent, effect):
+        """A promised run is never shed while other work is being served."""
+        body = effect.body
+        if not isinstance(body, NotStarted) or body.reason != 'shed':
+            return
+        run = agent.core.gate.run(body.key)
+        held = [r for r in agent.core.gate.held() if not r.work.promised]
+        if run.work.promised and held:
+            raise Violation(f'{agent.name} shed promised work before {held}')
+
+    def in_force(self, entry, effect):
+        self._revision(f'{entry.name}-{entry._life}', effect.revision)
+        self._content(effect.revision, effect.content)
+
+    def control_state(self, control):
+        state = control.core.state
+        self._revision(control.disk.load().member, state.revision)
+        self._content(state.revision, state.configuration)
+
+    def accepted(self, revision: int, content: bytes):
+        self._accepted[revision] = content
+        self._content(revision, content)
+
+    def at_end(self):
+        """What was accepted is in force at every live replica."""
+        newest = max(self._accepted, default=0)
+        for control in self._world.controls.values():
+            if control.alive and control.core.state.revision < newest:
+                raise Violation(f'{control.name} lacks revision {newest}')
+
+    def _revision(self, process: str, revision: int):
+        if revision < self._revisions[process]:
+            raise Violation(f'{process} went back to revision {revision}')
+        self._revisions[process] = revision
+
+    def _content(self, revision: int, content: bytes):
+        if self._contents.setdefault(revision, content) != content:
+            raise Violation(f'revision {revision} has two contents')
--- /dev/null
+++ b/tests/harness/disk.py
@@ -0,0 +1,57 @@
+"""A data folder in memory that loses unsynced writes in a crash."""
+
+from __future__ import annotations
+
+import attrs
+
+from pistachiopath.effects import (
+    AppendEntries,
+    SaveSnapshot,
+    SaveVote,
+    TruncateFrom,
+)
+from pistachiopath.replication.persisted import Persisted
+
+
+class Disk:
+    """Applies storage effects; `crash` drops those after the last sync."""
+
+    def __init__(self, *, member: str):
+        self._durable = Persisted(member=member)
+        self._pending = []
+
+    def write(self, effect):
+        self._pending.append(effect)
+
+    def sync(self):
+        for effect in self._pending:
+            self._durable = _apply(self._durable, effect)
+        self._pending = []
+
+    def crash(self):
+        self._pending = []
+
+    def load(self) -> Persisted:
+        return self._durable
+
+
+def _apply(state: Persisted, effect) -> Persisted:
+    match effect:
+        case AppendEntries():
+            return attrs.evolve(state, entries=state.entries + effect.entries)
+        case TruncateFrom():
+            kept = tuple(e for e in state.entries if e.index < effect.index)
+            return attrs.evolve(state, entries=kept)
+        case SaveVote():
+            return attrs.evolve(state, term=effect.term, voted_for=effect.voted_for)
+        case SaveSnapshot():
+            kept = tuple(e for e in state.entries if e.index > effect.index)
+            return attrs.evolve(
+                state,
+                snapshot_index=effect.index,
+                snapshot_term=effect.term,
+                snapshot_members=effect.members,
+                snapshot=effect.data,
+                entries=kept,
+            )
+    raise TypeError(effect)
--- /dev/null
+++ b/tests/harness/nodes.py
@@ -0,0 +1,264 @@
+"""The real decision parts as nodes over the virtual network."""
+
+from __future__ import annotations
+
+import random
+
+from pistachiopath.agent.core import AgentCore
+from pistachiopath.control.core import ControlCore
+from pistachiopath.effects import STORAGE_EFFECTS, Send
+from pistachiopath.entry.core import EntryCore, InForce, ToCaller
+from pistachiopath.gate.effects import StartRun, StopRun
+from pistachiopath.gate.gate import GateLimits
+from pistachiopath.routing.earliest_finish import EarliestFinish
+
+from .disk import Disk
+
+TICK_S = 0.05
+SYNC_S = 0.0005
+
+
+class Node:
+    """A process that can be killed, frozen and started again."""
+
+    def __init__(self, *, world, name: str):
+        self.world = world
+        self.name = name
+        self.alive = False
+        self.frozen = False
+        self._life = 0
+        self._held = []
+        self.clock_offset = world.rng.uniform(0.0, 1000.0)
+
+    @property
+    def now(self) -> float:
+        return self.world.net.now + self.clock_offset
+
+    @property
+    def time_ms(self) -> int:
+        return int((1_800_000_000 + self.world.net.now) * 1000)
+
+    def start(self):
+        self.alive = True
+        self._life += 1
+        self.boot()
+        self._tick(self._life)
+
+    def kill(self):
+        self.alive = False
+        self.frozen = False
+        self._held = []
+        self.world.link_lost(self.name)
+
+    def freeze(self):
+        self.frozen = True
+
+    def thaw(self):
+        self.frozen = False
+        held, self._held = self._held, []
+        for action in held:
+            action()
+
+    def do(self, action):
+        """Run an action of this process now, or when it thaws."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self._held.append(action)
+        else:
+            action()
+
+    def deliver(self, sender: str, call: int, body):
+        self.do(lambda: self.receive(sender, call, body))
+
+    def send(self, effect: Send):
+        self.world.send(self.name, effect)
+
+    def _tick(self, life: int):
+        if life != self._life or not self.alive:
+            return
+        if not self.frozen:
+            self.tick()
+        self.world.net.at(self.world.net.now + TICK_S, lambda: self._tick(life))
+
+
+class ControlNode(Node):
+    """A control replica with a disk that takes time to sync."""
+
+    def __init__(self, *, world, name: str, addresses, snapshot_entries: int):
+        super().__init__(world=world, name=name)
+        self._addresses = addresses
+        self._snapshot_entries = snapshot_entries
+        self._disks = 0
+        self.skew_ms = world.rng.randint(-200, 200)
+        self.lose_disk()
+
+    def lose_disk(self):
+        self._disks += 1
+        self.disk = Disk(member=f'{self.name}-disk{self._disks}')
+
+    def boot(self):
+        self._inbox = []
+        self._syncing = False
+        self.core = ControlCore(
+            address=self.name,
+            addresses=self._addresses,
+            persisted=self.disk.load(),
+            rng=random.Random(self.world.rng.getrandbits(64)),
+            now=self.now,
+            snapshot_entries=self._snapshot_entries,
+        )
+
+    def kill(self):
+        super().kill()
+        self.disk.crash()
+
+    def receive(self, sender, call, body):
+        self._inbox.append((sender, call, body))
+        self._work(tick=False)
+
+    def tick(self):
+        self._work(tick=True)
+        self.world.checkers.control_state(self)
+
+    def _work(self, *, tick: bool):
+        if self._syncing:
+            return
+        time_ms = self.time_ms + self.skew_ms
+        batch, self._inbox = self._inbox, []
+        sends = []
+        for sender, call, body in batch:
+            effects = self.core.receive(sender, call, body, self.now, time_ms)
+            self._store(effects, sends)
+        if tick:
+            self._store(self.core.tick(self.now, time_ms), sends)
+        self._store(self.core.flush(self.now), sends)
+        self._syncing = True
+        life = self._life
+        self.world.net.at(self.world.net.now + SYNC_S, lambda: self._sync(life, sends))
+
+    def _sync(self, life: int, sends):
+        if life != self._life or not self.alive:
+            return
+        if self.frozen:
+            self._held.append(lambda: self._sync(life, sends))
+            return
+        self.disk.sync()
+        self._syncing = False
+        self._store(self.core.synced(self.now), sends)
+        self.disk.sync()
+        for effect in sends:
+            self.send(effect)
+        if self._inbox:
+            self._work(tick=False)
+
+    def _store(self, effects, sends):
+        for effect in effects:
+            if isinstance(effect, Send):
+                sends.append(effect)
+            elif isinstance(effect, STORAGE_EFFECTS):
+                self.disk.write(effect)
+
+
+class AgentNode(Node):
+    """An agent with an engine that outlives it."""
+
+    def __init__(self, *, world, name: str, controls, window: int):
+        super().__init__(world=world, name=name)
+        self._controls = controls
+        self._window = window
+        self.departed_at = None
+
+    def boot(self):
+        self.departed_at = None
+        self.core = AgentCore(
+            target=self.name,
+            address=self.name,
+            zone='dc0',
+            models=('m',),
+            services=(),
+            controls=self._controls,
+            rng=random.Random(self.world.rng.getrandbits(64)),
+            limits=GateLimits(window=self._window, max_queued=6),
+        )
+
+    def receive(self, sender, call, body):
+        self._carry_out(self.core.receive(sender, call, body, self.now))
+
+    def tick(self):
+        self._carry_out(self.core.tick(self.now))
+        if self.core.is_drained:
+            self.kill()
+
+    def depart(self):
+        self.departed_at = self.world.net.now
+        self._carry_out(self.core.depart(self.now))
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.world.checkers.agent_sends(self, effect)
+                self.send(effect)
+            elif isinstance(effect, StartRun):
+                self.world.engine_start(self, effect.run)
+            elif isinstance(effect, StopRun):
+                self.world.engine_stop(self, effect.run)
+
+    def from_engine(self, method, *args):
+        effects = method(*args, self.now)
+        self._carry_out(self.core.from_engine(effects))
+
+    def engine_crashed(self, keys):
+        self._carry_out(self.core.engine_crashed(keys, self.now))
+
+
+class EntryNode(Node):
+    """An entry and the callers that are connected to it."""
+
+    def __init__(self, *, world, name: str, controls):
+        super().__init__(world=world, name=name)
+        self._controls = controls
+
+    def boot(self):
+        self._calls = {}
+        self.core = EntryCore(
+            name=self.name,
+            controls=self._controls,
+            rng=random.Random(self.world.rng.getrandbits(64)),
+            make_chooser=lambda targets, rng: EarliestFinish(targets=targets, rng=rng),
+        )
+
+    def kill(self):
+        calls = list(self._calls.values())
+        super().kill()
+        self._calls = {}
+        for call in calls:
+            self.world.connection_broke(call)
+
+    def submit(self, call):
+        number, effects = self.core.submit(call.submission(self.now), self.now)
+        self._calls[number] = call
+        self._carry_out(effects)
+
+    def receive(self, sender, call, body):
+        self._carry_out(self.core.receive(sender, call, body, self.now))
+
+    def tick(self):
+        self._carry_out(self.core.tick(self.now))
+
+    def peer_lost(self, name: str):
+        self._carry_out(self.core.link_lost(name, self.now))
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.send(effect)
+            elif isinstance(effect, ToCaller):
+                self._to_caller(effect)
+            elif isinstance(effect, InForce):
+                self.world.checkers.in_force(self, effect)
+
+    def _to_caller(self, effect):
+        call = self._calls.get(effect.flow)
+        if call is not None and self.world.to_caller(call, effect.effect):
+            del self._calls[effect.flow]
--- /dev/null
+++ b/tests/harness/world.py
@@ -0,0 +1,276 @@
+"""A small deployment of the real decision parts over virtual time."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from pistachiopath.claims.effects import Conclude, Deliver
+from pistachiopath.claims.identity import claim_key, dated_ms, fingerprint
+from pistachiopath.claims.submission import Submission
+from pistachiopath.errors.outcomes import OutcomeKind
+from pistachiopath.messages.claims import OutcomeRecord
+from pistachiopath.messages.configuration import Accept, AcceptReply
+from pistachiopath.messages.dispatch import Work
+from pistachiopath.replication.leader_client import LeaderClient
+
+from .checkers import Checkers
+from .network import VirtualNetwork
+from .nodes import AgentNode, ControlNode, EntryNode
+
+PARTS = 5
+POISON = b'poison'
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """One connection of a caller; the same request may have several."""
+
+    request: str
+    entry: str
+    tier: int
+    once: bool
+    content: bytes
+    deadline_s: float
+    attempt: bytes
+    named: bool = True
+    data: bytearray = attrs.field(factory=bytearray)
+    outcome: object = None
+
+    @property
+    def key(self) -> bytes:
+        return claim_key('c', self.request)
+
+    @property
+    def expected(self) -> bytes:
+        return answer_of(self.content)
+
+    def submission(self, now: float) -> Submission:
+        work = Work(
+            path='/v1/completions',
+            model='m',
+            body=self.content,
+            customer='c',
+            tier=self.tier,
+            promised=self.tier < 2,
+            once=self.once,
+            prompt_tokens=100,
+            output_tokens=20,
+        )
+        return Submission(
+            key=self.key,
+            fingerprint=fingerprint('c', '/v1/completions', self.content),
+            attempt=self.attempt,
+            named=self.named,
+            work=work,
+            submitted_at=now,
+            deadline=now + self.deadline_s,
+            dated_ms=dated_ms(self.request),
+        )
+
+
+def answer_of(content: bytes) -> bytes:
+    return b''.join(b'%s#%d;' % (content, part) for part in range(PARTS))
+
+
+class World:
+    """Nodes, callers, operators and engines; faults are methods."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        controls: int = 3,
+        entries: int = 2,
+        targets: int = 2,
+        window: int = 2,
+        snapshot_entries: int = 30,
+    ):
+        self.rng = random.Random(seed)
+        self.net = VirtualNetwork(seed=seed + 1)
+        self.checkers = Checkers(world=self)
+        self.calls: list[Call] = []
+        self.crashes: list[str] = []
+        self._engine_runs: dict[str, dict[bytes, object]] = {}
+        self._engine_down: dict[str, float] = {}
+        addresses = tuple(f'c{n}' for n in range(controls))
+        self.controls = {
+            name: ControlNode(
+                world=self,
+                name=name,
+                addresses=addresses,
+                snapshot_entries=snapshot_entries,
+            )
+            for name in addresses
+        }
+        self.agents = {
+            name: AgentNode(world=self, name=name, controls=addresses, window=window)
+            for name in (f't{n}' for n in range(targets))
+        }
+        self.entries = {
+            name: EntryNode(world=self, name=name, controls=addresses)
+            for name in (f'e{n}' for n in range(entries))
+        }
+        self.nodes = self.controls | self.agents | self.entries
+        self._operators = {
+            name: Operator(world=self, name=name, controls=addresses)
+            for name in ('o0', 'o1')
+        }
+        for node in self.nodes.values():
+            node.start()
+
+    # Messages
+
+    def send(self, sender: str, effect):
+        node = self.nodes.get(effect.to) or self._operators.get(effect.to)
+        if node is not None:
+            self.net.send(
+                sender,
+                effect.to,
+                lambda: node.deliver(sender, effect.call, effect.body),
+            )
+
+    def link_lost(self, name: str):
+        for entry in self.entries.values():
+            entry.do(lambda entry=entry: entry.peer_lost(name))
+
+    # Callers
+
+    def submit(self, request: str, entry: str, **details):
+        details = {'tier': 0, 'once': False, 'deadline_s': 20.0} | details
+        details.setdefault('content', request.encode())
+        call = Call(
+            request=request,
+            entry=entry,
+            attempt=self.rng.randbytes(8),
+            **details,
+        )
+        self.calls.append(call)
+        self.checkers.submitted(call.key)
+        node = self.entries[entry]
+        if node.alive:
+            node.do(lambda: node.submit(call))
+        else:
+            self.connection_broke(call)
+
+    def to_caller(self, call: Call, effect) -> bool:
+        """Pass an effect on; tell whether the call is over."""
+        if isinstance(effect, Deliver):
+            call.data += effect.data
+            return False
+        if isinstance(effect, Conclude):
+            call.outcome = effect.outcome
+            self.checkers.concluded(call, effect.outcome)
+        return True
+
+    def connection_broke(self, call: Call):
+        call.outcome = 'broken'
+
+    # Engines
+
+    def engine_start(self, agent, run):
+        name = agent.name
+        if self._engine_down.get(name, -1.0) > self.net.now:
+            self._later(agent, agent.core.gate.engine_refused, run, 200)
+            return
+        if not run.answer:
+            self.checkers.run_started(agent, run.key)
+        self._engine_runs.setdefault(name, {})[run.key] = run
+        if POISON in run.work.body:
+            self.net.at(self.net.now + 0.3, lambda: self._engine_crash(agent))
+        self._produce(agent, run, len(run.answer))
+
+    def engine_stop(self, agent, run):
+        self._engine_runs.get(agent.name, {}).pop(run.key, None)
+
+    def _later(self, agent, method, *args):
+        self.net.at(
+            self.net.now + 0.01,
+            lambda: agent.do(lambda: agent.from_engine(method, *args)),
+        )
+
+    def _produce(self, agent, run, offset: int):
+        life = agent._life
+        whole = answer_of(run.work.body)
+        part = len(whole) // PARTS
+
+        def step():
+            live = self._engine_runs.get(agent.name, {}).get(run.key)
+            if agent._life != life or live is not run or not agent.alive:
+                return
+            gate = agent.core.gate
+            data = whole[offset : offset + part]
+            if data:
+                agent.from_engine(gate.engine_data, run, 200, 'text', data)
+                self._produce(agent, run, offset + len(data))
+                return
+            del self._engine_runs[agent.name][run.key]
+            outcome = OutcomeRecord(
+                kind=OutcomeKind.COMPLETED, status=200, content_type='text'
+            )
+            agent.from_engine(gate.engine_end, run, outcome)
+
+        self.net.at(self.net.now + self.rng.uniform(0.05, 0.4), lambda: agent.do(step))
+
+    def _engine_crash(self, agent):
+        runs = self._engine_runs.pop(agent.name, {})
+        if not any(POISON in run.work.body for run in runs.values()):
+            return
+        self.crashes.append(agent.name)
+        self._engine_down[agent.name] = self.net.now + 2.0
+
+        def report():
+            agent.engine_crashed(tuple(runs))
+            failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='engine_lost')
+            for run in runs.values():
+                agent.from_engine(agent.core.gate.engine_end, run, failed)
+
+        agent.do(report)
+
+    # Operators
+
+    def accept(self, operator: str, expected: int, content: str):
+        self._operators[operator].accept(expected, content.encode())
+
+    def runs_of(self, request: str) -> int:
+        return len(self.checkers.runs[claim_key('c', request)])
+
+
+class Operator:
+    """An operator that resends its command until it is answered."""
+
+    def __init__(self, *, world: World, name: str, controls):
+        self._world = world
+        self.name = name
+        self._client = LeaderClient(
+            addresses=controls, rng=random.Random(world.rng.getrandbits(64))
+        )
+        self._commands = {}
+        self.answers: dict[str, AcceptReply] = {}
+
+    def accept(self, expected: int, content: bytes):
+        call = len(self._commands) + 1
+        self._commands[call] = content
+        body = Accept(expected=expected, content=content)
+        self._send(self._client.ask(call, body, self._world.net.now))
+        self._tick(self._world.net.now + 30.0)
+
+    def deliver(self, sender, call, body):
+        final, effects = self._client.answered(sender, call, body, self._world.net.now)
+        self._send(effects)
+        if final:
+            content = self._commands[call]
+            self.answers[content.decode()] = body
+            if body.accepted:
+                self._world.checkers.accepted(body.revision, content)
+
+    def _tick(self, until: float):
+        now = self._world.net.now
+        self._send(self._client.tick(now))
+        if now < until:
+            self._world.net.at(now + 0.05, lambda: self._tick(until))
+
+    def _send(self, effects):
+        for effect in effects:
+            self._world.send(self.name, effect)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -83,7 +83,7 @@
                 name=name,
                 zone=f'dc{number}',
             )
-        self._write(
+        self.write(
             'operator',
             controls=self.controls,
             operator_secret=OPERATOR_SECRET,
@@ -147,7 +147,7 @@
         )
 
     def _launch(self, process: str, program: str, **settings):
-        path = self._write(process, **settings)
+        path = self.write(process, **settings)
         module = f'pistachiopath.{program}.main'
         self._commands[process] = [
             sys.executable,
@@ -158,7 +158,8 @@
         ]
         self.restart(process)
 
-    def _write(self, stem: str, **settings) -> Path:
+    def write(self, stem: str, **settings) -> Path:
+        """Write a settings file; return its path."""
         path = self.folder / f'{stem}.toml'
         path.write_text(tomli_w.dumps(settings))
         return path
--- /dev/null
+++ b/tools/sweep.py
@@ -0,0 +1,48 @@
+"""Runs random schedules over virtual time; exits with 1 on a violation."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import time
+from multiprocessing import Pool
+
+from tests.harness.schedules import schedule
+from tests.harness.script import run
+
+WORKERS = min(6, os.cpu_count() or 1)
+
+
+def try_seed(seed: int) -> tuple[int, str]:
+    """Run the schedule of a seed; return what went wrong, or nothing."""
+    try:
+        run(schedule(seed), seed)
+    except Exception as exc:
+        return seed, f'{type(exc).__name__}: {exc}'
+    return seed, ''
+
+
+def sweep(first: int, last: int) -> dict[int, str]:
+    """Return the failures of the seeds from `first` up to before `last`."""
+    with Pool(WORKERS) as pool:
+        outcomes = pool.imap_unordered(try_seed, range(first, last), chunksize=4)
+        return {seed: wrong for seed, wrong in sorted(outcomes) if wrong}
+
+
+def main() -> int:
+    """Sweep a range of seeds, print each failure and the sum."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='0:500', help='first:last, last excluded')
+    first, last = map(int, parser.parse_args().seeds.split(':'))
+    began = time.monotonic()
+    failures = sweep(first, last)
+    for seed, wrong in failures.items():
+        print(f'seed {seed}: {wrong}')
+    took = time.monotonic() - began
+    print(f'{last - first} schedules, {len(failures)} failed, {took:.1f} s')
+    return 1 if failures else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
