--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -86,7 +86,7 @@
         if run.key in self._streams:
             self._read(run, self._request_stream(run))
             return
-        if run.answer:
+        if run.resumable:
             lost = OutcomeRecord(kind=OutcomeKind.FAILED, reason='not_resumable')
             self._on_end(run, lost)
             return
@@ -107,6 +107,7 @@
         stream = response.headers.get('X-Stream-Id')
         if stream:
             self._streams[run.key] = stream
+            run.resumable = True
         self._read(run, response)
 
     def _request_stream(self, run: Run) -> urllib3.BaseHTTPResponse:
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -88,6 +88,11 @@
         self._retire_at = now
         self._handle(self._replica.restored())
 
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether this replica answers questions about its state."""
+        return self._replica.is_caught_up
+
     def tick(self, now: float, time_ms: int) -> list[Effect]:
         """Let time pass."""
         effects = self.group.tick(now, time_ms)
@@ -118,6 +123,11 @@
         return [Send(to=sender, call=call, body=reply)] if reply else []
 
     def _answer(self, sender: str, body: Message, now: float) -> Message | None:
+        if isinstance(body, StatusRequest):
+            return Status(document=json.dumps(self.describe(now)))
+        if not self._replica.is_caught_up:
+            # After a restart the state may be older than what was in force.
+            return None
         match body:
             case Heartbeat():
                 return self._on_heartbeat(sender, body, now)
@@ -127,8 +137,6 @@
                 return ConfigurationReply(
                     revision=self.state.revision, content=self.state.configuration
                 )
-            case StatusRequest():
-                return Status(document=json.dumps(self.describe(now)))
         return None
 
     def describe(self, now: float) -> dict[str, object]:
@@ -136,6 +144,7 @@
         return {
             'address': self.address,
             'role': str(self._replica.role),
+            'caught_up': self._replica.is_caught_up,
             'term': self._replica.term,
             'leader': self._replica.leader,
             'commit': self._replica.commit,
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -195,6 +195,10 @@
         """Take in the engine's proof that it did not admit the run."""
         if run.state is not RunState.RUNNING:
             return []
+        if run.resumable:
+            # It ran before it was paused: no proof that it never started.
+            lost = OutcomeRecord(kind=OutcomeKind.FAILED, reason='engine_lost')
+            return self.engine_end(run, lost, now)
         self._running.pop(run.key, None)
         run.retry_after_ms = retry_after_ms
         effects = self._give_back(run, 'engine_refused', now)
@@ -255,7 +259,9 @@
         if not run.work.promised:
             return None
         others = [
-            r for r in self._running.values() if not r.work.promised and not r.work.once
+            r
+            for r in self._running.values()
+            if r.resumable and not r.work.promised and not r.work.once
         ]
         return max(others, key=lambda r: r.priority, default=None)
 
--- a/pistachiopath/gate/run.py
+++ b/pistachiopath/gate/run.py
@@ -25,7 +25,8 @@
     """A run, its answer so far and who waits for it.
 
     Times are seconds of the agent's clock.  `subscribers` maps the name of
-    an entry to the next byte it has to be sent.
+    an entry to the next byte it has to be sent.  A run is resumable once the
+    engine has named the stream that it can go on with.
     """
 
     key: bytes
@@ -36,6 +37,7 @@
     order: int
     state: RunState = RunState.QUEUED
     started: bool = False
+    resumable: bool = False
     started_at: float = 0.0
     ended_at: float = 0.0
     first_byte_at: float = 0.0
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -109,6 +109,14 @@
         """Tell whether a leader has committed a record of its own term."""
         return self.is_leader and self.log.term_at(self.commit) == self.term
 
+    @property
+    def is_caught_up(self) -> bool:
+        """Tell whether all that was committed in earlier terms is applied.
+
+        That is known once a record of the present leader's own term is.
+        """
+        return bool(self.leader) and self.log.term_at(self.commit) == self.term
+
     def progress_of(self, member: str) -> Progress | None:
         """Return what the leader knows of a follower."""
         return self._progress.get(member)
--- a/tests/harness/checkers.py
+++ b/tests/harness/checkers.py
@@ -4,10 +4,12 @@
 
 from collections import defaultdict
 
-from pistachiopath.errors.outcomes import NOT_RUN, Completed
+from pistachiopath.errors.outcomes import NOT_RUN, Completed, Quarantined
 from pistachiopath.messages.dispatch import NotStarted
 
 LEAVING_S = 3.0
+POISON = b'poison'
+MAX_CRASHES = 2
 
 
 class Violation(AssertionError):
@@ -43,6 +45,16 @@
         if left is not None and now > left + LEAVING_S:
             raise Violation(f'{target.name} got new work after it left')
 
+    def engine_crashed(self, crashes):
+        """Content is set aside before it takes a third target.
+
+        Runs that were under way before the second crash was reported may
+        crash theirs too, so only crashes some time apart count.
+        """
+        apart = [at for n, at in enumerate(crashes) if not n or at > crashes[n - 1] + 5]
+        if len(apart) > MAX_CRASHES:
+            raise Violation(f'the same content crashed targets at {crashes}')
+
     def concluded(self, call, outcome):
         """A caller was told the outcome of a call."""
         key = call.key
@@ -50,6 +62,8 @@
             if self.runs[key]:
                 raise Violation(f'told {outcome} but it ran: {self.runs[key]}')
             self._not_run[key] = self._world.net.now
+        if isinstance(outcome, Quarantined) and POISON not in call.content:
+            raise Violation(f'condemned without cause: {call}')
         if isinstance(outcome, Completed) and bytes(call.data) != call.expected:
             raise Violation(f'not the whole own answer: {call}')
         if not call.expected.startswith(bytes(call.data)):
@@ -70,6 +84,9 @@
         self._content(effect.revision, effect.content)
 
     def control_state(self, control):
+        if not control.core.is_serving:
+            # It replays its log and answers nothing about its state.
+            return
         state = control.core.state
         self._revision(control.disk.load().member, state.revision)
         self._content(state.revision, state.configuration)
--- a/tests/harness/script.py
+++ b/tests/harness/script.py
@@ -7,6 +7,7 @@
     at 2.1 accept o0 expected=0 content=text
     at 2.5 kill t0 | start t0 | freeze t0 | thaw t0 | depart t0
     at 2.5 lose-disk c0
+    at 2.5 replace c0            kill; its disk is lost if no other loss is open
     at 2.5 cut c0 t0 | cut-one-way c0 t0 | heal
     at 2.5 faults drop=0.1 duplicate=0.1 reorder=0.1
     at 2.5 leader kill | leader freeze        the present leader
@@ -78,6 +79,8 @@
                 _node_step(node, rest[0])
     elif kind in NODE_STEPS:
         _node_step(world.nodes[rest[0]], kind)
+    elif kind == 'replace':
+        world.replace(world.controls[rest[0]])
     elif kind == 'lose-disk':
         world.controls[rest[0]].lose_disk()
     elif kind == 'cut':
