--- a/pistachiopath/agent/settings.py
+++ b/pistachiopath/agent/settings.py
@@ -9,7 +9,8 @@
 class AgentSettings:
     """Settings file of `pistachiopath-agent`.
 
-    `engine` is the address of the engine or plain service beside it.
+    `advertise` is the address that entries connect to, where it is not
+    `address`.  `engine` is the address of the engine or plain service beside it.
     """
 
     target: str
@@ -20,6 +21,7 @@
     engine: str
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
+    advertise: str = ''
     window: int = 8
     max_queued: int = 256
     name: str = 'agent'
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -50,7 +50,7 @@
         self._crash_at = -CRASH_REPORT_GAP_S
         self.core = AgentCore(
             target=cfg.target,
-            address=cfg.address,
+            address=cfg.advertise or cfg.address,
             zone=cfg.zone,
             models=cfg.models,
             services=cfg.services,
--- a/pistachiopath/configuration/configuration.py
+++ b/pistachiopath/configuration/configuration.py
@@ -82,4 +82,8 @@
     @classmethod
     def from_bytes(cls, content: bytes) -> Configuration:
         """Return the configuration of a canonical form."""
-        return structure(json.loads(content), cls, 'configuration')
+        try:
+            data = json.loads(content)
+        except ValueError:
+            data = None
+        return structure(data, cls, 'configuration')
--- a/pistachiopath/configuration/toml_file.py
+++ b/pistachiopath/configuration/toml_file.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import tomllib
+import typing
 from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 import cattrs
 from cattrs import transform_error
+from cattrs.cols import list_structure_factory
 from cattrs.gen import make_dict_structure_fn
 
 from ..errors.settings import Finding, InvalidFile
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 T = TypeVar('T')
@@ -24,7 +27,10 @@
         raise ValueError(f'invalid type, expected {tp.__name__}')
     if not number and not isinstance(value, tp):
         raise ValueError(f'invalid type, expected {tp.__name__}')
-    return tp(value)
+    try:
+        return tp(value)
+    except OverflowError as exc:
+        raise ValueError('number out of range') from exc
 
 
 def make_converter() -> cattrs.Converter:
@@ -32,17 +38,41 @@
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
     for tp in (str, int, float, bool):
         converter.register_structure_hook(tp, _strict)
+    converter.register_structure_hook_factory(
+        attrs.has, lambda cls: _table_hook(converter, cls)
+    )
+    converter.register_structure_hook_factory(
+        lambda tp: typing.get_origin(tp) is tuple,
+        lambda tp: _list_hook(converter, tp),
+    )
     return converter
 
 
-_converter = make_converter()
+def _table_hook(converter: cattrs.Converter, cls: type) -> Callable:
+    structure_table = make_dict_structure_fn(
+        cls, converter, _cattrs_forbid_extra_keys=True
+    )
+
+    def hook(value: object, tp: type) -> object:
+        if not isinstance(value, dict):
+            raise ValueError('invalid type, expected a table')
+        return structure_table(value, tp)
+
+    return hook
+
 
+def _list_hook(converter: cattrs.Converter, tp: type) -> Callable:
+    structure_list = list_structure_factory(list[typing.get_args(tp)[0]], converter)
 
-def _strict_hook(cls: type):  # noqa: ANN202
-    return make_dict_structure_fn(cls, _converter, _cattrs_forbid_extra_keys=True)
+    def hook(value: object, _tp: type) -> tuple:
+        if not isinstance(value, list):
+            raise ValueError('invalid type, expected a list')
+        return tuple(structure_list(value, tp))
 
+    return hook
 
-_converter.register_structure_hook_factory(attrs.has, _strict_hook)
+
+_converter = make_converter()
 
 
 def structure(data: object, cls: type[T], file: str) -> T:
@@ -52,6 +82,11 @@
     except cattrs.BaseValidationError as exc:
         findings = tuple(_finding(file, text) for text in transform_error(exc))
         raise InvalidFile(findings=findings) from exc
+    except ValueError as exc:
+        finding = Finding(
+            file=file, key='file', reason=str(exc), expected='a table of keys'
+        )
+        raise InvalidFile(findings=(finding,)) from exc
 
 
 def _finding(file: str, text: str) -> Finding:
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -18,6 +18,7 @@
     from .timing import Timing
 
 BLANK_FRESH_S = 1.0
+HEARD_S = 1.0
 PROMOTION_LAG_ENTRIES = 256
 
 
@@ -26,9 +27,8 @@
 
     Members with empty data folders form the first group only when every
     configured address answers that it is empty too.  A member that comes
-    back with an empty folder is a new member: the leader adds it without a
-    vote, gives it a vote when it holds all that is committed, and then
-    removes the lost one, one change at a time.
+    back with an empty folder is a new member: the leader takes it in without
+    a vote in place of the lost one, and gives it a vote when it holds a copy.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
-            effects += self._add_learner(probe, now, time_ms)
+            effects += self._replace_lost(probe, now, time_ms)
         return effects
 
     def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
@@ -132,52 +132,44 @@
 
     # Repair by the leader
 
-    def _add_learner(self, probe: Probe, now: float, time_ms: int) -> list[Effect]:
+    def _replace_lost(self, probe: Probe, now: float, time_ms: int) -> list[Effect]:
+        """Take a blank member in for the one whose folder is lost.
+
+        The lost voter leaves in the same record in which the new member
+        comes without a vote: that is one change of voters, and no majority
+        ever counts a folder that is known to be gone.
+        """
         members = self.replica.members
         if any(m.member == probe.member for m in members) or self._is_changing():
             return []
-        if sum(1 for m in members if m.address == probe.address and m.voter) > 1:
-            return []
-        if not any(m.address == probe.address for m in members):
+        kept = tuple(m for m in members if m.address != probe.address)
+        if len(kept) == len(members) or not any(m.voter for m in kept):
             return []
-        kept = tuple(m for m in members if m.voter or m.address != probe.address)
         learner = Member(member=probe.member, address=probe.address, voter=False)
         return self._change((*kept, learner), now, time_ms)
 
     def _repair(self, now: float, time_ms: int) -> list[Effect]:
+        """Give a vote to a member that holds a copy."""
         if self._is_changing():
             return []
         for member in self.replica.members:
-            if not member.voter and self._lag(member) <= PROMOTION_LAG_ENTRIES:
+            if not member.voter and self._has_copy(member, now):
                 return self._change(self._promoted(member), now, time_ms)
-        for old in self.replica.members:
-            if self._is_replaced(old):
-                kept = tuple(m for m in self.replica.members if m != old)
-                return self._change(kept, now, time_ms)
         return []
 
     def _promoted(self, learner: Member) -> tuple[Member, ...]:
         voter = Member(member=learner.member, address=learner.address)
         return tuple(voter if m == learner else m for m in self.replica.members)
 
-    def _is_replaced(self, old: Member) -> bool:
-        """Tell whether a newer voter at the same address holds everything."""
-        members = self.replica.members
-        newer = members[members.index(old) + 1 :]
-        return any(
-            m.voter and m.address == old.address and self._lag(m) <= 0 for m in newer
-        )
-
     def _is_changing(self) -> bool:
         return self.replica.log.members_index > self.replica.commit
 
-    def _lag(self, member: Member) -> int:
-        """Return how many records up to the newest member record it lacks."""
+    def _has_copy(self, member: Member, now: float) -> bool:
         progress = self.replica.progress_of(member.member)
-        match = progress.match if progress else 0
-        if member.voter:
-            return self.replica.log.members_index - match
-        return self.replica.commit - match
+        if progress is None or now - progress.heard_at > HEARD_S:
+            return False
+        lag = self.replica.commit - progress.match
+        return progress.match > 0 and lag <= PROMOTION_LAG_ENTRIES
 
     def _change(
         self, members: tuple[Member, ...], now: float, time_ms: int
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -80,6 +80,7 @@
         self.commit = persisted.snapshot_index
         self.led_since = now
         self._voted_for = persisted.voted_for
+        self._leader_commit = 0
         self._snapshot = persisted.snapshot
         self._durable = self.log.last_index
         self._timing = timing or Timing()
@@ -113,9 +114,12 @@
     def is_caught_up(self) -> bool:
         """Tell whether all that was committed in earlier terms is applied.
 
-        That is known once a record of the present leader's own term is.
+        That is known once a record of the present leader's own term is, and
+        all that the leader had committed when it was first heard.
         """
-        return bool(self.leader) and self.log.term_at(self.commit) == self.term
+        if not self.leader or self.commit < self._leader_commit:
+            return False
+        return self.log.term_at(self.commit) == self.term
 
     def progress_of(self, member: str) -> Progress | None:
         """Return what the leader knows of a follower."""
@@ -303,6 +307,7 @@
         self._votes = set()
         self._pre_voting = False
         self.leader = leader
+        self._leader_commit = 0
         self._progress = {}
 
     def _check_quorum(self, now: float) -> None:
@@ -437,6 +442,9 @@
         if msg.term < self.term:
             self._reply_append(sender, msg, success=False, match=0)
             return
+        if self.leader != sender:
+            self._hear_leader(sender, msg.term, now)
+            self._leader_commit = msg.commit
         self._hear_leader(sender, msg.term, now)
         if msg.previous_index < self.commit:
             # Committed records agree; skip what the snapshot covers.
--- a/tests/harness/checkers.py
+++ b/tests/harness/checkers.py
@@ -4,7 +4,9 @@
 
 from collections import defaultdict
 
+from pistachiopath.claims.status import ClaimStatus
 from pistachiopath.errors.outcomes import NOT_RUN, Completed, Quarantined
+from pistachiopath.messages.claims import ClaimReply
 from pistachiopath.messages.dispatch import NotStarted
 
 LEAVING_S = 3.0
@@ -24,10 +26,24 @@
         self.runs = defaultdict(list)
         self._submitted = defaultdict(list)
         self._not_run = {}
+        self._refused = {}
+        self._refusal_indexes = set()
         self._contents = {}
         self._revisions = defaultdict(int)
         self._accepted = {}
 
+    def control_replies(self, control, effect):
+        """Note when a refusal is committed: the leader replies at once."""
+        body = effect.body
+        if not isinstance(body, ClaimReply) or body.status != ClaimStatus.REFUSED:
+            return
+        if body.refusal_index in self._refusal_indexes:
+            return
+        self._refusal_indexes.add(body.refusal_index)
+        for claim in control.core.state.claims:
+            if claim.refusal_index == body.refusal_index:
+                self._refused[claim.key] = self._world.net.now
+
     def submitted(self, key: bytes):
         self._submitted[key].append(self._world.net.now)
 
@@ -41,10 +57,23 @@
         again = [at for at in self._submitted[key] if told and at >= told]
         if told is not None and not again:
             raise Violation(f'ran after it was told not run: {key.hex()}')
+        if self._retired_for(target) > LEAVING_S:
+            raise Violation(f'{target.name} began a run after it was retired')
         left = target.departed_at
         if left is not None and now > left + LEAVING_S:
             raise Violation(f'{target.name} got new work after it left')
 
+    def _retired_for(self, target) -> float:
+        """Return for how long the target's incarnation has been over."""
+        control = max(
+            self._world.controls.values(), key=lambda c: c.core.state.clock_ms
+        )
+        record = control.core.state.targets.get(target.name)
+        own = target.core.gate.incarnation
+        if record is None or (record.incarnation == own and not record.retired):
+            return 0.0
+        return (control.time_ms + control.skew_ms - record.updated_ms) / 1000
+
     def engine_crashed(self, crashes):
         """Content is set aside before it takes a third target.
 
@@ -61,7 +90,10 @@
         if outcome.kind in NOT_RUN:
             if self.runs[key]:
                 raise Violation(f'told {outcome} but it ran: {self.runs[key]}')
-            self._not_run[key] = self._world.net.now
+            # What was told is true as of the refusal; a submission that was
+            # made after it is a new try, also when this one hears of it late.
+            refused = self._refused.get(key, self._world.net.now)
+            self._not_run[key] = max(refused, self._not_run.get(key, 0.0))
         if isinstance(outcome, Quarantined) and POISON not in call.content:
             raise Violation(f'condemned without cause: {call}')
         if isinstance(outcome, Completed) and bytes(call.data) != call.expected:
--- a/tests/harness/nodes.py
+++ b/tests/harness/nodes.py
@@ -155,6 +155,7 @@
     def _store(self, effects, sends):
         for effect in effects:
             if isinstance(effect, Send):
+                self.world.checkers.control_replies(self, effect)
                 sends.append(effect)
             elif isinstance(effect, STORAGE_EFFECTS):
                 self.disk.write(effect)
@@ -234,6 +235,10 @@
         self._calls = {}
         for call in calls:
             self.world.connection_broke(call)
+        # What a frozen process had not taken in dies with it.
+        for call in self.world.calls:
+            if call.entry == self.name and call.outcome is None:
+                self.world.connection_broke(call)
 
     def submit(self, call):
         number, effects = self.core.submit(call.submission(self.now), self.now)
--- /dev/null
+++ b/tests/test_promises/mutations.py
@@ -0,0 +1,206 @@
+"""Ways to switch one mechanism off, for tests that must then fail."""
+
+from __future__ import annotations
+
+from pistachiopath.claims.claim import ClaimState
+from pistachiopath.claims.flow import RequestFlow
+from pistachiopath.claims.outcome_records import from_record
+from pistachiopath.claims.table import ClaimTable
+from pistachiopath.gate.gate import Gate
+from pistachiopath.messages.claims import OutcomeRecord
+from pistachiopath.replication.replica import Replica
+from tests.harness.disk import Disk
+
+
+class Everything:
+    """Contains whatever it is asked for."""
+
+    def __contains__(self, item):
+        return True
+
+    def add(self, item):
+        pass
+
+
+def no_tombstone(patch):
+    """A run that is given back leaves no record."""
+    give_back = Gate._give_back
+
+    def forgetful(self, run, reason, now):
+        effects = give_back(self, run, reason, now)
+        self._runs.pop(run.key, None)
+        return effects
+
+    patch.setattr(Gate, '_give_back', forgetful)
+
+
+def no_sync(patch):
+    """The disk never gets what is written to it."""
+    patch.setattr(Disk, 'sync', lambda self: None)
+
+
+def no_incarnation_check(patch):
+    """An agent takes what was bound to another process."""
+    init = Gate.__init__
+
+    def trusting(self, **kwargs):
+        init(self, **kwargs)
+        self._incarnations = Everything()
+
+    patch.setattr(Gate, '__init__', trusting)
+
+
+def no_lease_check(patch):
+    """An agent starts queued runs after its lease ran out."""
+    start_due = Gate._start_due
+
+    def eternal(self, now):
+        self.lease_until = float('inf')
+        return start_due(self, now)
+
+    patch.setattr(Gate, '_start_due', eternal)
+
+
+def no_gate_dedup(patch):
+    """An agent runs every dispatch that arrives."""
+    dispatch = Gate.dispatch
+
+    def forgetful(self, sender, msg, now):
+        self._runs.pop(msg.key, None)
+        return dispatch(self, sender, msg, now)
+
+    patch.setattr(Gate, 'dispatch', forgetful)
+
+
+def no_claim(patch):
+    """Every bind is granted."""
+    bind = ClaimTable.bind
+
+    def generous(self, cmd, now_ms):
+        claim = self._claims.get(cmd.key)
+        if claim is not None:
+            claim.state = ClaimState.RELEASED
+        return bind(self, cmd, now_ms)
+
+    patch.setattr(ClaimTable, 'bind', generous)
+
+
+def no_refusal_commit(patch):
+    """A caller is told 'not run' before that is committed."""
+
+    def hasty(self, kind, reason, retry_after_ms):
+        record = OutcomeRecord(kind=kind, reason=reason, retry_after_ms=retry_after_ms)
+        return self._conclude(from_record(record))
+
+    patch.setattr(RequestFlow, 'refuse', hasty)
+
+
+def no_refusal_order(patch):
+    """A bind from before a refusal is granted after it."""
+    bind = ClaimTable.bind
+
+    def careless(self, cmd, now_ms):
+        claim = self._claims.get(cmd.key)
+        if claim is not None and claim.state is ClaimState.REFUSED:
+            claim.state = ClaimState.RELEASED
+        return bind(self, cmd, now_ms)
+
+    patch.setattr(ClaimTable, 'bind', careless)
+
+
+def preempt_anything(patch):
+    """Runs that can't be resumed are paused too."""
+
+    def greedy(self, run):
+        if not run.work.promised:
+            return None
+        others = [r for r in self._running.values() if not r.work.promised]
+        return max(others, key=lambda r: r.priority, default=None)
+
+    patch.setattr(Gate, '_preemptible', greedy)
+
+
+def no_suspect_isolation(patch):
+    """Suspects run beside each other."""
+    patch.setattr(ClaimTable, '_other_suspect_runs', lambda self, cmd: False)
+
+
+def no_caught_up_check(patch):
+    """A replica answers about its state while it replays its log."""
+    patch.setattr(Replica, 'is_caught_up', True)
+
+
+def no_gap_check(patch):
+    """Parts of an answer are passed on in the order they come."""
+    on_chunk = RequestFlow._on_chunk
+
+    def careless(self, msg, now):
+        self._received = msg.offset
+        return on_chunk(self, msg, now)
+
+    patch.setattr(RequestFlow, '_on_chunk', careless)
+
+
+def no_folder_identity(patch):
+    """A blank data folder answers for the one that was lost."""
+    ignores = Replica._ignores
+
+    def careless(self, sender, body, now):
+        if hasattr(body, 'to_member'):
+            return False
+        return ignores(self, sender, body, now)
+
+    patch.setattr(Replica, '_ignores', careless)
+    patch.setattr(Disk, 'load', _same_member(Disk.load))
+
+
+def _same_member(load):
+    import attrs
+
+    def renamed(self):
+        persisted = load(self)
+        return attrs.evolve(persisted, member=persisted.member.split('-')[0])
+
+    return renamed
+
+
+def no_check_quorum(patch):
+    """A leader that hears nobody goes on leading."""
+    patch.setattr(Replica, '_check_quorum', lambda self, now: None)
+
+
+def no_pre_vote(patch):
+    """A member that hears nobody begins a new term at once."""
+    start = Replica._start_election
+
+    def eager(self, now, *, pre):
+        start(self, now, pre=False)
+
+    patch.setattr(Replica, '_start_election', eager)
+
+
+def no_stickiness(patch):
+    """A follower of a live leader votes for others."""
+    patch.setattr(
+        Replica,
+        '_ignores',
+        lambda self, sender, body, now: (
+            hasattr(body, 'to_member') and body.to_member != self.member
+        ),
+    )
+
+
+SWEPT = (
+    no_tombstone,
+    no_incarnation_check,
+    no_lease_check,
+    no_gate_dedup,
+    no_claim,
+    no_refusal_commit,
+    no_refusal_order,
+    preempt_anything,
+    no_suspect_isolation,
+    no_caught_up_check,
+    no_gap_check,
+    no_folder_identity,
+)
--- /dev/null
+++ b/tests/test_storage/test_data_folder.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import errno
+import os
+import tempfile
+from pathlib import Path
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachiopath.effects import (
+    AppendEntries,
+    SaveSnapshot,
+    SaveVote,
+    TruncateFrom,
+)
+from pistachiopath.errors.storage import CorruptFile, StorageFailed
+from pistachiopath.messages.replication import Entry, Member
+from pistachiopath.storage.data_folder import DataFolder
+from tests.harness.disk import Disk
+
+MEMBERS = (Member(member='m', address='a:1'),)
+
+
+def entry(index, term=1, size=10):
+    return Entry(index=index, term=term, kind='command', time_ms=5, command=b'x' * size)
+
+
+def effects_from(choices):
+    """A legal sequence of storage effects."""
+    first, last = 1, 0
+    for choice, number in choices:
+        if choice == 'append':
+            new = tuple(entry(last + 1 + n, size=number) for n in range(1 + number % 3))
+            last += len(new)
+            yield AppendEntries(entries=new)
+        elif choice == 'truncate' and last >= first:
+            last = first + number % (last - first + 1) - 1
+            yield TruncateFrom(index=last + 1)
+        elif choice == 'vote':
+            yield SaveVote(term=number, voted_for='m')
+        elif choice == 'snapshot':
+            index = first - 1 + number % (last - first + 2)
+            first = index + 1
+            yield SaveSnapshot(index=index, term=1, members=MEMBERS, data=b'state')
+        elif choice == 'install':
+            first = last + 5
+            last += 4
+            yield SaveSnapshot(index=last, term=2, members=MEMBERS, data=b'far')
+
+
+CHOICES = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['append', 'append', 'append', 'truncate', 'vote', 'snapshot', 'install']
+        ),
+        st.integers(0, 20),
+    ),
+    max_size=20,
+)
+
+
+@settings(max_examples=60)
+@given(CHOICES)
+def test_a_folder_reads_back_what_the_naive_disk_holds(choices):
+    with tempfile.TemporaryDirectory() as name:
+        folder = DataFolder(path=Path(name))
+        naive = Disk(member=folder.load().member)
+        for effect in effects_from(choices):
+            folder.write(effect)
+            naive.write(effect)
+            folder.sync()
+            naive.sync()
+        folder.close()
+        assert DataFolder(path=Path(name)).load() == naive.load()
+
+
+def written(path, number=4):
+    folder = DataFolder(path=path)
+    folder.load()
+    folder.write(AppendEntries(entries=tuple(entry(n + 1) for n in range(number))))
+    folder.sync()
+    folder.close()
+    return path / 'log'
+
+
+def test_a_torn_record_at_the_end_is_dropped(tmp_path):
+    log = written(tmp_path)
+    whole = log.read_bytes()
+    for size in range(len(whole) * 3 // 4 + 1, len(whole)):
+        log.write_bytes(whole[:size])
+        folder = DataFolder(path=tmp_path)
+        assert [e.index for e in folder.load().entries] == [1, 2, 3]
+        folder.write(AppendEntries(entries=(entry(4, term=2),)))
+        folder.sync()
+        folder.close()
+        assert DataFolder(path=tmp_path).load().entries[3].term == 2
+
+
+def test_a_changed_record_in_the_middle_is_not_taken_for_a_torn_one(tmp_path):
+    log = written(tmp_path)
+    data = bytearray(log.read_bytes())
+    data[len(data) // 3] ^= 1
+    log.write_bytes(bytes(data))
+    with pytest.raises(CorruptFile):
+        DataFolder(path=tmp_path).load()
+
+
+@pytest.mark.parametrize('operation', ['write', 'fdatasync'])
+def test_a_full_or_failing_disk_is_a_typed_failure(tmp_path, monkeypatch, operation):
+    written(tmp_path)
+    folder = DataFolder(path=tmp_path)
+    before = folder.load()
+
+    def fail(*args):
+        raise OSError(errno.ENOSPC, 'no space')
+
+    monkeypatch.setattr(os, operation, fail)
+    with pytest.raises(StorageFailed):
+        folder.write(AppendEntries(entries=(entry(5),)))
+        folder.sync()
+    monkeypatch.undo()
+    folder.close()
+    after = DataFolder(path=tmp_path).load()
+    assert attrs.evolve(after, entries=after.entries[:4]) == before
--- /dev/null
+++ b/tests/test_system/test_failures.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+
+import pytest
+
+from tools.cluster import Cluster, wait_until
+
+from .callers import KEY, Caller, new_id
+from .relay import Relay
+
+
+def status(cluster):
+    """Status documents by address, of the replicas that answer."""
+    result = cluster.operate(
+        'status', '--json', '--settings', cluster.operator_settings
+    )
+    return json.loads(result.stdout) if result.returncode == 0 else {}
+
+
+def leader(cluster):
+    """Name of the control process that leads, once there is one."""
+
+    def find():
+        for address, document in status(cluster).items():
+            if document['role'] == 'leader' and document['caught_up']:
+                return f'control-{cluster.controls.index(address)}'
+        return None
+
+    return wait_until(find, 'no leader')
+
+
+def entry(cluster, name='entry-a'):
+    return cluster.entries[name]
+
+
+def test_a_killed_entry_leaves_its_answers_to_the_other(prairie):
+    first = Caller(entry=entry(prairie), prompt='mid-stream', tokens=120)
+    wait_until(lambda: first.begun, 'no answer began')
+    prairie.kill('entry-a')
+    first.wait()
+    assert not first.is_whole
+    again = Caller(
+        entry=entry(prairie, 'entry-b'),
+        prompt='mid-stream',
+        tokens=120,
+        request_id=first.request_id,
+    ).wait()
+    assert again.is_whole
+    ran = sum(runs_started(prairie, name) for name in ('fast', 'slow'))
+    assert ran == 1
+
+
+def runs_started(cluster, target):
+    log = (cluster.folder / f'agent-{target}.log').read_text()
+    return log.count('msg=run_started')
+
+
+def test_a_killed_agent_makes_the_outcome_unknown_not_a_second_run(prairie):
+    callers = [
+        Caller(entry=entry(prairie), prompt=f'agent {n}', tokens=150) for n in range(4)
+    ]
+    wait_until(lambda: all(c.begun for c in callers), 'no answers began')
+    busy = 'fast' if runs_started(prairie, 'fast') else 'slow'
+    prairie.kill(f'agent-{busy}')
+    prairie.restart(f'agent-{busy}')
+    for caller in callers:
+        caller.wait()
+        if not caller.is_whole:
+            assert caller.error['type'] == 'unknown'
+            assert caller.error['ran'] == 'unknown'
+            again = Caller(
+                entry=entry(prairie, 'entry-b'),
+                prompt=caller.prompt,
+                tokens=150,
+                request_id=caller.request_id,
+            ).wait()
+            assert again.error['type'] == 'unknown'
+    assert sum(runs_started(prairie, n) for n in ('fast', 'slow')) == len(callers)
+    assert any(not caller.is_whole for caller in callers)
+
+
+def test_a_killed_leader_costs_callers_nothing_but_time(prairie):
+    old = leader(prairie)
+    callers = [
+        Caller(entry=entry(prairie), prompt=f'leader {n}', tokens=10) for n in range(3)
+    ]
+    prairie.kill(old)
+    callers += [
+        Caller(entry=entry(prairie, 'entry-b'), prompt=f'later {n}', tokens=10)
+        for n in range(3)
+    ]
+    assert all(caller.wait().is_whole for caller in callers)
+    assert leader(prairie) != old
+    prairie.restart(old)
+    wait_until(lambda: len(status(prairie)) == 3, 'the old leader is missing')
+
+
+def test_a_lost_data_folder_is_replaced_and_a_second_loss_is_borne(prairie):
+    headers = {'Authorization': f'Bearer {KEY}', 'Idempotency-Key': new_id()}
+    url = f'http://{entry(prairie)}/services/payments/payout'
+    first = prairie.http.request('POST', url, body=b'{"to": 1}', headers=headers)
+    for name in ('control-0', 'control-1'):
+        prairie.kill(name)
+        shutil.rmtree(prairie.folder / name)
+        prairie.restart(name)
+        wait_until(lambda: is_repaired(prairie), f'{name} was not replaced')
+    again = prairie.http.request('POST', url, body=b'{"to": 1}', headers=headers)
+    assert (again.status, again.data) == (200, first.data)
+    ledger = f'http://{prairie.engines["payments"]}/ledger'
+    assert len(prairie.http.request('GET', ledger).json()['ledger']) == 1
+
+
+def is_repaired(cluster):
+    documents = status(cluster)
+    if len(documents) < 3 or not all(d['caught_up'] for d in documents.values()):
+        return False
+    members = [d['members'] for d in documents.values()]
+    three = all(len(m) == 3 and all(v['voter'] for v in m) for m in members)
+    return three and members[0] == members[1] == members[2]
+
+
+def test_a_frozen_agent_wakes_with_an_expired_lease(prairie):
+    prairie.signal('agent-fast', signal.SIGSTOP)
+
+    def is_gone():
+        targets = [t['target'] for d in status(prairie).values() for t in d['targets']]
+        return targets and 'fast' not in targets
+
+    wait_until(is_gone, 'the lease did not run out')
+    assert Caller(entry=entry(prairie), prompt='awake', tokens=5).wait().is_whole
+    prairie.signal('agent-fast', signal.SIGCONT)
+    wait_until(lambda: not is_gone(), 'the target did not come back')
+    assert Caller(entry=entry(prairie), prompt='again', tokens=5).wait().is_whole
+
+
+def test_graceful_stops_under_load_cut_nothing_off(prairie):
+    callers = [
+        Caller(entry=entry(prairie), prompt=f'stop {n}', tokens=60) for n in range(6)
+    ]
+    wait_until(lambda: all(c.begun for c in callers), 'no answers began')
+    assert prairie.stop('agent-fast') == 0
+    assert prairie.stop('entry-a') == 0
+    assert all(caller.wait().is_whole for caller in callers)
+
+
+def test_racing_operators_and_a_restart_never_revert(prairie, examples):
+    text = (examples / 'prairie.toml').read_text()
+    accepted = []
+    for size in ('small', 'medium'):
+        answers = prairie.folder / f'{size}.toml'
+        answers.write_text(text.replace('size = "large"', f'size = "{size}"'))
+        output = str(prairie.folder / f'{size}.json')
+        prairie.operate('generate', str(answers), '--output', output)
+        common = ('accept', output, '--settings', prairie.operator_settings)
+        result = prairie.operate(*common, '--expected', '1')
+        accepted.append(result.returncode)
+        resent = prairie.operate(*common, '--expected', '1')
+        assert resent.returncode == result.returncode
+    assert accepted == [0, 1]
+    for name in ('control-0', 'control-1', 'control-2'):
+        prairie.kill(name)
+        prairie.restart(name)
+    prairie.kill('entry-a')
+    prairie.restart('entry-a')
+    prairie.wait_ready()
+
+    def everywhere():
+        documents = status(prairie).values()
+        return len(documents) == 3 and all(
+            d['revision'] == 2 and d['caught_up'] for d in documents
+        )
+
+    wait_until(everywhere, 'revision 2 is not in force everywhere')
+
+
+@pytest.fixture
+def relayed(tmp_path, examples):
+    """One target whose agent stands behind a relay."""
+    with Cluster(folder=tmp_path) as cluster:
+        cluster.start_controls()
+        cluster.start_engine('only')
+        cluster.start_agent('only', models=['proofreader'])
+        relay = Relay(target=cluster.agents['only']['address'])
+        cluster.kill('agent-only')
+        cluster.change('agent-only', advertise=relay.address)
+        cluster.restart('agent-only')
+        cluster.start_entry('entry-a')
+        assert cluster.accept(examples / 'prairie.toml').returncode == 0
+        cluster.wait_ready()
+        yield cluster, relay
+
+
+def test_a_silent_cut_ends_in_a_typed_outcome_and_the_answer_is_kept(relayed):
+    cluster, relay = relayed
+    caller = Caller(entry=entry(cluster), prompt='cut', tokens=100)
+    wait_until(lambda: caller.begun, 'no answer began')
+    relay.cut()
+    caller.wait()
+    assert caller.error['type'] == 'unknown'
+    relay.heal()
+    again = Caller(
+        entry=entry(cluster), prompt='cut', tokens=100, request_id=caller.request_id
+    ).wait()
+    assert again.is_whole
+    assert runs_started(cluster, 'only') == 1
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from typing import TYPE_CHECKING
 
 import tomli_w
@@ -164,6 +165,11 @@
         path.write_text(tomli_w.dumps(settings))
         return path
 
+    def change(self, stem: str, **settings):
+        """Change keys of a settings file."""
+        path = self.folder / f'{stem}.toml'
+        path.write_text(tomli_w.dumps(tomllib.loads(path.read_text()) | settings))
+
     def _trace_setting(self, name: str) -> dict:
         if not self._traces:
             return {}
