Experiment tool: policies against the same engines over virtual time

Cause: the users judge by goodput by tier and wasted prefill, and nothing measured them. The experiment plays the two users' workloads against the real gate and choosers before the engine model (10 targets of 5 speeds, 3 entries with views of their own), under normal load, a 2x burst, a straggler at a fifth of its speed, a killed target, reports 2 s late and 3x overload, with four baselines of our own in the same run.

--- a/pistachiopath/claims/submission.py
+++ b/pistachiopath/claims/submission.py
@@ -12,7 +12,8 @@
     """One submission of a request; times are seconds of the entry's clock.
 
     `named` tells that the caller chose the id, so that the same request may
-    be on its way through another entry.
+    be on its way through another entry.  `prefix` holds the chained hashes of
+    the leading chunks of the prompt.
     """
 
     key: bytes
@@ -23,3 +24,4 @@
     submitted_at: float
     deadline: float
     dated_ms: int = 0
+    prefix: tuple[int, ...] = ()
--- a/pistachiopath/engine/prefix_cache.py
+++ b/pistachiopath/engine/prefix_cache.py
@@ -35,6 +35,15 @@
             held += 1
         return held
 
+    def count_held(self, blocks: tuple[int, ...]) -> int:
+        """Return how many leading blocks are held, without touching them."""
+        held = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            held += 1
+        return held
+
     def store(self, blocks: tuple[int, ...]) -> None:
         """Hold blocks, evicting others."""
         for block in blocks:
--- /dev/null
+++ b/pistachiopath/load/experiment.py
@@ -0,0 +1,295 @@
+"""Plays a workload against a policy over virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..claims.submission import Submission
+from ..engine.profile import EngineProfile
+from ..gate.gate import GateLimits
+from ..messages.dispatch import Dispatch, End, NotStarted, Work
+from ..messages.membership import TargetView, View
+from ..routing.chooser import Choice, Chooser
+from ..routing.prefix import CHUNK_TOKENS
+from ..routing.targets import TargetTable
+from .clock import Clock
+from .plan import Arrival, make_plan
+from .sim_target import SimTarget
+
+if TYPE_CHECKING:
+    from ..effects import Send
+    from ..messages.membership import Heartbeat
+    from .workload import Workload
+
+CLAIM_S = 0.006
+HEARTBEAT_S = 0.5
+VIEW_S = 0.25
+TICK_S = 0.1
+WARM_UP_S = 5.0
+BLOCK_TOKENS = 16
+MAX_TRIES = 4
+PROFILES = tuple(
+    EngineProfile(
+        prefill_tokens_s=prefill,
+        decode_tokens_s=decode,
+        max_batch=batch,
+        cache_blocks=cache,
+    )
+    for prefill, decode, batch, cache in (
+        (4000.0, 45.0, 8, 4000),
+        (6000.0, 60.0, 8, 6000),
+        (10000.0, 80.0, 12, 8000),
+        (16000.0, 110.0, 16, 12000),
+        (24000.0, 140.0, 16, 16000),
+    )
+)
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Condition:
+    """What goes wrong during a run; times in seconds."""
+
+    name: str
+    scale: float = 1.0
+    burst: float = 1.0
+    straggler: bool = False
+    killed: bool = False
+    report_lag_s: float = 0.2
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Policy:
+    """A chooser, and whether gates know priorities or take all as it comes."""
+
+    name: str
+    make_chooser: Callable[[TargetTable, random.Random], Chooser]
+    priorities: bool
+
+
+@attrs.define(kw_only=True)
+class Job:
+    """One request of the plan and what became of it."""
+
+    arrival: Arrival
+    submission: Submission
+    entry: int
+    tries: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    target: str = ''
+    ended_at: float = 0.0
+    outcome: str = ''
+    decision_s: float = 0.0
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether it ended by its deadline."""
+        limit = self.arrival.at + self.arrival.kind.deadline_s
+        return self.outcome == 'completed' and self.ended_at <= limit
+
+
+class Experiment:
+    """Targets, entries with views of their own, and the jobs of a plan."""
+
+    def __init__(
+        self,
+        *,
+        workload: Workload,
+        policy: Policy,
+        condition: Condition,
+        seed: int,
+        duration_s: float,
+        targets: int = 10,
+        entries: int = 3,
+        rate_scale: float = 1.0,
+    ) -> None:
+        self.clock = Clock()
+        self.jobs: list[Job] = []
+        self.wasted_tokens = 0
+        self._policy = policy
+        self._condition = condition
+        self._duration_s = duration_s
+        self._rng = random.Random(f'{seed} {policy.name}')
+        self._prompts: dict[bytes, tuple[int, ...]] = {}
+        self._reports: dict[str, Heartbeat] = {}
+        self._by_key: dict[bytes, Job] = {}
+        self.targets = {
+            f't{n}': self._target(f't{n}', PROFILES[n % len(PROFILES)])
+            for n in range(targets)
+        }
+        self._tables = [TargetTable() for _ in range(entries)]
+        self._choosers = [
+            policy.make_chooser(table, random.Random(f'{seed} {n}'))
+            for n, table in enumerate(self._tables)
+        ]
+        self._plan = [
+            a
+            for a in make_plan(
+                workload,
+                seed=seed,
+                duration_s=duration_s,
+                scale=rate_scale * condition.scale,
+                burst=condition.burst,
+            )
+            if not a.kind.service
+        ]
+
+    def run(self) -> list[Job]:
+        """Play everything; return the jobs."""
+        self._beat()
+        for number in range(len(self._tables)):
+            self.clock.after(0.0, lambda n=number: self._view(n))
+        for number, arrival in enumerate(self._plan):
+            entry = number % len(self._tables)
+            self.clock.after(
+                WARM_UP_S + arrival.at, lambda a=arrival, e=entry: self._arrive(a, e)
+            )
+        if self._condition.killed:
+            self.clock.after(self._duration_s / 2, self._kill)
+        if self._condition.straggler:
+            self.clock.after(self._duration_s / 3, self._slow_down)
+        self._tick()
+        self.clock.run_until(self._duration_s * 2 + 30)
+        return self.jobs
+
+    # Faults
+
+    def _kill(self) -> None:
+        self.targets['t2'].alive = False
+
+    def _slow_down(self) -> None:
+        engine = self.targets['t4'].engine
+        engine.profile = attrs.evolve(engine.profile, slowdown=5.0)
+
+    # Reports
+
+    def _beat(self) -> None:
+        for target in self.targets.values():
+            if target.alive:
+                report = target.heartbeat()
+                self.clock.after(
+                    self._condition.report_lag_s,
+                    lambda t=target.name, r=report: self._reports.update({t: r}),
+                )
+        self.clock.after(HEARTBEAT_S, self._beat)
+
+    def _view(self, number: int) -> None:
+        lag_ms = int(self._condition.report_lag_s * 1000)
+        views = tuple(
+            TargetView(age_ms=min(lag_ms, 1500), report=report)
+            for name, report in self._reports.items()
+            if self.targets[name].alive
+        )
+        self._tables[number].take(View(revision=1, targets=views), self.clock.now)
+        self.clock.after(VIEW_S, lambda: self._view(number))
+
+    def _tick(self) -> None:
+        for target in self.targets.values():
+            target.tick()
+        self.clock.after(TICK_S, self._tick)
+
+    # Requests
+
+    def _arrive(self, arrival: Arrival, entry: int) -> None:
+        key = arrival.number.to_bytes(16, 'big')
+        job = Job(
+            arrival=attrs.evolve(arrival, at=self.clock.now),
+            submission=self._submission(arrival, key),
+            entry=entry,
+        )
+        self.jobs.append(job)
+        self._by_key[key] = job
+        self._choose(job)
+
+    def _submission(self, arrival: Arrival, key: bytes) -> Submission:
+        kind = arrival.kind
+        plain = not self._policy.priorities
+        ranks = {'notice': 0, 'manuscript': 0, 'filing': 1, 'style': 1}
+        self._prompts[key] = _hashes(arrival, BLOCK_TOKENS)
+        return Submission(
+            key=key,
+            fingerprint=key,
+            attempt=key,
+            named=True,
+            work=Work(
+                path='',
+                model='m',
+                customer=arrival.customer,
+                tier=0 if plain else ranks.get(kind.tier, 2),
+                promised=True if plain else kind.promised,
+                prompt_tokens=arrival.prompt_tokens,
+                output_tokens=arrival.output_tokens,
+            ),
+            submitted_at=self.clock.now,
+            deadline=self.clock.now + (1e6 if plain else kind.deadline_s),
+            prefix=_hashes(arrival, CHUNK_TOKENS),
+        )
+
+    def _choose(self, job: Job) -> None:
+        chooser = self._choosers[job.entry]
+        job.tries += 1
+        choice = chooser.choose(job.submission, frozenset(job.excluded), self.clock.now)
+        if not isinstance(choice, Choice) or job.tries > MAX_TRIES:
+            self._end(job, 'refused')
+            return
+        job.target = choice.target
+        msg = Dispatch(
+            key=job.submission.key,
+            binding=job.tries,
+            incarnation=1,
+            deadline_ms=int((job.submission.deadline - self.clock.now) * 1000),
+            work=job.submission.work,
+        )
+        target = self.targets[choice.target]
+        self.clock.after(CLAIM_S, lambda: self._dispatch(target, f'e{job.entry}', msg))
+
+    def _dispatch(self, target: SimTarget, entry: str, msg: Dispatch) -> None:
+        prompt = self._prompts[msg.key]
+        best = max(_held(t, prompt) for t in self.targets.values() if t.alive)
+        missed = max(0, best - _held(target, prompt))
+        self.wasted_tokens += missed * BLOCK_TOKENS
+        target.receive(entry, msg)
+
+    def _on_send(self, _target: str, send: Send) -> None:
+        body = send.body
+        job = self._by_key.get(getattr(body, 'key', b''))
+        if job is None or job.outcome:
+            return
+        if isinstance(body, End):
+            self._end(job, body.outcome.kind)
+        elif isinstance(body, NotStarted) and body.binding == job.tries:
+            job.excluded.add(job.target)
+            if body.reason in ('shed', 'deadline'):
+                self._end(job, body.reason)
+            else:
+                self._choose(job)
+
+    def _end(self, job: Job, outcome: str) -> None:
+        job.outcome = outcome
+        job.ended_at = self.clock.now
+        self._choosers[job.entry].ended(job.submission)
+
+    def _target(self, name: str, profile: EngineProfile) -> SimTarget:
+        window = profile.max_batch if self._policy.priorities else 10_000
+        return SimTarget(
+            name=name,
+            profile=profile,
+            clock=self.clock,
+            limits=GateLimits(window=window, max_queued=256),
+            prompts=self._prompts,
+            on_send=self._on_send,
+        )
+
+
+def _held(target: SimTarget, prompt: tuple[int, ...]) -> int:
+    return target.engine.cache.count_held(prompt)
+
+
+def _hashes(arrival: Arrival, tokens: int) -> tuple[int, ...]:
+    """Return stand-ins for chained hashes: equal for equal documents."""
+    owner = arrival.document if arrival.document >= 0 else -1 - arrival.number
+    whole = arrival.prompt_tokens // tokens
+    return tuple((owner << 20) + position for position in range(whole))
--- /dev/null
+++ b/pistachiopath/routing/prefix_index.py
@@ -0,0 +1,61 @@
+"""What prompt prefixes targets probably hold in their caches."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import xxhash
+
+from .prefix import CHUNK_TOKENS
+
+MAX_TARGET_CHUNKS = 2000
+MAX_TARGETS = 256
+
+
+class PrefixIndex:
+    """Chunks that this entry sent to each target, least recently used out.
+
+    A target holds no more chunks here than its cache can: older references
+    are dropped as the engine would drop them.
+    """
+
+    def __init__(self) -> None:
+        self._held: OrderedDict[str, OrderedDict[int, None]] = OrderedDict()
+
+    def sent(self, target: str, chunks: tuple[int, ...], capacity: int) -> None:
+        """Note that a prompt went to a target whose cache holds `capacity`."""
+        if not chunks:
+            return
+        held = self._held.setdefault(target, OrderedDict())
+        self._held.move_to_end(target)
+        for chunk in chunks:
+            held[chunk] = None
+            held.move_to_end(chunk)
+        while len(held) > min(capacity, MAX_TARGET_CHUNKS):
+            held.popitem(last=False)
+        while len(self._held) > MAX_TARGETS:
+            self._held.popitem(last=False)
+
+    def cached_tokens(self, target: str, chunks: tuple[int, ...]) -> int:
+        """Return how many leading tokens a target probably holds."""
+        held = self._held.get(target)
+        if held is None:
+            return 0
+        count = 0
+        for chunk in chunks:
+            if chunk not in held:
+                break
+            count += 1
+        return count * CHUNK_TOKENS
+
+    def forget(self, target: str) -> None:
+        """Drop what was known of a target: its incarnation is over."""
+        self._held.pop(target, None)
+
+
+def rendezvous(chunk: int, target: str) -> int:
+    """Return the weight of a target for a chunk; the highest is its home.
+
+    Every entry gets the same home without any message between them.
+    """
+    return xxhash.xxh3_64_intdigest(target.encode(), seed=chunk)
--- /dev/null
+++ b/tools/measure_policies.py
@@ -0,0 +1,131 @@
+"""Compares policies over virtual time, all in one run."""
+
+from __future__ import annotations
+
+import json
+import statistics
+from collections import defaultdict
+from multiprocessing import Pool
+
+from pistachiopath.load.experiment import Condition, Experiment, Policy
+from pistachiopath.load.report import quantile
+from pistachiopath.load.workload import WORKLOADS
+from pistachiopath.routing.baselines import (
+    LeastReportedLoad,
+    RandomChooser,
+    RoundRobin,
+    ShortestOwnQueue,
+)
+from pistachiopath.routing.earliest_finish import EarliestFinish
+
+DURATION_S = 60.0
+RATE_SCALE = 2.0
+SEEDS = (1, 2, 3)
+WORKERS = 7
+CONDITIONS = (
+    Condition(name='normal'),
+    Condition(name='burst', burst=2.0),
+    Condition(name='straggler', straggler=True),
+    Condition(name='killed', killed=True),
+    Condition(name='stale', report_lag_s=2.0),
+    Condition(name='overload', scale=3.0),
+)
+
+
+def chooser(cls):
+    return lambda targets, rng: cls(targets=targets, rng=rng)
+
+
+POLICIES = {
+    policy.name: policy
+    for policy in (
+        Policy(name='random', make_chooser=chooser(RandomChooser), priorities=False),
+        Policy(name='round-robin', make_chooser=chooser(RoundRobin), priorities=False),
+        Policy(
+            name='least-load',
+            make_chooser=chooser(LeastReportedLoad),
+            priorities=False,
+        ),
+        Policy(
+            name='own-queue', make_chooser=chooser(ShortestOwnQueue), priorities=False
+        ),
+        Policy(name='product', make_chooser=chooser(EarliestFinish), priorities=True),
+    )
+}
+
+
+def measure(cell):
+    """Run one cell; return it with its figures."""
+    workload, condition, policy, seed = cell
+    experiment = Experiment(
+        workload=WORKLOADS[workload],
+        policy=POLICIES[policy],
+        condition=condition,
+        seed=seed,
+        duration_s=DURATION_S,
+        rate_scale=RATE_SCALE,
+    )
+    jobs = experiment.run()
+    figures = {}
+    promised = [j for j in jobs if j.arrival.kind.promised]
+    figures['promised'] = share(promised)
+    for tier in sorted({j.arrival.kind.tier for j in jobs}):
+        own = [j for j in jobs if j.arrival.kind.tier == tier]
+        figures[f'goodput {tier}'] = share(own)
+    figures['goodput all'] = share(jobs)
+    prefilled = sum(t.engine.prefill_tokens for t in experiment.targets.values())
+    useless = sum(j.arrival.prompt_tokens for j in jobs if ran_in_vain(j))
+    wasted = experiment.wasted_tokens + useless
+    figures['wasted prefill'] = wasted / max(1, prefilled)
+    first = first_tokens(experiment, promised)
+    figures['first token p50'] = quantile(first, 0.5)
+    figures['first token p95'] = quantile(first, 0.95)
+    return (workload, condition.name, policy), figures
+
+
+def share(jobs):
+    return sum(j.in_time for j in jobs) / max(1, len(jobs))
+
+
+def ran_in_vain(job):
+    return job.outcome == 'completed' and not job.in_time
+
+
+def first_tokens(experiment, jobs):
+    """Seconds to the first token of small promised requests."""
+    seconds = []
+    for job in jobs:
+        if job.arrival.prompt_tokens > 512:
+            continue
+        for target in experiment.targets.values():
+            at = target.first_token_at.get(job.submission.key)
+            if at is not None:
+                seconds.append(at - job.arrival.at)
+    return seconds
+
+
+def main():
+    cells = [
+        (workload, condition, policy, seed)
+        for workload in WORKLOADS
+        for condition in CONDITIONS
+        for policy in POLICIES
+        for seed in SEEDS
+    ]
+    collected = defaultdict(lambda: defaultdict(list))
+    with Pool(WORKERS) as pool:
+        for key, figures in pool.imap(measure, cells):
+            for name, value in figures.items():
+                collected[key][name].append(value)
+    rows = {
+        ' '.join(key): {n: statistics.mean(v) for n, v in figures.items()}
+        for key, figures in collected.items()
+    }
+    for key, figures in rows.items():
+        text = '  '.join(f'{n}={v:.3f}' for n, v in figures.items())
+        print(f'{key:<32} {text}')
+    return rows
+
+
+if __name__ == '__main__':
+    print(json.dumps(main())[:0], end='')
