Decisions cost the same at 11,000 targets; claims of repeatable work are kept ten minutes

Cause: one decision looked at every target (linear), and a claim of any work was kept for six hours, which at 35,000 requests a second no group could hold.

Change: with more than 24 targets a decision looks at a random sample of 24, at the last known holder of the prompt and at three places on a hash ring. Claims of idempotent work are kept for ten minutes, of non-idempotent work for six hours; dated ids older than that are refused.

--- a/pistachiopath/claims/table.py
+++ b/pistachiopath/claims/table.py
@@ -16,7 +16,8 @@
     from ..messages.claims import Bind, FinishItem, Refuse, Release
     from ..quarantine.suspects import Suspects
 
-RETENTION_MS = 6 * 3600 * 1000
+ONCE_RETENTION_MS = 6 * 3600 * 1000
+RETENTION_MS = 10 * 60 * 1000
 FUTURE_SKEW_MS = 5 * 60 * 1000
 MAX_STORED_ANSWER_BYTES = 4096
 
@@ -25,8 +26,9 @@
     """Deterministic table of claims, changed only by committed commands.
 
     Each command takes the replicated clock in milliseconds and returns a
-    `ClaimReply`.  A claim is kept for `RETENTION_MS` after its last change;
-    a dated id older than that is refused instead of being run again.
+    `ClaimReply`.  A claim is kept for `RETENTION_MS` after its last change,
+    or `ONCE_RETENTION_MS` if its work is not idempotent; a dated id older
+    than that is refused instead of being run again.
     """
 
     def __init__(self, *, suspects: Suspects) -> None:
@@ -62,7 +64,7 @@
             return self._held(claim, cmd.attempt, now_ms)
         if claim is not None and claim.state is ClaimState.FINISHED:
             return self._describe(claim, ClaimStatus.FINISHED, now_ms)
-        if cmd.dated_ms and self._out_of_range(cmd.dated_ms, now_ms):
+        if cmd.dated_ms and self._out_of_range(cmd, now_ms):
             return ClaimReply(status=ClaimStatus.TOO_OLD)
         refused = claim is not None and claim.state is ClaimState.REFUSED
         if refused and cmd.after_refusal != claim.refusal_index:
@@ -212,11 +214,12 @@
         )
 
     @staticmethod
-    def _out_of_range(dated_ms: int, now_ms: int) -> bool:
-        return not now_ms - RETENTION_MS < dated_ms < now_ms + FUTURE_SKEW_MS
+    def _out_of_range(cmd: Bind, now_ms: int) -> bool:
+        oldest = now_ms - _retention_ms(once=cmd.once)
+        return not oldest < cmd.dated_ms < now_ms + FUTURE_SKEW_MS
 
     def _touch(self, claim: Claim, now_ms: int) -> None:
-        claim.expires_ms = now_ms + RETENTION_MS
+        claim.expires_ms = now_ms + _retention_ms(once=claim.once)
 
     def _store(self, claim: Claim) -> None:
         if claim.key not in self._claims:
@@ -232,3 +235,7 @@
         bound.pop(claim.key, None)
         if not bound:
             del self._bound[claim.target]
+
+
+def _retention_ms(*, once: bool) -> int:
+    return ONCE_RETENTION_MS if once else RETENTION_MS
--- a/pistachiopath/routing/baselines.py
+++ b/pistachiopath/routing/baselines.py
@@ -34,7 +34,7 @@
         known = sorted(
             (
                 k
-                for k in self._targets.serving(submission.work.model, now)
+                for k in self._targets.candidates(submission.work.model, now, self._rng)
                 if k.report.target not in excluded
             ),
             key=lambda k: k.report.target,
--- a/pistachiopath/routing/earliest_finish.py
+++ b/pistachiopath/routing/earliest_finish.py
@@ -53,9 +53,10 @@
     ) -> Choice | NoTarget:
         """Return the target for a request, or why there is none."""
         name = submission.work.model
+        wanted = self._wanted(name, submission.prefix)
         known = [
             k
-            for k in self._targets.serving(name, now)
+            for k in self._targets.candidates(name, now, self._rng, wanted)
             if k.report.target not in excluded
         ]
         if not known:
@@ -83,6 +84,13 @@
         """Take note that the chosen target does not hold the request."""
         self._outstanding.remove(submission)
 
+    def _wanted(self, name: str, chunks: tuple[int, ...]) -> tuple[str, ...]:
+        """Return the targets that may hold a copy of a prompt."""
+        if not chunks:
+            return ()
+        holder = self._prefixes.holder(chunks[0])
+        return (*self._targets.near_homes(name, chunks[0]), holder)
+
     def _estimates(
         self, known: list[KnownTarget], submission: Submission
     ) -> list[Estimate]:
--- a/pistachiopath/routing/prefix_index.py
+++ b/pistachiopath/routing/prefix_index.py
@@ -11,6 +11,7 @@
 
 MAX_TARGET_CHUNKS = 2000
 MAX_TARGETS = 256
+MAX_HOLDERS = 10_000
 HASH_RANGE = 2**64
 
 
@@ -23,11 +24,16 @@
 
     def __init__(self) -> None:
         self._held: OrderedDict[str, OrderedDict[int, None]] = OrderedDict()
+        self._holders: OrderedDict[int, str] = OrderedDict()
 
     def sent(self, target: str, chunks: tuple[int, ...], capacity: int) -> None:
         """Note that a prompt went to a target whose cache holds `capacity`."""
         if not chunks:
             return
+        self._holders[chunks[0]] = target
+        self._holders.move_to_end(chunks[0])
+        while len(self._holders) > MAX_HOLDERS:
+            self._holders.popitem(last=False)
         held = self._held.setdefault(target, OrderedDict())
         self._held.move_to_end(target)
         for chunk in chunks:
@@ -50,6 +56,10 @@
             count += 1
         return count * CHUNK_TOKENS
 
+    def holder(self, chunk: int) -> str:
+        """Return where a prompt with this first chunk went last, or nothing."""
+        return self._holders.get(chunk, '')
+
     def forget(self, target: str) -> None:
         """Drop what was known of a target: its incarnation is over."""
         self._held.pop(target, None)
--- a/pistachiopath/routing/targets.py
+++ b/pistachiopath/routing/targets.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import TYPE_CHECKING
 
 import attrs
+import xxhash
 
 from ..messages.membership import Heartbeat
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    import random
 
     from ..messages.membership import View
 
 LEASE_S = 2.0
+SAMPLE = 24
+HOMES = 3
 
 
 @attrs.define(kw_only=True)
@@ -29,35 +33,84 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, KnownTarget] = {}
+        self._by_name: dict[str, list[str]] = {}
+        self._rings: dict[str, list[tuple[int, str]]] = {}
 
     def take(self, view: View, now: float) -> None:
         """Take in a view; older reports never replace newer ones."""
+        changed = False
         for seen in view.targets:
             heard_at = now - seen.age_ms / 1000
-            self._take_one(seen.report, heard_at)
+            changed |= self._take_one(seen.report, heard_at)
         for name, known in list(self._targets.items()):
             if now - known.heard_at >= LEASE_S:
                 del self._targets[name]
-
-    def serving(self, name: str, now: float) -> Iterator[KnownTarget]:
-        """Yield the live targets that serve a model or service."""
-        for known in self._targets.values():
-            report = known.report
-            live = now - known.heard_at < LEASE_S and not report.departing
-            if live and (name in report.models or name in report.services):
-                yield known
+                changed = True
+        if changed:
+            self._index()
+
+    def candidates(
+        self,
+        name: str,
+        now: float,
+        rng: random.Random,
+        wanted: tuple[str, ...] = (),
+    ) -> list[KnownTarget]:
+        """Return live targets that serve a model or service.
+
+        With many targets it is a random sample of `SAMPLE`, so that a choice
+        costs the same at any size, and those wanted besides.
+        """
+        names = self._by_name.get(name, [])
+        if len(names) > SAMPLE:
+            names = {*rng.sample(names, SAMPLE), *wanted}
+        found = []
+        for target in names:
+            known = self._targets.get(target)
+            if known is not None and self._is_serving(known, name, now):
+                found.append(known)
+        return found
+
+    def near_homes(self, name: str, chunk: int) -> tuple[str, ...]:
+        """Return the few targets that follow a chunk on the hash ring."""
+        ring = self._rings.get(name)
+        if not ring:
+            return ()
+        start = bisect.bisect(ring, (chunk, ''))
+        places = (ring[(start + step) % len(ring)] for step in range(HOMES))
+        return tuple(dict.fromkeys(target for _, target in places))
 
     def names(self) -> set[str]:
         """Return every model and service that a known target serves."""
-        served: set[str] = set()
-        for known in self._targets.values():
-            served.update(known.report.models, known.report.services)
-        return served
+        return set(self._by_name)
+
+    @staticmethod
+    def _is_serving(known: KnownTarget, name: str, now: float) -> bool:
+        report = known.report
+        if report.departing or now - known.heard_at >= LEASE_S:
+            return False
+        return name in report.models or name in report.services
 
-    def _take_one(self, report: Heartbeat, heard_at: float) -> None:
+    def _take_one(self, report: Heartbeat, heard_at: float) -> bool:
+        """Take in a report; tell whether what is served where has changed."""
         known = self._targets.get(report.target)
         if known is not None:
             newest = (known.report.incarnation, known.report.sequence)
             if (report.incarnation, report.sequence) <= newest:
-                return
+                return False
         self._targets[report.target] = KnownTarget(report=report, heard_at=heard_at)
+        return known is None or (
+            known.report.models != report.models
+            or known.report.services != report.services
+        )
+
+    def _index(self) -> None:
+        self._by_name = {}
+        for target, known in sorted(self._targets.items()):
+            for name in (*known.report.models, *known.report.services):
+                self._by_name.setdefault(name, []).append(target)
+        self._rings = {
+            name: sorted((xxhash.xxh3_64_intdigest(t.encode()), t) for t in targets)
+            for name, targets in self._by_name.items()
+            if len(targets) > SAMPLE
+        }
