A binding granted too long ago is given back instead of dispatched

Change: a submission whose own bind took more than 2 s to be answered releases the binding, which it alone could have dispatched, and asks again.

Ruled out: the suspects' count (both crashes were counted) and the isolation of suspects (the target was not running another one).

Left: a run that waits in an agent's queue when its content is quarantined still starts.

--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -41,6 +41,7 @@
 RESEND_S = 0.5
 SILENT_S = 6.0
 GRACE_S = 2.0
+STALE_BIND_S = 2.0
 LATE_S = 60.0
 MAX_BINDINGS = 8
 DISPATCH_TRANSIT_MS = 1000
@@ -87,6 +88,7 @@
         self._give_up_at = submission.deadline + GRACE_S
         self._refusal = Refused(reason='', retry_after_ms=0)
         self._asked = False
+        self._asked_at = 0.0
 
     @property
     def key(self) -> bytes:
@@ -204,6 +206,7 @@
             return self.refuse(OutcomeKind.REFUSED, reason, retry_after_ms)
         self.state = FlowState.BINDING
         self.target = choice.target
+        self._asked_at = now
         sub = self.submission
         return self._ask(
             Bind(
@@ -222,6 +225,10 @@
     def _on_bound(self, reply: ClaimReply, now: float) -> list:
         self._own = reply.status == ClaimStatus.BOUND
         self._attend(reply, now)
+        if self._own and now - self._asked_at > STALE_BIND_S:
+            # The content may have been quarantined since; this submission
+            # alone dispatches the binding, and it has not.
+            return self._release()
         if self._own and self.state is FlowState.BINDING:
             self.state = FlowState.STREAMING
             return [self._dispatch(now)]
@@ -308,6 +315,9 @@
         if self._received:
             return self._conclude(Failed(reason='contradiction'))
         self._refusal = Refused(reason=msg.reason, retry_after_ms=msg.retry_after_ms)
+        return self._release()
+
+    def _release(self) -> list:
         self.state = FlowState.RELEASING
         return self._ask(Release(key=self.key, binding=self._binding))
 
--- a/pistachiopath/entry/http.py
+++ b/pistachiopath/entry/http.py
@@ -98,7 +98,7 @@
 
     def _metrics(self) -> str:
         bottle.response.content_type = METRICS_TYPE
-        return self._shell.metrics.render() + '\n'
+        return self._shell.render_metrics() + '\n'
 
     # Answers
 
--- a/pistachiopath/entry/shell.py
+++ b/pistachiopath/entry/shell.py
@@ -78,6 +78,12 @@
             on_lost=self._on_lost,
         )
 
+    def render_metrics(self) -> str:
+        """Return all metrics as text."""
+        self.metrics.set('link_sent_bytes_total', self.network.sent_bytes)
+        self.metrics.set('link_sent_messages_total', self.network.sent_messages)
+        return self.metrics.render()
+
     def start(self) -> None:
         """Begin to follow the targets and the configuration."""
         gevent.spawn(self._loop)
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -40,7 +40,7 @@
     retention_s: float = 3600.0
     answer_retention_s: float = 300.0
     max_answer_bytes: int = 16 * 1024 * 1024
-    max_retained_bytes: int = 8 * 1024 * 1024
+    max_retained_bytes: int = 4 * 1024 * 1024
 
 
 class Gate:
--- a/pistachiopath/telemetry/metrics.py
+++ b/pistachiopath/telemetry/metrics.py
@@ -29,6 +29,10 @@
         """Add to a counter."""
         self._counters[(name, tuple(sorted(labels.items())))] += number
 
+    def set(self, name: str, number: int, **labels: str) -> None:
+        """Set a counter that is kept elsewhere."""
+        self._counters[(name, tuple(sorted(labels.items())))] = number
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration."""
         key = (name, tuple(sorted(labels.items())))
--- /dev/null
+++ b/tools/capacity_slopes.py
@@ -0,0 +1,244 @@
+"""Measures what each kind of state and message costs, at several sizes."""
+
+from __future__ import annotations
+
+import gc
+import os
+import random
+import time
+import tracemalloc
+
+from pistachiopath.claims.table import ClaimTable
+from pistachiopath.configuration.configuration import (
+    Configuration,
+    Customer,
+    Tier,
+    WorkClass,
+)
+from pistachiopath.control.core import ControlCore
+from pistachiopath.control.replicated_state import ReplicatedState
+from pistachiopath.control.snapshot import pack_state, unpack_state
+from pistachiopath.messages.claims import Bind
+from pistachiopath.messages.envelope import Envelope
+from pistachiopath.messages.membership import (
+    HeartbeatAck,
+    TargetView,
+    View,
+    ViewRequest,
+)
+from pistachiopath.quarantine.suspects import Suspects
+from pistachiopath.replication.persisted import Persisted
+from pistachiopath.routing.prefix_index import PrefixIndex
+from pistachiopath.routing.targets import TargetTable
+from pistachiopath.transport.codec import decode, encode
+from tools.measure_decisions import report
+
+SIZES = (1000, 2000, 4000, 8000)
+REPEATS = 3
+
+
+def traced(build):
+    """Return the bytes that a built thing holds."""
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    return size
+
+
+def cpu(action):
+    """Return the least processor seconds of several runs of an action."""
+    best = float('inf')
+    for _ in range(REPEATS):
+        began = time.process_time()
+        action()
+        best = min(best, time.process_time() - began)
+    return best
+
+
+def binds(number):
+    """Return binds of new requests, as decoded from the wire."""
+    commands = []
+    for _ in range(number):
+        cmd = Bind(
+            key=os.urandom(16),
+            fingerprint=os.urandom(16),
+            attempt=os.urandom(8),
+            target='target-in-dc1-0042',
+            incarnation=7,
+            address='10.11.12.13:7001',
+        )
+        commands.append(decode(encode(Envelope(call=1, body=cmd))).body)
+    return commands
+
+
+def claim_table(number):
+    """Return a claim table with that many claims."""
+    table = ClaimTable(suspects=Suspects())
+    for cmd in binds(number):
+        table.bind(cmd, 1_800_000_000_000)
+    return table
+
+
+def state_of(number):
+    """Return a replicated state with that many claims."""
+    state = ReplicatedState()
+    for cmd in binds(number):
+        state.claims.bind(cmd, 1_800_000_000_000)
+    return state
+
+
+def views(number):
+    """Return a view of that many targets."""
+    rng = random.Random(number)
+    targets = tuple(TargetView(age_ms=5, report=report(n, rng)) for n in range(number))
+    return View(revision=1, targets=targets)
+
+
+def target_table(number):
+    """Return an entry's table of that many targets."""
+    table = TargetTable()
+    table.take(views(number), 0.0)
+    return table
+
+
+def configuration(customers):
+    """Return a configuration with that many customers."""
+    return Configuration(
+        deployment='size',
+        tiers=tuple(
+            Tier(name=f't{n}', rank=n, promised=n < 3, deadline_s=60.0)
+            for n in range(4)
+        ),
+        customers=tuple(
+            Customer(
+                name=f'customer-{n}',
+                key_sha256=f'{n:064x}',
+                requests_per_s=5.0,
+                burst=20,
+            )
+            for n in range(customers)
+        ),
+        work=tuple(
+            WorkClass(name=f'w{n}', tier='t0', model=f'm{n}') for n in range(13)
+        ),
+    )
+
+
+def snapshot_cpu(number):
+    """Return the seconds to write and read a snapshot of claims."""
+    state = state_of(number)
+    return cpu(lambda: unpack_state(pack_state(state)))
+
+
+def configuration_cpu(number):
+    """Return the seconds to read a configuration."""
+    content = configuration(number).to_bytes()
+    return cpu(lambda: Configuration.from_bytes(content))
+
+
+def control():
+    """Return a control replica that leads a group of one."""
+    core = ControlCore(
+        address='c:1',
+        addresses=('c:1',),
+        persisted=Persisted(member='m'),
+        rng=random.Random(1),
+        now=0.0,
+    )
+    now = 0.0
+    while not core.is_serving:
+        now += 0.1
+        core.tick(now, 0)
+        core.flush(now)
+        core.synced(now)
+    return core
+
+
+def heartbeats_cpu(number):
+    """Return the seconds to decode, handle and answer heartbeats."""
+    core = control()
+    rng = random.Random(1)
+    beats = [encode(Envelope(call=0, body=report(n, rng))) for n in range(number)]
+    ack = HeartbeatAck(sequence=1, lease_ms=2000, revision=1)
+
+    def handle():
+        for data in beats:
+            core.registry.heard(decode(data).body, 0.0)
+            encode(Envelope(call=0, body=ack))
+
+    return cpu(handle)
+
+
+def view_cpu(number):
+    """Return the seconds to decode a view and take it in."""
+    data = encode(Envelope(call=1, body=views(number)))
+
+    def take():
+        TargetTable().take(decode(data).body, 0.0)
+
+    return cpu(take)
+
+
+def prefix_index(number):
+    """Return an index that holds that many chunks."""
+    index = PrefixIndex()
+    rng = random.Random(1)
+    for n in range(number // 20):
+        chunks = tuple(rng.getrandbits(64) for _ in range(20))
+        index.sent(f't{n % 24}', chunks, 2000)
+    return index
+
+
+def message_bytes():
+    """Return the size of each frequent message."""
+    rng = random.Random(1)
+    beat = report(1, rng)
+    bodies = {
+        'Bind': binds(1)[0],
+        'Heartbeat': beat,
+        'HeartbeatAck': HeartbeatAck(sequence=1, lease_ms=2000, revision=1),
+        'ViewRequest': ViewRequest(revision=1, entry='entry-a'),
+    }
+    sizes = {n: len(encode(Envelope(call=1, body=b))) for n, b in bodies.items()}
+    one = len(encode(Envelope(call=1, body=views(1))))
+    eleven = len(encode(Envelope(call=1, body=views(11))))
+    sizes['View, each target'] = (eleven - one) // 10
+    return sizes
+
+
+def main():
+    """Return raw figures by slope and size."""
+    return {
+        'claim memory, bytes': {n: traced(lambda n=n: claim_table(n)) for n in SIZES},
+        'snapshot of claims, bytes': {n: len(pack_state(state_of(n))) for n in SIZES},
+        'snapshot of claims, processor s': {n: snapshot_cpu(n) for n in SIZES},
+        'target in an entry, bytes': {
+            n: traced(lambda n=n: target_table(n)) for n in SIZES
+        },
+        'target in a view, processor s': {n: view_cpu(n) for n in SIZES},
+        'heartbeat at a control replica, processor s': {
+            n: heartbeats_cpu(n) for n in SIZES
+        },
+        'customer in a configuration, bytes': {
+            n: len(configuration(n).to_bytes()) for n in SIZES
+        },
+        'customer in a configuration, memory bytes': {
+            n: traced(lambda n=n: configuration(n)) for n in SIZES
+        },
+        'customer in a configuration, processor s': {
+            n: cpu(lambda d=configuration(n).to_bytes(): Configuration.from_bytes(d))
+            for n in SIZES
+        },
+        'prefix chunk in an entry, bytes': {
+            n: traced(lambda n=n: prefix_index(n)) for n in SIZES
+        },
+        'message, bytes': message_bytes(),
+    }
+
+
+if __name__ == '__main__':
+    for name, figures in main().items():
+        print(name, figures)
