--- a/pistachiopath/routing/prefix_index.py
+++ b/pistachiopath/routing/prefix_index.py
@@ -10,7 +10,7 @@
 from .prefix import CHUNK_TOKENS
 
 MAX_TARGET_CHUNKS = 2000
-MAX_TARGETS = 256
+MAX_CHUNKS = 40_000
 MAX_HOLDERS = 10_000
 HASH_RANGE = 2**64
 
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._held: OrderedDict[str, OrderedDict[int, None]] = OrderedDict()
+        self._total = 0
         self._holders: OrderedDict[int, str] = OrderedDict()
 
     def sent(self, target: str, chunks: tuple[int, ...], capacity: int) -> None:
@@ -36,13 +37,16 @@
             self._holders.popitem(last=False)
         held = self._held.setdefault(target, OrderedDict())
         self._held.move_to_end(target)
+        before = len(held)
         for chunk in chunks:
             held[chunk] = None
             held.move_to_end(chunk)
         while len(held) > min(capacity, MAX_TARGET_CHUNKS):
             held.popitem(last=False)
-        while len(self._held) > MAX_TARGETS:
-            self._held.popitem(last=False)
+        self._total += len(held) - before
+        while self._total > MAX_CHUNKS:
+            _, dropped = self._held.popitem(last=False)
+            self._total -= len(dropped)
 
     def cached_tokens(self, target: str, chunks: tuple[int, ...]) -> int:
         """Return how many leading tokens a target probably holds."""
@@ -62,7 +66,7 @@
 
     def forget(self, target: str) -> None:
         """Drop what was known of a target: its incarnation is over."""
-        self._held.pop(target, None)
+        self._total -= len(self._held.pop(target, ()))
 
 
 def rendezvous(chunk: int, target: str, weight: float) -> float:
--- /dev/null
+++ b/tools/capacity_page.py
@@ -0,0 +1,256 @@
+"""Text of docs/CAPACITY.md, worked out from the raw figures."""
+
+from __future__ import annotations
+
+NODES = 600
+TARGETS = 11_000
+REQUESTS_S = 35_000
+TOKENS_S = 11_000_000
+CUSTOMERS = 14_000
+MODELS = 13
+ZONES = 11
+CHANGES_S = 59_000 / 86_400
+MEMBER_EVENTS_S = 2 * (120 + 2_700) / 86_400
+CONTROL_VMS = 59
+CPU_BUDGET = 0.017
+MEMORY_BUDGET_MB = 64
+BYTES_BUDGET = 3_000
+
+GROUPS = 19
+REPLICAS = 3
+RETENTION_S = 600
+SUBSET_PER_MODEL = 24
+DIGEST_BYTES = 12
+DIGEST_PERIOD_S = 2.0
+HEARTBEAT_PERIOD_S = 0.5
+CHANGE_BYTES = 200
+EVENT_BYTES = 100
+TREE_DEGREE = 16
+CROSS_REGION_S = 0.1
+VIEW_PERIOD_S = 0.25
+SLOPES = (
+    'claim memory, bytes',
+    'snapshot of claims, bytes',
+    'snapshot of claims, processor s',
+    'target in an entry, bytes',
+    'target in a view, processor s',
+    'heartbeat at a control replica, processor s',
+    'customer in a configuration, bytes',
+    'customer in a configuration, memory bytes',
+    'customer in a configuration, processor s',
+    'prefix chunk in an entry, bytes',
+)
+INDEX_CHUNKS = 40_000
+MB = 1024 * 1024
+
+
+class Sizes:
+    """Every figure of the page, from slopes and the size to design for."""
+
+    def __init__(self, *, raw, fit):
+        self.fits = {name: fit(raw[name]) for name in SLOPES}
+        slope = {name: f[0] for name, f in self.fits.items()}
+        path, claims = raw['path'], raw['claims']['64']
+        message = raw['message, bytes']
+        self.message = message
+        self.path = path
+        self.claims = claims
+        self.decisions = raw['decision, processor us']
+        # Claim groups.
+        self.group_rate = REQUESTS_S / GROUPS
+        self.leader_cpu = self.group_rate * claims['leader_cpu_us'] / 1e6
+        self.follower_cpu = self.group_rate * claims['follower_cpu_us'] / 1e6
+        self.group_claims = self.group_rate * RETENTION_S
+        self.group_mb = self.group_claims * slope['claim memory, bytes'] / MB
+        self.snapshot_mb = self.group_claims * slope['snapshot of claims, bytes'] / MB
+        self.snapshot_s = self.group_claims * slope['snapshot of claims, processor s']
+        self.log_mb_s = self.group_rate * 4 * message['Bind'] / MB
+        # Targets.
+        self.heartbeats = TARGETS / ZONES / HEARTBEAT_PERIOD_S
+        heartbeat_s = slope['heartbeat at a control replica, processor s']
+        self.registry_cpu = self.heartbeats * heartbeat_s
+        self.agent_bytes = 2 * message['Heartbeat'] / HEARTBEAT_PERIOD_S
+        # Entries.
+        self.subset = SUBSET_PER_MODEL * MODELS
+        per_view = message['View, each target']
+        self.view_bytes_now = self.subset * per_view / VIEW_PERIOD_S
+        self.view_cpu_now = (
+            self.subset * slope['target in a view, processor s'] / VIEW_PERIOD_S
+        )
+        self.digest_bytes = self.subset * DIGEST_BYTES / DIGEST_PERIOD_S
+        self.digest_cpu = (
+            self.subset * slope['target in a view, processor s'] / DIGEST_PERIOD_S
+        )
+        self.event_bytes = MEMBER_EVENTS_S * EVENT_BYTES
+        self.change_bytes = CHANGES_S * CHANGE_BYTES
+        self.configuration_mb = (
+            CUSTOMERS * slope['customer in a configuration, memory bytes'] / MB
+        )
+        configuration_bytes = CUSTOMERS * slope['customer in a configuration, bytes']
+        self.full_bytes_now = CHANGES_S * configuration_bytes
+        self.full_cpu_now = (
+            CHANGES_S * CUSTOMERS * slope['customer in a configuration, processor s']
+        )
+        self.targets_mb = self.subset * slope['target in an entry, bytes'] / MB
+        self.index_mb = INDEX_CHUNKS * slope['prefix chunk in an entry, bytes'] / MB
+        self.entry_mb = (
+            path['idle_rss_entry-a']
+            + self.configuration_mb
+            + self.targets_mb
+            + self.index_mb
+        )
+        self.entry_cpu = path['idle_cpu_entry-a'] + self.digest_cpu
+        self.entry_bytes = self.digest_bytes + self.event_bytes + self.change_bytes
+        # Data path.
+        self.token_s, self.request_s, _ = fit(
+            {
+                tokens: path[f'relay_{tokens}']['entry-a']
+                for tokens in (4, 64, 256, 1024)
+            }
+        )
+        self.node_requests = REQUESTS_S / NODES
+        self.node_tokens = TOKENS_S / NODES
+        self.data_cpu = (
+            self.node_requests * self.request_s + self.node_tokens * self.token_s
+        )
+        self.added_first_byte_s = path['first_byte_path'] - path['first_byte_direct']
+        depth, reach = 0, 1
+        while reach < NODES:
+            depth += 1
+            reach += TREE_DEGREE**depth
+        self.tree_depth = depth
+        self.in_force_s = 0.05 + depth * CROSS_REGION_S
+        self.vms = GROUPS * REPLICAS
+
+
+def verdict(value, budget):
+    """Tell whether a value keeps a budget, and what is spare."""
+    if value > budget:
+        return f'**does not fit** ({value / budget:.1f} times)'
+    return f'fits, {1 - value / budget:.0%} spare'
+
+
+def render(raw, fit):
+    """Return the text of the page."""
+    s = Sizes(raw=raw, fit=fit)
+    fits = '\n'.join(
+        f'| {name} | {", ".join(raw[name])} | {f[0]:.4g} | {f[1]:.3g} | {f[2]:.1%} |'
+        for name, f in s.fits.items()
+    )
+    messages = ', '.join(f'{name} {size} B' for name, size in s.message.items())
+    decisions = ', '.join(f'{n}: {cost:.0f} us' for n, cost in s.decisions.items())
+    return f"""# Capacity at the size to design for
+
+The size: {NODES} nodes (entries) before {TARGETS:,} targets, {REQUESTS_S:,}
+requests and {TOKENS_S:,} tokens a second, {CUSTOMERS:,} customers, {MODELS}
+models, {ZONES} data centres in 5 regions, 59,000 changes of configuration and
+2,820 failed or replaced VMs a day. For control a node may spend 1.7% of a
+core, 64 MB and 3 KB a second; at most {CONTROL_VMS} VMs are set aside.
+
+This page is written by `make capacity` from the raw figures in
+[capacity/raw.json](capacity/raw.json), measured on one machine of 8 cores with
+other work on it at times; a test checks that page and figures agree. What is
+built today is for the sizes of today. **Now** marks what runs today, **then**
+the mechanism that has to carry the size and is not built.
+
+## Slopes
+
+| cost | sizes | slope | at zero | largest residual |
+|---|---|---|---|---|
+{fits}
+
+Messages: {messages}.
+
+One routing decision, processor time by number of targets: {decisions}.
+
+Claims, one group of three, 64 at a time: {s.claims['claims_per_s']:.0f} a
+second (bind and finish), {s.claims['leader_cpu_us']:.0f} us of the leader's
+processor and {s.claims['follower_cpu_us']:.0f} us of a follower's for each;
+one at a time a bind takes {raw['claims']['1']['bind_p95_ms']:.1f} ms at p95.
+
+## Entry ({NODES} nodes)
+
+| what | figure | budget | verdict |
+|---|---|---|---|
+| data path: {s.node_requests:.0f} requests/s at {s.request_s * 1e3:.2f} ms and {s.node_tokens:.0f} tokens/s at {s.token_s * 1e6:.0f} us | {s.data_cpu:.2f} cores | one core | {verdict(s.data_cpu, 1.0)} |
+| **now** full views of {s.subset} targets every {VIEW_PERIOD_S} s | {s.view_bytes_now:.0f} B/s, {s.view_cpu_now:.1%} of a core | 3,000 B/s, 1.7% | {verdict(s.view_bytes_now, BYTES_BUDGET)} |
+| **then** digests of {DIGEST_BYTES} B a target every {DIGEST_PERIOD_S} s, events and changes as deltas | {s.entry_bytes:.0f} B/s | 3,000 B/s | {verdict(s.entry_bytes, BYTES_BUDGET)} |
+| **then** processor for control | {s.entry_cpu:.2%} of a core | 1.7% | {verdict(s.entry_cpu, CPU_BUDGET)} |
+| memory: {s.path['idle_rss_entry-a']:.0f} MB idle, configuration {s.configuration_mb:.1f}, targets {s.targets_mb:.1f}, prefix index {s.index_mb:.1f} | {s.entry_mb:.0f} MB | 64 MB | {verdict(s.entry_mb, MEMORY_BUDGET_MB)} |
+| **now** whole configuration on each change | {s.full_bytes_now / 1000:.0f} KB/s, {s.full_cpu_now:.1%} of a core | 3 KB/s, 1.7% | {verdict(s.full_bytes_now, BYTES_BUDGET)} |
+
+Mechanisms: an entry follows a subset of {SUBSET_PER_MODEL} targets for each
+model, drawn by its own data centre first; a decision samples 24 of them, so it
+costs the same at any size (**now**). Load of the targets that an entry really
+uses rides on their answers, which are not control traffic (**then**). A long
+prompt's home on the hash ring is known without a message (**now**).
+
+## Agent ({TARGETS:,} targets)
+
+Registers once a start; heartbeats every {HEARTBEAT_PERIOD_S} s. **Now** to
+all control replicas of the one group; **then** to two registries in its data
+centre: {s.agent_bytes:.0f} B/s, {verdict(s.agent_bytes, BYTES_BUDGET)}. Idle it
+uses {s.path['idle_cpu_agent-fast']:.1%} of a core and
+{s.path['idle_rss_agent-fast']:.0f} MB. Answers that it keeps for returning
+callers are bounded at 4 MB beside those in flight;
+with 60 answers of 1024 tokens it grew to
+{s.path['relay_1024']['loaded_rss_agent-fast']:.0f} MB.
+
+## Control ({s.vms} of {CONTROL_VMS} VMs: {GROUPS} groups of {REPLICAS})
+
+| what, for each group | figure |
+|---|---|
+| claims a second | {s.group_rate:.0f} |
+| processor, leader / follower | {s.leader_cpu:.2f} / {s.follower_cpu:.2f} cores |
+| claims kept ({RETENTION_S} s) | {s.group_claims / 1e6:.2f} million, {s.group_mb:.0f} MB |
+| log written | {s.log_mb_s:.1f} MB/s, group commit |
+| snapshot | {s.snapshot_mb:.0f} MB, {s.snapshot_s:.0f} s of processor time |
+| heartbeats of a data centre ({s.heartbeats:.0f}/s) | {s.registry_cpu:.1%} of a core, shared by its control VMs |
+
+**Does not fit yet**: a snapshot stops the replica for its whole processor
+time, {s.snapshot_s:.0f} s at that size, where an election begins after 0.6 s.
+**Then**: claims in 4096 ranges by key, one range written each few
+milliseconds; `InstallSnapshot` gets the number of a range. Claims of
+non-idempotent work are kept for six hours and add to the {s.group_mb:.0f} MB
+in proportion to their share, which we have not been told.
+
+Claim groups (**then**; one group **now**): a customer has a home region in the
+configuration; its claim keys are spread over the groups of that region by
+hash, so a resend through any entry meets the same group, and a claim costs no
+round trip between regions. Replicas of a group stand in different data
+centres of their region, or of the nearest ones where it has fewer than three.
+
+## Configuration
+
+{CHANGES_S:.2f} changes a second. **Now** every entry fetches the whole
+configuration within 0.25 s of the commit; at the sizes of today it was in
+force everywhere {s.path['in_force_s']:.1f} s after `accept` began, its start
+and status polls included. **Then** a change is a delta of some {CHANGE_BYTES} B
+in the log of one configuration group, pushed down a tree of degree
+{TREE_DEGREE}: {s.tree_depth} hops, about {s.in_force_s:.2f} s with
+{CROSS_REGION_S} s a hop; the limit is 4 s. A node that missed changes asks its
+parent from its revision on; hundreds of deltas are some tens of KB.
+
+## Failures
+
+- *An ordinary day*: {MEMBER_EVENTS_S:.3f} member events a second,
+  {s.event_bytes:.1f} B/s a node. Each start of an agent is one log record.
+- *A rack or switch*: some 40 targets; leases run out after 2 s, no event is
+  needed. Groups lose one replica at most (different racks).
+- *A data centre*: {TARGETS // ZONES:,} targets. One event marks the data
+  centre; {GROUPS * REPLICAS // ZONES + 1} control VMs at most, one of each
+  group, whose leaders are re-elected in about a second. After a leader's death
+  the next answer came {s.path['leader_kill_s']:.1f} s later here.
+- *Regions parted for an hour*: claims and targets are regional, so both sides
+  go on; the configuration group's minority side keeps the revision it has and
+  says so in `status`.
+- *A control VM lost*: replaced by itself, one change of members at a time
+  (**now**, proved in the scenarios).
+
+## First token and between tokens
+
+The path added {s.added_first_byte_s * 1e3:.0f} ms to the first byte at p95 on
+loopback. Six one-way trips lie in it (caller, leader, follower and back, agent
+and back); at 1.5 ms each that is 9 ms more, of 490 ms. Between tokens the
+entry adds {s.token_s * 1e6:.0f} us of work a token; nothing waits on control.
+"""
--- a/tools/capacity_slopes.py
+++ b/tools/capacity_slopes.py
@@ -229,8 +229,7 @@
             n: traced(lambda n=n: configuration(n)) for n in SIZES
         },
         'customer in a configuration, processor s': {
-            n: cpu(lambda d=configuration(n).to_bytes(): Configuration.from_bytes(d))
-            for n in SIZES
+            n: configuration_cpu(n) for n in SIZES
         },
         'prefix chunk in an entry, bytes': {
             n: traced(lambda n=n: prefix_index(n)) for n in SIZES
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,90 @@
+"""Prints every measure with its target and verdict, and writes them as JSON."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+from tools import measure_decisions, measure_policies
+from tools.capacity import fit, run_module
+
+OUT = Path('out/measure.json')
+ONE_WAY_TRIPS = 6
+ONE_WAY_MS = 1.5
+NODE_REQUESTS_S = 58
+NODE_TOKENS_S = 18_400
+
+
+def path_measures():
+    """Yield name, value, unit and target of the whole path."""
+    path = run_module('measure_path')
+    added = (path['first_byte_path'] - path['first_byte_direct']) * 1000
+    yield 'first_byte_added_p95', added + ONE_WAY_TRIPS * ONE_WAY_MS, 'ms', 15.0
+    points = {n: path[f'relay_{n}']['entry-a'] for n in (4, 64, 256, 1024)}
+    token_s, request_s, _ = fit(points)
+    cores = NODE_REQUESTS_S * request_s + NODE_TOKENS_S * token_s
+    yield 'entry_core_share_at_node_load', cores, 'cores', 1.0
+    for name in ('entry-a', 'agent-fast'):
+        yield f'memory_idle_{name}', path[f'idle_rss_{name}'], 'MB', 64.0
+        loaded = path['relay_1024'][f'loaded_rss_{name}']
+        yield f'memory_loaded_{name}', loaded, 'MB', 64.0
+        yield f'idle_core_share_{name}', path[f'idle_cpu_{name}'], 'cores', 0.017
+    yield 'idle_bytes_entry-a', path['idle_bytes_per_s'], 'B/s', 3000.0
+    yield 'configuration_in_force', path['in_force_s'], 's', 4.0
+    yield 'answers_after_leader_kill', path['leader_kill_s'], 's', 2.0
+
+
+def decision_measures():
+    """Yield the cost of routing decisions."""
+    costs = measure_decisions.main()
+    yield 'decision_20_targets', costs[20], 'us', 100.0
+    yield 'decision_11000_to_20_targets', costs[11_000] / costs[20], 'ratio', 2.2
+
+
+def policy_measures(rows):
+    """Yield the product's figures relative to the baselines, for each cell."""
+    for workload in measure_policies.WORKLOADS:
+        for condition in measure_policies.CONDITIONS:
+            cell = f'{workload} {condition.name}'
+            product = rows[f'{cell} product']
+            others = [
+                rows[f'{cell} {name}']
+                for name in measure_policies.POLICIES
+                if name != 'product'
+            ]
+            best = max(other['promised'] for other in others)
+            lost = max(0.0, best - product['promised'])
+            yield f'{cell}: promised goodput below best baseline', lost, 'share', 0.0
+            least = rows[f'{cell} least-load']['wasted prefill']
+            ratio = product['wasted prefill'] / least
+            yield f'{cell}: wasted prefill to least-load', ratio, 'ratio', 0.25
+            first = product['first token p95']
+            if condition.name == 'normal':
+                yield f'{cell}: small promised first token p95', first, 's', 0.49
+
+
+def main():
+    """Print the measures; exit with 0 whatever their verdicts."""
+    rows = measure_policies.compare()
+    measures = [*path_measures(), *decision_measures(), *policy_measures(rows)]
+    records = []
+    for name, value, unit, target in measures:
+        verdict = 'met' if value <= target else 'missed'
+        print(f'{name} {value:.4g} {unit} {target:g} {verdict}')
+        records.append(
+            {
+                'name': name,
+                'value': value,
+                'unit': unit,
+                'target': target,
+                'verdict': verdict,
+            }
+        )
+    OUT.parent.mkdir(exist_ok=True)
+    OUT.write_text(json.dumps({'measures': records, 'cells': rows}, indent=1) + '\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
