Orders to engines: a reconciler under a fencing number, paced, checked beside

Change: the settled leader takes a fencing number from the log (the index of its own record) and orders targets, at most a tenth of a model's at once and never its last serving one, to load the accepted version or to change their model. The agent passes nothing on before it has registered, which teaches it the highest number by a command of the log, and nothing lower after that. The stand-in engine loads through a weight store that serves one load at a time and refuses work meanwhile.

Weighed: numbers per order (one log record each) against one per leadership (one record each election): both refuse a replaced leader; the second costs nothing while nothing changes.

Not proved: the check at the agent within a schedule (a replaced leader's order that arrives late); tests/test_fencing proves it at the gate alone.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
+from ..fencing.order_gate import OrderGate
 from ..gate.effects import RecordOutcome
 from ..gate.gate import Gate, GateLimits
 from ..messages.claims import Done, Finish, FinishItem
 from ..messages.dispatch import Attach, Cancel, Dispatch
+from ..messages.fencing import Order
 from ..messages.membership import (
     CrashReport,
     Heartbeat,
@@ -25,6 +27,7 @@
     import random
 
     from ..messages.base import Message
+    from ..messages.fencing import LoadedModel
 
 HEARTBEAT_S = 0.5
 FINISH_BATCH = 256
@@ -54,7 +57,8 @@
         self.gate = Gate(limits=limits or GateLimits())
         self.leader = LeaderClient(addresses=controls, rng=rng)
         self.target = target
-        self.fence = 0
+        self.orders = OrderGate()
+        self.loaded: tuple[LoadedModel, ...] = ()
         self.revision = 0
         self.rates: tuple[Rate, ...] = ()
         self._address = address
@@ -94,6 +98,9 @@
                 return self._from_gate(self.gate.attach(sender, body, now))
             case Cancel():
                 return self._from_gate(self.gate.cancel(sender, body, now))
+            case Order():
+                reply, passed = self.orders.receive(body)
+                return [Send(to=sender, call=call, body=reply), *passed]
             case HeartbeatAck():
                 return self._on_heartbeat_ack(body, now)
             case Registered() | Done() | NotLeader():
@@ -155,7 +162,7 @@
             return effects
         if call == self._register_call and isinstance(body, Registered):
             self._register_call = 0
-            self.fence = max(self.fence, body.fence)
+            self.orders.registered(body.incarnation, body.fence)
             effects += self._from_gate(
                 self.gate.start_incarnation(body.incarnation, now)
             )
@@ -177,15 +184,22 @@
             sequence=self._sequence,
             address=self._address,
             zone=self._zone,
-            models=self._models,
+            models=self._served(),
             services=self._services,
             departing=self.gate.departing,
             revision=self.revision,
             load=self.gate.load(),
             rates=self.rates,
+            loaded=self.loaded,
         )
         return [Send(to=address, call=0, body=beat) for address in self._controls]
 
+    def _served(self) -> tuple[str, ...]:
+        """Return the models to announce: by the engine's word if it gives it."""
+        if not self.loaded:
+            return self._models
+        return tuple(m.model for m in self.loaded if m.ready)
+
     def _report_finished(self, now: float) -> list:
         if self._finish_call or not self._finished:
             return []
--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from typing import TYPE_CHECKING
 
@@ -11,11 +12,13 @@
 from ..errors.outcomes import OutcomeKind
 from ..gate.run import RunState
 from ..messages.claims import OutcomeRecord
+from ..messages.fencing import LoadedModel
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..gate.run import Run
+    from ..messages.fencing import Order
 
 logger = logging.getLogger(__name__)
 
@@ -69,6 +72,50 @@
         if run.state is not RunState.PAUSED:
             self._streams.pop(run.key, None)
 
+    def order(self, order: Order) -> None:
+        """Pass an order on; what came of it shows in `loaded`."""
+        body = {
+            'kind': 'load',
+            'model': order.model,
+            'version': order.version,
+            'adapters': order.adapters,
+            'replaces': order.replaces,
+            'fence': order.fence,
+        }
+        try:
+            response = self._pool.request(
+                'POST', f'{self._base}/orders', body=json.dumps(body)
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            logger.warning('order_failed', extra={'error': type(exc).__name__})
+            return
+        logger.info(
+            'order_passed',
+            extra={
+                'model': order.model,
+                'version': order.version,
+                'fence': order.fence,
+                'status': response.status,
+            },
+        )
+
+    def loaded(self) -> tuple[LoadedModel, ...] | None:
+        """Return the models on the engine, or None if it does not say."""
+        try:
+            response = self._pool.request('GET', f'{self._base}/models', timeout=1.0)
+            models = response.json()['models']
+            return tuple(
+                LoadedModel(
+                    model=m['model'],
+                    version=m['version'],
+                    adapters=tuple(m['adapters']),
+                    ready=m['ready'],
+                )
+                for m in models
+            )
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
+            return None
+
     def _run(self, run: Run) -> None:
         try:
             self._ask(run)
--- a/pistachiopath/agent/settings.py
+++ b/pistachiopath/agent/settings.py
@@ -10,7 +10,9 @@
     """Settings file of `pistachiopath-agent`.
 
     `advertise` is the address that entries connect to, where it is not
-    `address`.  `engine` is the address of the engine or plain service beside it.
+    `address`.  With `takes_orders` the engine loads the models that the
+    configuration wants, and says itself which it has.  `engine` is the
+    address of the engine or plain service beside the agent.
     """
 
     target: str
@@ -22,6 +24,7 @@
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     advertise: str = ''
+    takes_orders: bool = False
     window: int = 8
     max_queued: int = 256
     name: str = 'agent'
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -10,6 +10,7 @@
 import gevent.event
 
 from ..effects import Send
+from ..fencing.order_gate import PassOrder
 from ..gate.effects import StartRun, StopRun
 from ..gate.gate import GateLimits
 from ..telemetry.metrics import Metrics
@@ -33,6 +34,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.05
+MODELS_POLL_S = 0.5
 CRASH_REPORT_GAP_S = 1.0
 
 
@@ -79,6 +81,7 @@
         """Listen, register and begin to renew the lease."""
         self.network.listen(self._cfg.address)
         gevent.spawn(self._loop)
+        gevent.spawn(self._follow_models)
 
     def stop(self) -> None:
         """Depart as planned: finish what runs, then leave."""
@@ -94,6 +97,13 @@
             self._carry_out(self.core.tick(time.monotonic()))
             gevent.sleep(TICK_S)
 
+    def _follow_models(self) -> None:
+        while self._cfg.takes_orders:
+            loaded = self._engine.loaded()
+            if loaded is not None:
+                self.core.loaded = loaded
+            gevent.sleep(MODELS_POLL_S)
+
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         effects = self.core.receive(sender, call, body, time.monotonic())
         self._carry_out(effects)
@@ -105,6 +115,8 @@
                     self.network.send(effect.to, effect.call, effect.body)
                 case StartRun():
                     self._start_run(effect.run)
+                case PassOrder():
+                    gevent.spawn(self._engine.order, effect.order)
                 case StopRun():
                     self._engine.stop(effect.run)
                     self.metrics.count('runs_stopped_total')
--- a/pistachiopath/configuration/configuration.py
+++ b/pistachiopath/configuration/configuration.py
@@ -87,3 +87,8 @@
         except ValueError:
             data = None
         return structure(data, cls, 'configuration')
+
+
+def placements_of(content: bytes) -> tuple[ModelPlacement, ...]:
+    """Return the models of a configuration; none before the first."""
+    return Configuration.from_bytes(content).models if content else ()
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -5,9 +5,12 @@
 import json
 from typing import TYPE_CHECKING
 
+from ..configuration.configuration import placements_of
 from ..effects import Apply, RestoreState, Send
+from ..fencing.reconciler import Reconciler
 from ..messages.claims import Done
 from ..messages.configuration import ConfigurationReply, ConfigurationRequest
+from ..messages.fencing import IssueFence
 from ..messages.membership import (
     Heartbeat,
     HeartbeatAck,
@@ -39,7 +42,9 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
+    from ..configuration.configuration import ModelPlacement
     from ..effects import Effect
     from ..messages.base import Message
     from ..messages.replication import Entry
@@ -49,6 +54,7 @@
 PROTOCOL += (SnapshotReply, Probe, ProbeReply, Form)
 SNAPSHOT_MIN_ENTRIES = 4000
 RETIRE_CHECK_S = 1.0
+RECONCILE_S = 1.0
 
 
 class ControlCore:
@@ -68,6 +74,7 @@
         now: float,
         timing: Timing | None = None,
         snapshot_entries: int = SNAPSHOT_MIN_ENTRIES,
+        read_placements: Callable[[bytes], tuple[ModelPlacement, ...]] = placements_of,
     ) -> None:
         self.address = address
         self.state = ReplicatedState()
@@ -86,6 +93,10 @@
         self._snapshot_entries = snapshot_entries
         self._revisions: dict[str, int] = {}
         self._retire_at = now
+        self._read_placements = read_placements
+        self._reconciler: Reconciler | None = None
+        self._fence_index = 0
+        self._reconcile_at = now
         self._handle(self._replica.restored())
 
     @property
@@ -99,6 +110,7 @@
         if self._replica.is_settled and now >= self._retire_at:
             self._retire_at = now + RETIRE_CHECK_S
             effects += self._retire_silent(now, time_ms)
+        effects += self._reconcile(now, time_ms)
         self.registry.prune(now)
         return self._handle(effects) + self._compact()
 
@@ -192,7 +204,7 @@
             return None
         if record.retired:
             return HeartbeatAck(sequence=report.sequence, lease_ms=0, revision=0)
-        self.registry.heard(report, now)
+        self.registry.heard(sender, report, now)
         self._revisions[sender] = report.revision
         return HeartbeatAck(
             sequence=report.sequence,
@@ -218,6 +230,28 @@
                 effects += self._on_command('', 0, cmd, now, time_ms)
         return effects
 
+    def _reconcile(self, now: float, time_ms: int) -> list[Effect]:
+        """Give orders under a fencing number of this leadership."""
+        if not self._replica.is_settled:
+            self._reconciler = None
+            self._fence_index = 0
+            return []
+        if not self._fence_index:
+            effects = self._on_command('', 0, IssueFence(), now, time_ms)
+            self._fence_index = self._replica.log.last_index
+            return effects
+        if self._applied < self._fence_index or now < self._reconcile_at:
+            return []
+        self._reconcile_at = now + RECONCILE_S
+        if self._reconciler is None:
+            self._reconciler = Reconciler(fence=self._fence_index)
+        reports = [view.report for view in self.registry.live(now)]
+        placements = self._read_placements(self.state.configuration)
+        return [
+            Send(to=self.registry.sender_of(o.target), call=0, body=o.order)
+            for o in self._reconciler.orders(placements, reports, now)
+        ]
+
     def _handle(self, effects: list[Effect]) -> list[Effect]:
         """Apply committed records; return the effects left for the shell."""
         left: list[Effect] = []
--- a/pistachiopath/control/registry.py
+++ b/pistachiopath/control/registry.py
@@ -14,6 +14,7 @@
 @attrs.define(kw_only=True)
 class _Heard:
     at: float
+    sender: str
     report: Heartbeat
 
 
@@ -23,12 +24,12 @@
     def __init__(self) -> None:
         self._heard: dict[str, _Heard] = {}
 
-    def heard(self, report: Heartbeat, now: float) -> None:
+    def heard(self, sender: str, report: Heartbeat, now: float) -> None:
         """Take in a heartbeat unless a newer incarnation is known."""
         known = self._heard.get(report.target)
         if known is not None and known.report.incarnation > report.incarnation:
             return
-        self._heard[report.target] = _Heard(at=now, report=report)
+        self._heard[report.target] = _Heard(at=now, sender=sender, report=report)
 
     def live(self, now: float) -> tuple[TargetView, ...]:
         """Return the targets whose lease has not run out."""
@@ -38,6 +39,10 @@
             if now - heard.at < LEASE_S
         )
 
+    def sender_of(self, target: str) -> str:
+        """Return the name of the process that announces a target."""
+        return self._heard[target].sender
+
     def last_heard(self, target: str, incarnation: int) -> float | None:
         """Return when an incarnation was heard last, or None."""
         known = self._heard.get(target)
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .base import Message, message
+from .fencing import LoadedModel
 
 
 @message
@@ -53,7 +54,10 @@
 
 @message
 class Heartbeat(Message):
-    """Announces a target and renews its lease."""
+    """Announces a target and renews its lease.
+
+    `loaded` is empty where the engine takes no orders.
+    """
 
     target: str
     incarnation: int
@@ -66,6 +70,7 @@
     revision: int
     load: Load
     rates: tuple[Rate, ...]
+    loaded: tuple[LoadedModel, ...] = ()
 
 
 @message
--- a/pistachiopath/messages/registry.py
+++ b/pistachiopath/messages/registry.py
@@ -70,4 +70,7 @@
     replication.Member,
     storage.StoredVote,
     storage.SnapshotHead,
+    fencing.LoadedModel,
+    fencing.Order,
+    fencing.OrderReply,
 )
--- a/pistachiopath/standin/engine.py
+++ b/pistachiopath/standin/engine.py
@@ -19,6 +19,7 @@
     count_tokens,
     prefix_blocks,
 )
+from .models import StandinModels
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -61,7 +62,7 @@
         self._live: dict[str, _Live] = {}
         self._wake = gevent.event.Event()
         self._last = 0
-        self._fence = 0
+        self._models = StandinModels(cfg=cfg)
         self._loads: list[tuple[float, dict]] = []
         self.app = bottle.Bottle()
         self.app.post('/v1/chat/completions', callback=self._complete)
@@ -69,7 +70,7 @@
         self.app.get('/v1/streams/<name>', callback=self._resume)
         self.app.get('/load', callback=self._load)
         self.app.get('/cache_events', callback=self._cache_events)
-        self.app.post('/orders', callback=self._order)
+        self._models.attach(self.app)
         self.app.get('/health', callback=lambda: {'status': 'ok'})
 
     def run(self) -> None:
@@ -92,6 +93,8 @@
             body = json.loads(bottle.request.body.read())
         except ValueError:
             return bottle.HTTPResponse({'error': {'code': 'bad_json'}}, status=400)
+        if self._models.is_loading(body.get('model', '')):
+            return bottle.HTTPResponse({'error': {'code': 'loading'}}, status=503)
         prompt = prompt_of(body)
         if self._cfg.crash_on and self._cfg.crash_on in prompt:
             os._exit(CRASH_STATUS)
@@ -218,11 +221,3 @@
         after = int(bottle.request.query.get('after', 0))
         events = [attrs.asdict(e) for e in self._model.cache.events]
         return {'events': [e for e in events if e['sequence'] > after][:1000]}
-
-    def _order(self) -> dict:
-        order = json.loads(bottle.request.body.read())
-        fence = int(order.get('fence', 0))
-        if self._cfg.checks_fence and fence < self._fence:
-            return bottle.HTTPResponse({'error': {'code': 'old_fence'}}, status=409)
-        self._fence = max(self._fence, fence)
-        return {'status': 'ok', 'fence': self._fence}
--- a/pistachiopath/standin/main.py
+++ b/pistachiopath/standin/main.py
@@ -14,6 +14,7 @@
 from .engine import StandinEngine
 from .service import StandinService
 from .settings import StandinSettings
+from .weights import StandinWeights
 
 
 def main() -> None:
@@ -23,7 +24,11 @@
         'Stand-in for an engine or a plain service, for tests and measurement.',
         StandinSettings,
     )
-    kinds = {'engine': StandinEngine, 'service': StandinService}
+    kinds = {
+        'engine': StandinEngine,
+        'service': StandinService,
+        'weights': StandinWeights,
+    }
     standin = kinds[cfg.kind](cfg=cfg)
     server = WSGIServer(split_address(cfg.listen), standin.app, log=None)
     server.start()
--- a/pistachiopath/standin/settings.py
+++ b/pistachiopath/standin/settings.py
@@ -11,7 +11,8 @@
 class StandinSettings:
     """Settings file of `pistachiopath-standin`.
 
-    `kind` is `engine` or `service`.  An engine ends its process when a
+    `kind` is `engine`, `service` or `weights`.  A weight store serves one
+    load at a time, each for `weight_load_s`.  An engine ends its process when a
     prompt holds `crash_on`.  Lags are in seconds.
     """
 
@@ -23,4 +24,7 @@
     report_lag_s: float = 0.2
     crash_on: str = ''
     checks_fence: bool = True
+    models: tuple[str, ...] = ()
+    weight_store: str = ''
+    weight_load_s: float = 0.5
     service_time_s: float = 0.005
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -141,6 +141,7 @@
   revision @8 :Int64;
   load @9 :Load;
   rates @10 :List(Rate);
+  loaded @11 :List(LoadedModel);
 }
 
 struct HeartbeatAck {
@@ -341,6 +342,27 @@
   members @2 :List(Member);
 }
 
+struct LoadedModel {
+  model @0 :Text;
+  version @1 :Text;
+  adapters @2 :List(Text);
+  ready @3 :Bool;
+}
+
+struct Order {
+  fence @0 :Int64;
+  incarnation @1 :Int64;
+  model @2 :Text;
+  version @3 :Text;
+  adapters @4 :List(Text);
+  replaces @5 :Text;
+}
+
+struct OrderReply {
+  accepted @0 :Bool;
+  fence @1 :Int64;
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -447,5 +469,8 @@
     member @50 :Member;
     storedVote @51 :StoredVote;
     snapshotHead @52 :SnapshotHead;
+    loadedModel @53 :LoadedModel;
+    order @54 :Order;
+    orderReply @55 :OrderReply;
   }
 }
--- a/tests/harness/checkers.py
+++ b/tests/harness/checkers.py
@@ -29,6 +29,7 @@
         self._refused = {}
         self._refusal_indexes = set()
         self._contents = {}
+        self._fences = defaultdict(int)
         self._revisions = defaultdict(int)
         self._accepted = {}
 
@@ -130,10 +131,29 @@
     def at_end(self):
         """What was accepted is in force at every live replica."""
         newest = max(self._accepted, default=0)
+        if newest and self._world.has_majority():
+            self._check_versions()
         for control in self._world.controls.values():
             if control.alive and control.core.state.revision < newest:
                 raise Violation(f'{control.name} lacks revision {newest}')
 
+    def ordered(self, agent, order):
+        """No engine obeys a leadership that a later one has replaced."""
+        if order.fence < self._fences[agent.name]:
+            raise Violation(f'{agent.name} obeyed the old order {order}')
+        self._fences[agent.name] = order.fence
+
+    def _check_versions(self):
+        """Every engine has come to the version that is in force."""
+        wanted = max(
+            (c.core.state for c in self._world.controls.values()),
+            key=lambda state: state.revision,
+        ).configuration.decode()
+        for agent in self._world.agents.values():
+            version = self._world.loaded_model(agent).version
+            if agent.alive and version != wanted:
+                raise Violation(f'{agent.name} has {version!r}, not {wanted!r}')
+
     def _revision(self, process: str, revision: int):
         if revision < self._revisions[process]:
             raise Violation(f'{process} went back to revision {revision}')
--- a/tests/harness/nodes.py
+++ b/tests/harness/nodes.py
@@ -5,9 +5,11 @@
 import random
 
 from pistachiopath.agent.core import AgentCore
+from pistachiopath.configuration.configuration import ModelPlacement
 from pistachiopath.control.core import ControlCore
 from pistachiopath.effects import STORAGE_EFFECTS, Send
 from pistachiopath.entry.core import EntryCore, InForce, ToCaller
+from pistachiopath.fencing.order_gate import PassOrder
 from pistachiopath.gate.effects import StartRun, StopRun
 from pistachiopath.gate.gate import GateLimits
 
@@ -17,6 +19,13 @@
 SYNC_S = 0.0005
 
 
+def placements_of(content: bytes):
+    """The content of a scenario's configuration is the version of its model."""
+    if not content:
+        return ()
+    return (ModelPlacement(name='m', version=content.decode(), replicas=2),)
+
+
 class Node:
     """A process that can be killed, frozen and started again."""
 
@@ -106,6 +115,7 @@
             rng=random.Random(self.world.rng.getrandbits(64)),
             now=self.now,
             snapshot_entries=self._snapshot_entries,
+            read_placements=placements_of,
         )
 
     def kill(self):
@@ -186,6 +196,7 @@
         self._carry_out(self.core.receive(sender, call, body, self.now))
 
     def tick(self):
+        self.core.loaded = (self.world.loaded_model(self),)
         self._carry_out(self.core.tick(self.now))
         if self.core.is_drained:
             self.kill()
@@ -203,6 +214,8 @@
                 self.world.engine_start(self, effect.run)
             elif isinstance(effect, StopRun):
                 self.world.engine_stop(self, effect.run)
+            elif isinstance(effect, PassOrder):
+                self.world.engine_order(self, effect.order)
 
     def from_engine(self, method, *args):
         effects = method(*args, self.now)
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -13,6 +13,7 @@
 from pistachiopath.messages.claims import OutcomeRecord
 from pistachiopath.messages.configuration import Accept, AcceptReply
 from pistachiopath.messages.dispatch import Work
+from pistachiopath.messages.fencing import LoadedModel
 from pistachiopath.replication.leader_client import LeaderClient
 
 from .checkers import POISON, Checkers
@@ -102,6 +103,7 @@
         self.calls: list[Call] = []
         self.crashes: list[float] = []
         self._engine_runs: dict[str, dict[bytes, object]] = {}
+        self._versions: dict[str, tuple[str, float]] = {}
         self._engine_down: dict[str, float] = {}
         addresses = tuple(f'c{n}' for n in range(controls))
         self.controls = {
@@ -148,6 +150,12 @@
         committed = log.members(newest.core.group.replica.commit)
         return any(m.voter and m.member == member for m in committed)
 
+    def has_majority(self) -> bool:
+        """Tell whether a leader serves."""
+        return any(
+            c.core.group.replica.is_settled for c in self.controls.values() if c.alive
+        )
+
     # Messages
 
     def send(self, sender: str, effect):
@@ -262,6 +270,20 @@
 
         agent.do(report)
 
+    def loaded_model(self, agent) -> LoadedModel:
+        version, ready_at = self._versions.get(agent.name, ('', 0.0))
+        return LoadedModel(
+            model='m',
+            version=version,
+            adapters=(),
+            ready=self.net.now >= ready_at,
+        )
+
+    def engine_order(self, agent, order):
+        """The engine takes any order: only its agent checks the number."""
+        self.checkers.ordered(agent, order)
+        self._versions[agent.name] = (order.version, self.net.now + 1.5)
+
     # Operators
 
     def accept(self, operator: str, expected: int, content: str):
--- a/tools/capacity_slopes.py
+++ b/tools/capacity_slopes.py
@@ -166,7 +166,7 @@
 
     def handle():
         for data in beats:
-            core.registry.heard(decode(data).body, 0.0)
+            core.registry.heard('agent', decode(data).body, 0.0)
             encode(Envelope(call=0, body=ack))
 
     return cpu(handle)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -98,6 +98,10 @@
         """Start a stand-in plain service."""
         self._start_standin(name, 'service', settings)
 
+    def start_weights(self, name: str, **settings):
+        """Start a stand-in weight store."""
+        self._start_standin(name, 'weights', settings)
+
     def start_agent(self, target: str, **settings):
         """Start the agent of an engine or service of the same name."""
         address = free_address()
@@ -233,7 +237,7 @@
 
     def stop_all(self) -> dict[str, int]:
         """Stop everything gracefully: callers' side first."""
-        order = ('entry', 'agent', 'engine', 'service', 'control')
+        order = ('entry', 'agent', 'engine', 'service', 'weights', 'control')
         codes = {}
         for prefix in order:
             names = [n for n in self.processes if n.startswith(prefix)]
