--- a/pistachiopath/fencing/reconciler.py
+++ b/pistachiopath/fencing/reconciler.py
@@ -30,7 +30,7 @@
 
     At most a tenth of the targets of a model load at once, and one that
     serves is taken away only while another one goes on serving, unless the
-    model is to have a single target.  `now` is in seconds.
+    model has a single target.  `now` is in seconds.
     """
 
     def __init__(self, *, fence: int) -> None:
@@ -66,9 +66,11 @@
             return []
         if len(hosts) < wanted.replicas:
             spare = self._spare(wanted, placements, reports)
-            return [self._order(r, wanted, r.loaded[0].model, now) for r in spare[:1]]
+            if spare:
+                replaced = spare[0].loaded[0].model
+                return [self._order(spare[0], wanted, replaced, now)]
         outdated = [r for r in ready if not _matches(_find(r, wanted.name), wanted)]
-        if len(ready) < 2 <= wanted.replicas:  # noqa: PLR2004
+        if len(ready) == 1 and len(hosts) > 1:
             return []
         outdated.sort(key=lambda r: (r.load.running + r.load.queued, r.target))
         return [self._order(r, wanted, '', now) for r in outdated[:1]]
