Promised requests wait behind promised work alone; fair order by customer

Cause: an entry estimated a promised request's wait from all work ahead, although the gate serves promised work first.

Change: load reports carry the promised tokens apart, and estimates use them. Within a tier the gate orders by start-time fair queueing over customers.

--- a/pistachiopath/entry/main.py
+++ b/pistachiopath/entry/main.py
@@ -8,10 +8,8 @@
 
 import random
 
-from gevent.pywsgi import WSGIServer
-
 from ..telemetry.traces import set_up
-from ..transport.network import split_address
+from ..util.listen import make_server
 from ..util.program import parse_settings, run_until_stopped
 from .http import CallerApp
 from .settings import EntrySettings
@@ -28,7 +26,7 @@
     tracer = set_up('pistachiopath-entry', cfg.name, cfg.trace_file)
     shell = EntryShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
     caller_app = CallerApp(cfg=cfg, shell=shell)
-    server = WSGIServer(split_address(cfg.http), caller_app.app, log=None)
+    server = make_server(cfg.http, caller_app.app)
     shell.start()
     server.start()
 
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -21,6 +21,7 @@
 )
 from ..messages.membership import Load
 from .effects import RecordOutcome, StartRun, StopRun
+from .fairness import FairTags
 from .queue import RunQueue
 from .run import Run, RunState
 
@@ -62,6 +63,7 @@
         self._queue = RunQueue()
         self._running: dict[bytes, Run] = {}
         self._order = 0
+        self._fair = FairTags()
         self._ended: deque[Run] = deque()
         self._answers: deque[Run] = deque()
         self._retained_bytes = 0
@@ -86,13 +88,16 @@
     def load(self) -> Load:
         """Return the load to announce."""
         held = self.held()
+        promised = [run for run in held if run.work.promised]
         return Load(
             running=len(self._running),
             queued=len(self._queue),
             window=self._limits.window,
-            promised=sum(1 for run in held if run.work.promised),
-            prompt_tokens=sum(r.work.prompt_tokens for r in held if not r.answer),
-            output_tokens=sum(r.work.output_tokens for r in held),
+            promised=len(promised),
+            prompt_tokens=_prompt_tokens(held),
+            output_tokens=_output_tokens(held),
+            promised_prompt_tokens=_prompt_tokens(promised),
+            promised_output_tokens=_output_tokens(promised),
         )
 
     def start_incarnation(self, incarnation: int, now: float) -> list:
@@ -139,6 +144,9 @@
         self._runs[msg.key] = run
         if refusal:
             return self._give_back(run, refusal, now)
+        work = run.work
+        tokens = work.prompt_tokens + work.output_tokens
+        run.fair_tag = self._fair.tag(work.tier, work.customer, tokens)
         self._queue.push(run)
         accepted = Accepted(key=run.key, binding=run.binding)
         effects = [Send(to=sender, call=0, body=accepted)]
@@ -247,6 +255,7 @@
                     break
                 effects += self._pause(victim)
             self._queue.pop()
+            self._fair.started(run.work.tier, run.fair_tag)
             run.state = RunState.RUNNING
             run.started = True
             run.started_at = now
@@ -377,3 +386,11 @@
     if sent < outcome.length:
         outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='answer_not_held')
     return End(key=run.key, binding=run.binding, length=outcome.length, outcome=outcome)
+
+
+def _prompt_tokens(runs: list[Run]) -> int:
+    return sum(run.work.prompt_tokens for run in runs if not run.answer)
+
+
+def _output_tokens(runs: list[Run]) -> int:
+    return sum(run.work.output_tokens for run in runs)
--- a/pistachiopath/gate/run.py
+++ b/pistachiopath/gate/run.py
@@ -36,6 +36,7 @@
     arrived_at: float
     order: int
     state: RunState = RunState.QUEUED
+    fair_tag: float = 0.0
     started: bool = False
     resumable: bool = False
     started_at: float = 0.0
@@ -51,6 +52,7 @@
     retry_after_ms: int = 0
 
     @property
-    def priority(self) -> tuple[bool, int, float, int]:
+    def priority(self) -> tuple[bool, int, float, float, int]:
         """Order in the queue: smaller runs first."""
-        return (not self.work.promised, self.work.tier, self.deadline, self.order)
+        tier = (not self.work.promised, self.work.tier)
+        return (*tier, self.fair_tag, self.deadline, self.order)
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -17,7 +17,11 @@
 
 @message
 class Load(Message):
-    """Load of one target; token counts cover queued and running work."""
+    """Load of one target; token counts cover queued and running work.
+
+    Work of a promised tier is ahead of all other work, so a promised request
+    waits behind the promised tokens alone.
+    """
 
     running: int = 0
     queued: int = 0
@@ -25,6 +29,8 @@
     promised: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
+    promised_prompt_tokens: int = 0
+    promised_output_tokens: int = 0
 
 
 @message
--- a/pistachiopath/routing/earliest_finish.py
+++ b/pistachiopath/routing/earliest_finish.py
@@ -131,12 +131,17 @@
     def _estimate(self, known: KnownTarget, work: Work, cached: int) -> Estimate:
         report = known.report
         prefill, decode = self._speed(report.rates, work.model)
+        load = report.load
         own_prompt, own_output = self._outstanding.since(
-            report.target, known.heard_at - REPORT_LAG_S
+            report.target, known.heard_at - REPORT_LAG_S, promised=work.promised
         )
-        ahead_prompt = report.load.prompt_tokens + own_prompt
-        ahead_output = report.load.output_tokens + own_output
-        window = max(1, report.load.window)
+        if work.promised:
+            ahead_prompt = load.promised_prompt_tokens + own_prompt
+            ahead_output = load.promised_output_tokens + own_output
+        else:
+            ahead_prompt = load.prompt_tokens + own_prompt
+            ahead_output = load.output_tokens + own_output
+        window = max(1, load.window)
         waiting = ahead_prompt / prefill + ahead_output / (decode * window)
         prefill_s = max(1, work.prompt_tokens - cached) / prefill
         return Estimate(
--- a/pistachiopath/routing/outstanding.py
+++ b/pistachiopath/routing/outstanding.py
@@ -16,6 +16,7 @@
     at: float
     prompt_tokens: int
     output_tokens: int
+    promised: bool
 
 
 class Outstanding:
@@ -33,6 +34,7 @@
             at=now,
             prompt_tokens=submission.work.prompt_tokens,
             output_tokens=submission.work.output_tokens,
+            promised=submission.work.promised,
         )
         self._sent[submission.attempt] = sent
         self._by_target.setdefault(target, {})[submission.attempt] = sent
@@ -47,8 +49,12 @@
         if not held:
             del self._by_target[sent.target]
 
-    def since(self, target: str, at: float) -> tuple[int, int]:
-        """Return prompt and output tokens sent to a target after a time."""
-        sent = [s for s in self._by_target.get(target, {}).values() if s.at > at]
+    def since(self, target: str, at: float, *, promised: bool) -> tuple[int, int]:
+        """Return prompt and output tokens sent to a target after a time.
+
+        With `promised` only those of promised work count.
+        """
+        held = self._by_target.get(target, {}).values()
+        sent = [s for s in held if s.at > at and (s.promised or not promised)]
         prompt = sum(s.prompt_tokens for s in sent)
         return prompt, sum(s.output_tokens for s in sent)
--- a/pistachiopath/standin/main.py
+++ b/pistachiopath/standin/main.py
@@ -7,9 +7,8 @@
 monkey.patch_all()
 
 import gevent
-from gevent.pywsgi import WSGIServer
 
-from ..transport.network import split_address
+from ..util.listen import make_server
 from ..util.program import parse_settings, run_until_stopped
 from .engine import StandinEngine
 from .service import StandinService
@@ -30,7 +29,7 @@
         'weights': StandinWeights,
     }
     standin = kinds[cfg.kind](cfg=cfg)
-    server = WSGIServer(split_address(cfg.listen), standin.app, log=None)
+    server = make_server(cfg.listen, standin.app)
     server.start()
     gevent.spawn(standin.run)
     run_until_stopped(server.stop)
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -401,6 +401,8 @@
   promised @3 :Int64;
   promptTokens @4 :Int64;
   outputTokens @5 :Int64;
+  promisedPromptTokens @6 :Int64;
+  promisedOutputTokens @7 :Int64;
 }
 
 struct Rate {
--- /dev/null
+++ b/pistachiopath/util/listen.py
@@ -0,0 +1,27 @@
+"""Listening sockets for HTTP servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent.socket as gsocket
+from gevent.pywsgi import WSGIServer
+
+from ..transport.network import split_address
+
+if TYPE_CHECKING:
+    import bottle
+
+BACKLOG = 256
+
+
+def make_server(address: str, app: bottle.Bottle) -> WSGIServer:
+    """Return an HTTP server that sends small parts of answers at once.
+
+    Accepted sockets inherit the option from the listening one.
+    """
+    host, port = split_address(address)
+    family = gsocket.AF_INET6 if ':' in host else gsocket.AF_INET
+    listener = WSGIServer.get_listener((host, port), BACKLOG, family)
+    listener.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
+    return WSGIServer(listener, app, log=None)
--- a/pistachiopath/util/metrics_server.py
+++ b/pistachiopath/util/metrics_server.py
@@ -5,9 +5,8 @@
 from typing import TYPE_CHECKING
 
 import bottle
-from gevent.pywsgi import WSGIServer
 
-from ..transport.network import split_address
+from .listen import make_server
 
 if TYPE_CHECKING:
     from ..telemetry.metrics import Metrics
@@ -26,4 +25,4 @@
         bottle.response.content_type = CONTENT_TYPE
         return metrics.render() + '\n'
 
-    WSGIServer(split_address(address), app, log=None).start()
+    make_server(address, app).start()
--- /dev/null
+++ b/tests/test_system/test_crashes.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import json
+
+from tools.cluster import wait_until
+
+from .callers import KEY
+
+POISON = 'a page that no engine survives'
+
+
+def ask(cluster, content):
+    body = {
+        'model': 'style-answer',
+        'messages': [{'role': 'user', 'content': content}],
+        'max_tokens': 8,
+    }
+    response = cluster.http.request(
+        'POST',
+        f'http://{cluster.entries["entry-a"]}/v1/chat/completions',
+        body=json.dumps(body),
+        headers={'Authorization': f'Bearer {KEY}'},
+    )
+    return response.status, json.loads(response.data)
+
+
+def dead_engines(cluster):
+    return [
+        name
+        for name in cluster.engines
+        if cluster.processes[f'engine-{name}'].poll() is not None
+    ]
+
+
+def test_content_that_crashes_engines_is_quarantined(cluster, examples):
+    cluster.start_controls()
+    for name in ('one', 'two', 'three'):
+        cluster.start_engine(name, crash_on=POISON)
+        cluster.start_agent(name, models=['proofreader'])
+    cluster.start_entry('entry-a')
+    assert cluster.accept(examples / 'prairie.toml').returncode == 0
+    cluster.wait_ready()
+    for crashes in (1, 2):
+        status, document = ask(cluster, POISON)
+        assert (status, document['error']['type']) == (502, 'failed')
+        dead = dead_engines(cluster)
+        assert len(dead) == 1
+        assert ask(cluster, f'harmless {crashes}')[0] == 200
+        cluster.restart(f'engine-{dead[0]}')
+        wait_until(lambda n=dead[0]: answers(cluster, n), 'the engine is missing')
+        if crashes == 1:
+            cluster.signal('control-0', 9)
+            cluster.processes['control-0'].wait()
+            cluster.restart('control-0')
+    status, document = ask(cluster, POISON)
+    assert (status, document['error']['type']) == (422, 'quarantined')
+    assert document['error']['ran'] == 'no'
+    assert dead_engines(cluster) == []
+
+
+def answers(cluster, name):
+    import urllib3
+
+    try:
+        url = f'http://{cluster.engines[name]}/health'
+        return cluster.http.request('GET', url).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -73,6 +73,7 @@
         own = [j for j in jobs if j.arrival.kind.tier == tier]
         figures[f'goodput {tier}'] = share(own)
     figures['goodput all'] = share(jobs)
+    figures['fairness'] = fairness(promised)
     prefilled = sum(t.engine.prefill_tokens for t in experiment.targets.values())
     useless = sum(j.arrival.prompt_tokens for j in jobs if ran_in_vain(j))
     wasted = experiment.wasted_tokens + useless
@@ -87,6 +88,20 @@
     return sum(j.in_time for j in jobs) / max(1, len(jobs))
 
 
+def fairness(jobs):
+    """Return the slowest customer's mean time over the quickest one's.
+
+    Times are shares of each request's deadline, so that customers with
+    other kinds of work compare.
+    """
+    times = defaultdict(list)
+    for job in jobs:
+        took = job.ended_at - job.arrival.at
+        times[job.arrival.customer].append(took / job.arrival.kind.deadline_s)
+    means = [statistics.mean(own) for own in times.values() if len(own) > 3]
+    return max(means) / min(means) if means else 1.0
+
+
 def ran_in_vain(job):
     return job.outcome == 'completed' and not job.in_time
 
