--- a/pistachiopath/__init__.py
+++ b/pistachiopath/__init__.py
@@ -1,5 +1,22 @@
-"""Request scheduler for language-model engines of unlike kind."""
+"""Request scheduler for language-model engines of unlike kind.
+
+The coordination parts are importable from here, see `pistachiopath.library`:
+
+    >>> import pistachiopath
+    >>> pistachiopath.ClaimStatus.BOUND.value
+    'bound'
+"""
 
 from __future__ import annotations
 
+import importlib
+
 __version__ = '0.1.0'
+
+
+def __getattr__(name: str) -> object:
+    """Return a public name of the library, imported at its first use."""
+    library = importlib.import_module('.library', __name__)
+    if name in library.__all__:
+        return getattr(library, name)
+    raise AttributeError(name)
