--- a/pistachiopath/replication/progress.py
+++ b/pistachiopath/replication/progress.py
@@ -9,15 +9,14 @@
 class Progress:
     """Replication state of a follower; `heard_at` is in seconds.
 
-    `round` numbers the last message sent, `acked_round` the last one
-    answered.  A snapshot in transfer holds its next byte in `offset`.
+    `round` numbers the last message sent.  A snapshot in transfer holds its
+    next byte in `offset`.
     """
 
     next_index: int
     heard_at: float
     match: int = 0
     round: int = 0
-    acked_round: int = 0
     sent_at: float = -1.0
     snapshot: bool = False
     offset: int = 0
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 from ..effects import (
@@ -26,7 +25,9 @@
 )
 from .entry_kind import EntryKind
 from .log import Log
-from .progress import Progress
+from .replicator import Replicator
+from .role import Role
+from .snapshot_parts import SnapshotParts
 from .timing import Timing
 
 if TYPE_CHECKING:
@@ -35,14 +36,7 @@
     from ..effects import Effect
     from ..messages.base import Message
     from .persisted import Persisted
-
-
-class Role(enum.StrEnum):
-    """Role of a replica in its term."""
-
-    FOLLOWER = 'follower'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
+    from .progress import Progress
 
 
 class Replica:
@@ -80,17 +74,16 @@
         self.commit = persisted.snapshot_index
         self.led_since = now
         self._voted_for = persisted.voted_for
-        self._leader_commit = 0
-        self._snapshot = persisted.snapshot
+        self._leader_commit: int | None = None
+        self.snapshot = persisted.snapshot
         self._durable = self.log.last_index
         self._timing = timing or Timing()
         self._rng = rng
         self._votes: set[str] = set()
         self._pre_voting = False
-        self._progress: dict[str, Progress] = {}
+        self._replicator = Replicator(replica=self, timing=self._timing)
         self._heard_leader_at = -self._timing.election_max_s
-        self._incoming = bytearray()
-        self._incoming_id = (0, 0)
+        self._parts = SnapshotParts()
         self._out: list[Effect] = []
         self._election_at = 0.0
         self._reset_election(now)
@@ -117,26 +110,26 @@
         That is known once a record of the present leader's own term is, and
         all that the leader had committed when it was first heard.
         """
-        if not self.leader or self.commit < self._leader_commit:
+        if self._leader_commit is None or self.commit < self._leader_commit:
             return False
         return self.log.term_at(self.commit) == self.term
 
     def progress_of(self, member: str) -> Progress | None:
         """Return what the leader knows of a follower."""
-        return self._progress.get(member)
+        return self._replicator.progress_of(member)
 
     def restored(self) -> list[Effect]:
         """Return the effect that restores the state after a start."""
-        if not self._snapshot:
+        if not self.snapshot:
             return []
-        return [RestoreState(index=self.log.base_index, data=self._snapshot)]
+        return [RestoreState(index=self.log.base_index, data=self.snapshot)]
 
     def tick(self, now: float) -> list[Effect]:
         """Let time pass: elections, heartbeats, resends and step-down."""
         if self.is_leader:
             self._check_quorum(now)
         if self.is_leader:
-            self._send_due(now)
+            self._replicator.send_due(now)
         elif now >= self._election_at and self._is_voter():
             self._start_election(now, pre=True)
         return self._take()
@@ -155,13 +148,13 @@
         self.log.append(entry)
         self._out.append(AppendEntries(entries=(entry,)))
         if kind is EntryKind.MEMBERS:
-            self._adopt_members(now)
+            self._replicator.adopt_members(now)
         return entry.index, self._take()
 
     def flush(self, now: float) -> list[Effect]:
         """Send what was proposed since the last flush."""
         if self.is_leader:
-            self._replicate_all(now)
+            self._replicator.replicate_all(now)
         return self._take()
 
     def synced(self, now: float) -> list[Effect]:
@@ -176,7 +169,7 @@
         members = self.log.members(index)
         term = self.log.term_at(index) or 0
         self.log.compact(index, members)
-        self._snapshot = data
+        self.snapshot = data
         return [SaveSnapshot(index=index, term=term, members=members, data=data)]
 
     def receive(self, sender: str, body: Message, now: float) -> list[Effect]:
@@ -241,9 +234,9 @@
             last_index=self.log.last_index,
             last_term=self.log.last_term,
         )
-        for peer in self._others():
+        for peer in self.others():
             if peer.voter:
-                self._send(peer.address, request)
+                self.send(peer.address, request)
 
     def _on_vote_request(self, sender: str, req: VoteRequest, now: float) -> None:
         current = (req.last_term, req.last_index) >= (
@@ -264,7 +257,7 @@
     def _reply_vote(self, to: str, req: VoteRequest, *, granted: bool) -> None:
         term = req.term if req.pre and granted else self.term
         reply = VoteReply(member=self.member, term=term, pre=req.pre, granted=granted)
-        self._send(to, reply)
+        self.send(to, reply)
 
     def _on_vote_reply(self, sender: str, reply: VoteReply, now: float) -> None:
         expected = self.term + 1 if self._pre_voting else self.term
@@ -284,8 +277,9 @@
         self.leader = self.address
         self.led_since = now
         self._votes = set()
-        self._progress = {}
-        self._adopt_members(now)
+        self._leader_commit = 0
+        self._replicator.reset()
+        self._replicator.adopt_members(now)
         noop = Entry(
             index=self.log.last_index + 1,
             term=self.term,
@@ -294,7 +288,7 @@
         )
         self.log.append(noop)
         self._out.append(AppendEntries(entries=(noop,)))
-        self._replicate_all(now)
+        self._replicator.replicate_all(now)
 
     def _follow(self, term: int, leader: str, now: float) -> None:
         if term > self.term:
@@ -307,132 +301,30 @@
         self._votes = set()
         self._pre_voting = False
         self.leader = leader
-        self._leader_commit = 0
-        self._progress = {}
+        self._leader_commit = None
+        self._replicator.reset()
 
     def _check_quorum(self, now: float) -> None:
-        limit = self._timing.election_max_s
-        heard = {m for m, p in self._progress.items() if now - p.heard_at < limit}
+        heard = self._replicator.heard_since(now - self._timing.election_max_s)
         if not self._has_majority(heard | {self.member}):
             self._follow(self.term, '', now)
 
     # Replication by the leader
 
-    def _send_due(self, now: float) -> None:
-        for peer in self._others():
-            if now - self._progress[peer.member].sent_at >= self._timing.heartbeat_s:
-                self._replicate(peer, now, resend=True)
-
-    def _replicate_all(self, now: float) -> None:
-        for peer in self._others():
-            self._replicate(peer, now)
-
-    def _replicate(self, peer: Member, now: float, *, resend: bool = False) -> None:
-        progress = self._progress[peer.member]
-        if progress.next_index <= self.log.base_index:
-            self._send_snapshot(peer, progress, now, resend=resend)
-            return
-        first = progress.next_index
-        entries = self.log.slice(first, self._timing.max_entries)
-        if not entries and not resend and progress.round:
-            return
-        progress.round += 1
-        progress.sent_at = now
-        progress.next_index = first + len(entries)
-        self._send(
-            peer.address,
-            Append(
-                to_member=peer.member,
-                term=self.term,
-                round=progress.round,
-                previous_index=first - 1,
-                previous_term=self.log.term_at(first - 1) or 0,
-                commit=self.commit,
-                entries=entries,
-            ),
-        )
-
-    def _send_snapshot(
-        self, peer: Member, progress: Progress, now: float, *, resend: bool
-    ) -> None:
-        if progress.snapshot and not resend:
-            return
-        if not progress.snapshot:
-            progress.offset = 0
-        progress.snapshot = True
-        progress.round += 1
-        progress.sent_at = now
-        start = progress.offset
-        data = self._snapshot[start : start + self._timing.snapshot_chunk_bytes]
-        self._send(
-            peer.address,
-            InstallSnapshot(
-                to_member=peer.member,
-                term=self.term,
-                round=progress.round,
-                index=self.log.base_index,
-                index_term=self.log.base_term,
-                members=self.log.base_members,
-                offset=start,
-                total=len(self._snapshot),
-                data=data,
-            ),
-        )
-
     def _on_append_reply(self, sender: str, reply: AppendReply, now: float) -> None:
-        peer = self._replying_peer(reply)
-        if peer is None:
-            return
-        progress = self._progress[peer.member]
-        progress.heard_at = now
-        progress.acked_round = max(progress.acked_round, reply.round)
-        if not reply.success and reply.match < progress.match:
-            # Not possible with honest disks; the next heartbeat tries again.
-            return
-        if not reply.success:
-            progress.next_index = max(progress.match, reply.match) + 1
-            self._replicate(peer, now)
-            return
-        progress.match = max(progress.match, reply.match)
-        progress.next_index = max(progress.next_index, progress.match + 1)
-        if progress.snapshot and progress.match >= self.log.base_index:
-            progress.snapshot = False
-        self._advance_commit()
-        if progress.next_index <= self.log.last_index:
-            self._replicate(peer, now)
+        if self.is_leader and reply.term == self.term:
+            self._replicator.on_append_reply(reply, now)
+            self._advance_commit()
 
     def _on_snapshot_reply(self, sender: str, reply: SnapshotReply, now: float) -> None:
-        peer = self._replying_peer(reply)
-        if peer is None:
-            return
-        progress = self._progress[peer.member]
-        progress.heard_at = now
-        progress.acked_round = max(progress.acked_round, reply.round)
-        if reply.index != self.log.base_index or not progress.snapshot:
-            progress.snapshot = False
-            return
-        progress.offset = reply.offset
-        if reply.offset >= len(self._snapshot):
-            progress.snapshot = False
-            progress.match = max(progress.match, reply.index)
-            progress.next_index = progress.match + 1
-            self._replicate(peer, now)
-        else:
-            self._send_snapshot(peer, progress, now, resend=True)
+        if self.is_leader and reply.term == self.term:
+            self._replicator.on_snapshot_reply(reply, now)
 
     def _advance_commit(self) -> None:
-        voters = [m.member for m in self.members if m.voter]
-        matches = sorted(self._match(member) for member in voters)
-        index = matches[(len(voters) - 1) // 2]
+        index = self._replicator.majority_match(self._durable)
         if index > self.commit and self.log.term_at(index) == self.term:
             self._commit_to(index)
 
-    def _match(self, member: str) -> int:
-        if member == self.member:
-            return self._durable
-        progress = self._progress.get(member)
-        return progress.match if progress else 0
-
     def _commit_to(self, index: int) -> None:
         for position in range(self.commit + 1, index + 1):
             entry = self.log.get(position)
@@ -445,10 +337,9 @@
         if msg.term < self.term:
             self._reply_append(sender, msg, success=False, match=0)
             return
-        if self.leader != sender:
-            self._hear_leader(sender, msg.term, now)
-            self._leader_commit = msg.commit
         self._hear_leader(sender, msg.term, now)
+        if self._leader_commit is None:
+            self._leader_commit = msg.commit
         if msg.previous_index < self.commit:
             # Committed records agree; skip what the snapshot covers.
             self._append_after(sender, msg, now)
@@ -486,7 +377,7 @@
             success=success,
             match=match,
         )
-        self._send(to, reply)
+        self.send(to, reply)
 
     def _on_install(self, sender: str, msg: InstallSnapshot, now: float) -> None:
         if msg.term < self.term:
@@ -495,23 +386,15 @@
         if msg.index <= self.commit:
             self._reply_snapshot(sender, msg, msg.total)
             return
-        if (msg.term, msg.index) != self._incoming_id:
-            self._incoming = bytearray()
-            self._incoming_id = (msg.term, msg.index)
-        if msg.offset == len(self._incoming):
-            self._incoming += msg.data
-        held = len(self._incoming)
+        held = self._parts.add(msg)
         if held >= msg.total:
-            self._install(msg)
+            self._install(msg, self._parts.take())
         self._reply_snapshot(sender, msg, held)
 
-    def _install(self, msg: InstallSnapshot) -> None:
-        data = bytes(self._incoming)
-        self._incoming = bytearray()
-        self._incoming_id = (0, 0)
+    def _install(self, msg: InstallSnapshot, data: bytes) -> None:
         self.log.reset(msg.index, msg.index_term, msg.members)
         self.commit = msg.index
-        self._snapshot = data
+        self.snapshot = data
         self._out.append(
             SaveSnapshot(
                 index=msg.index, term=msg.index_term, members=msg.members, data=data
@@ -527,7 +410,7 @@
             index=msg.index,
             offset=held,
         )
-        self._send(to, reply)
+        self.send(to, reply)
 
     def _hear_leader(self, sender: str, term: int, now: float) -> None:
         if self.role is not Role.FOLLOWER or self.leader != sender:
@@ -539,25 +422,10 @@
 
     # Helpers
 
-    def _adopt_members(self, now: float) -> None:
-        known = self._progress
-        self._progress = {
-            peer.member: known.get(peer.member)
-            or Progress(next_index=self.log.last_index + 1, heard_at=now)
-            for peer in self._others()
-        }
-
-    def _others(self) -> list[Member]:
+    def others(self) -> list[Member]:
+        """Return the members other than this one."""
         return [m for m in self.members if m.member != self.member]
 
-    def _replying_peer(self, reply: AppendReply | SnapshotReply) -> Member | None:
-        if not self.is_leader or reply.term != self.term:
-            return None
-        for peer in self._others():
-            if peer.member == reply.member:
-                return peer
-        return None
-
     def _is_voter(self) -> bool:
         return any(m.voter and m.member == self.member for m in self.members)
 
@@ -574,7 +442,8 @@
     def _save_vote(self) -> None:
         self._out.append(SaveVote(term=self.term, voted_for=self._voted_for))
 
-    def _send(self, to: str, body: Message) -> None:
+    def send(self, to: str, body: Message) -> None:
+        """Add a message to the effects of the present call."""
         self._out.append(Send(to=to, call=0, body=body))
 
     def _take(self) -> list[Effect]:
--- /dev/null
+++ b/pistachiopath/replication/role.py
@@ -0,0 +1,13 @@
+"""Roles of a replica."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Role(enum.StrEnum):
+    """Role of a replica in its term."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
