A caller that hangs up finds its run again; the gate in smaller files

Cause: read as a newcomer, the gate stopped a run as soon as no entry waited for it, so a caller that lost its connection and came back with the same id was told that its run was cancelled; and what was cancelled in the queue was recorded as failed, as if it had run.

Change: an entry cancels only runs whose id it made itself (nobody can come back for those); what never started is given back with a tombstone.

Test: test_a_caller_that_hangs_up_finds_its_run_again failed before (the entry has noticed, then the caller resends) and passes now; tests/test_gate has the order of the queue against a naive one.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -7,7 +7,8 @@
 from ..effects import Send
 from ..fencing.order_gate import OrderGate
 from ..gate.effects import RecordOutcome
-from ..gate.gate import Gate, GateLimits
+from ..gate.gate import Gate
+from ..gate.limits import GateLimits
 from ..messages.claims import Done, Finish, FinishItem
 from ..messages.dispatch import Attach, Cancel, Dispatch
 from ..messages.fencing import Order
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -12,7 +12,7 @@
 from ..effects import Send
 from ..fencing.order_gate import PassOrder
 from ..gate.effects import StartRun, StopRun
-from ..gate.gate import GateLimits
+from ..gate.limits import GateLimits
 from ..telemetry.metrics import Metrics
 from ..telemetry.traces import child, context_of
 from ..transport.handshake import ROLE_NODE, Identity
--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -192,7 +192,8 @@
         streaming = self.state is FlowState.STREAMING
         self.state = FlowState.DONE
         self._chooser.ended(self.submission)
-        if not streaming:
+        if not streaming or self.submission.named:
+            # Who named the request may come back for its answer.
             return []
         cancel = Cancel(key=self.key, binding=self._binding)
         return [Send(to=self.address, call=0, body=cancel)]
--- /dev/null
+++ b/pistachiopath/gate/answers.py
@@ -0,0 +1,54 @@
+"""Messages about the answer of a run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..errors.outcomes import OutcomeKind
+from ..messages.claims import OutcomeRecord
+from ..messages.dispatch import Chunk, End, NotStarted
+from .run import RunState
+
+if TYPE_CHECKING:
+    from ..messages.base import Message
+    from .run import Run
+
+CHUNK_BYTES = 64 * 1024
+
+
+def answer_messages(run: Run, offset: int) -> list[Message]:
+    """Return what is held of an answer from an offset on, and its end."""
+    messages: list[Message] = []
+    while offset < len(run.answer):
+        data = bytes(run.answer[offset : offset + CHUNK_BYTES])
+        messages.append(
+            Chunk(
+                key=run.key,
+                binding=run.binding,
+                offset=offset,
+                status=run.status,
+                content_type=run.content_type,
+                data=data,
+            )
+        )
+        offset += len(data)
+    if run.state is RunState.ENDED:
+        messages.append(_end(run, offset))
+    return messages
+
+
+def not_started(run: Run) -> NotStarted:
+    """Return the proof that a run never started."""
+    return NotStarted(
+        key=run.key,
+        binding=run.binding,
+        reason=run.reason,
+        retry_after_ms=run.retry_after_ms,
+    )
+
+
+def _end(run: Run, sent: int) -> End:
+    outcome = run.outcome
+    if sent < outcome.length:
+        outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='answer_not_held')
+    return End(key=run.key, binding=run.binding, length=outcome.length, outcome=outcome)
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,35 +12,20 @@
 from ..messages.dispatch import (
     Accepted,
     Attach,
-    Chunk,
-    End,
     NotHeld,
-    NotStarted,
     Work,
 )
 from ..messages.membership import Load
+from .answers import answer_messages, not_started
 from .effects import RecordOutcome, StartRun, StopRun
 from .fairness import FairTags
 from .queue import RunQueue
+from .retention import Retention
 from .run import Run, RunState
 
 if TYPE_CHECKING:
-    from ..messages.base import Message
     from ..messages.dispatch import Cancel, Dispatch
-
-CHUNK_BYTES = 64 * 1024
-
-
-@attrs.define(kw_only=True, frozen=True)
-class GateLimits:
-    """Bounds of the gate; durations in seconds."""
-
-    window: int = 8
-    max_queued: int = 256
-    retention_s: float = 3600.0
-    answer_retention_s: float = 300.0
-    max_answer_bytes: int = 16 * 1024 * 1024
-    max_retained_bytes: int = 4 * 1024 * 1024
+    from .limits import GateLimits
 
 
 class Gate:
@@ -64,9 +48,7 @@
         self._running: dict[bytes, Run] = {}
         self._order = 0
         self._fair = FairTags()
-        self._ended: deque[Run] = deque()
-        self._answers: deque[Run] = deque()
-        self._retained_bytes = 0
+        self._retention = Retention(limits=limits)
 
     @property
     def is_idle(self) -> bool:
@@ -161,7 +143,7 @@
             held = NotHeld(key=msg.key, binding=msg.binding)
             return [Send(to=sender, call=0, body=held)]
         if run.state is RunState.TOMBSTONE:
-            return [Send(to=sender, call=0, body=_not_started(run))]
+            return [Send(to=sender, call=0, body=not_started(run))]
         run.subscribers[sender] = msg.offset
         return self._publish_to(sender, run)
 
@@ -173,7 +155,9 @@
         run.subscribers.pop(sender, None)
         if run.subscribers or run.work.once:
             return []
-        if run.state in (RunState.QUEUED, RunState.PAUSED):
+        if run.state is RunState.QUEUED:
+            return self._give_back(run, 'cancelled', now)
+        if run.state is RunState.PAUSED:
             self._queue.remove(run)
             return self._end_cancelled(run, now)
         if run.state is RunState.RUNNING:
@@ -219,7 +203,9 @@
             if run.deadline <= now and not run.started:
                 effects += self._give_back(run, 'deadline', now)
         effects += self._start_due(now)
-        self._forget(now)
+        for key, run in self._retention.forget(now):
+            if self._runs.get(key) is run:
+                del self._runs[key]
         return effects
 
     def _tombstone_unseen(self, msg: Attach, now: float) -> Run:
@@ -296,15 +282,15 @@
         run.state = RunState.TOMBSTONE
         run.reason = reason
         run.ended_at = now
-        self._ended.append(run)
-        reply = _not_started(run)
+        self._retention.given_back(run)
+        reply = not_started(run)
         return [Send(to=name, call=0, body=reply) for name in run.subscribers]
 
     # Answers
 
     def _answer_known(self, sender: str, run: Run, binding: int, now: float) -> list:
         if run.binding > binding or run.state is RunState.TOMBSTONE:
-            stale = attrs.evolve(_not_started(run), binding=binding)
+            stale = attrs.evolve(not_started(run), binding=binding)
             return [Send(to=sender, call=0, body=stale)]
         run.subscribers.setdefault(sender, 0)
         accepted = Accepted(key=run.key, binding=run.binding)
@@ -318,24 +304,9 @@
         return effects
 
     def _publish_to(self, name: str, run: Run) -> list:
-        effects: list = []
-        offset = run.subscribers[name]
-        while offset < len(run.answer):
-            data = bytes(run.answer[offset : offset + CHUNK_BYTES])
-            chunk = Chunk(
-                key=run.key,
-                binding=run.binding,
-                offset=offset,
-                status=run.status,
-                content_type=run.content_type,
-                data=data,
-            )
-            effects.append(Send(to=name, call=0, body=chunk))
-            offset += len(data)
-        run.subscribers[name] = offset
-        if run.state is RunState.ENDED:
-            effects.append(Send(to=name, call=0, body=_end(run, offset)))
-        return effects
+        messages = answer_messages(run, run.subscribers[name])
+        run.subscribers[name] = len(run.answer)
+        return [Send(to=name, call=0, body=message) for message in messages]
 
     def _end_cancelled(self, run: Run, now: float) -> list:
         outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='cancelled')
@@ -346,47 +317,13 @@
         run.state = RunState.ENDED
         run.ended_at = now
         run.outcome = attrs.evolve(outcome, length=len(run.answer))
-        self._ended.append(run)
-        self._answers.append(run)
-        self._retained_bytes += len(run.answer)
+        self._retention.answered(run)
         stored = run.outcome
         if run.work.once:
             stored = attrs.evolve(stored, answer=bytes(run.answer))
         item = FinishItem(key=run.key, binding=run.binding, outcome=stored)
         return [RecordOutcome(item=item), *self._publish(run)]
 
-    def _forget(self, now: float) -> None:
-        """Drop answers, then records, that are past their retention."""
-        limits = self._limits
-        while self._answers and (
-            self._retained_bytes > limits.max_retained_bytes
-            or now - self._answers[0].ended_at >= limits.answer_retention_s
-        ):
-            run = self._answers.popleft()
-            self._retained_bytes -= len(run.answer)
-            run.answer = bytearray()
-            run.answer_held = False
-        while self._ended and now - self._ended[0].ended_at >= limits.retention_s:
-            run = self._ended.popleft()
-            if self._runs.get(run.key) is run:
-                del self._runs[run.key]
-
-
-def _not_started(run: Run) -> Message:
-    return NotStarted(
-        key=run.key,
-        binding=run.binding,
-        reason=run.reason,
-        retry_after_ms=run.retry_after_ms,
-    )
-
-
-def _end(run: Run, sent: int) -> Message:
-    outcome = run.outcome
-    if sent < outcome.length:
-        outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='answer_not_held')
-    return End(key=run.key, binding=run.binding, length=outcome.length, outcome=outcome)
-
 
 def _prompt_tokens(runs: list[Run]) -> int:
     return sum(run.work.prompt_tokens for run in runs if not run.answer)
--- a/pistachiopath/library.py
+++ b/pistachiopath/library.py
@@ -10,7 +10,8 @@
 from .claims.table import ClaimTable
 from .fencing.order_gate import OrderGate
 from .fencing.reconciler import Reconciler
-from .gate.gate import Gate, GateLimits
+from .gate.gate import Gate
+from .gate.limits import GateLimits
 from .messages.claims import Bind, ClaimReply, OutcomeRecord, Refuse, Release
 from .messages.dispatch import Attach, Dispatch, Work
 from .messages.fencing import Order
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -10,7 +10,7 @@
 
 from ..claims.submission import Submission
 from ..engine.profile import EngineProfile
-from ..gate.gate import GateLimits
+from ..gate.limits import GateLimits
 from ..messages.dispatch import Dispatch, End, NotStarted, Work
 from ..messages.membership import TargetView, View
 from ..routing.chooser import Choice, Chooser
--- a/pistachiopath/load/sim_target.py
+++ b/pistachiopath/load/sim_target.py
@@ -10,7 +10,7 @@
 from ..engine.model import EngineModel, Stream
 from ..errors.outcomes import OutcomeKind
 from ..gate.effects import StartRun, StopRun
-from ..gate.gate import Gate, GateLimits
+from ..gate.gate import Gate
 from ..gate.run import Run
 from ..messages.claims import OutcomeRecord
 from ..messages.membership import Heartbeat, Rate
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from ..engine.profile import EngineProfile
+    from ..gate.limits import GateLimits
     from .clock import Clock
 
 RATE_SMOOTHING = 0.2
--- a/tests/harness/nodes.py
+++ b/tests/harness/nodes.py
@@ -11,7 +11,7 @@
 from pistachiopath.entry.core import EntryCore, InForce, ToCaller
 from pistachiopath.fencing.order_gate import PassOrder
 from pistachiopath.gate.effects import StartRun, StopRun
-from pistachiopath.gate.gate import GateLimits
+from pistachiopath.gate.limits import GateLimits
 
 from .disk import Disk
 
--- a/tests/test_system/callers.py
+++ b/tests/test_system/callers.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import threading
 import time
 
@@ -55,11 +56,17 @@
                 timeout=40.0,
             )
             self.status = response.status
+            self._response = response
             while data := response.read1():
                 self.data += data
         except urllib3.exceptions.HTTPError:
             self.broken = True
 
+    def hang_up(self):
+        """Close the connection while the answer is on its way."""
+        self._response._fp.fp.raw._sock.shutdown(socket.SHUT_RDWR)
+        self._thread.join(10.0)
+
     def wait(self):
         self._thread.join(60.0)
         assert not self._thread.is_alive()
--- a/tests/test_system/test_failures.py
+++ b/tests/test_system/test_failures.py
@@ -206,3 +206,23 @@
     ).wait()
     assert again.is_whole
     assert runs_started(cluster, 'only') == 1
+
+
+def in_flight(cluster, name):
+    url = f'http://{cluster.entries[name]}/healthz'
+    return cluster.http.request('GET', url).json()['in_flight']
+
+
+def test_a_caller_that_hangs_up_finds_its_run_again(prairie):
+    first = Caller(entry=entry(prairie), prompt='hang up', tokens=120)
+    wait_until(lambda: first.begun, 'no answer began')
+    first.hang_up()
+    wait_until(lambda: in_flight(prairie, 'entry-a') == 0, 'not noticed')
+    again = Caller(
+        entry=entry(prairie, 'entry-b'),
+        prompt='hang up',
+        tokens=120,
+        request_id=first.request_id,
+    ).wait()
+    assert again.is_whole
+    assert sum(runs_started(prairie, name) for name in ('fast', 'slow')) == 1
