A refusal that can't be committed is not held back until the deadline

Cause: a request that the entry had given up on waited for its refusal to be committed until deadline + 2 s, up to two minutes with no majority of control VMs. The users ask for the final answer at once.

Change: 2 s after giving up without a committed refusal the caller is told unknown, which is the truth: nobody can promise that it will not run.

--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -104,8 +104,15 @@
         """Choose a target and bind the request to it."""
         return self._bind(now, after_refusal=0)
 
-    def refuse(self, kind: OutcomeKind, reason: str, retry_after_ms: int) -> list:
-        """Give up on the request; the caller is told once that is safe."""
+    def refuse(
+        self, kind: OutcomeKind, reason: str, retry_after_ms: int, now: float
+    ) -> list:
+        """Give up on the request; the caller is told once that is safe.
+
+        If the refusal can't be committed soon, nobody can promise that the
+        request will not run, and the caller is told that instead.
+        """
+        self._give_up_at = min(self._give_up_at, now + GRACE_S)
         self._refusal = Refused(reason=reason, retry_after_ms=retry_after_ms)
         cmd = Refuse(
             key=self.key,
@@ -178,7 +185,7 @@
             return self._conclude(Unknown(reason='control_unavailable'))
         late = now >= self.submission.deadline
         if late and self.state is FlowState.BINDING:
-            return self._expire()
+            return self._expire(now)
         return []
 
     def link_lost(self, address: str, now: float) -> list:
@@ -204,7 +211,7 @@
         choice = self._chooser.choose(self.submission, frozenset(self._excluded), now)
         if not isinstance(choice, Choice):
             reason, retry_after_ms = choice.reason, choice.retry_after_ms
-            return self.refuse(OutcomeKind.REFUSED, reason, retry_after_ms)
+            return self.refuse(OutcomeKind.REFUSED, reason, retry_after_ms, now)
         self.state = FlowState.BINDING
         self.target = choice.target
         self._asked_at = now
@@ -277,21 +284,21 @@
         if self.state is FlowState.REFUSING:
             return self._conclude(self._refusal)
         if now >= self.submission.deadline:
-            return self._expire()
+            return self._expire(now)
         if self._refusal.reason == 'shed':
             retry_after_ms = self._chooser.retry_after_ms()
-            return self.refuse(OutcomeKind.REFUSED, 'shed', retry_after_ms)
+            return self.refuse(OutcomeKind.REFUSED, 'shed', retry_after_ms, now)
         return self._choose_again(now)
 
-    def _expire(self) -> list:
+    def _expire(self, now: float) -> list:
         retry_after_ms = self._chooser.retry_after_ms()
-        return self.refuse(OutcomeKind.EXPIRED, 'deadline', retry_after_ms)
+        return self.refuse(OutcomeKind.EXPIRED, 'deadline', retry_after_ms, now)
 
     def _choose_again(self, now: float) -> list:
         self._excluded.add(self.target)
         if self.bindings + len(self._excluded) > 2 * MAX_BINDINGS:
             reason = 'no_target'
-            return self.refuse(OutcomeKind.REFUSED, reason, SUSPECT_RETRY_MS)
+            return self.refuse(OutcomeKind.REFUSED, reason, SUSPECT_RETRY_MS, now)
         return self._bind(now, after_refusal=0)
 
     # Answer
--- a/tests/test_promises/mutations.py
+++ b/tests/test_promises/mutations.py
@@ -90,7 +90,7 @@
 def no_refusal_commit(patch):
     """A caller is told 'not run' before that is committed."""
 
-    def hasty(self, kind, reason, retry_after_ms):
+    def hasty(self, kind, reason, retry_after_ms, now):
         record = OutcomeRecord(kind=kind, reason=reason, retry_after_ms=retry_after_ms)
         return self._conclude(from_record(record))
 
