--- a/pistachiopath/routing/earliest_finish.py
+++ b/pistachiopath/routing/earliest_finish.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from .chooser import Choice, NoTarget
@@ -121,12 +120,11 @@
     def _home_weight(self, known: KnownTarget, model: str, chunk: int) -> float:
         """Return the weight of a target as the home of a prompt.
 
-        Faster targets are homes more often; speeds are rounded so that
-        entries with slightly different reports agree.
+        Targets with a larger window are homes more often.  The window is a
+        setting: learned speeds move with the load, and entries would
+        disagree.
         """
-        _, decode = self._speed(known.report.rates, model)
-        speed = 2 ** (2 * round(math.log2(decode)))
-        return rendezvous(chunk, known.report.target, speed)
+        return rendezvous(chunk, known.report.target, known.report.load.window**2)
 
     def _estimate(self, known: KnownTarget, work: Work, cached: int) -> Estimate:
         report = known.report
