Several silent targets make no suspects; views from every replica in turn

Cause, found by reading: a rack or a cut that silences many targets counted as a crash of each and made suspects of all they ran, so that resends would have run one at a time; an entry asked a single control replica for its view, which may itself be cut off from some targets; records of targets that left were kept for ever; the lock named a folder of the machine that made it.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/python -m tools.capacity
 
 lock:
-	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --extra dev --no-emit-index-url --no-emit-trusted-host --strip-extras --output-file requirements/dev.txt pyproject.toml
+	CUSTOM_COMPILE_COMMAND='make lock' $(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --extra dev --no-emit-options --strip-extras --output-file requirements/dev.txt pyproject.toml
 
 clean:
 	rm -rf .venv build *.egg-info
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -48,12 +48,14 @@
     from ..effects import Effect
     from ..messages.base import Message
     from ..messages.replication import Entry
+    from ..messages.state import TargetRecord
     from ..replication.persisted import Persisted
 
 PROTOCOL = (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot)
 PROTOCOL += (SnapshotReply, Probe, ProbeReply, Form)
 SNAPSHOT_MIN_ENTRIES = 4000
 RETIRE_CHECK_S = 1.0
+SILENCE_SPREAD_S = 2.0
 RECONCILE_S = 1.0
 
 
@@ -93,6 +95,7 @@
         self._snapshot_entries = snapshot_entries
         self._revisions: dict[str, int] = {}
         self._retire_at = now
+        self._retired_at = now - 2 * SILENCE_SPREAD_S
         self._read_placements = read_placements
         self._reconciler: Reconciler | None = None
         self._fence_index = 0
@@ -217,19 +220,30 @@
         return View(revision=self.state.revision, targets=self.registry.live(now))
 
     def _retire_silent(self, now: float, time_ms: int) -> list[Effect]:
+        """Retire the incarnations that were silent for long.
+
+        One that falls silent alone counts as crashed; several at a time are
+        taken for a lost rack or a cut, which no content is to blame for.
+        """
+        live = [r for r in self.state.targets.values() if not r.retired]
+        silences = {r.target: self._silence_s(r, now) for r in live}
+        together = sum(s >= RETIRE_S - SILENCE_SPREAD_S for s in silences.values())
+        alone = together == 1 and now - self._retired_at > SILENCE_SPREAD_S
         effects: list[Effect] = []
-        for record in self.state.targets.values():
-            if record.retired:
+        for record in live:
+            if silences[record.target] < RETIRE_S:
                 continue
-            heard = self.registry.last_heard(record.target, record.incarnation)
-            silent_since = max(heard or 0.0, self._replica.led_since)
-            if now - silent_since >= RETIRE_S:
-                cmd = Retire(
-                    target=record.target, incarnation=record.incarnation, crashed=True
-                )
-                effects += self._on_command('', 0, cmd, now, time_ms)
+            self._retired_at = now
+            cmd = Retire(
+                target=record.target, incarnation=record.incarnation, crashed=alone
+            )
+            effects += self._on_command('', 0, cmd, now, time_ms)
         return effects
 
+    def _silence_s(self, record: TargetRecord, now: float) -> float:
+        heard = self.registry.last_heard(record.target, record.incarnation)
+        return now - max(heard or 0.0, self._replica.led_since)
+
     def _reconcile(self, now: float, time_ms: int) -> list[Effect]:
         """Give orders under a fencing number of this leadership."""
         if not self._replica.is_settled:
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -34,6 +34,7 @@
 
 COMMANDS = (Bind, Release, Refuse, Finish, Accept, IssueFence, Register, Retire)
 COMMANDS += (CrashReport,)
+RETIRED_RETENTION_MS = 24 * 3600 * 1000
 
 
 class ReplicatedState:
@@ -143,6 +144,7 @@
             return Registered(incarnation=known.incarnation, fence=self.fence)
         if known is not None and not known.retired:
             self._end_incarnation(cmd.target, crashed=True)
+        self._forget_retired()
         self.targets[cmd.target] = TargetRecord(
             target=cmd.target,
             incarnation=index,
@@ -152,6 +154,13 @@
         )
         return Registered(incarnation=index, fence=self.fence)
 
+    def _forget_retired(self) -> None:
+        """Drop targets that left long ago; their names may come again."""
+        oldest = self.clock_ms - RETIRED_RETENTION_MS
+        for name, record in list(self.targets.items()):
+            if record.retired and record.updated_ms < oldest:
+                del self.targets[name]
+
     def _retire(self, cmd: Retire) -> Done:
         known = self.targets.get(cmd.target)
         current = known is not None and known.incarnation == cmd.incarnation
--- a/pistachiopath/entry/core.py
+++ b/pistachiopath/entry/core.py
@@ -27,7 +27,6 @@
 
 AGENT_MESSAGES = (Accepted, Chunk, End, NotHeld, NotStarted)
 VIEW_INTERVAL_S = 0.25
-VIEW_TIMEOUT_S = 1.0
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -69,8 +68,7 @@
         self._flow_call: dict[int, int] = {}
         self._last_number = 0
         self._view_source = rng.randrange(len(controls))
-        self._view_sent_at = -VIEW_TIMEOUT_S
-        self._view_heard_at = 0.0
+        self._view_sent_at = -VIEW_INTERVAL_S
 
     @property
     def in_flight(self) -> int:
@@ -144,7 +142,6 @@
         return effects
 
     def _on_view(self, sender: str, view: View, now: float) -> list:
-        self._view_heard_at = now
         self.targets.take(view, now)
         if view.revision <= self.revision:
             return []
@@ -153,8 +150,9 @@
     def _poll_view(self, now: float) -> list:
         if now - self._view_sent_at < VIEW_INTERVAL_S:
             return []
-        if now - self._view_heard_at >= VIEW_TIMEOUT_S:
-            self._view_source = (self._view_source + 1) % len(self._controls)
+        # Each replica hears the targets for itself: asking all in turn makes
+        # up for one that is cut off from some of them.
+        self._view_source = (self._view_source + 1) % len(self._controls)
         self._view_sent_at = now
         source = self._controls[self._view_source]
         request = ViewRequest(revision=self.revision, entry=self.name)
