Experiment counts promised requests refused while other work runs

Cause: the promise on shedding was checked at the gate alone; at entries, with views that differ, nothing measured it.

Also: condition, policy and job of an experiment in files of their own.

--- /dev/null
+++ b/pistachiopath/load/condition.py
@@ -0,0 +1,17 @@
+"""Conditions of an experiment."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Condition:
+    """What goes wrong during a run; times in seconds."""
+
+    name: str
+    scale: float = 1.0
+    burst: float = 1.0
+    straggler: bool = False
+    killed: bool = False
+    report_lag_s: float = 0.2
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,16 +10,20 @@
 from ..claims.submission import Submission
 from ..engine.profile import EngineProfile
 from ..gate.limits import GateLimits
+from ..gate.run import RunState
 from ..messages.dispatch import Dispatch, End, NotStarted, Work
 from ..messages.membership import TargetView, View
-from ..routing.chooser import Choice, Chooser
+from ..routing.chooser import Choice
 from ..routing.prefix import CHUNK_TOKENS
 from ..routing.targets import TargetTable
 from .clock import Clock
+from .job import Job
 from .plan import Arrival, make_plan
 from .sim_target import SimTarget
 
 if TYPE_CHECKING:
+    from .condition import Condition
+    from .policy import Policy
     from ..effects import Send
     from ..messages.membership import Heartbeat
     from .workload import Workload
@@ -49,48 +52,6 @@
 )
 
 
-@attrs.define(kw_only=True, frozen=True)
-class Condition:
-    """What goes wrong during a run; times in seconds."""
-
-    name: str
-    scale: float = 1.0
-    burst: float = 1.0
-    straggler: bool = False
-    killed: bool = False
-    report_lag_s: float = 0.2
-
-
-@attrs.define(kw_only=True, frozen=True)
-class Policy:
-    """A chooser, and whether gates know priorities or take all as it comes."""
-
-    name: str
-    make_chooser: Callable[[TargetTable, random.Random], Chooser]
-    priorities: bool
-
-
-@attrs.define(kw_only=True)
-class Job:
-    """One request of the plan and what became of it."""
-
-    arrival: Arrival
-    submission: Submission
-    entry: int
-    tries: int = 0
-    excluded: set[str] = attrs.field(factory=set)
-    target: str = ''
-    ended_at: float = 0.0
-    outcome: str = ''
-    decision_s: float = 0.0
-
-    @property
-    def in_time(self) -> bool:
-        """Tell whether it ended by its deadline."""
-        limit = self.arrival.at + self.arrival.kind.deadline_s
-        return self.outcome == 'completed' and self.ended_at <= limit
-
-
 class Experiment:
     """Targets, entries with views of their own, and the jobs of a plan."""
 
@@ -109,6 +70,7 @@
         self.clock = Clock()
         self.jobs: list[Job] = []
         self.wasted_tokens = 0
+        self.shed_beside_lower = 0
         self._policy = policy
         self._condition = condition
         self._duration_s = duration_s
@@ -268,10 +230,21 @@
                 self._choose(job)
 
     def _end(self, job: Job, outcome: str) -> None:
+        refused = outcome in ('refused', 'shed')
+        if refused and job.arrival.kind.promised and self._serves_lower():
+            self.shed_beside_lower += 1
         job.outcome = outcome
         job.ended_at = self.clock.now
         self._choosers[job.entry].ended(job.submission)
 
+    def _serves_lower(self) -> bool:
+        """Tell whether a target is running work of a tier that is not promised."""
+        return any(
+            run.state is RunState.RUNNING and not run.work.promised
+            for target in self.targets.values()
+            for run in target.gate.held()
+        )
+
     def _target(self, name: str, profile: EngineProfile) -> SimTarget:
         window = profile.max_batch if self._policy.priorities else 10_000
         return SimTarget(
--- /dev/null
+++ b/pistachiopath/load/policy.py
@@ -0,0 +1,20 @@
+"""Policies that an experiment compares."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from ..routing.chooser import Chooser
+from ..routing.targets import TargetTable
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Policy:
+    """A chooser, and whether gates know priorities or take all as it comes."""
+
+    name: str
+    make_chooser: Callable[[TargetTable, random.Random], Chooser]
+    priorities: bool
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -56,6 +56,8 @@
             best = max(other['promised'] for other in others)
             lost = max(0.0, best - product['promised'])
             yield f'{cell}: promised goodput below best baseline', lost, 'share', 0.0
+            shed = product['promised shed beside lower']
+            yield f'{cell}: promised shed while tags are served', shed, 'requests', 0.0
             least = rows[f'{cell} least-load']['wasted prefill']
             ratio = product['wasted prefill'] / least
             yield f'{cell}: wasted prefill to least-load', ratio, 'ratio', 0.25
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -7,7 +7,9 @@
 from collections import defaultdict
 from multiprocessing import Pool
 
-from pistachiopath.load.experiment import Condition, Experiment, Policy
+from pistachiopath.load.condition import Condition
+from pistachiopath.load.experiment import Experiment
+from pistachiopath.load.policy import Policy
 from pistachiopath.load.report import quantile
 from pistachiopath.load.workload import WORKLOADS
 from pistachiopath.routing.baselines import (
@@ -73,6 +75,7 @@
         own = [j for j in jobs if j.arrival.kind.tier == tier]
         figures[f'goodput {tier}'] = share(own)
     figures['goodput all'] = share(jobs)
+    figures['promised shed beside lower'] = experiment.shed_beside_lower
     figures['fairness'] = fairness(promised)
     prefilled = sum(t.engine.prefill_tokens for t in experiment.targets.values())
     useless = sum(j.arrival.prompt_tokens for j in jobs if ran_in_vain(j))
