--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -22,10 +22,10 @@
 from .sim_target import SimTarget
 
 if TYPE_CHECKING:
-    from .condition import Condition
-    from .policy import Policy
     from ..effects import Send
     from ..messages.membership import Heartbeat
+    from .condition import Condition
+    from .policy import Policy
     from .workload import Workload
 
 CLAIM_S = 0.006
