Settings: addresses and secrets are checked, findings say what would be right

Cause: a bad address or an empty secret was taken and failed later; findings of settings said 'see the docs'.

Change: Address and Secret are types of their own with a check; each finding has file, key, reason and what is expected.

--- a/pistachiopath/agent/settings.py
+++ b/pistachiopath/agent/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..configuration.value_types import Address, OptionalAddress, Secret
+
 
 @attrs.define(kw_only=True, frozen=True)
 class AgentSettings:
@@ -17,17 +19,17 @@
 
     target: str
     zone: str
-    address: str
-    controls: tuple[str, ...]
-    secret: str
-    engine: str
+    address: Address
+    controls: tuple[Address, ...]
+    secret: Secret
+    engine: Address
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
-    advertise: str = ''
+    advertise: OptionalAddress = OptionalAddress('')
     takes_orders: bool = False
     window: int = 8
     max_queued: int = 256
     name: str = 'agent'
     log_level: str = 'info'
     trace_file: str = ''
-    metrics: str = ''
+    metrics: OptionalAddress = OptionalAddress('')
--- a/pistachiopath/configuration/toml_file.py
+++ b/pistachiopath/configuration/toml_file.py
@@ -13,12 +13,14 @@
 from cattrs.gen import make_dict_structure_fn
 
 from ..errors.settings import Finding, InvalidFile
+from .value_types import CHECKS, EXAMPLES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from pathlib import Path
 
 T = TypeVar('T')
+SEPARATOR = ' | '
 
 
 def _strict(value: object, tp: type) -> object:
@@ -38,6 +40,11 @@
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
     for tp in (str, int, float, bool):
         converter.register_structure_hook(tp, _strict)
+    for tp, check in CHECKS.items():
+        converter.register_structure_hook_func(
+            lambda seen, tp=tp: seen is tp,
+            lambda value, _tp, check=check: check(_strict(value, str)),
+        )
     converter.register_structure_hook_factory(
         attrs.has, lambda cls: _table_hook(converter, cls)
     )
@@ -80,7 +87,10 @@
     try:
         return _converter.structure(data, cls)
     except cattrs.BaseValidationError as exc:
-        findings = tuple(_finding(file, text) for text in transform_error(exc))
+        findings = tuple(
+            _finding(file, text)
+            for text in transform_error(exc, format_exception=_describe)
+        )
         raise InvalidFile(findings=findings) from exc
     except ValueError as exc:
         finding = Finding(
@@ -90,9 +100,23 @@
 
 
 def _finding(file: str, text: str) -> Finding:
-    reason, _, where = text.rpartition(' @ ')
+    described, _, where = text.rpartition(' @ ')
+    reason, _, expected = described.partition(SEPARATOR)
     key = where.removeprefix('$').removeprefix('.') or 'file'
-    return Finding(file=file, key=key, reason=reason, expected='see the docs')
+    return Finding(file=file, key=key, reason=reason, expected=expected)
+
+
+def _describe(exc: BaseException, tp: type | None) -> str:
+    """Return what is wrong and what would be right."""
+    if isinstance(exc, cattrs.ForbiddenExtraKeysError):
+        names = ', '.join(sorted(exc.extra_fields))
+        known = ', '.join(field.name for field in attrs.fields(exc.cl))
+        return f'unknown keys {names}{SEPARATOR}keys among {known}'
+    if isinstance(exc, KeyError):
+        return f'missing{SEPARATOR}a value'
+    if tp in EXAMPLES:
+        return f'{exc}{SEPARATOR}{EXAMPLES[tp]}'
+    return f'wrong type{SEPARATOR}{getattr(tp, "__name__", tp)}'
 
 
 def read(path: Path) -> dict[str, object]:
--- /dev/null
+++ b/pistachiopath/configuration/value_types.py
@@ -0,0 +1,49 @@
+"""Strings in settings files that have a form of their own."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import NewType
+
+Address = NewType('Address', str)
+OptionalAddress = NewType('OptionalAddress', str)
+Secret = NewType('Secret', str)
+
+MIN_SECRET_CHARS = 16
+MAX_PORT = 65535
+
+
+def check_address(value: str) -> str:
+    """Return an `ip:port`; raises `ValueError`."""
+    host, _, port = value.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        raise ValueError('not an IP number and port') from None
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'port must be 1 to {MAX_PORT}')
+    return value
+
+
+def check_optional_address(value: str) -> str:
+    """Return an `ip:port` or nothing; raises `ValueError`."""
+    return check_address(value) if value else value
+
+
+def check_secret(value: str) -> str:
+    """Return a secret that is long enough; raises `ValueError`."""
+    if len(value) < MIN_SECRET_CHARS:
+        raise ValueError(f'shorter than {MIN_SECRET_CHARS} characters')
+    return value
+
+
+CHECKS = {
+    Address: check_address,
+    OptionalAddress: check_optional_address,
+    Secret: check_secret,
+}
+EXAMPLES = {
+    Address: '10.0.0.1:7001',
+    OptionalAddress: '10.0.0.1:7001 or nothing',
+    Secret: 'a long random string',
+}
--- a/pistachiopath/control/settings.py
+++ b/pistachiopath/control/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..configuration.value_types import Address, OptionalAddress, Secret
+
 
 @attrs.define(kw_only=True, frozen=True)
 class ControlSettings:
@@ -12,12 +14,12 @@
     `controls` lists the addresses of all replicas, this one included.
     """
 
-    address: str
-    controls: tuple[str, ...]
+    address: Address
+    controls: tuple[Address, ...]
     data_folder: str
-    secret: str
-    operator_secret: str
+    secret: Secret
+    operator_secret: Secret
     zone: str = ''
     name: str = 'control'
     log_level: str = 'info'
-    metrics: str = ''
+    metrics: OptionalAddress = OptionalAddress('')
--- a/pistachiopath/entry/settings.py
+++ b/pistachiopath/entry/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..configuration.value_types import Address, Secret
+
 
 @attrs.define(kw_only=True, frozen=True)
 class EntrySettings:
@@ -14,9 +16,9 @@
 
     name: str
     zone: str
-    http: str
-    controls: tuple[str, ...]
-    secret: str
+    http: Address
+    controls: tuple[Address, ...]
+    secret: Secret
     max_body_bytes: int = 4 * 1024 * 1024
     drain_s: float = 120.0
     log_level: str = 'info'
--- a/pistachiopath/load/settings.py
+++ b/pistachiopath/load/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..configuration.value_types import Address
+
 
 @attrs.define(kw_only=True, frozen=True)
 class LoadSettings:
@@ -12,7 +14,7 @@
     A customer's key is `key_prefix` followed by its name.
     """
 
-    entries: tuple[str, ...]
+    entries: tuple[Address, ...]
     workload: str
     key_prefix: str
     duration_s: float = 10.0
--- a/pistachiopath/standin/settings.py
+++ b/pistachiopath/standin/settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..configuration.value_types import Address, OptionalAddress
 from ..engine.profile import EngineProfile
 
 
@@ -17,7 +18,7 @@
     """
 
     kind: str
-    listen: str
+    listen: Address
     name: str = 'standin'
     log_level: str = 'warning'
     profile: EngineProfile = EngineProfile()
@@ -25,6 +26,6 @@
     crash_on: str = ''
     checks_fence: bool = True
     models: tuple[str, ...] = ()
-    weight_store: str = ''
+    weight_store: OptionalAddress = OptionalAddress('')
     weight_load_s: float = 0.5
     service_time_s: float = 0.005
