--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -139,9 +139,13 @@
         if ack.lease_ms == 0:
             return self._lose_incarnation(now)
         self.revision = max(self.revision, ack.revision)
+        # What waited while the lease had run out may be late, quarantined or
+        # bound elsewhere by now: its entries ask again.
+        lapsed = now >= self.gate.lease_until
+        effects = self.gate.void_queue('lease', now) if lapsed else []
         until = sent_at + ack.lease_ms / 1000
         self.gate.lease_until = max(self.gate.lease_until, until)
-        return self._from_gate(self.gate.tick(now))
+        return self._from_gate(effects + self.gate.tick(now))
 
     def _lose_incarnation(self, now: float) -> list:
         """Register anew: the control replicas retired this incarnation."""
--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -278,7 +278,11 @@
         if elapsed_ms <= reply.refused_age_ms * CLOCK_RATE_MARGIN:
             # This submission came after the refusal, so it is a new try.
             return self._bind(now, after_refusal=reply.refusal_index)
-        return self._conclude(outcome)
+        # That refusal may be older than this submission, and a later one may
+        # run by now: only a refusal of its own says that this one did not.
+        return self.refuse(
+            outcome.kind, outcome.reason, self._chooser.retry_after_ms(), now
+        )
 
     def _on_released(self, now: float) -> list:
         if self.state is FlowState.REFUSING:
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -36,6 +36,7 @@
 from ..replication.group import Group
 from ..replication.timing import Timing
 from ..transport.codec import decode_message, encode_message
+from .refusal_ages import RefusalAges
 from .registry import LEASE_S, RETIRE_S, Registry
 from .replicated_state import COMMANDS, ReplicatedState
 from .snapshot import pack_state, unpack_state
@@ -100,6 +101,8 @@
         self._reconciler: Reconciler | None = None
         self._fence_index = 0
         self._reconcile_at = now
+        self._now = now
+        self._refusals = RefusalAges()
         self._handle(self._replica.restored())
 
     @property
@@ -109,6 +112,7 @@
 
     def tick(self, now: float, time_ms: int) -> list[Effect]:
         """Let time pass."""
+        self._now = now
         effects = self.group.tick(now, time_ms)
         if self._replica.is_settled and now >= self._retire_at:
             self._retire_at = now + RETIRE_CHECK_S
@@ -119,16 +123,19 @@
 
     def flush(self, now: float) -> list[Effect]:
         """Send to the followers what was proposed since the last flush."""
+        self._now = now
         return self._handle(self._replica.flush(now))
 
     def synced(self, now: float) -> list[Effect]:
         """Take note that all storage effects so far are durable."""
+        self._now = now
         return self._handle(self._replica.synced(now))
 
     def receive(
         self, sender: str, call: int, body: Message, now: float, time_ms: int
     ) -> list[Effect]:
         """Handle a message from any process."""
+        self._now = now
         if isinstance(body, PROTOCOL):
             effects = self.group.receive(sender, body, now, time_ms)
             return self._handle(effects)
@@ -289,6 +296,7 @@
         if entry.kind == EntryKind.COMMAND:
             cmd = decode_message(entry.command)
             reply = self.state.apply(entry.index, entry.time_ms, cmd)
+            reply = self._refusals.dated(reply, self._now)
         if waiting is None or not waiting[0]:
             return []
         if entry.term != self._replica.term:
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -87,18 +87,19 @@
         self.incarnation = incarnation
         if incarnation:
             self._incarnations.add(incarnation)
-        effects = []
-        for run in list(self._queue):
-            effects += self._give_back(run, 'incarnation', now)
-        return effects
+        return self.void_queue('incarnation', now)
 
     def depart(self, now: float) -> list:
         """Take no more work, give back the queue, finish what runs."""
         self.departing = True
+        return self.void_queue('departing', now)
+
+    def void_queue(self, reason: str, now: float) -> list:
+        """Give back all that waits and never started."""
         effects = []
         for run in list(self._queue):
             if not run.started:
-                effects += self._give_back(run, 'departing', now)
+                effects += self._give_back(run, reason, now)
         return effects
 
     def dispatch(self, sender: str, msg: Dispatch, now: float) -> list:
--- a/pistachiopath/standin/engine.py
+++ b/pistachiopath/standin/engine.py
@@ -42,6 +42,7 @@
     ended: bool = False
     cancelled: bool = False
     touched_at: float = 0.0
+    reader: int = 0
 
 
 def prompt_of(body: dict) -> str:
@@ -133,6 +134,8 @@
     def _events(self, live: _Live, body: dict, skip: int) -> Iterator[bytes]:
         """Yield the server-sent events from byte `skip` on."""
         sent = 0
+        live.reader += 1
+        reader = live.reader
         try:
             for data in self._all_events(live, body):
                 if sent + len(data) > skip:
@@ -140,7 +143,9 @@
                 sent += len(data)
         finally:
             live.touched_at = time.monotonic()
-            if not live.ended:
+            # A reader whose connection broke notices late: by then another
+            # may have resumed the stream.
+            if not live.ended and live.reader == reader:
                 self._model.cancel(live.stream.name)
             self._forget_old()
 
@@ -193,6 +198,7 @@
             return bottle.HTTPResponse({'error': {'code': 'no_stream'}}, status=404)
         offset = int(bottle.request.query.get('offset', 0))
         if not live.ended:
+            self._model.cancel(name)
             self._model.submit(live.stream)
             self._wake.set()
         bottle.response.set_header('X-Stream-Id', name)
