--- a/tools/demo.py
+++ b/tools/demo.py
@@ -12,9 +12,9 @@
 
 DURATION_S = 10.0
 ENGINES = {
-    'engine-1': {},
-    'engine-2': {'decode_tokens_s': 120.0, 'prefill_tokens_s': 8000.0},
-    'engine-3': {'decode_tokens_s': 200.0, 'prefill_tokens_s': 16000.0},
+    'engine-1': (6, {}),
+    'engine-2': (10, {'decode_tokens_s': 120.0, 'prefill_tokens_s': 8000.0}),
+    'engine-3': (16, {'decode_tokens_s': 200.0, 'prefill_tokens_s': 16000.0}),
 }
 DEPLOYMENTS = {
     'ankobra': ('spill-report', ['site-records', 'alerts']),
@@ -25,9 +25,9 @@
 def start(cluster: Cluster, model: str, services: list[str]):
     """Start three control replicas, two entries, agents and their engines."""
     cluster.start_controls()
-    for number, (name, profile) in enumerate(ENGINES.items()):
+    for number, (name, (window, profile)) in enumerate(ENGINES.items()):
         cluster.start_engine(name, profile=profile)
-        cluster.start_agent(name, models=[model], zone=f'dc{number}')
+        cluster.start_agent(name, models=[model], zone=f'dc{number}', window=window)
     cluster.start_service('plain')
     cluster.start_agent('plain', services=services)
     for number in range(2):
