--- a/pistachiopath/replication/leader_client.py
+++ b/pistachiopath/replication/leader_client.py
@@ -17,7 +17,7 @@
 
 ANSWER_TIMEOUT_S = 0.4
 BACKOFF_MIN_S = 0.05
-BACKOFF_MAX_S = 0.8
+BACKOFF_MAX_S = 0.4
 
 
 @attrs.define(kw_only=True)
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -208,7 +208,7 @@
 | heartbeats of a data centre ({s.heartbeats:.0f}/s) | {s.registry_cpu:.1%} of a core, shared by its control VMs |
 
 **Does not fit yet**: a snapshot stops the replica for its whole processor
-time, {s.snapshot_s:.0f} s at that size, where an election begins after 0.6 s.
+time, {s.snapshot_s:.0f} s at that size, where an election begins after 0.4 s.
 **Then**: claims in 4096 ranges by key, one range written each few
 milliseconds; `InstallSnapshot` gets the number of a range. Claims of
 non-idempotent work are kept for six hours and add to the {s.group_mb:.0f} MB
