--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -77,6 +77,12 @@
         self._finish_call = 0
         self._retire_call = 0
         self._retired = False
+        self._crash_call = 0
+
+    @property
+    def is_reporting_crash(self) -> bool:
+        """Tell whether the last crash is not committed yet."""
+        return self.leader.is_asking(self._crash_call)
 
     @property
     def is_drained(self) -> bool:
@@ -117,7 +123,8 @@
         report = CrashReport(
             target=self.target, crash_id=self._rng.randbytes(NONCE_BYTES), keys=keys
         )
-        return self.leader.ask(self._next_call(), report, now)
+        self._crash_call = self._next_call()
+        return self.leader.ask(self._crash_call, report, now)
 
     def tick(self, now: float) -> list:
         """Let time pass."""
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -36,6 +36,7 @@
 TICK_S = 0.05
 MODELS_POLL_S = 0.5
 CRASH_REPORT_GAP_S = 1.0
+REPORT_WAIT_S = 5.0
 
 
 class AgentShell:
@@ -171,8 +172,14 @@
     def _on_crash(self) -> None:
         """Report one crash for all streams that it broke."""
         now = time.monotonic()
-        if now - self._crash_at < CRASH_REPORT_GAP_S:
-            return
+        if now - self._crash_at >= CRASH_REPORT_GAP_S:
+            self._report_crash(now)
+        # Callers hear of it only then: sent again, the same content must not
+        # take another target before this crash counts.
+        while self.core.is_reporting_crash and time.monotonic() < now + REPORT_WAIT_S:
+            gevent.sleep(TICK_S)
+
+    def _report_crash(self, now: float) -> None:
         self._crash_at = now
         keys = self.core.gate.running_keys()
         logger.error(
