Every crash of an engine is reported, also two within a second

The second one was not counted and the content took a third target.

Change: a crash ends every run that it breaks, so a run that the last report does not name was broken by another crash; no time is involved. Reports are sent one at a time and numbered, so that one that is resent late counts once.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from ..effects import Send
@@ -27,6 +28,7 @@
 if TYPE_CHECKING:
     import random
 
+    from ..gate.run import Run
     from ..messages.base import Message
     from ..messages.fencing import LoadedModel
 
@@ -77,12 +79,15 @@
         self._finish_call = 0
         self._retire_call = 0
         self._retired = False
+        self._crashes = 0
+        self._crash_reports: deque[CrashReport] = deque()
         self._crash_call = 0
+        self._broken: dict[bytes, int] = {}
 
     @property
     def is_reporting_crash(self) -> bool:
-        """Tell whether the last crash is not committed yet."""
-        return self.leader.is_asking(self._crash_call)
+        """Tell whether a crash is not committed yet."""
+        return bool(self._crash_reports)
 
     @property
     def is_drained(self) -> bool:
@@ -118,13 +123,22 @@
         """Take in effects of the gate that the engine's answer led to."""
         return self._from_gate(effects)
 
-    def engine_crashed(self, keys: tuple[bytes, ...], now: float) -> list:
-        """Report the requests that ran when the engine crashed."""
+    def engine_crashed(self, run: Run, now: float) -> list:
+        """Report a crash of the engine, once for all runs that it broke.
+
+        A crash ends every run that it breaks.  So a run that the last report
+        does not name was broken by another crash, however soon after it.
+        """
+        if self._broken.get(run.key) == run.binding:
+            return []
+        running = self.gate.running()
+        self._broken = {r.key: r.binding for r in running}
+        self._crashes += 1
         report = CrashReport(
-            target=self.target, crash_id=self._rng.randbytes(NONCE_BYTES), keys=keys
+            target=self.target, number=self._crashes, keys=tuple(self._broken)
         )
-        self._crash_call = self._next_call()
-        return self.leader.ask(self._crash_call, report, now)
+        self._crash_reports.append(report)
+        return self._report_crashes(now)
 
     def tick(self, now: float) -> list:
         """Let time pass."""
@@ -179,6 +193,9 @@
                 self.gate.start_incarnation(body.incarnation, now)
             )
             self._heartbeat_at = now
+        if call == self._crash_call:
+            self._crash_reports.popleft()
+            effects += self._report_crashes(now)
         if call == self._finish_call:
             self._finish_call = 0
         if call == self._retire_call:
@@ -220,6 +237,13 @@
         self._finish_call = self._next_call()
         return self.leader.ask(self._finish_call, Finish(items=batch), now)
 
+    def _report_crashes(self, now: float) -> list:
+        """Send the oldest crash report that is not committed, one at a time."""
+        if self.leader.is_asking(self._crash_call) or not self._crash_reports:
+            return []
+        self._crash_call = self._next_call()
+        return self.leader.ask(self._crash_call, self._crash_reports[0], now)
+
     def _retire(self, now: float) -> list:
         if self._finished or self._finish_call:
             return []
--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -35,8 +35,8 @@
 class EngineClient:
     """Runs requests on the engine, one greenlet each.
 
-    `on_data`, `on_end` and `on_refused` are called with the run; `on_crash`
-    when the engine does not accept connections after it broke one.
+    `on_data`, `on_end`, `on_refused` and `on_crash` are called with the run;
+    the last when the engine does not accept connections after it broke one.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         on_data: Callable[[Run, int, str, bytes], None],
         on_end: Callable[[Run, OutcomeRecord], None],
         on_refused: Callable[[Run, int], None],
-        on_crash: Callable[[], None],
+        on_crash: Callable[[Run], None],
     ) -> None:
         self._base = f'http://{address}'
         self._on_data = on_data
@@ -197,7 +197,7 @@
             try:
                 response = self._request_stream(run)
             except urllib3.exceptions.NewConnectionError:
-                self._on_crash()
+                self._on_crash(run)
                 break
             except urllib3.exceptions.HTTPError:
                 continue
@@ -211,7 +211,7 @@
             return
         self._forget(run)
         if not self._is_alive():
-            self._on_crash()
+            self._on_crash(run)
         failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='engine_lost')
         self._on_end(run, failed)
 
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -35,7 +35,6 @@
 
 TICK_S = 0.05
 MODELS_POLL_S = 0.5
-CRASH_REPORT_GAP_S = 1.0
 REPORT_WAIT_S = 5.0
 
 
@@ -50,7 +49,6 @@
         self._tracer = tracer
         self._spans: dict[bytes, Span] = {}
         self._rates = RateLearner()
-        self._crash_at = -CRASH_REPORT_GAP_S
         self.core = AgentCore(
             target=cfg.target,
             address=cfg.advertise or cfg.address,
@@ -169,24 +167,20 @@
         self._end_span(run)
         self._carry_out(self.core.from_engine(effects))
 
-    def _on_crash(self) -> None:
-        """Report one crash for all streams that it broke."""
+    def _on_crash(self, run: Run) -> None:
+        """Report the crash that broke a run and wait until it counts."""
         now = time.monotonic()
-        if now - self._crash_at >= CRASH_REPORT_GAP_S:
-            self._report_crash(now)
+        effects = self.core.engine_crashed(run, now)
+        logger.error(
+            'engine_crashed',
+            extra={'target': self._cfg.target, 'request': run.key.hex()},
+        )
+        self._carry_out(effects)
         # Callers hear of it only then: sent again, the same content must not
         # take another target before this crash counts.
         while self.core.is_reporting_crash and time.monotonic() < now + REPORT_WAIT_S:
             gevent.sleep(TICK_S)
 
-    def _report_crash(self, now: float) -> None:
-        self._crash_at = now
-        keys = self.core.gate.running_keys()
-        logger.error(
-            'engine_crashed', extra={'target': self._cfg.target, 'running': len(keys)}
-        )
-        self._carry_out(self.core.engine_crashed(keys, now))
-
     def _end_span(self, run: Run) -> None:
         span = self._spans.pop(run.key, None)
         if span is not None:
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -184,10 +184,10 @@
 
     def _crash(self, cmd: CrashReport) -> Done:
         known = self.targets.get(cmd.target)
-        if known is None or known.crash_id == cmd.crash_id:
+        if known is None or cmd.number <= known.crashes:
             return Done()
         self.targets[cmd.target] = attrs.evolve(
-            known, crash_id=cmd.crash_id, updated_ms=self.clock_ms
+            known, crashes=cmd.number, updated_ms=self.clock_ms
         )
         claims = [self.claims.get(key) for key in cmd.keys]
         fingerprints = [claim.fingerprint for claim in claims if claim is not None]
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -55,9 +55,9 @@
         """Tell whether nothing waits or runs."""
         return not self._queue and not self._running
 
-    def running_keys(self) -> tuple[bytes, ...]:
-        """Return the keys that the engine is running."""
-        return tuple(self._running)
+    def running(self) -> list[Run]:
+        """Return the runs on the engine."""
+        return list(self._running.values())
 
     def run(self, key: bytes) -> Run | None:
         """Return the run of a key, or None."""
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -90,10 +90,14 @@
 
 @message
 class CrashReport(Message):
-    """An engine crashed while it ran `keys`; `crash_id` makes it idempotent."""
+    """An engine crashed while it ran `keys`.
+
+    `number` counts the crashes that the agent has seen; it makes the report
+    idempotent.
+    """
 
     target: str
-    crash_id: bytes
+    number: int
     keys: tuple[bytes, ...]
 
 
--- a/pistachiopath/messages/state.py
+++ b/pistachiopath/messages/state.py
@@ -17,11 +17,14 @@
 
 @message
 class TargetRecord(Message):
-    """The newest incarnation of a target and the nonce that asked for it."""
+    """The newest incarnation of a target and the nonce that asked for it.
+
+    `crashes` is the number of the last crash report that was counted.
+    """
 
     target: str
     incarnation: int
     nonce: bytes
     retired: bool
     updated_ms: int
-    crash_id: bytes = b''
+    crashes: int = 0
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -152,7 +152,7 @@
 
 struct CrashReport {
   target @0 :Text;
-  crashId @1 :Data;
+  number @1 :Int64;
   keys @2 :List(Data);
 }
 
@@ -286,7 +286,7 @@
   nonce @2 :Data;
   retired @3 :Bool;
   updatedMs @4 :Int64;
-  crashId @5 :Data;
+  crashes @5 :Int64;
 }
 
 struct Claim {
--- a/tests/harness/nodes.py
+++ b/tests/harness/nodes.py
@@ -221,8 +221,8 @@
         effects = method(*args, self.now)
         self._carry_out(self.core.from_engine(effects))
 
-    def engine_crashed(self, keys):
-        self._carry_out(self.core.engine_crashed(keys, self.now))
+    def engine_crashed(self, run):
+        self._carry_out(self.core.engine_crashed(run, self.now))
 
 
 class EntryNode(Node):
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -263,7 +263,8 @@
         self._engine_down[agent.name] = self.net.now + 2.0
 
         def report():
-            agent.engine_crashed(tuple(runs))
+            for run in runs.values():
+                agent.engine_crashed(run)
             failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='engine_lost')
             for run in runs.values():
                 agent.from_engine(agent.core.gate.engine_end, run, failed)
--- a/tests/test_system/test_crashes.py
+++ b/tests/test_system/test_crashes.py
@@ -2,6 +2,8 @@
 
 import json
 
+import urllib3
+
 from tools.cluster import wait_until
 
 from .callers import KEY
@@ -59,10 +61,23 @@
 
 
 def answers(cluster, name):
-    import urllib3
-
     try:
         url = f'http://{cluster.engines[name]}/health'
         return cluster.http.request('GET', url).status == 200
     except urllib3.exceptions.HTTPError:
         return False
+
+
+def test_crashes_of_one_target_in_quick_succession_all_count(cluster, examples):
+    cluster.start_controls()
+    cluster.start_engine('one', crash_on=POISON)
+    cluster.start_agent('one', models=['proofreader'])
+    cluster.start_entry('entry-a')
+    assert cluster.accept(examples / 'prairie.toml').returncode == 0
+    cluster.wait_ready()
+    for _ in range(2):
+        assert ask(cluster, POISON)[0] == 502
+        wait_until(lambda: dead_engines(cluster), 'the engine did not crash')
+        cluster.restart('engine-one')
+        wait_until(lambda: answers(cluster, 'one'), 'the engine is missing')
+    assert ask(cluster, POISON)[0] == 422
