Quarantined content leaves the queues; late orders within the schedules

Cause: two points of docs/promises.md were not proved. And no schedule delivered a replaced leader's order late.

Change: the answer to a heartbeat names the claims of that target that must not start any more; the agent gives them back with a tombstone and the caller is told quarantined. Asking before each start was weighed (a round trip a run), as were fingerprints at the agent (it does not know how entries make them). The message layer can hold a link and release it later; a quarter of the schedules hold a leader's link to a target while the leader is replaced.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -164,6 +164,7 @@
         # bound elsewhere by now: its entries ask again.
         lapsed = now >= self.gate.lease_until
         effects = self.gate.void_queue('lease', now) if lapsed else []
+        effects += self.gate.void(ack.quarantined, 'quarantined', now)
         until = sent_at + ack.lease_ms / 1000
         self.gate.lease_until = max(self.gate.lease_until, until)
         return self._from_gate(effects + self.gate.tick(now))
--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -287,6 +287,9 @@
     def _on_released(self, now: float) -> list:
         if self.state is FlowState.REFUSING:
             return self._conclude(self._refusal)
+        if self._refusal.reason == 'quarantined':
+            # No target takes it any more, so there is nothing to come back for.
+            return self._conclude(Quarantined(reason='crashed_targets'))
         if now >= self.submission.deadline:
             return self._expire(now)
         if self._refusal.reason == 'shed':
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -220,6 +220,7 @@
             sequence=report.sequence,
             lease_ms=int(LEASE_S * 1000),
             revision=self.state.revision,
+            quarantined=self.state.quarantined_claims(report.target),
         )
 
     def _on_view(self, request: ViewRequest, now: float) -> View:
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -101,6 +101,16 @@
             state._restore(record)
         return state
 
+    def quarantined_claims(self, target: str) -> tuple[bytes, ...]:
+        """Return the claims of a target whose content is quarantined."""
+        if not self.suspects.has_quarantined:
+            return ()
+        return tuple(
+            claim.key
+            for claim in self.claims.bound_to(target)
+            if self.suspects.is_quarantined(claim.fingerprint)
+        )
+
     def _restore(self, record: Message) -> None:
         match record:
             case StateHeader():
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -24,6 +24,8 @@
 from .run import Run, RunState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..messages.dispatch import Cancel, Dispatch
     from .limits import GateLimits
 
@@ -96,9 +98,14 @@
 
     def void_queue(self, reason: str, now: float) -> list:
         """Give back all that waits and never started."""
+        return self.void([run.key for run in self._queue], reason, now)
+
+    def void(self, keys: Iterable[bytes], reason: str, now: float) -> list:
+        """Give back those of some requests that wait and never started."""
         effects = []
-        for run in list(self._queue):
-            if not run.started:
+        for key in keys:
+            run = self._runs.get(key)
+            if run is not None and run.state is RunState.QUEUED:
                 effects += self._give_back(run, reason, now)
         return effects
 
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -81,11 +81,16 @@
 
 @message
 class HeartbeatAck(Message):
-    """Renews the lease of the sender, counted from when it sent `sequence`."""
+    """Renews the lease of the sender, counted from when it sent `sequence`.
+
+    `quarantined` names the claims that are bound to the sender and must not
+    start any more.
+    """
 
     sequence: int
     lease_ms: int
     revision: int
+    quarantined: tuple[bytes, ...] = ()
 
 
 @message
--- a/pistachiopath/quarantine/suspects.py
+++ b/pistachiopath/quarantine/suspects.py
@@ -33,13 +33,19 @@
 
     def __init__(self) -> None:
         self._suspects: dict[bytes, Suspect] = {}
+        self._quarantined: set[bytes] = set()
+
+    @property
+    def has_quarantined(self) -> bool:
+        """Tell whether any content is quarantined."""
+        return bool(self._quarantined)
 
     def __iter__(self) -> Iterable[Suspect]:
         return iter(self._suspects.values())
 
     def restore(self, suspect: Suspect) -> None:
         """Put back a suspect from a snapshot."""
-        self._suspects[suspect.fingerprint] = suspect
+        self._store(suspect)
 
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Tell whether the content was in at least one crash."""
@@ -47,8 +53,7 @@
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Tell whether the content may not run any more."""
-        suspect = self._suspects.get(fingerprint)
-        return suspect is not None and suspect.crashes >= QUARANTINE_CRASHES
+        return fingerprint in self._quarantined
 
     def crashed(self, fingerprints: Iterable[bytes], now_ms: int) -> None:
         """Count a crash of a target that was running these contents."""
@@ -69,11 +74,17 @@
             if not excess and now_ms - suspect.updated_ms <= RETENTION_MS:
                 return
             del self._suspects[fp]
+            self._quarantined.discard(fp)
 
     def _count(self, fingerprint: bytes, now_ms: int) -> None:
         # Reinsertion keeps the dictionary in the order of the last crash.
         suspect = self._suspects.pop(fingerprint, None)
         crashes = suspect.crashes + 1 if suspect else 1
-        self._suspects[fingerprint] = Suspect(
-            fingerprint=fingerprint, crashes=crashes, updated_ms=now_ms
+        self._store(
+            Suspect(fingerprint=fingerprint, crashes=crashes, updated_ms=now_ms)
         )
+
+    def _store(self, suspect: Suspect) -> None:
+        self._suspects[suspect.fingerprint] = suspect
+        if suspect.crashes >= QUARANTINE_CRASHES:
+            self._quarantined.add(suspect.fingerprint)
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -148,6 +148,7 @@
   sequence @0 :Int64;
   leaseMs @1 :Int64;
   revision @2 :Int64;
+  quarantined @3 :List(Data);
 }
 
 struct CrashReport {
--- a/tests/harness/network.py
+++ b/tests/harness/network.py
@@ -9,7 +9,8 @@
 class VirtualNetwork:
     """Delivers messages late, twice, out of order or not at all.
 
-    Delays are in seconds.  A cut is a set of ordered pairs of node names.
+    Delays are in seconds.  Cuts and holds are sets of ordered pairs of node
+    names: a cut loses what is sent, a hold delivers it after the release.
     """
 
     def __init__(self, *, seed: int):
@@ -19,6 +20,8 @@
         self.duplicate = 0.0
         self.reorder = 0.0
         self.cuts: set[tuple[str, str]] = set()
+        self.holds: set[tuple[str, str]] = set()
+        self._held = []
         self._events = []
         self._order = 0
         self._last: dict[tuple[str, str], float] = {}
@@ -30,6 +33,9 @@
 
     def send(self, sender: str, to: str, deliver):
         """Deliver a message some time later, or not."""
+        if (sender, to) in self.holds:
+            self._held.append((sender, to, deliver))
+            return
         if self.rng.random() < self.drop:
             return
         copies = 2 if self.rng.random() < self.duplicate else 1
@@ -43,6 +49,13 @@
                 self._last[(sender, to)] = arrival
             self.at(arrival, lambda: self._arrive(sender, to, deliver))
 
+    def release(self):
+        """Send what was held, in its order."""
+        self.holds.clear()
+        held, self._held = self._held, []
+        for sender, to, deliver in held:
+            self.send(sender, to, deliver)
+
     def _arrive(self, sender, to, deliver):
         if (sender, to) not in self.cuts:
             deliver()
--- a/tests/harness/schedules.py
+++ b/tests/harness/schedules.py
@@ -6,6 +6,7 @@
 
 END_S = 25.0
 WARM_UP_S = 3.0
+LATE_ORDERS_SHARE = 0.25
 
 
 def schedule(seed: int) -> str:
@@ -23,6 +24,8 @@
             for name in ('drop', 'duplicate', 'reorder')
         )
         steps.append(f'at {_time(rng)} faults {values}')
+    if rng.random() < LATE_ORDERS_SHARE:
+        steps += _late_orders(rng, targets)
     return '\n'.join(steps) + '\n'
 
 
@@ -61,6 +64,22 @@
     return steps
 
 
+def _late_orders(rng: random.Random, targets: int) -> list[str]:
+    """A leader's orders are on their way while another one replaces it."""
+    at = _time(rng, high=END_S - 10)
+    replaced = round(at + rng.uniform(0.5, 2.0), 2)
+    released = round(replaced + rng.uniform(2.0, 8.0), 2)
+    accept = f'accept o0 expected={rng.randint(0, 3)} content=late'
+    return [
+        f'at {at} {accept}',
+        f'at {at} leader hold t{rng.randrange(targets)}',
+        f'at {replaced} leader {rng.choice(("isolate", "freeze", "kill"))}',
+        f'at {round(replaced + 1.5, 2)} {accept}er',
+        f'at {released} heal',
+        f'at {released} release',
+    ]
+
+
 def _fault(rng: random.Random, targets: int) -> list[str]:
     at = _time(rng)
     until = round(at + rng.choice((0.5, 2.0, 5.0, 12.0)), 2)
--- a/tests/harness/script.py
+++ b/tests/harness/script.py
@@ -9,8 +9,10 @@
     at 2.5 lose-disk c0
     at 2.5 replace c0            kill; its disk is lost if no other loss is open
     at 2.5 cut c0 t0 | cut-one-way c0 t0 | heal
+    at 2.5 hold c0 t0 | release               what is sent arrives much later
     at 2.5 faults drop=0.1 duplicate=0.1 reorder=0.1
     at 2.5 leader kill | leader freeze        the present leader
+    at 2.5 leader hold t0 | leader isolate    its link; it and other replicas
     end 30
     expect r1 completed|unknown
     expect r1 runs 1
@@ -49,6 +51,7 @@
 def settle(world: World):
     """Heal everything, let it come to rest and make the last checks."""
     _step(world, ['heal'])
+    _step(world, ['release'])
     for node in world.nodes.values():
         if node.frozen:
             node.thaw()
@@ -78,7 +81,7 @@
     elif kind == 'leader':
         for node in list(world.controls.values()):
             if node.alive and node.core.group.replica.is_leader:
-                _node_step(node, rest[0])
+                _leader_step(world, node, rest)
     elif kind in NODE_STEPS:
         _node_step(world.nodes[rest[0]], kind)
     elif kind == 'replace':
@@ -89,6 +92,10 @@
         world.net.cuts |= {(rest[0], rest[1]), (rest[1], rest[0])}
     elif kind == 'cut-one-way':
         world.net.cuts.add((rest[0], rest[1]))
+    elif kind == 'hold':
+        world.net.holds.add((rest[0], rest[1]))
+    elif kind == 'release':
+        world.net.release()
     elif kind == 'heal':
         world.net.cuts.clear()
         world.net.drop = world.net.duplicate = world.net.reorder = 0.0
@@ -110,6 +117,17 @@
     world.submit(rest[0], rest[2], **details)
 
 
+def _leader_step(world: World, leader, rest: list[str]):
+    if rest[0] == 'hold':
+        world.net.holds.add((leader.name, rest[1]))
+    elif rest[0] == 'isolate':
+        others = [name for name in world.controls if name != leader.name]
+        world.net.cuts |= {(leader.name, name) for name in others}
+        world.net.cuts |= {(name, leader.name) for name in others}
+    else:
+        _node_step(leader, rest[0])
+
+
 def _node_step(node, kind: str):
     allowed = {
         'start': not node.alive,
--- a/tests/test_promises/mutations.py
+++ b/tests/test_promises/mutations.py
@@ -6,6 +6,7 @@
 from pistachiopath.claims.flow import RequestFlow
 from pistachiopath.claims.outcome_records import from_record
 from pistachiopath.claims.table import ClaimTable
+from pistachiopath.fencing.order_gate import OrderGate
 from pistachiopath.gate.gate import Gate
 from pistachiopath.messages.claims import OutcomeRecord
 from pistachiopath.replication.replica import Replica
@@ -52,6 +53,17 @@
     patch.setattr(Gate, '_refusal', lambda self, msg: '')
 
 
+def no_fencing_check(patch):
+    """An agent passes on every order for its incarnation."""
+    receive = OrderGate.receive
+
+    def trusting(self, order):
+        self._highest = 0
+        return receive(self, order)
+
+    patch.setattr(OrderGate, 'receive', trusting)
+
+
 def no_lease_check(patch):
     """An agent starts queued runs after its lease ran out."""
     start_due = Gate._start_due
--- a/tests/test_promises/test_mutations.py
+++ b/tests/test_promises/test_mutations.py
@@ -13,13 +13,15 @@
 SCENARIOS = Path(__file__).parent.parent / 'scenarios'
 
 # Each mechanism, and where to look for a break without it: a scenario with
-# seeds of its own, or the random schedules.
+# seeds of its own, or the random schedules.  Those seeds are tried first at
+# which breaks were found before.
 SCHEDULES = 'schedules'
-SEEDS = range(1, 80)
+SEEDS = (14, 15, 26, *range(1, 80))
 CASES = [
     (mutations.no_tombstone, 'late-dispatch-after-shedding'),
     (mutations.no_sync, 'whole-group-restarts'),
     (mutations.no_incarnation_check, 'dispatch-resent-to-a-new-process'),
+    (mutations.no_fencing_check, 'late-order'),
     (mutations.no_lease_check, 'wake-with-expired-lease'),
     (mutations.no_gate_dedup, SCHEDULES),
     (mutations.no_claim, 'same-request-through-two-entries'),
--- a/tools/sweep.py
+++ b/tools/sweep.py
@@ -14,7 +14,7 @@
 from tests.harness.script import run
 
 CHOOSERS = (ScenarioChooser, EarliestFinish)
-WORKERS = min(6, os.cpu_count() or 1)
+WORKERS = min(8, os.cpu_count() or 1)
 
 
 def try_seed(seed: int) -> tuple[int, str]:
