Schedules check entries' refusals and that acceptances are in force in 4 s

Cause: "never shed while a lower tier is served" was checked at gates alone, and "in force everywhere within seconds" without faults alone.

Change: with the product's router no promised request may be turned away as overload while a run that could be paused goes on at any target; 4 s after an acceptance every entry that was up has it, with one control replica down or dying meanwhile.

Routing: prefill counts as what is more than at the best target. Equal prefill everywhere made nearly all targets near-equals for short prompts, slow ones too.

--- a/pistachiopath/routing/earliest_finish.py
+++ b/pistachiopath/routing/earliest_finish.py
@@ -64,8 +64,11 @@
         left_s = submission.deadline - now
         best_s = min(estimate.finish_s for estimate in estimates)
         if best_s > left_s:
+            # What no idle target could finish is late, not turned away for load.
+            alone_s = min(estimate.alone_s for estimate in estimates)
+            reason = 'deadline' if alone_s > left_s else 'overload'
             retry_after_ms = self._retry_ms(best_s - left_s)
-            return NoTarget(reason='overload', retry_after_ms=retry_after_ms)
+            return NoTarget(reason=reason, retry_after_ms=retry_after_ms)
         report = self._pick(estimates, left_s).known.report
         self._outstanding.add(submission, report.target, now)
         self._prefixes.sent(report.target, submission.prefix, MAX_TARGET_CHUNKS)
@@ -141,20 +144,23 @@
             ahead_output = load.output_tokens + own_output
         window = max(1, load.window)
         waiting = ahead_prompt / prefill + ahead_output / (decode * window)
-        prefill_s = max(1, work.prompt_tokens - cached) / prefill
+        prefill_tokens = max(1, work.prompt_tokens - cached)
+        alone_s = prefill_tokens / prefill + work.output_tokens / decode
         return Estimate(
             known=known,
-            finish_s=waiting + prefill_s + work.output_tokens / decode,
-            prefill_tokens=max(1, work.prompt_tokens - cached),
+            finish_s=waiting + alone_s,
+            alone_s=alone_s,
+            prefill_tokens=prefill_tokens,
             prefill_rate=prefill,
         )
 
     def _pick(self, estimates: list[Estimate], left_s: float) -> Estimate:
         """Return one of the cheapest; time counts less while much is left."""
         rate = sum(e.prefill_rate for e in estimates) / len(estimates)
+        fewest = min(e.prefill_tokens for e in estimates)
         costs = [
             min(1.0, PATIENCE * e.finish_s / left_s) * e.finish_s
-            + PREFILL_WEIGHT * e.prefill_tokens / rate
+            + PREFILL_WEIGHT * (e.prefill_tokens - fewest) / rate
             for e in estimates
         ]
         limit = min(costs) * NEAR_RATIO + NEAR_S
--- a/pistachiopath/routing/estimate.py
+++ b/pistachiopath/routing/estimate.py
@@ -16,5 +16,6 @@
 
     known: KnownTarget
     finish_s: float
+    alone_s: float
     prefill_tokens: int
     prefill_rate: float
--- a/tests/harness/checkers.py
+++ b/tests/harness/checkers.py
@@ -9,6 +9,8 @@
 from pistachiopath.messages.claims import ClaimReply
 from pistachiopath.messages.dispatch import NotStarted
 
+from .in_force import InForceWatch
+
 LEAVING_S = 3.0
 POISON = b'poison'
 MAX_CRASHES = 2
@@ -139,9 +141,32 @@
         self._content(state.revision, state.configuration)
 
     def accepted(self, revision: int, content: bytes):
+        if revision not in self._accepted:
+            InForceWatch(world=self._world, revision=revision)
         self._accepted[revision] = content
         self._content(revision, content)
 
+    def in_force_by_now(self, entry: str, revision: int, accepted: int):
+        """Some seconds after an acceptance an entry has the revision."""
+        if revision < accepted:
+            raise Violation(f'{entry} has {revision}, not {accepted}, after 4 s')
+
+    def promised_refused(self, entry, submission):
+        """No entry turns promised work away while other work is served.
+
+        Work that can't be paused is finished and does not count.
+        """
+        for agent in self._world.agents.values():
+            if not agent.alive or agent.core.gate.departing:
+                continue
+            paused = [
+                run
+                for run in agent.core.gate.running()
+                if run.resumable and not run.work.promised and not run.work.once
+            ]
+            if paused:
+                raise Violation(f'{entry} refused {submission} beside {paused}')
+
     def at_end(self):
         """What was accepted is in force at every live replica."""
         newest = max(self._accepted, default=0)
--- a/tests/harness/chooser.py
+++ b/tests/harness/chooser.py
@@ -8,6 +8,24 @@
 REFUSED_SHARE = 0.05
 
 
+class WatchedChooser:
+    """Shows the checkers each promised request that a chooser turns away."""
+
+    def __init__(self, *, chooser, on_overload):
+        self._chooser = chooser
+        self._on_overload = on_overload
+
+    def __getattr__(self, name):
+        return getattr(self._chooser, name)
+
+    def choose(self, submission, excluded, now):
+        choice = self._chooser.choose(submission, excluded, now)
+        overload = isinstance(choice, NoTarget) and choice.reason == 'overload'
+        if overload and submission.work.promised:
+            self._on_overload(submission)
+        return choice
+
+
 class ScenarioChooser(RandomChooser):
     """Takes any live target, and at times refuses early."""
 
