Experiment: bound, between tokens, recovery, every target killed; KV in stand-in

Change: `make measure` has, for each cell, promised goodput below the bound (all of it, as offered promised work fits), prefill to its lower bound (each document once, every other prompt whole), gaps between tokens, recovery, spread over the seeds, and a condition in which each of the ten targets is killed once. The stand-in engine exports and imports KV blocks and shows cache events late and with gaps.

--- a/pistachiopath/engine/prefix_cache.py
+++ b/pistachiopath/engine/prefix_cache.py
@@ -44,6 +44,10 @@
             held += 1
         return held
 
+    def held(self, blocks: tuple[int, ...]) -> tuple[int, ...]:
+        """Return the leading blocks that are held, without touching them."""
+        return blocks[: self.count_held(blocks)]
+
     def store(self, blocks: tuple[int, ...]) -> None:
         """Hold blocks, evicting others."""
         for block in blocks:
--- a/pistachiopath/load/condition.py
+++ b/pistachiopath/load/condition.py
@@ -7,11 +7,15 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class Condition:
-    """What goes wrong during a run; times in seconds."""
+    """What goes wrong during a run; times in seconds.
+
+    `killed`, `straggler` and `departed` name targets; none if empty.
+    """
 
     name: str
     scale: float = 1.0
     burst: float = 1.0
-    straggler: bool = False
-    killed: bool = False
+    straggler: str = ''
+    killed: str = ''
+    departed: str = ''
     report_lag_s: float = 0.2
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -35,6 +35,7 @@
 WARM_UP_S = 5.0
 BLOCK_TOKENS = 16
 MAX_TRIES = 4
+STRAGGLER_SLOWDOWN = 5.0
 PROFILES = tuple(
     EngineProfile(
         prefill_tokens_s=prefill,
@@ -99,6 +100,26 @@
             if not a.kind.service
         ]
 
+    @property
+    def slowed_at(self) -> float:
+        """Time at which the straggler becomes slow."""
+        return self._duration_s / 3
+
+    def least_prefill(self) -> int:
+        """Return a lower bound of the prompt tokens that engines must process.
+
+        Every document is processed once on some engine whatever a scheduler
+        knows, and every other prompt whole.
+        """
+        documents = {}
+        rest = 0
+        for arrival in self._plan:
+            if arrival.document >= 0:
+                documents[arrival.document] = arrival.prompt_tokens
+            else:
+                rest += arrival.prompt_tokens
+        return sum(documents.values()) + rest
+
     def run(self) -> list[Job]:
         """Play everything; return the jobs."""
         self._beat()
@@ -111,8 +132,10 @@
             )
         if self._condition.killed:
             self.clock.after(self._duration_s / 2, self._kill)
+        if self._condition.departed:
+            self.clock.after(self._duration_s / 2, self._depart)
         if self._condition.straggler:
-            self.clock.after(self._duration_s / 3, self._slow_down)
+            self.clock.after(self.slowed_at, self._slow_down)
         self._tick()
         self.clock.run_until(self._duration_s * 2 + 30)
         return self.jobs
@@ -120,11 +143,14 @@
     # Faults
 
     def _kill(self) -> None:
-        self.targets['t2'].alive = False
+        self.targets[self._condition.killed].alive = False
+
+    def _depart(self) -> None:
+        self.targets[self._condition.departed].depart()
 
     def _slow_down(self) -> None:
-        engine = self.targets['t4'].engine
-        engine.profile = attrs.evolve(engine.profile, slowdown=5.0)
+        engine = self.targets[self._condition.straggler].engine
+        engine.profile = attrs.evolve(engine.profile, slowdown=STRAGGLER_SLOWDOWN)
 
     # Reports
 
--- a/pistachiopath/load/sim_target.py
+++ b/pistachiopath/load/sim_target.py
@@ -57,6 +57,8 @@
             decode=profile.decode_tokens_s,
         )
         self.first_token_at: dict[bytes, float] = {}
+        self.token_gaps: dict[bytes, list[float]] = {}
+        self._last_token_at: dict[bytes, float] = {}
         self._clock = clock
         self._prompts = prompts
         self._on_send = on_send
@@ -69,6 +71,10 @@
         if self.alive:
             self._carry_out(self.gate.dispatch(sender, msg, self._clock.now))
 
+    def depart(self) -> None:
+        """Begin a planned departure."""
+        self._carry_out(self.gate.depart(self._clock.now))
+
     def tick(self) -> None:
         """Let time pass at the gate."""
         if self.alive:
@@ -85,7 +91,7 @@
             zone='dc0',
             models=('m',),
             services=(),
-            departing=False,
+            departing=self.gate.departing,
             revision=1,
             load=self.gate.load(),
             rates=(self.rate,),
@@ -129,7 +135,7 @@
             if live is None:
                 continue
             run = live.run
-            self.first_token_at.setdefault(run.key, self._clock.now)
+            self._note_token(run.key)
             if not run.answer:
                 self._learn_prefill(live)
             effects = self.gate.engine_data(run, 200, '', b'.', self._clock.now)
@@ -141,6 +147,14 @@
             self._carry_out(effects)
         self._step()
 
+    def _note_token(self, key: bytes) -> None:
+        now = self._clock.now
+        self.first_token_at.setdefault(key, now)
+        last = self._last_token_at.get(key)
+        if last is not None:
+            self.token_gaps.setdefault(key, []).append(now - last)
+        self._last_token_at[key] = now
+
     def _learn_prefill(self, live: _Live) -> None:
         took = self._clock.now - live.begun_at
         if live.stream.prefilled >= 256 and took > 0:  # noqa: PLR2004
@@ -159,7 +173,3 @@
             + RATE_SMOOTHING * ((prefill or old.prefill) - old.prefill),
             decode=old.decode + RATE_SMOOTHING * ((decode or old.decode) - old.decode),
         )
-
-
-def _smoothed(old: float, seen: float) -> float:
-    return old + RATE_SMOOTHING * (seen - old) if seen else old
--- a/pistachiopath/standin/engine.py
+++ b/pistachiopath/standin/engine.py
@@ -19,6 +19,7 @@
     count_tokens,
     prefix_blocks,
 )
+from .cache import StandinCache
 from .models import StandinModels
 
 if TYPE_CHECKING:
@@ -64,13 +65,14 @@
         self._wake = gevent.event.Event()
         self._last = 0
         self._models = StandinModels(cfg=cfg)
+        self._cache = StandinCache(cfg=cfg, cache=self._model.cache)
         self._loads: list[tuple[float, dict]] = []
         self.app = bottle.Bottle()
         self.app.post('/v1/chat/completions', callback=self._complete)
         self.app.post('/v1/completions', callback=self._complete)
         self.app.get('/v1/streams/<name>', callback=self._resume)
         self.app.get('/load', callback=self._load)
-        self.app.get('/cache_events', callback=self._cache_events)
+        self._cache.attach(self.app)
         self._models.attach(self.app)
         self.app.get('/health', callback=lambda: {'status': 'ok'})
 
@@ -83,7 +85,9 @@
                 self._wake.wait()
                 continue
             gevent.sleep(duration)
-            for progress in self._model.end_step():
+            progresses = self._model.end_step()
+            self._cache.publish()
+            for progress in progresses:
                 live = self._live.get(progress.name)
                 if live is not None:
                     live.ended = progress.ended
@@ -222,8 +226,3 @@
             'prefill_tokens': self._model.prefill_tokens,
             'cached_tokens': self._model.cached_tokens,
         }
-
-    def _cache_events(self) -> dict:
-        after = int(bottle.request.query.get('after', 0))
-        events = [attrs.asdict(e) for e in self._model.cache.events]
-        return {'events': [e for e in events if e['sequence'] > after][:1000]}
--- a/pistachiopath/standin/settings.py
+++ b/pistachiopath/standin/settings.py
@@ -14,7 +14,8 @@
 
     `kind` is `engine`, `service` or `weights`.  A weight store serves one
     load at a time, each for `weight_load_s`.  An engine ends its process when a
-    prompt holds `crash_on`.  Lags are in seconds.
+    prompt holds `crash_on`.  Lags are in seconds.  One cache event in
+    `event_gap` is lost, none if it is 0.
     """
 
     kind: str
@@ -23,6 +24,9 @@
     log_level: str = 'warning'
     profile: EngineProfile = EngineProfile()
     report_lag_s: float = 0.2
+    event_lag_s: float = 0.2
+    event_gap: int = 20
+    kv_blocks_s: float = 50_000.0
     crash_on: str = ''
     checks_fence: bool = True
     models: tuple[str, ...] = ()
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -14,6 +14,9 @@
 ONE_WAY_MS = 1.5
 NODE_REQUESTS_S = 58
 NODE_TOKENS_S = 18_400
+RATED = ('normal', 'stale')
+# An all-knowing scheduler ends all promised work in time while it fits.
+BELOW_BOUND = 0.01
 
 
 def path_measures():
@@ -44,26 +47,43 @@
 
 def policy_measures(rows):
     """Yield the product's figures relative to the baselines, for each cell."""
+    names = dict.fromkeys(c.name for c in measure_policies.ALL_CONDITIONS)
     for workload in measure_policies.WORKLOADS:
-        for condition in measure_policies.CONDITIONS:
-            cell = f'{workload} {condition.name}'
-            product = rows[f'{cell} product']
-            others = [
-                rows[f'{cell} {name}']
-                for name in measure_policies.POLICIES
-                if name != 'product'
-            ]
-            best = max(other['promised'] for other in others)
-            lost = max(0.0, best - product['promised'])
-            yield f'{cell}: promised goodput below best baseline', lost, 'share', 0.0
-            shed = product['promised shed beside lower']
-            yield f'{cell}: promised shed while tags are served', shed, 'requests', 0.0
-            least = rows[f'{cell} least-load']['wasted prefill']
-            ratio = product['wasted prefill'] / least
-            yield f'{cell}: wasted prefill to least-load', ratio, 'ratio', 0.25
-            first = product['first token p95']
-            if condition.name == 'normal':
-                yield f'{cell}: small promised first token p95', first, 's', 0.49
+        for condition in names:
+            yield from cell_measures(rows, workload, condition)
+        normal = rows[f'{workload} normal product']
+        overload = rows[f'{workload} overload product']
+        lost = max(0.0, normal['promised'] - overload['promised'])
+        yield f'{workload}: promised goodput lost at x3', lost, 'share', 0.0
+
+
+def cell_measures(rows, workload, condition):
+    """Yield the figures of one workload under one condition."""
+    cell = f'{workload} {condition}'
+    product = rows[f'{cell} product']
+    best = max(
+        rows[f'{cell} {name}']['promised']
+        for name in measure_policies.POLICIES
+        if name != 'product'
+    )
+    lost = max(0.0, best - product['promised'])
+    yield f'{cell}: promised goodput below best baseline', lost, 'share', 0.0
+    below = max(0.0, 1.0 - product['promised'])
+    yield f'{cell}: promised goodput below bound', below, 'share', BELOW_BOUND
+    shed = product['promised shed beside lower']
+    yield f'{cell}: promised shed while tags are served', shed, 'requests', 0.0
+    least = rows[f'{cell} least-load']['wasted prefill']
+    ratio = product['wasted prefill'] / least
+    yield f'{cell}: wasted prefill to least-load', ratio, 'ratio', 0.25
+    if condition in RATED:
+        first = product['first token p95']
+        yield f'{cell}: small promised first token p95', first, 's', 0.49
+        gap = product['token gap p95'] * 1000
+        yield f'{cell}: small promised token gap p95', gap, 'ms', 30.0
+        bound = product['prefill to bound']
+        yield f'{cell}: prefill to bound', bound, 'ratio', 1.2
+    if condition == 'straggler':
+        yield f'{cell}: recovery', product['recovery'], 's', 10.0
 
 
 def main():
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -10,7 +10,6 @@
 from pistachiopath.load.condition import Condition
 from pistachiopath.load.experiment import Experiment
 from pistachiopath.load.policy import Policy
-from pistachiopath.load.report import quantile
 from pistachiopath.load.workload import WORKLOADS
 from pistachiopath.routing.baselines import (
     LeastReportedLoad,
@@ -19,6 +18,7 @@
     ShortestOwnQueue,
 )
 from pistachiopath.routing.earliest_finish import EarliestFinish
+from tools.policy_figures import figures_of
 
 DURATION_S = 60.0
 RATE_SCALE = 2.0
@@ -27,11 +27,15 @@
 CONDITIONS = (
     Condition(name='normal'),
     Condition(name='burst', burst=2.0),
-    Condition(name='straggler', straggler=True),
-    Condition(name='killed', killed=True),
+    Condition(name='straggler', straggler='t4'),
+    Condition(name='killed', killed='t2'),
+    Condition(name='departed', departed='t4'),
     Condition(name='stale', report_lag_s=2.0),
     Condition(name='overload', scale=3.0),
 )
+# What a dead target takes with it is a matter of luck, so each is killed once.
+KILLED_ANY = tuple(Condition(name='killed any', killed=f't{n}') for n in range(10))
+ALL_CONDITIONS = CONDITIONS + KILLED_ANY
 
 
 def chooser(cls):
@@ -68,68 +72,21 @@
         rate_scale=RATE_SCALE,
     )
     jobs = experiment.run()
-    figures = {}
-    promised = [j for j in jobs if j.arrival.kind.promised]
-    figures['promised'] = share(promised)
-    for tier in sorted({j.arrival.kind.tier for j in jobs}):
-        own = [j for j in jobs if j.arrival.kind.tier == tier]
-        figures[f'goodput {tier}'] = share(own)
-    figures['goodput all'] = share(jobs)
-    figures['promised shed beside lower'] = experiment.shed_beside_lower
-    figures['fairness'] = fairness(promised)
-    prefilled = sum(t.engine.prefill_tokens for t in experiment.targets.values())
-    useless = sum(j.arrival.prompt_tokens for j in jobs if ran_in_vain(j))
-    wasted = experiment.wasted_tokens + useless
-    figures['wasted prefill'] = wasted / max(1, prefilled)
-    first = first_tokens(experiment, promised)
-    figures['first token p50'] = quantile(first, 0.5)
-    figures['first token p95'] = quantile(first, 0.95)
-    return (workload, condition.name, policy), figures
-
-
-def share(jobs):
-    return sum(j.in_time for j in jobs) / max(1, len(jobs))
-
-
-def fairness(jobs):
-    """Return the slowest customer's mean time over the quickest one's.
-
-    Times are shares of each request's deadline, so that customers with
-    other kinds of work compare.
-    """
-    times = defaultdict(list)
-    for job in jobs:
-        took = job.ended_at - job.arrival.at
-        times[job.arrival.customer].append(took / job.arrival.kind.deadline_s)
-    means = [statistics.mean(own) for own in times.values() if len(own) > 3]
-    return max(means) / min(means) if means else 1.0
-
-
-def ran_in_vain(job):
-    return job.outcome == 'completed' and not job.in_time
-
-
-def first_tokens(experiment, jobs):
-    """Seconds to the first token of small promised requests."""
-    seconds = []
-    for job in jobs:
-        if job.arrival.prompt_tokens > 512:
-            continue
-        for target in experiment.targets.values():
-            at = target.first_token_at.get(job.submission.key)
-            if at is not None:
-                seconds.append(at - job.arrival.at)
-    return seconds
+    return (workload, condition.name, policy), figures_of(experiment, jobs)
 
 
 def compare(policies=tuple(POLICIES)):
-    """Return the mean figures of every cell, all seeds in one run."""
+    """Return the mean figures of every cell, all seeds in one run.
+
+    `spread of <name>` is the largest less the smallest figure of a cell.
+    """
+    conditions = [(c, seed) for c in CONDITIONS for seed in SEEDS]
+    conditions += [(c, SEEDS[0]) for c in KILLED_ANY]
     cells = [
         (workload, condition, policy, seed)
         for workload in WORKLOADS
-        for condition in CONDITIONS
+        for condition, seed in conditions
         for policy in policies
-        for seed in SEEDS
     ]
     collected = defaultdict(lambda: defaultdict(list))
     with Pool(WORKERS) as pool:
@@ -137,11 +94,16 @@
             for name, value in figures.items():
                 collected[key][name].append(value)
     return {
-        ' '.join(key): {n: statistics.mean(v) for n, v in figures.items()}
-        for key, figures in collected.items()
+        ' '.join(key): means_and_spreads(figures) for key, figures in collected.items()
     }
 
 
+def means_and_spreads(figures):
+    means = {name: statistics.mean(values) for name, values in figures.items()}
+    spreads = {f'spread of {n}': max(v) - min(v) for n, v in figures.items()}
+    return means | spreads
+
+
 def main():
     """Print the mean figures of every cell."""
     parser = argparse.ArgumentParser(description=__doc__)
--- /dev/null
+++ b/tools/policy_figures.py
@@ -0,0 +1,105 @@
+"""Figures of one experiment: goodput, waste, latency, fairness, recovery."""
+
+from __future__ import annotations
+
+import statistics
+from collections import defaultdict
+
+from pistachiopath.load.experiment import WARM_UP_S
+from pistachiopath.load.report import quantile
+
+SMALL_PROMPT_TOKENS = 512
+RECOVERY_WINDOW_S = 5.0
+RECOVERED_RATIO = 1.5
+
+
+def figures_of(experiment, jobs):
+    """Return every figure of a run by its name."""
+    promised = [j for j in jobs if j.arrival.kind.promised]
+    small = [j for j in promised if j.arrival.prompt_tokens <= SMALL_PROMPT_TOKENS]
+    prefilled = sum(t.engine.prefill_tokens for t in experiment.targets.values())
+    useless = sum(j.arrival.prompt_tokens for j in jobs if ran_in_vain(j))
+    figures = {'promised': share(promised)}
+    for tier in sorted({j.arrival.kind.tier for j in jobs}):
+        own = [j for j in jobs if j.arrival.kind.tier == tier]
+        figures[f'goodput {tier}'] = share(own)
+    figures['goodput all'] = share(jobs)
+    figures['promised shed beside lower'] = experiment.shed_beside_lower
+    figures['fairness'] = fairness(promised)
+    wasted = experiment.wasted_tokens + useless
+    figures['wasted prefill'] = wasted / max(1, prefilled)
+    figures['prefill to bound'] = prefilled / experiment.least_prefill()
+    first = first_tokens(experiment, small)
+    gaps = token_gaps(experiment, small)
+    for name, quant in (('p50', 0.5), ('p95', 0.95), ('p99', 0.99)):
+        figures[f'first token {name}'] = quantile(first, quant)
+        figures[f'token gap {name}'] = quantile(gaps, quant)
+    figures['recovery'] = recovery(small, experiment.slowed_at)
+    return figures
+
+
+def share(jobs):
+    return sum(j.in_time for j in jobs) / max(1, len(jobs))
+
+
+def ran_in_vain(job):
+    return job.outcome == 'completed' and not job.in_time
+
+
+def fairness(jobs):
+    """Return the slowest customer's mean time over the quickest one's.
+
+    Times are shares of each request's deadline, so that customers with
+    other kinds of work compare.
+    """
+    times = defaultdict(list)
+    for job in jobs:
+        took = job.ended_at - job.arrival.at
+        times[job.arrival.customer].append(took / job.arrival.kind.deadline_s)
+    means = [statistics.mean(own) for own in times.values() if len(own) > 3]
+    return max(means) / min(means) if means else 1.0
+
+
+def first_tokens(experiment, jobs):
+    """Return the seconds to the first token of requests that had one."""
+    seconds = []
+    for job in jobs:
+        for target in experiment.targets.values():
+            at = target.first_token_at.get(job.submission.key)
+            if at is not None:
+                seconds.append(at - job.arrival.at)
+    return seconds
+
+
+def token_gaps(experiment, jobs):
+    """Return the seconds between one token and the next, of all requests."""
+    gaps = []
+    for job in jobs:
+        for target in experiment.targets.values():
+            gaps += target.token_gaps.get(job.submission.key, ())
+    return gaps
+
+
+def recovery(jobs, slowed_at):
+    """Return the seconds from a straggler's slow-down until all is as before.
+
+    The mean time of requests that arrive in a window of some seconds is
+    compared with the mean of those before the slow-down.
+    """
+    before = [took(j) for j in jobs if WARM_UP_S <= j.arrival.at < slowed_at]
+    usual = statistics.mean(before) if before else 0.0
+    windows = defaultdict(list)
+    for job in jobs:
+        if job.arrival.at >= slowed_at:
+            number = int((job.arrival.at - slowed_at) // RECOVERY_WINDOW_S)
+            windows[number].append(took(job))
+    slow = [
+        number
+        for number, times in windows.items()
+        if statistics.mean(times) > RECOVERED_RATIO * usual
+    ]
+    return (max(slow) + 1) * RECOVERY_WINDOW_S if slow else 0.0
+
+
+def took(job):
+    return job.ended_at - job.arrival.at
