Agents learn speeds from what says something about them; stragglers show early

Cause: the experiment had a learner of its own that began with the true speeds and was told what was cached.

Change: one learner for both. Prompts whose beginning was run here before teach nothing about prefill, paused runs nothing at all, output is counted by events; runs under way that are below half of the average count at once. The same refusal of stale learning holds in the experiment, which now begins knowing nothing.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -95,6 +95,10 @@
         told = not self._finished and not self._finish_call
         return self.gate.departing and self.gate.is_idle and told and self._retired
 
+    def is_heartbeat_due(self, now: float) -> bool:
+        """Tell whether the next tick announces the target."""
+        return bool(self.gate.incarnation) and now >= self._heartbeat_at
+
     def depart(self, now: float) -> list:
         """Begin a planned departure."""
         effects = self._from_gate(self.gate.depart(now))
@@ -145,7 +149,7 @@
         effects = self.leader.tick(now)
         if not self.gate.incarnation and not self._register_call:
             effects += self._register(now)
-        if self.gate.incarnation and now >= self._heartbeat_at:
+        if self.is_heartbeat_due(now):
             effects += self._send_heartbeat(now)
         effects += self._from_gate(self.gate.tick(now))
         effects += self._report_finished(now)
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -13,12 +13,15 @@
 from ..fencing.order_gate import PassOrder
 from ..gate.effects import StartRun, StopRun
 from ..gate.limits import GateLimits
+from ..gate.run import RunState
+from ..routing.prefix import prefix_chunks
 from ..telemetry.metrics import Metrics
 from ..telemetry.traces import child, context_of
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from .core import AgentCore
 from .engine_client import EngineClient
+from .events import count_events
 from .rates import RateLearner
 
 if TYPE_CHECKING:
@@ -29,6 +32,7 @@
     from ..gate.run import Run
     from ..messages.base import Message
     from ..messages.claims import OutcomeRecord
+    from ..messages.membership import Rate
     from .settings import AgentSettings
 
 logger = logging.getLogger(__name__)
@@ -93,9 +97,16 @@
 
     def _loop(self) -> None:
         while True:
-            self._carry_out(self.core.tick(time.monotonic()))
+            now = time.monotonic()
+            if self.core.is_heartbeat_due(now):
+                self.core.rates = self._learned(now)
+            self._carry_out(self.core.tick(now))
             gevent.sleep(TICK_S)
 
+    def _learned(self, now: float) -> tuple[Rate, ...]:
+        running = [(run, count_events(run)) for run in self.core.gate.running()]
+        return self._rates.rates(running, now)
+
     def _follow_models(self) -> None:
         while self._cfg.takes_orders:
             loaded = self._engine.loaded()
@@ -118,6 +129,8 @@
                     gevent.spawn(self._engine.order, effect.order)
                 case StopRun():
                     self._engine.stop(effect.run)
+                    if effect.run.state is not RunState.PAUSED:
+                        self._rates.forget(effect.run)
                     self.metrics.count('runs_stopped_total')
 
     def _start_run(self, run: Run) -> None:
@@ -137,6 +150,7 @@
                 'traceparent': run.work.traceparent,
             },
         )
+        self._rates.started(run, prefix_chunks(run.work.body))
         self._engine.start(run)
 
     def _on_data(self, run: Run, status: int, content_type: str, data: bytes) -> None:
@@ -147,8 +161,7 @@
 
     def _on_end(self, run: Run, outcome: OutcomeRecord) -> None:
         effects = self.core.gate.engine_end(run, outcome, time.monotonic())
-        self._rates.ended(run, run.work.output_tokens)
-        self.core.rates = self._rates.rates()
+        self._rates.ended(run, count_events(run))
         self._end_span(run)
         self.metrics.count('runs_total', outcome=outcome.kind)
         logger.info(
@@ -164,6 +177,7 @@
 
     def _on_refused(self, run: Run, retry_after_ms: int) -> None:
         effects = self.core.gate.engine_refused(run, retry_after_ms, time.monotonic())
+        self._rates.forget(run)
         self._end_span(run)
         self._carry_out(self.core.from_engine(effects))
 
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -77,6 +77,7 @@
         self._duration_s = duration_s
         self._rng = random.Random(f'{seed} {policy.name}')
         self._prompts: dict[bytes, tuple[int, ...]] = {}
+        self._chunks: dict[bytes, tuple[int, ...]] = {}
         self._reports: dict[str, Heartbeat] = {}
         self._by_key: dict[bytes, Job] = {}
         self.targets = {
@@ -197,6 +198,7 @@
         plain = not self._policy.priorities
         ranks = {'notice': 0, 'manuscript': 0, 'filing': 1, 'style': 1}
         self._prompts[key] = _hashes(arrival, BLOCK_TOKENS)
+        self._chunks[key] = _hashes(arrival, CHUNK_TOKENS)
         return Submission(
             key=key,
             fingerprint=key,
@@ -213,7 +215,7 @@
             ),
             submitted_at=self.clock.now,
             deadline=self.clock.now + (1e6 if plain else kind.deadline_s),
-            prefix=_hashes(arrival, CHUNK_TOKENS),
+            prefix=self._chunks[key],
         )
 
     def _choose(self, job: Job) -> None:
@@ -279,6 +281,7 @@
             clock=self.clock,
             limits=GateLimits(window=window, max_queued=256),
             prompts=self._prompts,
+            chunks=self._chunks,
             on_send=self._on_send,
         )
 
--- a/pistachiopath/load/sim_target.py
+++ b/pistachiopath/load/sim_target.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..agent.rates import RateLearner
 from ..effects import Send
 from ..engine.model import EngineModel, Stream
 from ..errors.outcomes import OutcomeKind
@@ -13,23 +14,21 @@
 from ..gate.gate import Gate
 from ..gate.run import Run
 from ..messages.claims import OutcomeRecord
-from ..messages.membership import Heartbeat, Rate
+from ..messages.membership import Heartbeat
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..engine.profile import EngineProfile
     from ..gate.limits import GateLimits
+    from ..messages.membership import Rate
     from .clock import Clock
 
-RATE_SMOOTHING = 0.2
-
 
 @attrs.define(kw_only=True)
 class _Live:
     run: Run
     stream: Stream
-    begun_at: float
 
 
 class SimTarget:
@@ -43,6 +42,7 @@
         clock: Clock,
         limits: GateLimits,
         prompts: dict[bytes, tuple[int, ...]],
+        chunks: dict[bytes, tuple[int, ...]],
         on_send: Callable[[str, Send], None],
     ) -> None:
         self.name = name
@@ -51,16 +51,13 @@
         self.gate.start_incarnation(1, 0.0)
         self.gate.lease_until = float('inf')
         self.alive = True
-        self.rate = Rate(
-            model='m',
-            prefill=profile.prefill_tokens_s,
-            decode=profile.decode_tokens_s,
-        )
+        self._learner = RateLearner()
         self.first_token_at: dict[bytes, float] = {}
         self.token_gaps: dict[bytes, list[float]] = {}
         self._last_token_at: dict[bytes, float] = {}
         self._clock = clock
         self._prompts = prompts
+        self._chunks = chunks
         self._on_send = on_send
         self._live: dict[str, _Live] = {}
         self._stepping = False
@@ -94,9 +91,13 @@
             departing=self.gate.departing,
             revision=1,
             load=self.gate.load(),
-            rates=(self.rate,),
+            rates=self._rates(),
         )
 
+    def _rates(self) -> tuple[Rate, ...]:
+        running = [(run, len(run.answer)) for run in self.gate.running()]
+        return self._learner.rates(running, self._clock.now)
+
     def _carry_out(self, effects: list) -> None:
         for effect in effects:
             match effect:
@@ -118,7 +119,8 @@
             produced=len(run.answer),
         )
         run.resumable = True
-        self._live[name] = _Live(run=run, stream=stream, begun_at=self._clock.now)
+        self._live[name] = _Live(run=run, stream=stream)
+        self._learner.started(run, self._chunks[run.key])
         self.engine.submit(stream)
         if not self._stepping:
             self._step()
@@ -136,14 +138,12 @@
                 continue
             run = live.run
             self._note_token(run.key)
-            if not run.answer:
-                self._learn_prefill(live)
             effects = self.gate.engine_data(run, 200, '', b'.', self._clock.now)
             if progress.ended:
                 del self._live[progress.name]
-                self._learn_decode(run)
                 done = OutcomeRecord(kind=OutcomeKind.COMPLETED, status=200)
                 effects += self.gate.engine_end(run, done, self._clock.now)
+                self._learner.ended(run, len(run.answer))
             self._carry_out(effects)
         self._step()
 
@@ -154,22 +154,3 @@
         if last is not None:
             self.token_gaps.setdefault(key, []).append(now - last)
         self._last_token_at[key] = now
-
-    def _learn_prefill(self, live: _Live) -> None:
-        took = self._clock.now - live.begun_at
-        if live.stream.prefilled >= 256 and took > 0:  # noqa: PLR2004
-            self._learn(prefill=live.stream.prefilled / took)
-
-    def _learn_decode(self, run: Run) -> None:
-        took = self._clock.now - self.first_token_at[run.key]
-        if run.work.output_tokens > 4 and took > 0:  # noqa: PLR2004
-            self._learn(decode=run.work.output_tokens / took)
-
-    def _learn(self, *, prefill: float = 0.0, decode: float = 0.0) -> None:
-        old = self.rate
-        self.rate = Rate(
-            model='m',
-            prefill=old.prefill
-            + RATE_SMOOTHING * ((prefill or old.prefill) - old.prefill),
-            decode=old.decode + RATE_SMOOTHING * ((decode or old.decode) - old.decode),
-        )
--- a/pistachiopath/routing/earliest_finish.py
+++ b/pistachiopath/routing/earliest_finish.py
@@ -170,8 +170,9 @@
     @staticmethod
     def _speed(rates: tuple[Rate, ...], model: str) -> tuple[float, float]:
         for rate in rates:
-            if rate.model == model and rate.prefill > 0 and rate.decode > 0:
-                return rate.prefill, rate.decode
+            if rate.model == model:
+                prefill = rate.prefill or DEFAULT_PREFILL_TOKENS_S
+                return prefill, rate.decode or DEFAULT_DECODE_TOKENS_S
         return DEFAULT_PREFILL_TOKENS_S, DEFAULT_DECODE_TOKENS_S
 
     def _retry_ms(self, late_s: float) -> int:
