--- a/pistachiopath/claims/table.py
+++ b/pistachiopath/claims/table.py
@@ -8,10 +8,11 @@
 from ..errors.outcomes import OutcomeKind
 from ..messages.claims import ClaimReply, OutcomeRecord
 from .claim import Claim, ClaimState
+from .cursor import ClaimCursor
 from .status import ClaimStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from ..messages.claims import Bind, FinishItem, Refuse, Release
     from ..quarantine.suspects import Suspects
@@ -36,6 +37,7 @@
         self._expiry: list[tuple[int, bytes]] = []
         self._bound: dict[str, dict[bytes, Claim]] = {}
         self._suspects = suspects
+        self._cursor: ClaimCursor | None = None
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -51,12 +53,23 @@
         """Return the claims bound to a target that have no outcome yet."""
         return list(self._bound.get(target, {}).values())
 
+    def follow(self, cursor: ClaimCursor | None) -> None:
+        """Tell a cursor before each change from now on; None ends that."""
+        self._cursor = cursor
+
+    def cursor(self, encode: Callable[[Claim], bytes]) -> ClaimCursor:
+        """Return a cursor over the claims as they are now, and follow it."""
+        cursor = ClaimCursor(claims=self._claims, encode=encode)
+        self.follow(cursor)
+        return cursor
+
     def restore(self, claim: Claim) -> None:
         """Put back a claim from a snapshot."""
         self._store(claim)
 
     def bind(self, cmd: Bind, now_ms: int) -> ClaimReply:
         """Bind a request to a target incarnation unless it already is."""
+        self._changing(cmd.key)
         claim = self._claims.get(cmd.key)
         if claim is not None and claim.fingerprint != cmd.fingerprint:
             return ClaimReply(status=ClaimStatus.CONFLICT)
@@ -73,6 +86,7 @@
 
     def release(self, cmd: Release, now_ms: int) -> ClaimReply:
         """Take back a binding that was proved never to have started."""
+        self._changing(cmd.key)
         claim = self._claims.get(cmd.key)
         if claim is None:
             return ClaimReply(status=ClaimStatus.TOO_OLD)
@@ -84,6 +98,7 @@
 
     def refuse(self, cmd: Refuse, index: int, now_ms: int) -> ClaimReply:
         """Commit that the request was not run, unless it is bound."""
+        self._changing(cmd.key)
         claim = self._claims.get(cmd.key)
         if claim is not None and claim.fingerprint != cmd.fingerprint:
             return ClaimReply(status=ClaimStatus.CONFLICT)
@@ -108,6 +123,7 @@
 
     def finish(self, item: FinishItem, now_ms: int) -> None:
         """Record the outcome of the live binding; the first one stays."""
+        self._changing(item.key)
         claim = self._claims.get(item.key)
         if claim is None or claim.binding != item.binding:
             return
@@ -130,9 +146,14 @@
             if claim.expires_ms > now_ms:
                 heapq.heappush(self._expiry, (claim.expires_ms, key))
                 continue
+            self._changing(key)
             self._unbind(claim)
             del self._claims[key]
 
+    def _changing(self, key: bytes) -> None:
+        if self._cursor is not None:
+            self._cursor.changing(key)
+
     def _bind_new(self, claim: Claim | None, cmd: Bind, now_ms: int) -> ClaimReply:
         if self._suspects.is_quarantined(cmd.fingerprint):
             return ClaimReply(status=ClaimStatus.QUARANTINED)
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -39,7 +39,8 @@
 from .refusal_ages import RefusalAges
 from .registry import LEASE_S, RETIRE_S, Registry
 from .replicated_state import COMMANDS, ReplicatedState
-from .snapshot import pack_state, unpack_state
+from .snapshot import unpack_state
+from .snapshot_writer import SnapshotWriter
 
 if TYPE_CHECKING:
     import random
@@ -55,6 +56,7 @@
 PROTOCOL = (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot)
 PROTOCOL += (SnapshotReply, Probe, ProbeReply, Form)
 SNAPSHOT_MIN_ENTRIES = 4000
+SNAPSHOT_STEP_CLAIMS = 300
 RETIRE_CHECK_S = 1.0
 SILENCE_SPREAD_S = 2.0
 RECONCILE_S = 1.0
@@ -77,6 +79,7 @@
         now: float,
         timing: Timing | None = None,
         snapshot_entries: int = SNAPSHOT_MIN_ENTRIES,
+        snapshot_step: int = SNAPSHOT_STEP_CLAIMS,
         read_placements: Callable[[bytes], tuple[ModelPlacement, ...]] = placements_of,
     ) -> None:
         self.address = address
@@ -94,6 +97,8 @@
         self._waiting: dict[int, tuple[str, int]] = {}
         self._applied = self._replica.commit
         self._snapshot_entries = snapshot_entries
+        self._snapshot_step = snapshot_step
+        self._writer: SnapshotWriter | None = None
         self._revisions: dict[str, int] = {}
         self._retire_at = now
         self._retired_at = now - 2 * SILENCE_SPREAD_S
@@ -282,6 +287,7 @@
                 case Apply(entry=entry):
                     left += self._apply(entry)
                 case RestoreState():
+                    self._writer = None
                     self.state = unpack_state(effect.data)
                     self._applied = effect.index
                 case _:
@@ -315,7 +321,18 @@
         return [Send(to=to, call=call, body=reply) for to, call in waiting]
 
     def _compact(self) -> list[Effect]:
-        held = self._applied - self._replica.log.base_index
-        if held < max(self._snapshot_entries, len(self.state.claims) // 2):
-            return []
-        return self._replica.compact(self._applied, pack_state(self.state))
+        """Begin a snapshot when many records are held, or go on with one."""
+        if self._writer is None:
+            held = self._applied - self._replica.log.base_index
+            if held < max(self._snapshot_entries, len(self.state.claims) // 2):
+                return []
+            self._writer = SnapshotWriter(state=self.state, index=self._applied)
+        writer = self._writer
+        offset, data = writer.step(self._snapshot_step)
+        effects: list[Effect] = [
+            self._replica.snapshot_part(writer.index, offset, data)
+        ]
+        if writer.is_done:
+            self._writer = None
+            effects += self._replica.compact(writer.index, writer.data())
+        return effects
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -83,6 +83,11 @@
 
     def records(self) -> Iterator[Message]:
         """Yield the whole state as messages, for a snapshot."""
+        yield from self.head_records()
+        yield from self.claims
+
+    def head_records(self) -> Iterator[Message]:
+        """Yield all but the claims."""
         yield StateHeader(
             clock_ms=self.clock_ms,
             fence=self.fence,
@@ -91,7 +96,6 @@
         )
         yield from self.targets.values()
         yield from self.suspects
-        yield from self.claims
 
     @classmethod
     def from_records(cls, records: Iterator[Message]) -> ReplicatedState:
--- a/pistachiopath/effects.py
+++ b/pistachiopath/effects.py
@@ -42,15 +42,32 @@
 
 
 @attrs.define(kw_only=True, frozen=True)
-class SaveSnapshot:
-    """Store a snapshot and drop the records that it covers."""
+class WriteSnapshotPart:
+    """Store a part of a snapshot that `SaveSnapshot` will complete.
+
+    Nothing counts before that; a part at offset 0 begins a snapshot anew.
+    """
 
     index: int
     term: int
     members: tuple[Member, ...]
+    offset: int
     data: bytes
 
 
+@attrs.define(kw_only=True, frozen=True)
+class SaveSnapshot:
+    """Store a snapshot and drop the records that it covers.
+
+    Where all its parts are stored already, they need not be written again.
+    """
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    data: bytes | bytearray
+
+
 @attrs.define(kw_only=True, frozen=True)
 class Apply:
     """A record is committed: apply it to the state."""
@@ -66,6 +83,14 @@
     data: bytes
 
 
-StorageEffect: TypeAlias = SaveVote | AppendEntries | TruncateFrom | SaveSnapshot
+StorageEffect: TypeAlias = (
+    SaveVote | AppendEntries | TruncateFrom | WriteSnapshotPart | SaveSnapshot
+)
 Effect: TypeAlias = Send | StorageEffect | Apply | RestoreState
-STORAGE_EFFECTS = (SaveVote, AppendEntries, TruncateFrom, SaveSnapshot)
+STORAGE_EFFECTS = (
+    SaveVote,
+    AppendEntries,
+    TruncateFrom,
+    WriteSnapshotPart,
+    SaveSnapshot,
+)
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -12,6 +12,7 @@
     SaveVote,
     Send,
     TruncateFrom,
+    WriteSnapshotPart,
 )
 from ..messages.replication import (
     Append,
@@ -164,7 +165,17 @@
             self._advance_commit()
         return self._take()
 
-    def compact(self, index: int, data: bytes) -> list[Effect]:
+    def snapshot_part(self, index: int, offset: int, data: bytes) -> Effect:
+        """Return the effect that stores a part of a snapshot under way."""
+        return WriteSnapshotPart(
+            index=index,
+            term=self.log.term_at(index) or 0,
+            members=self.log.members(index),
+            offset=offset,
+            data=data,
+        )
+
+    def compact(self, index: int, data: bytes | bytearray) -> list[Effect]:
         """Replace the records up to an applied index by a snapshot."""
         members = self.log.members(index)
         term = self.log.term_at(index) or 0
--- a/pistachiopath/replication/replicator.py
+++ b/pistachiopath/replication/replicator.py
@@ -139,7 +139,8 @@
         progress.round += 1
         progress.sent_at = now
         start = progress.offset
-        data = self._replica.snapshot[start : start + self._timing.snapshot_chunk_bytes]
+        end = start + self._timing.snapshot_chunk_bytes
+        data = bytes(self._replica.snapshot[start:end])
         self._replica.send(
             peer.address,
             InstallSnapshot(
--- a/pistachiopath/storage/data_folder.py
+++ b/pistachiopath/storage/data_folder.py
@@ -6,7 +6,13 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from ..effects import AppendEntries, SaveSnapshot, SaveVote, TruncateFrom
+from ..effects import (
+    AppendEntries,
+    SaveSnapshot,
+    SaveVote,
+    TruncateFrom,
+    WriteSnapshotPart,
+)
 from ..errors.storage import CorruptFile, StorageFailed
 from ..errors.transport import FrameTooLarge, MalformedFrame
 from ..messages.replication import Entry, Member
@@ -15,14 +21,13 @@
 from ..transport.codec import decode_message, encode_message
 from ..transport.frames import HEADER, FrameBuffer, pack
 from .atomic_file import read_frames, replace_synced, sync_folder
+from .snapshot_file import SnapshotFile
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from ..effects import StorageEffect
 
-SNAPSHOT_PART_BYTES = 4 * 1024 * 1024
-
 
 class DataFolder:
     """Durable state of one replica.
@@ -41,6 +46,7 @@
         self._size = 0
         self._dirty = False
         self._fd = -1
+        self._snapshot = SnapshotFile(path=path / 'snapshot')
 
     def load(self) -> Persisted:
         """Read everything back; a torn record at the end is dropped."""
@@ -61,8 +67,11 @@
                     self._truncate_from(effect.index)
                 case SaveVote():
                     self._save_vote(effect)
+                case WriteSnapshotPart():
+                    self._snapshot.write_part(effect)
                 case SaveSnapshot():
-                    self._save_snapshot(effect)
+                    self._snapshot.save(effect)
+                    self._drop_until(effect.index)
         except OSError as exc:
             name = type(effect).__name__
             raise StorageFailed(operation=name, reason=str(exc.errno)) from exc
@@ -185,18 +194,6 @@
         vote = StoredVote(term=effect.term, voted_for=effect.voted_for)
         replace_synced(self._path / 'vote', [encode_message(vote)])
 
-    def _save_snapshot(self, effect: SaveSnapshot) -> None:
-        data = effect.data
-        head = SnapshotHead(
-            index=effect.index, term=effect.term, members=effect.members
-        )
-        parts = [
-            data[start : start + SNAPSHOT_PART_BYTES]
-            for start in range(0, len(data), SNAPSHOT_PART_BYTES)
-        ]
-        replace_synced(self._path / 'snapshot', [encode_message(head), *parts])
-        self._drop_until(effect.index)
-
     def _drop_until(self, index: int) -> None:
         """Rewrite the log without the records that a snapshot covers."""
         keep = index + 1 - self._first_index
--- a/tests/harness/disk.py
+++ b/tests/harness/disk.py
@@ -9,6 +9,7 @@
     SaveSnapshot,
     SaveVote,
     TruncateFrom,
+    WriteSnapshotPart,
 )
 from pistachiopath.replication.persisted import Persisted
 
@@ -44,6 +45,8 @@
             return attrs.evolve(state, entries=kept)
         case SaveVote():
             return attrs.evolve(state, term=effect.term, voted_for=effect.voted_for)
+        case WriteSnapshotPart():
+            return state
         case SaveSnapshot():
             kept = tuple(e for e in state.entries if e.index > effect.index)
             return attrs.evolve(
--- a/tests/harness/nodes.py
+++ b/tests/harness/nodes.py
@@ -18,6 +18,8 @@
 
 TICK_S = 0.05
 SYNC_S = 0.0005
+# Snapshots take several ticks, so that commands and faults fall between.
+SNAPSHOT_STEP_CLAIMS = 3
 
 
 def placements_of(content: bytes):
@@ -116,6 +118,7 @@
             rng=random.Random(self.world.rng.getrandbits(64)),
             now=self.now,
             snapshot_entries=self._snapshot_entries,
+            snapshot_step=SNAPSHOT_STEP_CLAIMS,
             read_placements=placements_of,
         )
 
--- a/tests/test_storage/test_data_folder.py
+++ b/tests/test_storage/test_data_folder.py
@@ -15,6 +15,7 @@
     SaveSnapshot,
     SaveVote,
     TruncateFrom,
+    WriteSnapshotPart,
 )
 from pistachiopath.errors.storage import CorruptFile, StorageFailed
 from pistachiopath.messages.replication import Entry, Member
@@ -45,16 +46,42 @@
             index = first - 1 + number % (last - first + 2)
             first = index + 1
             yield SaveSnapshot(index=index, term=1, members=MEMBERS, data=b'state')
+        elif choice == 'parts':
+            index = first - 1 + number % (last - first + 2)
+            first = index + 1
+            yield from parts_of(index, b'state in parts', whole=number % 3 > 0)
         elif choice == 'install':
             first = last + 5
             last += 4
             yield SaveSnapshot(index=last, term=2, members=MEMBERS, data=b'far')
 
 
+def parts_of(index, data, *, whole=True):
+    """A snapshot in parts; without its last one the folder writes it whole."""
+    for offset in range(0, len(data), 5)[: None if whole else -1]:
+        yield WriteSnapshotPart(
+            index=index,
+            term=1,
+            members=MEMBERS,
+            offset=offset,
+            data=data[offset : offset + 5],
+        )
+    yield SaveSnapshot(index=index, term=1, members=MEMBERS, data=data)
+
+
 CHOICES = st.lists(
     st.tuples(
         st.sampled_from(
-            ['append', 'append', 'append', 'truncate', 'vote', 'snapshot', 'install']
+            [
+                'append',
+                'append',
+                'append',
+                'truncate',
+                'vote',
+                'snapshot',
+                'parts',
+                'install',
+            ]
         ),
         st.integers(0, 20),
     ),
@@ -125,3 +152,38 @@
     folder.close()
     after = DataFolder(path=tmp_path).load()
     assert attrs.evolve(after, entries=after.entries[:4]) == before
+
+
+def test_a_crash_amid_the_parts_leaves_the_snapshot_before(tmp_path):
+    folder = DataFolder(path=tmp_path)
+    folder.load()
+    folder.write(AppendEntries(entries=tuple(entry(n) for n in range(1, 10))))
+    folder.write(SaveSnapshot(index=3, term=1, members=MEMBERS, data=b'old'))
+    for effect in list(parts_of(7, b'new state in parts'))[:-1]:
+        folder.write(effect)
+    folder.sync()
+    folder.close()
+    again = DataFolder(path=tmp_path)
+    persisted = again.load()
+    assert (persisted.snapshot_index, persisted.snapshot) == (3, b'old')
+    assert [e.index for e in persisted.entries] == list(range(4, 10))
+    for effect in parts_of(8, b'newer'):
+        again.write(effect)
+    again.close()
+    persisted = DataFolder(path=tmp_path).load()
+    assert (persisted.snapshot_index, persisted.snapshot) == (8, b'newer')
+    assert [e.index for e in persisted.entries] == [9]
+
+
+def test_parts_of_another_snapshot_are_not_mixed_in(tmp_path):
+    folder = DataFolder(path=tmp_path)
+    folder.load()
+    folder.write(AppendEntries(entries=tuple(entry(n) for n in range(1, 10))))
+    first, *_ = parts_of(5, b'AAAAAAAAAA')
+    _, second, _ = parts_of(6, b'BBBBBBBBBB')
+    folder.write(first)
+    folder.write(second)
+    folder.write(SaveSnapshot(index=6, term=1, members=MEMBERS, data=b'BBBBBBBBBB'))
+    folder.close()
+    persisted = DataFolder(path=tmp_path).load()
+    assert (persisted.snapshot_index, persisted.snapshot) == (6, b'BBBBBBBBBB')
--- a/tools/capacity_slopes.py
+++ b/tools/capacity_slopes.py
@@ -5,8 +5,10 @@
 import gc
 import os
 import random
+import tempfile
 import time
 import tracemalloc
+from pathlib import Path
 
 from pistachiopath.claims.table import ClaimTable
 from pistachiopath.configuration.configuration import (
@@ -15,9 +17,11 @@
     Tier,
     WorkClass,
 )
-from pistachiopath.control.core import ControlCore
+from pistachiopath.control.core import SNAPSHOT_STEP_CLAIMS, ControlCore
 from pistachiopath.control.replicated_state import ReplicatedState
 from pistachiopath.control.snapshot import pack_state, unpack_state
+from pistachiopath.control.snapshot_writer import SnapshotWriter
+from pistachiopath.effects import SaveSnapshot, WriteSnapshotPart
 from pistachiopath.messages.claims import Bind
 from pistachiopath.messages.envelope import Envelope
 from pistachiopath.messages.membership import (
@@ -30,6 +34,7 @@
 from pistachiopath.replication.persisted import Persisted
 from pistachiopath.routing.prefix_index import PrefixIndex
 from pistachiopath.routing.targets import TargetTable
+from pistachiopath.storage.snapshot_file import SnapshotFile
 from pistachiopath.transport.codec import decode, encode
 from tools.measure_decisions import report
 
@@ -133,6 +138,33 @@
     return cpu(lambda: unpack_state(pack_state(state)))
 
 
+def snapshot_pause(number):
+    """Return the longest step of writing a snapshot of claims, in seconds.
+
+    Disk writes and syncs are part of a step, as in a control replica.
+    """
+    state = state_of(number)
+    with tempfile.TemporaryDirectory() as name:
+        file = SnapshotFile(path=Path(name) / 'snapshot')
+        return min(longest_step(state, file) for _ in range(REPEATS))
+
+
+def longest_step(state, file):
+    began = time.perf_counter()
+    writer = SnapshotWriter(state=state, index=1)
+    pauses = []
+    while True:
+        offset, data = writer.step(SNAPSHOT_STEP_CLAIMS)
+        part = WriteSnapshotPart(index=1, term=1, members=(), offset=offset, data=data)
+        file.write_part(part)
+        if writer.is_done:
+            break
+        pauses.append(time.perf_counter() - began)
+        began = time.perf_counter()
+    file.save(SaveSnapshot(index=1, term=1, members=(), data=writer.data()))
+    return max(*pauses, time.perf_counter() - began)
+
+
 def configuration_cpu(number):
     """Return the seconds to read a configuration."""
     content = configuration(number).to_bytes()
@@ -215,6 +247,7 @@
         'claim memory, bytes': {n: traced(lambda n=n: claim_table(n)) for n in SIZES},
         'snapshot of claims, bytes': {n: len(pack_state(state_of(n))) for n in SIZES},
         'snapshot of claims, processor s': {n: snapshot_cpu(n) for n in SIZES},
+        'longest pause of a snapshot, s': {n: snapshot_pause(n) for n in SIZES},
         'target in an entry, bytes': {
             n: traced(lambda n=n: target_table(n)) for n in SIZES
         },
