--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -7,7 +7,6 @@
 
 from ..configuration.configuration import placements_of
 from ..effects import Apply, RestoreState, Send
-from ..fencing.reconciler import Reconciler
 from ..messages.claims import Done
 from ..messages.configuration import ConfigurationReply, ConfigurationRequest
 from ..messages.fencing import IssueFence
@@ -36,11 +35,13 @@
 from ..replication.group import Group
 from ..replication.timing import Timing
 from ..transport.codec import decode_message, encode_message
+from .order_giver import OrderGiver
 from .refusal_ages import RefusalAges
 from .registry import LEASE_S, RETIRE_S, Registry
 from .replicated_state import COMMANDS, ReplicatedState
 from .snapshot import unpack_state
 from .snapshot_writer import SnapshotWriter
+from .status import replica_document, target_document
 
 if TYPE_CHECKING:
     import random
@@ -59,7 +60,6 @@
 SNAPSHOT_STEP_CLAIMS = 300
 RETIRE_CHECK_S = 1.0
 SILENCE_SPREAD_S = 2.0
-RECONCILE_S = 1.0
 
 
 class ControlCore:
@@ -103,9 +103,7 @@
         self._retire_at = now
         self._retired_at = now - 2 * SILENCE_SPREAD_S
         self._read_placements = read_placements
-        self._reconciler: Reconciler | None = None
-        self._fence_index = 0
-        self._reconcile_at = now
+        self._orders = OrderGiver(now=now)
         self._now = now
         self._refusals = RefusalAges()
         self._handle(self._replica.restored())
@@ -168,33 +166,10 @@
 
     def describe(self, now: float) -> dict[str, object]:
         """Return what operators see, as plain data."""
-        return {
-            'address': self.address,
-            'role': str(self._replica.role),
-            'caught_up': self._replica.is_caught_up,
-            'term': self._replica.term,
-            'leader': self._replica.leader,
-            'commit': self._replica.commit,
+        return replica_document(self._replica) | {
             'revision': self.state.revision,
             'claims': len(self.state.claims),
-            'members': [
-                {'member': m.member, 'address': m.address, 'voter': m.voter}
-                for m in self._replica.members
-            ],
-            'targets': [
-                {
-                    'target': view.report.target,
-                    'incarnation': view.report.incarnation,
-                    'address': view.report.address,
-                    'zone': view.report.zone,
-                    'models': list(view.report.models),
-                    'services': list(view.report.services),
-                    'departing': view.report.departing,
-                    'queued': view.report.load.queued,
-                    'running': view.report.load.running,
-                }
-                for view in self.registry.live(now)
-            ],
+            'targets': [target_document(view) for view in self.registry.live(now)],
             'revisions': dict(self._revisions),
         }
 
@@ -260,23 +235,19 @@
     def _reconcile(self, now: float, time_ms: int) -> list[Effect]:
         """Give orders under a fencing number of this leadership."""
         if not self._replica.is_settled:
-            self._reconciler = None
-            self._fence_index = 0
+            self._orders.reset()
             return []
-        if not self._fence_index:
+        if self._orders.needs_fence:
             effects = self._on_command('', 0, IssueFence(), now, time_ms)
-            self._fence_index = self._replica.log.last_index
+            self._orders.took(self._replica.log.last_index)
             return effects
-        if self._applied < self._fence_index or now < self._reconcile_at:
+        if not self._orders.is_due(self._applied, now):
             return []
-        self._reconcile_at = now + RECONCILE_S
-        if self._reconciler is None:
-            self._reconciler = Reconciler(fence=self._fence_index)
         reports = [view.report for view in self.registry.live(now)]
         placements = self._read_placements(self.state.configuration)
         return [
             Send(to=self.registry.sender_of(o.target), call=0, body=o.order)
-            for o in self._reconciler.orders(placements, reports, now)
+            for o in self._orders.orders(placements, reports, now)
         ]
 
     def _handle(self, effects: list[Effect]) -> list[Effect]:
--- a/pistachiopath/engine/prefix_cache.py
+++ b/pistachiopath/engine/prefix_cache.py
@@ -48,6 +48,10 @@
         """Return the leading blocks that are held, without touching them."""
         return blocks[: self.count_held(blocks)]
 
+    def clear(self) -> None:
+        """Lose every block, as a restart of the engine does."""
+        self._blocks.clear()
+
     def store(self, blocks: tuple[int, ...]) -> None:
         """Hold blocks, evicting others."""
         for block in blocks:
--- a/pistachiopath/load/condition.py
+++ b/pistachiopath/load/condition.py
@@ -9,7 +9,8 @@
 class Condition:
     """What goes wrong during a run; times in seconds.
 
-    `killed`, `straggler` and `departed` name targets; none if empty.
+    `killed`, `straggler`, `departed` and `emptied` (its prefix cache is lost)
+    name targets; none if empty.
     """
 
     name: str
@@ -18,4 +19,5 @@
     straggler: str = ''
     killed: str = ''
     departed: str = ''
+    emptied: str = ''
     report_lag_s: float = 0.2
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -135,6 +135,8 @@
             self.clock.after(self._duration_s / 2, self._kill)
         if self._condition.departed:
             self.clock.after(self._duration_s / 2, self._depart)
+        if self._condition.emptied:
+            self.clock.after(self._duration_s / 2, self._empty)
         if self._condition.straggler:
             self.clock.after(self.slowed_at, self._slow_down)
         self._tick()
@@ -149,6 +151,9 @@
     def _depart(self) -> None:
         self.targets[self._condition.departed].depart()
 
+    def _empty(self) -> None:
+        self.targets[self._condition.emptied].engine.cache.clear()
+
     def _slow_down(self) -> None:
         engine = self.targets[self._condition.straggler].engine
         engine.profile = attrs.evolve(engine.profile, slowdown=STRAGGLER_SLOWDOWN)
