--- a/pistachiopath/claims/claim.py
+++ b/pistachiopath/claims/claim.py
@@ -18,12 +18,12 @@
     FINISHED = 'finished'
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, on_setattr=attrs.setters.NO_OP)
 class Claim:
     """A request and the binding that it has or had.
 
     Times are milliseconds of the replicated clock; `binding` counts the
-    bindings of the request from 1.
+    bindings of the request from 1.  The converter serves the codec alone.
     """
 
     key: bytes
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -36,6 +36,7 @@
 from ..replication.timing import Timing
 from ..transport.codec import decode_message, encode_message
 from .order_giver import OrderGiver
+from .proposal import Proposal
 from .refusal_ages import RefusalAges
 from .registry import LEASE_S, RETIRE_S, Registry
 from .replicated_state import COMMANDS, ReplicatedState
@@ -94,7 +95,7 @@
             timing=timing or Timing(),
         )
         self._replica = self.group.replica
-        self._waiting: dict[int, tuple[str, int]] = {}
+        self._waiting: dict[int, Proposal] = {}
         self._applied = self._replica.commit
         self._snapshot_entries = snapshot_entries
         self._snapshot_step = snapshot_step
@@ -182,7 +183,9 @@
         index, effects = self._replica.propose(
             EntryKind.COMMAND, now, time_ms, command=encode_message(cmd)
         )
-        self._waiting[index] = (sender, call)
+        self._waiting[index] = Proposal(
+            sender=sender, call=call, term=self._replica.term, cmd=cmd
+        )
         return effects
 
     def _on_heartbeat(
@@ -269,17 +272,25 @@
 
     def _apply(self, entry: Entry) -> list[Effect]:
         self._applied = entry.index
-        waiting = self._waiting.pop(entry.index, None)
+        own = self._take_proposal(entry)
         reply: Message = Done()
         if entry.kind == EntryKind.COMMAND:
-            cmd = decode_message(entry.command)
+            cmd = own.cmd if own else decode_message(entry.command)
             reply = self.state.apply(entry.index, entry.time_ms, cmd)
             reply = self._refusals.dated(reply, self._now)
-        if waiting is None or not waiting[0]:
-            return []
-        if entry.term != self._replica.term:
+        if own is None or not own.sender or own.term != self._replica.term:
             return []
-        return [Send(to=waiting[0], call=waiting[1], body=reply)]
+        return [Send(to=own.sender, call=own.call, body=reply)]
+
+    def _take_proposal(self, entry: Entry) -> Proposal | None:
+        """Return what this replica proposed as a record, if it is that one.
+
+        Another leader's record may have taken its place in the log.
+        """
+        proposal = self._waiting.pop(entry.index, None)
+        if proposal is None or proposal.term != entry.term:
+            return None
+        return proposal
 
     def _reject_waiting(self) -> list[Effect]:
         """Tell those who wait that another replica has to be asked.
@@ -287,9 +298,9 @@
         Their commands may still be committed: commands are idempotent.
         """
         reply = NotLeader(leader=self._replica.leader)
-        waiting = [w for w in self._waiting.values() if w[0]]
+        waiting = [p for p in self._waiting.values() if p.sender]
         self._waiting.clear()
-        return [Send(to=to, call=call, body=reply) for to, call in waiting]
+        return [Send(to=p.sender, call=p.call, body=reply) for p in waiting]
 
     def _compact(self) -> list[Effect]:
         """Begin a snapshot when many records are held, or go on with one."""
--- a/pistachiopath/transport/codec.py
+++ b/pistachiopath/transport/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 from pathlib import Path
 
@@ -24,15 +25,27 @@
 
 
 class _Field:
-    """One field of a message: its names and how its value is copied."""
+    """One field of a message: its names and how its value is copied.
 
-    __slots__ = ('name', 'wire', 'item', 'struct')
+    `read` turns what Cap'n Proto gives into the value; None if it is that.
+    """
+
+    __slots__ = ('name', 'wire', 'item', 'struct', 'read')
 
     def __init__(self, *, name: str, tp: type) -> None:
         self.name = name
         self.wire = camel(name)
         self.item = typing.get_args(tp)[0] if typing.get_origin(tp) else None
         self.struct = attrs.has(self.item or tp)
+        self.read = self._reader(tp)
+
+    def _reader(self, tp: type) -> typing.Callable | None:
+        if self.item is None:
+            return functools.partial(_read, tp) if self.struct else None
+        if self.struct:
+            item = self.item
+            return lambda parts: tuple(_read(item, part) for part in parts)
+        return tuple
 
 
 _fields: dict[type, list[_Field]] = {}
@@ -67,18 +80,11 @@
 
 
 def _read(cls: type, reader: typing.Any) -> Message:
-    return cls(**{f.name: _read_field(cls, f, reader) for f in _fields_of(cls)})
-
-
-def _read_field(cls: type, field: _Field, reader: typing.Any) -> typing.Any:
-    value = getattr(reader, field.wire)
-    if field.item is not None:
-        if field.struct:
-            return tuple(_read(field.item, part) for part in value)
-        return tuple(value)
-    if field.struct:
-        return _read(getattr(attrs.fields(cls), field.name).type, value)
-    return value
+    values = {}
+    for field in _fields_of(cls):
+        value = getattr(reader, field.wire)
+        values[field.name] = value if field.read is None else field.read(value)
+    return cls(**values)
 
 
 _BY_UNION_NAME: dict[str, type] = {union_name(cls): cls for cls in MESSAGE_TYPES}
--- a/tests/test_promises/mutations.py
+++ b/tests/test_promises/mutations.py
@@ -6,6 +6,7 @@
 from pistachiopath.claims.flow import RequestFlow
 from pistachiopath.claims.outcome_records import from_record
 from pistachiopath.claims.table import ClaimTable
+from pistachiopath.control.core import ControlCore
 from pistachiopath.fencing.order_gate import OrderGate
 from pistachiopath.gate.gate import Gate
 from pistachiopath.messages.claims import OutcomeRecord
@@ -183,6 +184,15 @@
     patch.setattr(Replica, '_check_quorum', lambda self, now: None)
 
 
+def no_proposal_term(patch):
+    """A replaced leader takes its own command for another's record."""
+    patch.setattr(
+        ControlCore,
+        '_take_proposal',
+        lambda self, entry: self._waiting.pop(entry.index, None),
+    )
+
+
 def no_pre_vote(patch):
     """A member that hears nobody begins a new term at once."""
     start = Replica._start_election
