A new configuration does not refill customers' limits

Change: what was used is taken over; rates and bursts that changed hold from the next request on; a customer that left takes its limit along.

--- a/pistachiopath/admission/rate_limit.py
+++ b/pistachiopath/admission/rate_limit.py
@@ -14,6 +14,11 @@
     level: float
     updated_at: float
 
+    def change(self, rate: float, burst: float) -> None:
+        """Allow another rate and burst from now on."""
+        self.rate = rate
+        self.burst = burst
+
     def take(self, now: float) -> float:
         """Take one request; return 0 or the seconds until one is allowed."""
         gained = (now - self.updated_at) * self.rate
--- a/pistachiopath/admission/rules.py
+++ b/pistachiopath/admission/rules.py
@@ -16,17 +16,22 @@
     """Looks up customers and work classes and applies customers' limits.
 
     All failures are raised as `BadRequest`; a request that raised one has
-    not run.
+    not run.  What customers have used of their limits is taken over from the
+    rules `before`, so that a new configuration does not refill them.
     """
 
-    def __init__(self, *, configuration: Configuration) -> None:
+    def __init__(
+        self, *, configuration: Configuration, before: Rules | None = None
+    ) -> None:
         self.configuration = configuration
         self._customers = {c.key_sha256: c for c in configuration.customers}
         self._models = {w.name: w for w in configuration.work if w.model}
         self._services = {
             (w.service, w.path): w for w in configuration.work if w.service
         }
-        self._buckets: dict[str, TokenBucket] = {}
+        used = before._buckets if before else {}
+        names = {c.name for c in configuration.customers}
+        self._buckets = {name: b for name, b in used.items() if name in names}
 
     def customer(self, key: str) -> Customer:
         """Return the customer of a bearer key."""
@@ -77,6 +82,7 @@
                 updated_at=now,
             )
             self._buckets[customer.name] = bucket
+        bucket.change(customer.requests_per_s, customer.burst)
         wait_s = bucket.take(now)
         if wait_s > 0:
             raise BadRequest(
--- a/pistachiopath/entry/shell.py
+++ b/pistachiopath/entry/shell.py
@@ -197,7 +197,7 @@
 
     def _put_in_force(self, effect: InForce) -> None:
         configuration = Configuration.from_bytes(effect.content)
-        self.rules = Rules(configuration=configuration)
+        self.rules = Rules(configuration=configuration, before=self.rules)
         logger.info('configuration_in_force', extra={'revision': effect.revision})
 
 
