--- a/tools/plots.py
+++ b/tools/plots.py
@@ -37,10 +37,10 @@
     middle = BAR_WIDTH * (len(POLICIES) - 1) / 2
     axes.set_xticks([p + middle for p in range(len(conditions))], conditions)
     axes.set_ylabel(label, fontsize=8)
-    axes.set_title(workload, fontsize=9)
+    axes.set_title(workload, fontsize=9, loc='left')
     if limits:
         axes.set_ylim(*limits)
-    axes.legend(fontsize=7, ncols=len(POLICIES), loc='upper center')
+    fig.legend(fontsize=7, ncols=len(POLICIES), loc='outside upper right')
     name = f'{workload}-{figure.replace(" ", "-")}.svg'
     fig.savefig(PLOTS / name, metadata=METADATA)
     plt.close(fig)
