--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -160,7 +160,8 @@
         self._events.forget(run.key)
 
     def _on_data(self, run: Run, status: int, content_type: str, data: bytes) -> None:
-        self._events.seen(run.key, data)
+        if run.state is RunState.RUNNING:
+            self._events.seen(run.key, data)
         effects = self.core.gate.engine_data(
             run, status, content_type, data, time.monotonic()
         )
