--- a/tests/test_load/test_experiment.py
+++ b/tests/test_load/test_experiment.py
@@ -53,6 +53,7 @@
 def test_a_killed_target_takes_no_more_than_it_was_given():
     _, jobs = play(killed='t4')
     lost = [job for job in jobs if job.outcome != 'completed']
+    assert lost
     assert all(job.target == 't4' for job in lost)
 
 
--- a/tests/test_promises/mutations.py
+++ b/tests/test_promises/mutations.py
@@ -7,6 +7,7 @@
 from pistachiopath.claims.outcome_records import from_record
 from pistachiopath.claims.table import ClaimTable
 from pistachiopath.control.core import ControlCore
+from pistachiopath.entry.core import EntryCore
 from pistachiopath.fencing.order_gate import OrderGate
 from pistachiopath.gate.gate import Gate
 from pistachiopath.messages.claims import OutcomeRecord
@@ -193,6 +194,16 @@
     )
 
 
+def no_configuration_request(patch):
+    """An entry follows the targets and never asks for a newer revision."""
+
+    def deaf(self, sender, view, now):
+        self.targets.take(view, now)
+        return []
+
+    patch.setattr(EntryCore, '_on_view', deaf)
+
+
 def no_pre_vote(patch):
     """A member that hears nobody begins a new term at once."""
     start = Replica._start_election
--- a/tests/test_promises/test_mutations.py
+++ b/tests/test_promises/test_mutations.py
@@ -100,3 +100,9 @@
     mutations.no_pre_vote(monkeypatch)
     before, after = terms_around_a_cut()
     assert after > before
+
+
+def test_an_entry_that_misses_an_acceptance_is_found(monkeypatch):
+    mutations.no_configuration_request(monkeypatch)
+    with pytest.raises(AssertionError, match='after 4 s'):
+        run(text_of('racing-operators', 1), 1)
