Requests survive silence, departures and a dead leader; one presumed leader

Now an agent that has drained says so, and what is still bound then is released: it committed every outcome of what it started before it asked. Entries that hear nothing of a target for 1.5 s ask for the state of the claim (Inquire) instead of waiting 6 s for "target_silent". An agent also reports its crashes before it leaves.

A run that waited more than 6 s in an agent's queue, or whose prefill took that long, ended as unknown (target_silent): an attached entry got no answer from an agent that had nothing to show yet. Random schedules allow unknown, so they never saw it.

A target is no longer excluded because its lease lapsed or a bind was late.

Run: tests of promises, failures with real processes, replication and library.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -144,6 +144,10 @@
         self._crash_reports.append(report)
         return self._report_crashes(now)
 
+    def link_lost(self, address: str, now: float) -> None:
+        """Ask another control replica where a link broke."""
+        self.leader.link_lost(address, now)
+
     def tick(self, now: float) -> list:
         """Let time pass."""
         effects = self.leader.tick(now)
@@ -250,11 +254,14 @@
         return self.leader.ask(self._crash_call, self._crash_reports[0], now)
 
     def _retire(self, now: float) -> list:
-        if self._finished or self._finish_call:
+        if self._finished or self._finish_call or self._crash_reports:
             return []
         self._retire_call = self._next_call()
         retire = Retire(
-            target=self.target, incarnation=self.gate.incarnation, crashed=False
+            target=self.target,
+            incarnation=self.gate.incarnation,
+            crashed=False,
+            drained=True,
         )
         return self.leader.ask(self._retire_call, retire, now)
 
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -71,7 +71,7 @@
                 secrets={ROLE_NODE: cfg.secret.encode()},
             ),
             on_message=self._on_message,
-            on_lost=lambda peer: None,
+            on_lost=lambda peer: self.core.link_lost(peer, time.monotonic()),
         )
         self._engine = EngineClient(
             address=cfg.engine,
--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -16,18 +16,10 @@
     Rejected,
     Unknown,
 )
-from ..messages.claims import Bind, OutcomeRecord, Refuse, Release
-from ..messages.dispatch import (
-    Accepted,
-    Attach,
-    Cancel,
-    Chunk,
-    Dispatch,
-    End,
-    NotHeld,
-    NotStarted,
-)
+from ..messages.claims import Bind, Inquire, OutcomeRecord, Refuse
+from ..messages.dispatch import Accepted, Chunk, End, NotHeld, NotStarted
 from ..routing.chooser import Choice
+from .binding import Binding
 from .effects import Ask, Conclude, Deliver
 from .outcome_records import from_record
 from .status import ClaimStatus
@@ -40,15 +32,18 @@
 
 RESEND_S = 0.5
 SILENT_S = 6.0
+INQUIRE_S = 1.5
+NOT_HELD_S = 2.0
 GRACE_S = 2.0
 STALE_BIND_S = 2.0
 LATE_S = 60.0
 MAX_BINDINGS = 8
-DISPATCH_TRANSIT_MS = 1000
-RECENT_BINDING_MS = 30 * 60 * 1000
 CLOCK_RATE_MARGIN = 0.99
 SUSPECT_RETRY_MS = 1000
 
+# Why a target gave a request back that it may well take the next time.
+PASSING_REASONS = frozenset({'lease', 'never_received', 'incarnation', 'stale_bind'})
+
 
 class FlowState(enum.StrEnum):
     """What a flow waits for."""
@@ -71,17 +66,11 @@
     def __init__(self, *, submission: Submission, chooser: Chooser) -> None:
         self.submission = submission
         self.state = FlowState.BINDING
-        self.address = ''
-        self.target = ''
-        self.bindings = 0
+        self._target = ''
+        self._bindings = 0
         self._chooser = chooser
         self._excluded: set[str] = set()
-        self._binding = 0
-        self._incarnation = 0
-        self._bound_at = 0.0
-        self._bound_age_ms = 0
-        self._own = False
-        self._acknowledged = False
+        self._binding: Binding | None = None
         self._received = 0
         self._sent_at = 0.0
         self._heard_at = 0.0
@@ -89,6 +78,9 @@
         self._refusal = Refused(reason='', retry_after_ms=0)
         self._asked = False
         self._asked_at = 0.0
+        self._inquiring = False
+        self._inquired_at = 0.0
+        self._not_held_at: float | None = None
 
     @property
     def key(self) -> bytes:
@@ -135,6 +127,8 @@
 
     def on_claim(self, reply: ClaimReply, now: float) -> list:
         """Take in the leader's answer."""
+        if self.state is FlowState.STREAMING:
+            return self._on_inquiry(reply, now)
         match reply.status:
             case ClaimStatus.BOUND | ClaimStatus.HELD:
                 return self._on_bound(reply, now)
@@ -158,12 +152,16 @@
 
     def on_agent(self, msg: Message, now: float) -> list:
         """Take in a message of the agent about the live binding."""
-        if self.state is not FlowState.STREAMING or msg.binding != self._binding:
+        if self.state is not FlowState.STREAMING:
+            return []
+        if msg.binding != self._binding.number:
             return []
         self._heard_at = now
+        if not isinstance(msg, NotHeld):
+            self._not_held_at = None
         match msg:
             case Accepted():
-                self._acknowledged = True
+                self._binding.acknowledged = True
                 return []
             case Chunk():
                 return self._on_chunk(msg, now)
@@ -190,7 +188,7 @@
 
     def link_lost(self, address: str, now: float) -> list:
         """Ask again over a new link when the one to the agent broke."""
-        if self.state is not FlowState.STREAMING or address != self.address:
+        if self.state is not FlowState.STREAMING or address != self._binding.address:
             return []
         return self._resend(now)
 
@@ -202,8 +200,7 @@
         if not streaming or self.submission.named:
             # Who named the request may come back for its answer.
             return []
-        cancel = Cancel(key=self.key, binding=self._binding)
-        return [Send(to=self.address, call=0, body=cancel)]
+        return [self._send(self._binding.cancel())]
 
     # Claim
 
@@ -213,7 +210,7 @@
             reason, retry_after_ms = choice.reason, choice.retry_after_ms
             return self.refuse(OutcomeKind.REFUSED, reason, retry_after_ms, now)
         self.state = FlowState.BINDING
-        self.target = choice.target
+        self._target = choice.target
         self._asked_at = now
         sub = self.submission
         return self._ask(
@@ -231,29 +228,26 @@
         )
 
     def _on_bound(self, reply: ClaimReply, now: float) -> list:
-        self._own = reply.status == ClaimStatus.BOUND
-        self._attend(reply, now)
-        if self._own and now - self._asked_at > STALE_BIND_S:
+        own = reply.status == ClaimStatus.BOUND
+        self._attend(reply, now, own=own)
+        if own and now - self._asked_at > STALE_BIND_S:
             # The content may have been quarantined since; this submission
             # alone dispatches the binding, and it has not.
+            self._refusal = Refused(reason='stale_bind', retry_after_ms=0)
             return self._release()
-        if self._own and self.state is FlowState.BINDING:
+        if own and self.state is FlowState.BINDING:
             self.state = FlowState.STREAMING
             return [self._dispatch(now)]
         self._chooser.ended(self.submission)
         self.state = FlowState.STREAMING
         return [self._attach(now)]
 
-    def _attend(self, reply: ClaimReply, now: float) -> None:
-        self._binding = reply.binding
-        self._incarnation = reply.incarnation
-        self._bound_age_ms = reply.bound_age_ms
-        self._bound_at = now
-        self.target = reply.target
-        self.address = reply.address
-        self._acknowledged = False
+    def _attend(self, reply: ClaimReply, now: float, *, own: bool) -> None:
+        self._binding = Binding.from_reply(self.key, reply, now, own=own)
+        self._target = reply.target
         self._heard_at = now
-        self.bindings += 1
+        self._not_held_at = None
+        self._bindings += 1
 
     def _on_finished(self, reply: ClaimReply, now: float) -> list:
         outcome = from_record(reply.outcome)
@@ -266,7 +260,7 @@
                 data=outcome.answer[self._received :],
             )
             return [deliver, *self._conclude(outcome)]
-        self._attend(reply, now)
+        self._attend(reply, now, own=False)
         self.state = FlowState.STREAMING
         return [self._attach(now)]
 
@@ -295,6 +289,8 @@
         if self._refusal.reason == 'shed':
             retry_after_ms = self._chooser.retry_after_ms()
             return self.refuse(OutcomeKind.REFUSED, 'shed', retry_after_ms, now)
+        if self._refusal.reason in PASSING_REASONS:
+            return self._bind_again(now)
         return self._choose_again(now)
 
     def _expire(self, now: float) -> list:
@@ -302,8 +298,11 @@
         return self.refuse(OutcomeKind.EXPIRED, 'deadline', retry_after_ms, now)
 
     def _choose_again(self, now: float) -> list:
-        self._excluded.add(self.target)
-        if self.bindings + len(self._excluded) > 2 * MAX_BINDINGS:
+        self._excluded.add(self._target)
+        return self._bind_again(now)
+
+    def _bind_again(self, now: float) -> list:
+        if self._bindings + len(self._excluded) > 2 * MAX_BINDINGS:
             reason = 'no_target'
             return self.refuse(OutcomeKind.REFUSED, reason, SUSPECT_RETRY_MS, now)
         return self._bind(now, after_refusal=0)
@@ -311,7 +310,7 @@
     # Answer
 
     def _on_chunk(self, msg: Chunk, now: float) -> list:
-        self._acknowledged = True
+        self._binding.acknowledged = True
         if msg.offset > self._received:
             return self._resend(now)
         data = msg.data[self._received - msg.offset :]
@@ -334,54 +333,70 @@
 
     def _release(self) -> list:
         self.state = FlowState.RELEASING
-        return self._ask(Release(key=self.key, binding=self._binding))
+        return self._ask(self._binding.release())
 
     def _on_not_held(self, now: float) -> list:
-        if self._age_ms(now) < DISPATCH_TRANSIT_MS:
-            # The dispatch of another entry may still be on its way.
+        if self._binding.may_be_on_its_way(now):
             return []
-        return self._conclude(Unknown(reason='not_held'))
+        if self._not_held_at is None:
+            self._not_held_at = now
+        return self._inquire(now)
 
     def _tick_streaming(self, now: float) -> list:
-        if now - self._heard_at >= SILENT_S:
+        silent_s = now - self._heard_at
+        if silent_s >= SILENT_S:
             return self._conclude(Unknown(reason='target_silent'))
+        if self._not_held_at is not None and now - self._not_held_at >= NOT_HELD_S:
+            return self._conclude(Unknown(reason='not_held'))
         if now >= self.submission.deadline + LATE_S:
             return self._conclude(Unknown(reason='deadline'))
+        effects = []
+        if silent_s >= INQUIRE_S and now - self._inquired_at >= INQUIRE_S:
+            effects += self._inquire(now)
         if now - max(self._sent_at, self._heard_at) >= RESEND_S:
-            return self._resend(now)
+            effects += self._resend(now)
+        return effects
+
+    # Inquiry about the claim while its target is silent
+
+    def _inquire(self, now: float) -> list:
+        if self._inquiring:
+            return []
+        self._inquiring = True
+        self._inquired_at = now
+        return self._ask(Inquire(key=self.key))
+
+    def _on_inquiry(self, reply: ClaimReply, now: float) -> list:
+        """Take in what became of the claim: its target may have left."""
+        self._inquiring = False
+        match reply.status:
+            case ClaimStatus.HELD if reply.binding != self._binding.number:
+                return self._on_bound(reply, now)
+            case ClaimStatus.FINISHED if reply.outcome.kind != OutcomeKind.COMPLETED:
+                return self._on_finished(reply, now)
+            case ClaimStatus.RELEASED if not self._received:
+                return self._on_released(now)
+            case ClaimStatus.REFUSED if not self._received:
+                return self._on_refused(reply, now)
+        if self._not_held_at is not None:
+            return self._conclude(Unknown(reason='not_held'))
         return []
 
     def _resend(self, now: float) -> list:
-        if self._own and not self._acknowledged:
+        if self._binding.own and not self._binding.acknowledged:
             return [self._dispatch(now)]
         return [self._attach(now)]
 
     def _dispatch(self, now: float) -> Send:
         self._sent_at = now
-        left_s = max(0.0, self.submission.deadline - now)
-        msg = Dispatch(
-            key=self.key,
-            binding=self._binding,
-            incarnation=self._incarnation,
-            deadline_ms=int(left_s * 1000),
-            work=self.submission.work,
-        )
-        return Send(to=self.address, call=0, body=msg)
+        return self._send(self._binding.dispatch(self.submission, now))
 
     def _attach(self, now: float) -> Send:
         self._sent_at = now
-        age_ms = self._age_ms(now)
-        msg = Attach(
-            key=self.key,
-            binding=self._binding,
-            incarnation=self._incarnation,
-            offset=self._received,
-            recent=DISPATCH_TRANSIT_MS <= age_ms < RECENT_BINDING_MS,
-        )
-        return Send(to=self.address, call=0, body=msg)
+        return self._send(self._binding.attach(self._received, now))
 
-    def _age_ms(self, now: float) -> float:
-        return self._bound_age_ms + (now - self._bound_at) * 1000
+    def _send(self, body: Message) -> Send:
+        return Send(to=self._binding.address, call=0, body=body)
 
     def _ask(self, body: Message) -> list:
         self._asked = True
--- a/pistachiopath/claims/table.py
+++ b/pistachiopath/claims/table.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from ..messages.claims import Bind, FinishItem, Refuse, Release
+    from ..messages.claims import Bind, FinishItem, Inquire, Refuse, Release
     from ..quarantine.suspects import Suspects
 
 ONCE_RETENTION_MS = 6 * 3600 * 1000
@@ -96,6 +96,13 @@
             self._touch(claim, now_ms)
         return self._current(claim, now_ms)
 
+    def inquire(self, cmd: Inquire, now_ms: int) -> ClaimReply:
+        """Return the state of a claim."""
+        claim = self._claims.get(cmd.key)
+        if claim is None:
+            return ClaimReply(status=ClaimStatus.TOO_OLD)
+        return self._current(claim, now_ms)
+
     def refuse(self, cmd: Refuse, index: int, now_ms: int) -> ClaimReply:
         """Commit that the request was not run, unless it is bound."""
         self._changing(cmd.key)
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -17,6 +17,7 @@
     Done,
     Finish,
     FinishItem,
+    Inquire,
     OutcomeRecord,
     Refuse,
     Release,
@@ -33,7 +34,7 @@
     from ..messages.base import Message
 
 COMMANDS = (Bind, Release, Refuse, Finish, Accept, IssueFence, Register, Retire)
-COMMANDS += (CrashReport,)
+COMMANDS += (CrashReport, Inquire)
 RETIRED_RETENTION_MS = 24 * 3600 * 1000
 
 
@@ -66,6 +67,8 @@
                 return self.claims.release(cmd, now_ms)
             case Refuse():
                 return self.claims.refuse(cmd, index, now_ms)
+            case Inquire():
+                return self.claims.inquire(cmd, now_ms)
             case Finish():
                 return self._finish(cmd)
             case Accept():
@@ -179,12 +182,21 @@
         known = self.targets.get(cmd.target)
         current = known is not None and known.incarnation == cmd.incarnation
         if current and not known.retired:
-            self._end_incarnation(cmd.target, crashed=cmd.crashed)
+            if cmd.drained:
+                self._release_bound(cmd.target)
+            else:
+                self._end_incarnation(cmd.target, crashed=cmd.crashed)
             self.targets[cmd.target] = attrs.evolve(
                 known, retired=True, updated_ms=self.clock_ms
             )
         return Done()
 
+    def _release_bound(self, target: str) -> None:
+        """Take back what was bound to a drained target and never started."""
+        for claim in self.claims.bound_to(target):
+            release = Release(key=claim.key, binding=claim.binding)
+            self.claims.release(release, self.clock_ms)
+
     def _end_incarnation(self, target: str, *, crashed: bool) -> None:
         """Conclude what was bound to an incarnation that is over."""
         running = self.claims.bound_to(target)
--- a/pistachiopath/entry/core.py
+++ b/pistachiopath/entry/core.py
@@ -113,6 +113,7 @@
 
     def link_lost(self, address: str, now: float) -> list:
         """Ask again where a link broke."""
+        self.leader.link_lost(address, now)
         effects = []
         for number, flow in list(self._flows.items()):
             effects += self._carry_out(number, flow.link_lost(address, now), now)
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -138,8 +138,7 @@
         tokens = work.prompt_tokens + work.output_tokens
         run.fair_tag = self._fair.tag(work.tier, work.customer, tokens)
         self._queue.push(run)
-        accepted = Accepted(key=run.key, binding=run.binding)
-        effects = [Send(to=sender, call=0, body=accepted)]
+        effects = [_accepted(sender, run)]
         return effects + self._shed(now) + self._start_due(now)
 
     def attach(self, sender: str, msg: Attach, now: float) -> list:
@@ -153,7 +152,8 @@
         if run.state is RunState.TOMBSTONE:
             return [Send(to=sender, call=0, body=not_started(run))]
         run.subscribers[sender] = msg.offset
-        return self._publish_to(sender, run)
+        # A run that has nothing to show yet is alive all the same.
+        return self._publish_to(sender, run) or [_accepted(sender, run)]
 
     def cancel(self, sender: str, msg: Cancel, now: float) -> list:
         """Unsubscribe an entry; stop a repeatable run nobody waits for."""
@@ -301,9 +301,7 @@
             stale = attrs.evolve(not_started(run), binding=binding)
             return [Send(to=sender, call=0, body=stale)]
         run.subscribers.setdefault(sender, 0)
-        accepted = Accepted(key=run.key, binding=run.binding)
-        effects = [Send(to=sender, call=0, body=accepted)]
-        return effects + self._publish_to(sender, run)
+        return [_accepted(sender, run), *self._publish_to(sender, run)]
 
     def _publish(self, run: Run) -> list:
         effects = []
@@ -333,6 +331,11 @@
         return [RecordOutcome(item=item), *self._publish(run)]
 
 
+def _accepted(sender: str, run: Run) -> Send:
+    body = Accepted(key=run.key, binding=run.binding)
+    return Send(to=sender, call=0, body=body)
+
+
 def _prompt_tokens(runs: list[Run]) -> int:
     return sum(run.work.prompt_tokens for run in runs if not run.answer)
 
--- a/pistachiopath/messages/claims.py
+++ b/pistachiopath/messages/claims.py
@@ -61,6 +61,13 @@
     retry_after_ms: int
 
 
+@message
+class Inquire(Message):
+    """Asks for the state of a claim and changes nothing."""
+
+    key: bytes
+
+
 @message
 class ClaimReply(Message):
     """State of a claim after a command; `status` is a `ClaimStatus` value.
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -51,11 +51,16 @@
 
 @message
 class Retire(Message):
-    """Ends an incarnation whose lease ran out or that left as planned."""
+    """Ends an incarnation whose lease ran out or that left as planned.
+
+    `drained` is the word of its own agent that everything it ever started
+    has its outcome committed: what is still bound never ran and never will.
+    """
 
     target: str
     incarnation: int
     crashed: bool
+    drained: bool = False
 
 
 @message
--- a/pistachiopath/messages/registry.py
+++ b/pistachiopath/messages/registry.py
@@ -73,4 +73,5 @@
     fencing.LoadedModel,
     fencing.Order,
     fencing.OrderReply,
+    claims.Inquire,
 )
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -317,6 +317,7 @@
   target @0 :Text;
   incarnation @1 :Int64;
   crashed @2 :Bool;
+  drained @3 :Bool;
 }
 
 struct IssueFence {
@@ -364,6 +365,10 @@
   fence @1 :Int64;
 }
 
+struct Inquire {
+  key @0 :Data;
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -475,5 +480,6 @@
     loadedModel @53 :LoadedModel;
     order @54 :Order;
     orderReply @55 :OrderReply;
+    inquire @56 :Inquire;
   }
 }
--- a/tests/harness/script.py
+++ b/tests/harness/script.py
@@ -3,6 +3,7 @@
 One step a line; `#` begins a comment.
 
     world controls=3 entries=2 targets=2 window=2
+    world early_refusals=0                    entries refuse nothing at random
     at 2.0 submit r1 via e0 tier=0 once deadline=20 content=text
     at 2.1 accept o0 expected=0 content=text
     at 2.5 kill t0 | start t0 | freeze t0 | thaw t0 | depart t0
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -94,9 +94,11 @@
         targets: int = 2,
         window: int = 2,
         snapshot_entries: int = 30,
+        early_refusals: int = 1,
         chooser=ScenarioChooser,
     ):
         self.chooser = chooser
+        self.early_refusals = bool(early_refusals)
         self.rng = random.Random(seed)
         self.net = VirtualNetwork(seed=seed + 1)
         self.checkers = Checkers(world=self)
@@ -170,6 +172,8 @@
     def link_lost(self, name: str):
         for entry in self.entries.values():
             entry.do(lambda entry=entry: entry.peer_lost(name))
+        for agent in self.agents.values():
+            agent.do(lambda agent=agent: agent.core.link_lost(name, agent.now))
 
     # Callers
 
