"Not run" is said only of requests that an entry has looked at

Cause: found by reading every place that writes `ran`. An entry that turned a submission away before it became a flow (customer limit, its own stop, no configuration) said "ran: no" also for a request that was named and might be running through another entry; so did id_too_old, though a forgotten id may have run long ago. A caller that believes it sends a notice again under a new id, and it runs twice.

Change: `ran` belongs to each outcome type. A rejected named submission says "unknown", unless what is wrong with it can never have been right at any entry (bad JSON, bad or undated id); unnamed ones and id_reused go on saying "no". Ruled out: asking the control replicas before a rejection, which would make a customer over its limit cost as much as one below it.

Test: test_a_named_request_that_is_turned_away_may_have_run_before failed first ("no" instead of "unknown").

--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -7,6 +7,7 @@
 
 from ..effects import Send
 from ..errors.outcomes import (
+    ID_TOO_OLD,
     Completed,
     Failed,
     Outcome,
@@ -148,7 +149,7 @@
             case ClaimStatus.CONFLICT:
                 return self._conclude(Rejected(reason='id_reused'))
             case ClaimStatus.TOO_OLD:
-                return self._conclude(Rejected(reason='id_too_old'))
+                return self._conclude(Rejected(reason=ID_TOO_OLD))
         return self._conclude(Unknown(reason='unexpected_reply'))
 
     def on_agent(self, msg: Message, now: float) -> list:
--- a/pistachiopath/entry/http.py
+++ b/pistachiopath/entry/http.py
@@ -248,7 +248,7 @@
         'type': 'rejected',
         'code': exc.code,
         'message': exc.detail,
-        'ran': 'no',
+        'ran': exc.ran(named=bool(_headers().request_id)),
     }
     response = _json({'error': error}, exc.http_status)
     if exc.retry_after_ms:
@@ -257,12 +257,11 @@
 
 
 def _error_document(outcome: Outcome, request_id: str) -> dict:
-    ran = {'failed': 'yes', 'unknown': 'unknown'}.get(outcome.kind, 'no')
     error = {
         'type': str(outcome.kind),
         'code': outcome.reason,
         'message': f'{outcome.kind}: {outcome.reason}',
-        'ran': ran,
+        'ran': outcome.ran,
         'request_id': request_id,
     }
     if isinstance(outcome, (Refused, Expired)):
--- a/pistachiopath/errors/outcomes.py
+++ b/pistachiopath/errors/outcomes.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+ID_TOO_OLD = 'id_too_old'
+
 
 class OutcomeKind(enum.StrEnum):
     """Tag of a final outcome, on the wire and in error bodies."""
@@ -19,6 +21,14 @@
     REJECTED = 'rejected'
 
 
+class Ran(enum.StrEnum):
+    """What an answer says about whether the request ran, under its id."""
+
+    YES = 'yes'
+    NO = 'no'
+    UNKNOWN = 'unknown'
+
+
 # Outcomes that say that the request did not run.
 NOT_RUN = frozenset({OutcomeKind.REFUSED, OutcomeKind.EXPIRED, OutcomeKind.QUARANTINED})
 
@@ -33,6 +43,7 @@
     answer: bytes = b''
     kind = OutcomeKind.COMPLETED
     http_status = 200
+    ran = Ran.YES
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -43,6 +54,7 @@
     retry_after_ms: int
     kind = OutcomeKind.REFUSED
     http_status = 429
+    ran = Ran.NO
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,6 +65,7 @@
     retry_after_ms: int
     kind = OutcomeKind.EXPIRED
     http_status = 504
+    ran = Ran.NO
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,6 +75,7 @@
     reason: str
     kind = OutcomeKind.QUARANTINED
     http_status = 422
+    ran = Ran.NO
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,6 +85,7 @@
     reason: str
     kind = OutcomeKind.FAILED
     http_status = 502
+    ran = Ran.YES
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -80,16 +95,25 @@
     reason: str
     kind = OutcomeKind.UNKNOWN
     http_status = 500
+    ran = Ran.UNKNOWN
 
 
 @dataclass(frozen=True, kw_only=True)
 class Rejected:
-    """Not run by this submission, because the request itself is wrong."""
+    """Not run by this submission, because the request itself is wrong.
+
+    An id that is too old to be remembered may have run long ago.
+    """
 
     reason: str
     kind = OutcomeKind.REJECTED
     http_status = 400
 
+    @property
+    def ran(self) -> Ran:
+        """Whether the request ran under its id."""
+        return Ran.UNKNOWN if self.reason == ID_TOO_OLD else Ran.NO
+
 
 Outcome: TypeAlias = (
     Completed | Refused | Expired | Quarantined | Failed | Unknown | Rejected
--- a/tests/test_entry/test_http.py
+++ b/tests/test_entry/test_http.py
@@ -1,13 +1,22 @@
 from __future__ import annotations
 
+import io
+import json
+from wsgiref.util import setup_testing_defaults
+
 import gevent.queue
+import pytest
 
 from pistachiopath.claims.effects import Conclude, Deliver
-from pistachiopath.entry.http import _Stream
-from pistachiopath.errors.outcomes import Completed, Unknown
+from pistachiopath.entry.http import CallerApp, _Stream
+from pistachiopath.entry.settings import EntrySettings
+from pistachiopath.errors.outcomes import Completed, Rejected, Unknown
 
 
 class FakeShell:
+    rules = None
+    draining = False
+
     def __init__(self):
         self.outcomes = []
 
@@ -51,3 +60,41 @@
     assert written[0] == b'abcd'
     assert b'"type": "unknown"' in written[1]
     assert shell.outcomes == ['unknown']
+
+
+def post(body=b'{}', **headers):
+    """Post a completion to an entry that has no configuration yet."""
+    cfg = EntrySettings(
+        name='e', zone='dc0', http='127.0.0.1:1', controls=('127.0.0.1:2',), secret='s'
+    )
+    app = CallerApp(cfg=cfg, shell=FakeShell()).app
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': '/v1/completions',
+        'wsgi.input': io.BytesIO(body),
+        'CONTENT_LENGTH': str(len(body)),
+        **{f'HTTP_{name.upper()}': value for name, value in headers.items()},
+    }
+    setup_testing_defaults(environ)
+    statuses = []
+    parts = app(environ, lambda status, _headers, _exc=None: statuses.append(status))
+    return statuses[0], json.loads(b''.join(parts))['error']
+
+
+def test_a_named_request_that_is_turned_away_may_have_run_before():
+    # Failing first: the entry said that a request had not run though it had not
+    # looked at its claim, and its caller might send it anew under another id.
+    status, error = post(idempotency_key='sent-before')
+    assert (status[:3], error['code'], error['ran']) == (
+        '503',
+        'no_configuration',
+        'unknown',
+    )
+    assert post()[1]['ran'] == 'no'
+
+
+@pytest.mark.parametrize(
+    ('reason', 'ran'), [('id_too_old', 'unknown'), ('id_reused', 'no')]
+)
+def test_an_id_that_is_forgotten_may_have_run(reason, ran):
+    assert Rejected(reason=reason).ran == ran
