--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -41,6 +41,7 @@
 MAX_BINDINGS = 8
 CLOCK_RATE_MARGIN = 0.99
 SUSPECT_RETRY_MS = 1000
+ANSWER_LOST = 'answer_lost'
 
 # Why a target gave a request back that it may well take the next time.
 PASSING_REASONS = frozenset({'lease', 'never_received', 'incarnation', 'stale_bind'})
@@ -348,11 +349,11 @@
     def _tick_streaming(self, now: float) -> list:
         silent_s = now - self._heard_at
         if silent_s >= SILENT_S:
-            return self._give_up('target_silent')
+            return self._conclude(Unknown(reason='target_silent'))
         if self._not_held_at is not None and now - self._not_held_at >= NOT_HELD_S:
-            return self._give_up('not_held')
+            return self._not_held()
         if now >= self.submission.deadline + LATE_S:
-            return self._give_up('deadline')
+            return self._conclude(Unknown(reason='deadline'))
         effects = []
         if silent_s >= INQUIRE_S and now - self._inquired_at >= INQUIRE_S:
             effects += self._inquire(now)
@@ -377,21 +378,21 @@
                 return self._on_bound(reply, now)
             case ClaimStatus.FINISHED if reply.outcome.kind == OutcomeKind.COMPLETED:
                 self._is_completed = True
+                if reply.target_left:
+                    return self._conclude(Failed(reason=ANSWER_LOST))
             case ClaimStatus.FINISHED:
                 return self._on_finished(reply, now)
             case ClaimStatus.RELEASED if not self._received:
                 return self._on_released(now)
             case ClaimStatus.REFUSED if not self._received:
                 return self._on_refused(reply, now)
-        if self._not_held_at is not None:
-            return self._give_up('not_held')
-        return []
+        return self._not_held() if self._not_held_at is not None else []
 
-    def _give_up(self, reason: str) -> list:
-        """Stop waiting for the target; say whether the request is known to have run."""
+    def _not_held(self) -> list:
+        """Stop asking a target that holds no run of this request."""
         if self._is_completed:
-            return self._conclude(Failed(reason='answer_lost'))
-        return self._conclude(Unknown(reason=reason))
+            return self._conclude(Failed(reason=ANSWER_LOST))
+        return self._conclude(Unknown(reason='not_held'))
 
     def _resend(self, now: float) -> list:
         if self._binding.own and not self._binding.acknowledged:
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -5,6 +5,8 @@
 import json
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from ..configuration.configuration import placements_of
 from ..effects import Apply, RestoreState, Send
 from ..messages.claims import Done
@@ -85,7 +87,9 @@
     ) -> None:
         self.address = address
         self.state = ReplicatedState()
-        self.registry = Registry()
+        # Another process of this replica has another feed.
+        start = f'{persisted.member} {now!r}'.encode()
+        self.registry = Registry(feed_id=xxhash.xxh32_intdigest(start))
         self.group = Group(
             address=address,
             addresses=addresses,
@@ -208,7 +212,7 @@
 
     def _on_view(self, request: ViewRequest, now: float) -> View:
         self._revisions[request.entry] = request.revision
-        return View(revision=self.state.revision, targets=self.registry.live(now))
+        return self.registry.feed.view(request, self.state.revision, now)
 
     def _retire_silent(self, now: float, time_ms: int) -> list[Effect]:
         """Retire the incarnations that were silent for long.
--- a/pistachiopath/control/registry.py
+++ b/pistachiopath/control/registry.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..membership.feed import Feed
 from ..messages.membership import Heartbeat, TargetView
 
 LEASE_S = 2.0
@@ -19,10 +20,14 @@
 
 
 class Registry:
-    """Soft state from heartbeats, by target name; `now` is in seconds."""
+    """Soft state from heartbeats, by target name; `now` is in seconds.
 
-    def __init__(self) -> None:
+    `feed` tells entries of it.
+    """
+
+    def __init__(self, *, feed_id: int = 0) -> None:
         self._heard: dict[str, _Heard] = {}
+        self.feed = Feed(feed_id=feed_id, lease_s=LEASE_S)
 
     def heard(self, sender: str, report: Heartbeat, now: float) -> None:
         """Take in a heartbeat unless a newer incarnation is known."""
@@ -30,6 +35,7 @@
         if known is not None and known.report.incarnation > report.incarnation:
             return
         self._heard[report.target] = _Heard(at=now, sender=sender, report=report)
+        self.feed.heard(report, now)
 
     def live(self, now: float) -> tuple[TargetView, ...]:
         """Return the targets whose lease has not run out."""
@@ -52,6 +58,8 @@
 
     def prune(self, now: float) -> None:
         """Forget targets that have been silent for long."""
-        for name, heard in list(self._heard.items()):
-            if now - heard.at >= FORGET_S:
-                del self._heard[name]
+        silent = [n for n, heard in self._heard.items() if now - heard.at >= FORGET_S]
+        for name in silent:
+            del self._heard[name]
+        if silent:
+            self.feed.forget(self._heard.keys())
--- a/pistachiopath/control/replicated_state.py
+++ b/pistachiopath/control/replicated_state.py
@@ -68,7 +68,7 @@
             case Refuse():
                 return self.claims.refuse(cmd, index, now_ms)
             case Inquire():
-                return self.claims.inquire(cmd, now_ms)
+                return self._inquire(cmd)
             case Finish():
                 return self._finish(cmd)
             case Accept():
@@ -141,6 +141,14 @@
                 return ClaimReply(status=ClaimStatus.TARGET_RETIRED)
         return self.claims.bind(cmd, self.clock_ms)
 
+    def _inquire(self, cmd: Inquire) -> ClaimReply:
+        reply = self.claims.inquire(cmd, self.clock_ms)
+        target = self.targets.get(reply.target)
+        left = target is not None and target.drained
+        if left and target.incarnation == reply.incarnation:
+            return attrs.evolve(reply, target_left=True)
+        return reply
+
     def _finish(self, cmd: Finish) -> Done:
         for item in cmd.items:
             self.claims.finish(item, self.clock_ms)
@@ -187,7 +195,10 @@
             else:
                 self._end_incarnation(cmd.target, crashed=cmd.crashed)
             self.targets[cmd.target] = attrs.evolve(
-                known, retired=True, updated_ms=self.clock_ms
+                known,
+                retired=True,
+                updated_ms=self.clock_ms,
+                drained=cmd.drained,
             )
         return Done()
 
--- a/pistachiopath/entry/core.py
+++ b/pistachiopath/entry/core.py
@@ -9,13 +9,14 @@
 from ..claims.effects import Ask, Conclude, Deliver
 from ..claims.flow import FlowState, RequestFlow
 from ..effects import Send
+from ..membership.follower import INTERVAL_MIN_S, FeedFollower
 from ..messages.claims import ClaimReply
 from ..messages.configuration import ConfigurationReply, ConfigurationRequest
 from ..messages.dispatch import Accepted, Chunk, End, NotHeld, NotStarted
-from ..messages.membership import View, ViewRequest
+from ..messages.membership import View
 from ..messages.replication import NotLeader
 from ..replication.leader_client import LeaderClient
-from ..routing.targets import TargetTable
+from ..routing.targets import LEASE_S, TargetTable
 
 if TYPE_CHECKING:
     import random
@@ -26,7 +27,6 @@
     from ..routing.chooser import Chooser
 
 AGENT_MESSAGES = (Accepted, Chunk, End, NotHeld, NotStarted)
-VIEW_INTERVAL_S = 0.25
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -68,7 +68,9 @@
         self._flow_call: dict[int, int] = {}
         self._last_number = 0
         self._view_source = rng.randrange(len(controls))
-        self._view_sent_at = -VIEW_INTERVAL_S
+        self._view_interval_s = INTERVAL_MIN_S
+        self._view_sent_at = -INTERVAL_MIN_S
+        self._follower = FeedFollower(sources=controls)
 
     @property
     def in_flight(self) -> int:
@@ -143,20 +145,22 @@
         return effects
 
     def _on_view(self, sender: str, view: View, now: float) -> list:
-        self.targets.take(view, now)
+        self.targets.update(self._follower.take(sender, view), now)
+        self._view_interval_s = self._follower.interval_s(view)
+        self.targets.lease_s = LEASE_S + self._view_interval_s - INTERVAL_MIN_S
         if view.revision <= self.revision:
             return []
         return [Send(to=sender, call=0, body=ConfigurationRequest())]
 
     def _poll_view(self, now: float) -> list:
-        if now - self._view_sent_at < VIEW_INTERVAL_S:
+        if now - self._view_sent_at < self._view_interval_s:
             return []
         # Each replica hears the targets for itself: asking all in turn makes
         # up for one that is cut off from some of them.
         self._view_source = (self._view_source + 1) % len(self._controls)
         self._view_sent_at = now
         source = self._controls[self._view_source]
-        request = ViewRequest(revision=self.revision, entry=self.name)
+        request = self._follower.request(source, self.revision, self.name, now)
         return [Send(to=source, call=0, body=request)]
 
     def _carry_out(self, number: int, effects: list, now: float) -> list:
--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -11,8 +11,9 @@
 from ..engine.profile import EngineProfile
 from ..gate.limits import GateLimits
 from ..gate.run import RunState
+from ..membership.feed import Feed
+from ..membership.follower import FeedFollower
 from ..messages.dispatch import Dispatch, End, NotStarted, Work
-from ..messages.membership import TargetView, View
 from ..routing.chooser import Choice
 from ..routing.prefix import CHUNK_TOKENS
 from ..routing.targets import TargetTable
@@ -32,6 +33,8 @@
 CLAIM_S = 0.006
 HEARTBEAT_S = 0.5
 VIEW_S = 0.25
+LEASE_S = 2.0
+SOURCE = 'control'
 TICK_S = 0.1
 WARM_UP_S = 5.0
 BLOCK_TOKENS = 16
@@ -86,6 +89,8 @@
             for n in range(targets)
         }
         self._tables = [TargetTable() for _ in range(entries)]
+        self._feed = Feed(feed_id=1, lease_s=LEASE_S)
+        self._followers = [FeedFollower(sources=(SOURCE,)) for _ in self._tables]
         self._choosers = [
             policy.make_chooser(table, random.Random(f'{seed} {n}'))
             for n, table in enumerate(self._tables)
@@ -162,12 +167,13 @@
 
     def _view(self, number: int) -> None:
         lag_ms = int(self._condition.report_lag_s * 1000)
-        views = tuple(
-            TargetView(age_ms=min(lag_ms, 1500), report=report)
-            for name, report in self._reports.items()
-            if self.targets[name].alive
-        )
-        self._tables[number].take(View(revision=1, targets=views), self.clock.now)
+        for name, report in self._reports.items():
+            if self.targets[name].alive:
+                self._feed.heard(report, self.clock.now - min(lag_ms, 1500) / 1000)
+        follower = self._followers[number]
+        request = follower.request(SOURCE, 1, str(number), self.clock.now)
+        view = self._feed.view(request, 1, self.clock.now)
+        self._tables[number].update(follower.take(SOURCE, view), self.clock.now)
         self.clock.after(VIEW_S, lambda: self._view(number))
 
     def _tick(self) -> None:
--- /dev/null
+++ b/pistachiopath/membership/feed.py
@@ -0,0 +1,103 @@
+"""Views of the targets as differences, at a control replica."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..messages.membership import TargetView, View
+from .load_digest import pack
+from .publication import Publication
+from .rate_digest import pack_rates
+
+if TYPE_CHECKING:
+    from collections.abc import Set
+
+    from ..messages.membership import Heartbeat, ViewRequest
+
+
+class Feed:
+    """Numbers the changes of targets and answers with those after a number.
+
+    A target is described once and whenever its description changes.  While
+    its load has changed by less than a tenth it is a bit in a map; otherwise
+    its load is a digest.  An entry names the feed and the number up to which
+    it knows: a lost answer is made up for by the next one, and an entry that
+    knows another feed gets everything.  `now` is in seconds.
+    """
+
+    def __init__(self, *, feed_id: int, lease_s: float) -> None:
+        self._id = feed_id
+        self._lease_s = lease_s
+        self._change = 0
+        self._known: dict[str, Publication] = {}
+        self._free: list[int] = []
+
+    def heard(self, report: Heartbeat, now: float) -> None:
+        """Take in a report that the registry took."""
+        report = attrs.evolve(report, loaded=())
+        known = self._known.get(report.target)
+        if known is None:
+            self._publish_first(report, now)
+        elif known.take(report, now, self._change + 1, self._lease_s):
+            self._change += 1
+
+    def forget(self, kept: Set[str]) -> None:
+        """Drop all targets but those that are kept."""
+        for name in self._known.keys() - kept:
+            heapq.heappush(self._free, self._known.pop(name).slot)
+
+    def view(self, request: ViewRequest, revision: int, now: float) -> View:
+        """Return what is new to an entry, and which other targets live."""
+        since = request.since if request.feed == self._id else 0
+        targets: list[TargetView] = []
+        loads: list[bytes] = []
+        rates: list[bytes] = []
+        alive = 0
+        oldest_ms = 0
+        for known in self._known.values():
+            if now - known.heard_at >= self._lease_s:
+                continue
+            age_ms = int((now - known.heard_at) * 1000)
+            if known.described_at > since:
+                view = TargetView(
+                    age_ms=age_ms, report=known.published, slot=known.slot
+                )
+                targets.append(view)
+                continue
+            if known.rated_at > since:
+                rates.append(pack_rates(known.slot, known.published.rates))
+            if known.loaded_at > since:
+                loads.append(pack(known.slot, age_ms, known.published.load))
+            else:
+                alive |= 1 << known.slot
+                oldest_ms = max(oldest_ms, age_ms)
+        return View(
+            revision=revision,
+            number=request.number,
+            targets=tuple(targets),
+            feed=self._id,
+            since=since,
+            change=self._change,
+            loads=b''.join(loads),
+            alive=alive.to_bytes((alive.bit_length() + 7) // 8, 'little'),
+            alive_age_ms=oldest_ms,
+            rates=b''.join(rates),
+        )
+
+    def _publish_first(self, report: Heartbeat, now: float) -> None:
+        self._change += 1
+        self._known[report.target] = Publication(
+            slot=self._free_slot(),
+            described_at=self._change,
+            loaded_at=0,
+            rated_at=0,
+            published=report,
+            heard_at=now,
+        )
+
+    def _free_slot(self) -> int:
+        """Return the lowest free slot: a new description says who has it."""
+        return heapq.heappop(self._free) if self._free else len(self._known)
--- /dev/null
+++ b/pistachiopath/membership/load_digest.py
@@ -0,0 +1,81 @@
+"""Compact form of a target's load in a view."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..messages.membership import Load
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Slot, age in AGE_UNIT_MS, runs held, then four token counts in TOKEN_UNIT as
+# IEEE half floats: 12 bytes, relative error below 0.1%.
+_LAYOUT = struct.Struct('<HBBeeee')
+DIGEST_BYTES = _LAYOUT.size
+AGE_UNIT_MS = 10
+TOKEN_UNIT = 64
+MAX_BYTE = 255
+MAX_HALF = 65_504.0
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LoadDigest:
+    """The load of the target in a slot, as it was `age_ms` ago."""
+
+    slot: int
+    age_ms: int
+    load: Load
+
+
+def pack(slot: int, age_ms: int, load: Load) -> bytes:
+    """Return the `DIGEST_BYTES` of a load; large values saturate."""
+    return _LAYOUT.pack(
+        slot,
+        min(MAX_BYTE, -(-age_ms // AGE_UNIT_MS)),
+        min(MAX_BYTE, load.running + load.queued),
+        *(
+            min(MAX_HALF, tokens / TOKEN_UNIT)
+            for tokens in (
+                load.prompt_tokens,
+                load.output_tokens,
+                load.promised_prompt_tokens,
+                load.promised_output_tokens,
+            )
+        ),
+    )
+
+
+def unpack(data: bytes, windows: dict[int, int]) -> Iterator[LoadDigest]:
+    """Yield the loads in `data`; the window of a slot is in its description.
+
+    Slots without a window are passed over, as is a torn end.
+    """
+    whole = len(data) - len(data) % DIGEST_BYTES
+    for slot, age, held, *tokens in _LAYOUT.iter_unpack(data[:whole]):
+        window = windows.get(slot)
+        if window is None:
+            continue
+        prompt, output, promised_prompt, promised_output = (
+            _tokens(value) for value in tokens
+        )
+        load = Load(
+            running=min(held, window),
+            queued=max(0, held - window),
+            window=window,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            promised_prompt_tokens=promised_prompt,
+            promised_output_tokens=promised_output,
+        )
+        yield LoadDigest(slot=slot, age_ms=age * AGE_UNIT_MS, load=load)
+
+
+def _tokens(value: float) -> int:
+    """Return a token count; what no load packs to counts as the largest one."""
+    if not 0.0 <= value <= MAX_HALF:
+        value = MAX_HALF
+    return round(value * TOKEN_UNIT)
--- a/pistachiopath/messages/claims.py
+++ b/pistachiopath/messages/claims.py
@@ -73,7 +73,8 @@
     """State of a claim after a command; `status` is a `ClaimStatus` value.
 
     `refused_age_ms` is the time since the refusal was committed, by the
-    clock of the leader that replies.
+    clock of the leader that replies.  `target_left` says that the target of
+    the binding has left as planned, with the answers that it held.
     """
 
     status: str
@@ -85,6 +86,7 @@
     refusal_index: int = 0
     refused_age_ms: int = 0
     outcome: OutcomeRecord = OutcomeRecord()
+    target_left: bool = False
 
 
 @message
--- a/pistachiopath/messages/membership.py
+++ b/pistachiopath/messages/membership.py
@@ -113,26 +113,51 @@
 
 @message
 class ViewRequest(Message):
-    """Asks a control replica for its view of the targets."""
+    """Asks a control replica for its view of the targets.
+
+    `feed` and `since` name what the entry knows of this replica's feed: its
+    identity and the number of its last change; zero for nothing.
+    """
 
     revision: int
     entry: str
+    number: int = 0
+    feed: int = 0
+    since: int = 0
 
 
 @message
 class TargetView(Message):
-    """A target as a control replica last heard of it, `age_ms` ago."""
+    """A target as a control replica last heard of it, `age_ms` ago.
+
+    `slot` is the number that later views of the same feed use for it.
+    """
 
     age_ms: int
     report: Heartbeat
+    slot: int = 0
 
 
 @message
 class View(Message):
-    """All live targets, the revision in force and the retired incarnations."""
+    """The revision in force and what is new of the targets after `since`.
+
+    Of live targets, those in `targets` are described anew, `loads` holds the
+    load digests of others, and `alive` has the bits of the slots of all the
+    rest, whose load has not changed and which were heard `alive_age_ms` ago or
+    later.  `rates` holds the speeds that have changed.
+    """
 
     revision: int
     targets: tuple[TargetView, ...]
+    number: int = 0
+    feed: int = 0
+    since: int = 0
+    change: int = 0
+    loads: bytes = b''
+    alive: bytes = b''
+    alive_age_ms: int = 0
+    rates: bytes = b''
 
 
 @message
--- a/pistachiopath/messages/state.py
+++ b/pistachiopath/messages/state.py
@@ -19,7 +19,8 @@
 class TargetRecord(Message):
     """The newest incarnation of a target and the nonce that asked for it.
 
-    `crashes` is the number of the last crash report that was counted.
+    `crashes` is the number of the last crash report that was counted, and
+    `drained` tells that the incarnation left as planned.
     """
 
     target: str
@@ -28,3 +29,4 @@
     retired: bool
     updated_ms: int
     crashes: int = 0
+    drained: bool = False
--- a/pistachiopath/routing/targets.py
+++ b/pistachiopath/routing/targets.py
@@ -12,8 +12,7 @@
 
 if TYPE_CHECKING:
     import random
-
-    from ..messages.membership import View
+    from collections.abc import Iterable
 
 LEASE_S = 2.0
 SAMPLE = 24
@@ -29,21 +28,21 @@
 
 
 class TargetTable:
-    """Targets from views; a target is live for a lease after its report."""
+    """Targets as they were reported; a target is live for `lease_s` after that."""
 
     def __init__(self) -> None:
+        self.lease_s = LEASE_S
         self._targets: dict[str, KnownTarget] = {}
         self._by_name: dict[str, list[str]] = {}
         self._rings: dict[str, list[tuple[int, str]]] = {}
 
-    def take(self, view: View, now: float) -> None:
-        """Take in a view; older reports never replace newer ones."""
+    def update(self, reports: Iterable[tuple[Heartbeat, float]], now: float) -> None:
+        """Take in reports and when they held; older ones replace no newer."""
         changed = False
-        for seen in view.targets:
-            heard_at = now - seen.age_ms / 1000
-            changed |= self._take_one(seen.report, heard_at)
+        for report, heard_at in reports:
+            changed |= self._take_one(report, heard_at)
         for name, known in list(self._targets.items()):
-            if now - known.heard_at >= LEASE_S:
+            if now - known.heard_at >= self.lease_s:
                 del self._targets[name]
                 changed = True
         if changed:
@@ -84,10 +83,9 @@
         """Return every model and service that a known target serves."""
         return set(self._by_name)
 
-    @staticmethod
-    def _is_serving(known: KnownTarget, name: str, now: float) -> bool:
+    def _is_serving(self, known: KnownTarget, name: str, now: float) -> bool:
         report = known.report
-        if report.departing or now - known.heard_at >= LEASE_S:
+        if report.departing or now - known.heard_at >= self.lease_s:
             return False
         return name in report.models or name in report.services
 
@@ -95,8 +93,8 @@
         """Take in a report; tell whether what is served where has changed."""
         known = self._targets.get(report.target)
         if known is not None:
-            newest = (known.report.incarnation, known.report.sequence)
-            if (report.incarnation, report.sequence) <= newest:
+            newest = (known.report.incarnation, known.heard_at)
+            if (report.incarnation, heard_at) <= newest:
                 return False
         self._targets[report.target] = KnownTarget(report=report, heard_at=heard_at)
         return known is None or (
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -56,6 +56,7 @@
   refusalIndex @6 :Int64;
   refusedAgeMs @7 :Int64;
   outcome @8 :OutcomeRecord;
+  targetLeft @9 :Bool;
 }
 
 struct Finish {
@@ -160,11 +161,22 @@
 struct ViewRequest {
   revision @0 :Int64;
   entry @1 :Text;
+  number @2 :Int64;
+  feed @3 :Int64;
+  since @4 :Int64;
 }
 
 struct View {
   revision @0 :Int64;
   targets @1 :List(TargetView);
+  number @2 :Int64;
+  feed @3 :Int64;
+  since @4 :Int64;
+  change @5 :Int64;
+  loads @6 :Data;
+  alive @7 :Data;
+  aliveAgeMs @8 :Int64;
+  rates @9 :Data;
 }
 
 struct StatusRequest {
@@ -288,6 +300,7 @@
   retired @3 :Bool;
   updatedMs @4 :Int64;
   crashes @5 :Int64;
+  drained @6 :Bool;
 }
 
 struct Claim {
@@ -420,6 +433,7 @@
 struct TargetView {
   ageMs @0 :Int64;
   report @1 :Heartbeat;
+  slot @2 :Int64;
 }
 
 struct Envelope {
--- a/tests/test_routing/test_differential.py
+++ b/tests/test_routing/test_differential.py
@@ -14,8 +14,6 @@
     Heartbeat,
     Load,
     Rate,
-    TargetView,
-    View,
 )
 from pistachiopath.routing.chooser import Choice
 from pistachiopath.routing.earliest_finish import (
@@ -149,11 +147,10 @@
     for target, sequence, age, models, departing, later in steps:
         now += later
         beat = report(target, sequence, models=models, departing=departing)
-        view = TargetView(age_ms=int(age * 1000), report=beat)
-        table.take(View(revision=1, targets=(view,)), now)
-        heard_at = now - int(age * 1000) / 1000
-        # A report that comes again, from another replica, says nothing new.
-        if target not in newest or newest[target][0].sequence < sequence:
+        heard_at = now - age
+        table.update([(beat, heard_at)], now)
+        # What held earlier, by another replica's word, says nothing new.
+        if target not in newest or newest[target][1] < heard_at:
             newest[target] = (beat, heard_at)
         newest = {t: k for t, k in newest.items() if now - k[1] < LEASE_S}
         expected = {
@@ -184,7 +181,7 @@
 ):
     table = TargetTable()
     finish, rates = {}, {}
-    views = []
+    reports = []
     for number, (ahead_prompt, ahead_output, prefill, decode) in enumerate(loads):
         name = TARGETS[number]
         load = Load(
@@ -193,13 +190,11 @@
             promised_output_tokens=ahead_output,
         )
         rate = Rate(model='m', prefill=float(prefill), decode=float(decode))
-        views.append(
-            TargetView(age_ms=0, report=report(name, 1, load=load, rates=(rate,)))
-        )
+        reports.append((report(name, 1, load=load, rates=(rate,)), 0.0))
         waiting = ahead_prompt / prefill + ahead_output / (decode * 4)
         finish[name] = waiting + prompt / prefill + output / decode
         rates[name] = prefill
-    table.take(View(revision=1, targets=tuple(views)), 0.0)
+    table.update(reports, 0.0)
     chooser = EarliestFinish(targets=table, rng=random.Random(seed))
     wanted = submission(prompt=prompt, output=output, deadline=left)
     choice = chooser.choose(wanted, frozenset(), 0.0)
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -11,8 +11,6 @@
     Heartbeat,
     Load,
     Rate,
-    TargetView,
-    View,
 )
 from pistachiopath.routing.earliest_finish import EarliestFinish
 from pistachiopath.routing.targets import TargetTable
@@ -57,8 +55,7 @@
     """Return the mean processor time of a decision among `size` targets."""
     rng = random.Random(size)
     table = TargetTable()
-    views = tuple(TargetView(age_ms=0, report=report(n, rng)) for n in range(size))
-    table.take(View(revision=1, targets=views), 0.0)
+    table.update([(report(n, rng), 0.0) for n in range(size)], 0.0)
     chooser = EarliestFinish(targets=table, rng=rng)
     prefixes = [tuple(rng.getrandbits(64) for _ in range(20)) for _ in range(50)]
     plans = [submission(n, prefixes[n % 50]) for n in range(DECISIONS)]
