--- a/pistachiopath/membership/feed.py
+++ b/pistachiopath/membership/feed.py
@@ -5,15 +5,13 @@
 import heapq
 from typing import TYPE_CHECKING
 
-from ..messages.membership import TargetView, View
-from .load_digest import pack
 from .publication import Publication, for_entries
-from .rate_digest import pack_rates
+from .view_builder import ViewBuilder
 
 if TYPE_CHECKING:
     from collections.abc import Set
 
-    from ..messages.membership import Heartbeat, ViewRequest
+    from ..messages.membership import Heartbeat, View, ViewRequest
 
 
 class Feed:
@@ -49,39 +47,16 @@
     def view(self, request: ViewRequest, revision: int, now: float) -> View:
         """Return what is new to an entry, and which other targets live."""
         since = request.since if request.feed == self._id else 0
-        targets: list[TargetView] = []
-        loads: list[bytes] = []
-        rates: list[bytes] = []
-        alive = 0
-        oldest_ms = 0
+        builder = ViewBuilder(since=since)
         for known in self._known.values():
-            if now - known.heard_at >= self._lease_s:
-                continue
-            age_ms = int((now - known.heard_at) * 1000)
-            if known.described_at > since:
-                view = TargetView(
-                    age_ms=age_ms, report=known.published, slot=known.slot
-                )
-                targets.append(view)
-                continue
-            if known.rated_at > since:
-                rates.append(pack_rates(known.slot, known.published.rates))
-            if known.loaded_at > since:
-                loads.append(pack(known.slot, age_ms, known.published.load))
-            else:
-                alive |= 1 << known.slot
-                oldest_ms = max(oldest_ms, age_ms)
-        return View(
+            silent_s = now - known.heard_at
+            if silent_s < self._lease_s:
+                builder.add(known, int(silent_s * 1000))
+        return builder.build(
             revision=revision,
             number=request.number,
-            targets=tuple(targets),
             feed=self._id,
-            since=since,
             change=self._change,
-            loads=b''.join(loads),
-            alive=alive.to_bytes((alive.bit_length() + 7) // 8, 'little'),
-            alive_age_ms=oldest_ms,
-            rates=b''.join(rates),
         )
 
     def _publish_first(self, report: Heartbeat, now: float) -> None:
