--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -15,8 +15,9 @@
 from .calls import PARTS, Call, answer_of
 from .checkers import POISON, Checkers
 from .chooser import ScenarioChooser
+from .entry_node import EntryNode
 from .network import VirtualNetwork
-from .nodes import AgentNode, ControlNode, EntryNode
+from .nodes import AgentNode, ControlNode
 from .operators import Operator
 
 
