--- a/pistachiopath/storage/record_file.py
+++ b/pistachiopath/storage/record_file.py
@@ -1,4 +1,4 @@
-"""Records that are worth keeping over a restart."""
+"""Records that are worth keeping over a restart, though not durable."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 from ..errors.storage import CorruptFile
 from ..errors.transport import FrameTooLarge, MalformedFrame
 from ..transport.codec import decode_message, encode_message
-from .atomic_file import read_frames, replace_synced
+from ..transport.frames import pack
+from .atomic_file import read_frames
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,10 +18,10 @@
 
 
 class RecordFile:
-    """Replaces a file of messages as a whole.
+    """Replaces a file of messages without syncing it.
 
-    What was saved survives a loss of power; a file that can't be read counts
-    as an empty one.
+    What it holds survives the end of the process, and a loss of power only by
+    chance; a file that can't be read counts as an empty one.
     """
 
     def __init__(self, *, path: Path) -> None:
@@ -34,5 +35,8 @@
             return []
 
     def save(self, records: Iterable[Message]) -> None:
-        """Replace the messages, synced; raises `OSError`."""
-        replace_synced(self._path, [encode_message(record) for record in records])
+        """Replace the messages; raises `OSError`."""
+        temporary = self._path.with_suffix('.new')
+        data = b''.join(pack(encode_message(record)) for record in records)
+        temporary.write_bytes(data)
+        temporary.replace(self._path)
