--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -20,6 +20,9 @@
 # Larger requests are written by a greenlet of their own: a target may answer
 # before it has read them.
 WRITE_INLINE_BYTES = 8 * 1024
+# A host without power or behind a cut acknowledges nothing.  Two lost packets
+# in a row are sent again within 0.6 s.
+UNACKNOWLEDGED_MS = 1000
 DEFAULT_IDLE_S = 2.0
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_S = 0.3
@@ -58,6 +61,9 @@
             ) from exc
         sock.settimeout(None)
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            gsocket.IPPROTO_TCP, gsocket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
         self._sock = sock
 
     def is_quiet(self, now: float) -> bool:
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -2,13 +2,16 @@
 
 import time
 
+import gevent
+import gevent.socket as gsocket
 import pytest
 
 from pistachiopath.errors.exchange import BrokenOff, ConnectFailed, Garbled
+from pistachiopath.exchange import target_connection
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.exchange.target_connection import TargetConnection
 
-from .sockets import CLOSE, RESET, ScriptedTarget
+from .sockets import CLOSE, LOOPBACK, RESET, ScriptedTarget
 
 ID = b'x-id'
 
@@ -150,3 +153,19 @@
     with pytest.raises(ConnectFailed) as caught:
         pool.take('127.0.0.1:1', 1.0)
     assert not caught.value.sent
+
+
+def test_a_target_that_acknowledges_nothing_breaks_the_exchange(monkeypatch):
+    # Failing first: the request hung until its caller's time was over.
+    monkeypatch.setattr(target_connection, 'UNACKNOWLEDGED_MS', 200)
+    listener = gsocket.socket()
+    listener.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_RCVBUF, 4096)
+    listener.bind((LOOPBACK, 0))
+    listener.listen(1)
+    address = f'{LOOPBACK}:{listener.getsockname()[1]}'
+    conn = TargetConnection(address=address, request_id_header=ID)
+    conn.connect(1.0)
+    ask(conn, body=b'x' * 8_000_000)
+    with gevent.Timeout(20), pytest.raises(BrokenOff):
+        conn.read_head()
+    conn.close()
