--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -71,10 +71,10 @@
 
     def verdict(self, head: AnswerHead) -> Verdict:
         """Return what an answer says about the request."""
-        if head.has(names.NOT_EXECUTED):
-            return Verdict.NOT_RUN
         if head.status == STATUS_ELSEWHERE:
             return Verdict.ELSEWHERE
+        if head.has(names.NOT_EXECUTED):
+            return Verdict.NOT_RUN
         if head.has(b'content-encoding') or head.status in PROMISES:
             return Verdict.UNPROVEN
         if not head.is_success:
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -11,7 +11,7 @@
 from ..admission.retry_budget import RetryBudget
 from ..errors.relay import TurnedAway
 from .ended import Delivered, Lost, NotRun, TargetFailed
-from .exchange_run import ExchangeRun, may_resume
+from .exchange_run import OTHER_REPLICA, ExchangeRun, may_resume
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -139,8 +139,8 @@
             case NotRun(reason=reason, arrived=False) if reason != MOVED:
                 health.unreachable(replica, now)
                 self._pool.forget(candidate.record.address)
-            case NotRun(reason='other_replica'):
-                health.unreachable(replica, now)
+            case NotRun(reason=reason) if reason == OTHER_REPLICA:
+                self._placer.ended(candidate.record, now)
             case TargetFailed() | Lost():
                 health.failed(replica, now)
         if not isinstance(ended, Delivered):
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -31,6 +31,7 @@
 STALL_MIN_S = 1.2
 STALLED = 'stalled'
 REFUSED = 'connect_ConnectionRefusedError'
+OTHER_REPLICA = 'other_replica'
 
 
 class ExchangeRun:
@@ -120,7 +121,7 @@
             case Verdict.NOT_RUN:
                 return NotRun(reason=f'target_{head.status}', arrived=True)
             case Verdict.ELSEWHERE:
-                return NotRun(reason='other_replica', arrived=True)
+                return NotRun(reason=OTHER_REPLICA, arrived=True)
             case Verdict.FAILURE:
                 return TargetFailed(head=head, body=body)
             case Verdict.UNPROVEN:
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     import random
 
+    from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
     from .places import Grant, Places
     from .targets import Targets
@@ -85,6 +86,10 @@
         untried = self._targets.candidates(service, work.excluded, now)
         return untried or self._targets.candidates(service, set(), now)
 
+    def ended(self, record: ReplicaRecord, now: float) -> None:
+        """Take in that the lifetime of a replica is over."""
+        self._targets.ended(record, now)
+
     def acquire(self, work: Work, candidate: Candidate) -> Grant | None:
         """Wait for a place; None where the request has to be placed anew."""
         began = time.monotonic()
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from ..directory.replica_state import ReplicaState
@@ -16,6 +17,8 @@
     from ..routes.route_set import RouteSet
     from ..routes.service import Service
 
+logger = logging.getLogger(__name__)
+
 
 class Targets:
     """Joins what is known of replicas, their gates and the configuration.
@@ -60,6 +63,20 @@
             if record.service == service and record.replica not in excluded
         ]
 
+    def ended(self, record: ReplicaRecord, now: float) -> None:
+        """Take in that a lifetime is over: another one answers at its address.
+
+        A later lifetime of the same name is not affected.
+        """
+        known = self._subscriber.directory.get(record.replica)
+        if known is None or known.born_ms != record.born_ms:
+            return
+        self._subscriber.directory.depart(record.replica, now)
+        logger.info(
+            'replica_superseded',
+            extra={'replica': record.replica, 'address': record.address},
+        )
+
     def _ungated_places(self, record: ReplicaRecord) -> int:
         """Return this entry's share of an engine's places, at least one."""
         service = self._engine_service(record)
--- a/tests/test_platform/test_dialect.py
+++ b/tests/test_platform/test_dialect.py
@@ -90,6 +90,8 @@
         (503, [(b'replica-signature', b's')], Verdict.UNPROVEN),
         (429, [], Verdict.UNPROVEN),
         (421, [], Verdict.ELSEWHERE),
+        # Failing first: it counted as a replica that is full.
+        (421, [(b'not-executed', b'1')], Verdict.ELSEWHERE),
         (500, [(b'replica-signature', b's')], Verdict.FAILURE),
         (504, [(b'replica-signature', b's')], Verdict.FAILURE),
     ],
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -81,6 +81,10 @@
         self.vanish = vanish
         self._prefix = prefix
         self._asked = 0
+        self.ended_ones = []
+
+    def ended(self, replica_record, now):
+        self.ended_ones.append(replica_record.replica)
 
     def candidates(self, service, excluded, now):
         self._asked += 1
@@ -153,11 +157,16 @@
     crashes=None,
     prefix='r',
     gate=None,
+    ended=None,
 ):
     """Serve one request; return the caller and the work.
 
-    Without a `gate` there is none before the targets.
+    Without a `gate` there is none before the targets.  `ended` gets the names of
+    replicas whose lifetime is found to be over.
     """
+    known = FakeTargets(targets, vanish, prefix, awaits_gate=bool(gate))
+    if ended is not None:
+        known.ended_ones = ended
     route = Route(
         name='r',
         host='h',
@@ -192,7 +201,7 @@
         placer=Placer(
             places=places,
             placement=placement,
-            targets=FakeTargets(targets, vanish, prefix, awaits_gate=bool(gate)),
+            targets=known,
             rng=random.Random(2),
         ),
         budget_limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
--- a/tests/test_relay/test_dispatcher.py
+++ b/tests/test_relay/test_dispatcher.py
@@ -95,9 +95,14 @@
 
 
 def test_another_replica_at_the_address_did_not_run_it():
-    first = ScriptedTarget([answer(b'', b'421 Other', b'Replica-Id: x\r\n')])
-    caller, _ = serve([first, ScriptedTarget([answer()])], ONCE, attempts=1)
-    assert caller.status == 200
+    for extra in (b'Replica-Id: x\r\n', b'Not-Executed: 1\r\n'):
+        first = ScriptedTarget([answer(b'', b'421 Other', extra)])
+        ended = []
+        caller, _ = serve(
+            [first, ScriptedTarget([answer()])], ONCE, attempts=1, ended=ended
+        )
+        assert caller.status == 200
+        assert ended == ['r0']
 
 
 def test_without_budget_what_did_not_run_is_refused_with_a_time_to_return():
