--- /dev/null
+++ b/pistachiopath/control/compaction.py
@@ -0,0 +1,46 @@
+"""When a control replica takes a snapshot, and the parts that it writes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .snapshot_writer import SnapshotWriter
+
+if TYPE_CHECKING:
+    from ..replication.effects import Effect
+    from ..replication.replica import Replica
+    from .replicated_state import ReplicatedState
+
+MIN_ENTRIES = 4000
+STEP_CLAIMS = 300
+
+
+class Compaction:
+    """Replaces many records of the log by a snapshot, some claims at a time."""
+
+    def __init__(self, *, replica: Replica, min_entries: int, step_claims: int) -> None:
+        self._replica = replica
+        self._min_entries = min_entries
+        self._step_claims = step_claims
+        self._writer: SnapshotWriter | None = None
+
+    def abandon(self) -> None:
+        """Give up the snapshot under way: its state was replaced."""
+        self._writer = None
+
+    def step(self, state: ReplicatedState, applied: int) -> list[Effect]:
+        """Begin a snapshot when many records are held, or go on with one."""
+        if self._writer is None:
+            held = applied - self._replica.log.base_index
+            if held < max(self._min_entries, len(state.claims) // 2):
+                return []
+            self._writer = SnapshotWriter(state=state, index=applied)
+        writer = self._writer
+        offset, data = writer.step(self._step_claims)
+        effects: list[Effect] = [
+            self._replica.snapshot_part(writer.index, offset, data)
+        ]
+        if writer.is_done:
+            self._writer = None
+            effects += self._replica.compact(writer.index, writer.data())
+        return effects
--- a/pistachiopath/control/core.py
+++ b/pistachiopath/control/core.py
@@ -15,7 +15,6 @@
 from ..messages.membership import (
     Heartbeat,
     HeartbeatAck,
-    Retire,
     View,
     ViewRequest,
 )
@@ -26,13 +25,14 @@
 from ..replication.group import Group
 from ..replication.timing import Timing
 from ..transport.codec import decode_message, encode_message
+from .compaction import MIN_ENTRIES, STEP_CLAIMS, Compaction
 from .order_giver import OrderGiver
 from .proposal import Proposal
 from .refusal_ages import RefusalAges
-from .registry import LEASE_S, RETIRE_S, Registry
+from .registry import LEASE_S, Registry
 from .replicated_state import COMMANDS, ReplicatedState
+from .retirement import Retirement
 from .snapshot import unpack_state
-from .snapshot_writer import SnapshotWriter
 from .status import replica_document, target_document
 
 if TYPE_CHECKING:
@@ -42,15 +42,9 @@
     from ..configuration.configuration import ModelPlacement
     from ..messages.base import Message
     from ..messages.replication import Entry
-    from ..messages.state import TargetRecord
     from ..replication.effects import Effect
     from ..replication.persisted import Persisted
 
-SNAPSHOT_MIN_ENTRIES = 4000
-SNAPSHOT_STEP_CLAIMS = 300
-RETIRE_CHECK_S = 1.0
-SILENCE_SPREAD_S = 2.0
-
 
 class ControlCore:
     """Replicated state, its log and the registry of targets.
@@ -68,8 +62,8 @@
         rng: random.Random,
         now: float,
         timing: Timing | None = None,
-        snapshot_entries: int = SNAPSHOT_MIN_ENTRIES,
-        snapshot_step: int = SNAPSHOT_STEP_CLAIMS,
+        snapshot_entries: int = MIN_ENTRIES,
+        snapshot_step: int = STEP_CLAIMS,
         read_placements: Callable[[bytes], tuple[ModelPlacement, ...]] = placements_of,
     ) -> None:
         self.address = address
@@ -88,12 +82,13 @@
         self._replica = self.group.replica
         self._waiting: dict[int, Proposal] = {}
         self._applied = self._replica.commit
-        self._snapshot_entries = snapshot_entries
-        self._snapshot_step = snapshot_step
-        self._writer: SnapshotWriter | None = None
+        self._compaction = Compaction(
+            replica=self._replica,
+            min_entries=snapshot_entries,
+            step_claims=snapshot_step,
+        )
+        self._retirement = Retirement(registry=self.registry, now=now)
         self._revisions: dict[str, int] = {}
-        self._retire_at = now
-        self._retired_at = now - 2 * SILENCE_SPREAD_S
         self._read_placements = read_placements
         self._orders = OrderGiver(now=now)
         self._now = now
@@ -109,12 +104,14 @@
         """Let time pass."""
         self._now = now
         effects = self.group.tick(now, time_ms)
-        if self._replica.is_settled and now >= self._retire_at:
-            self._retire_at = now + RETIRE_CHECK_S
-            effects += self._retire_silent(now, time_ms)
+        if self._replica.is_settled:
+            records = self.state.targets.values()
+            for cmd in self._retirement.due(records, self._replica.led_since, now):
+                effects += self._on_command('', 0, cmd, now, time_ms)
         effects += self._reconcile(now, time_ms)
         self.registry.prune(now)
-        return self._handle(effects) + self._compact()
+        left = self._handle(effects)
+        return left + self._compaction.step(self.state, self._applied)
 
     def flush(self, now: float) -> list[Effect]:
         """Send to the followers what was proposed since the last flush."""
@@ -201,31 +198,6 @@
         self._revisions[request.entry] = request.revision
         return self.registry.feed.view(request, self.state.revision, now)
 
-    def _retire_silent(self, now: float, time_ms: int) -> list[Effect]:
-        """Retire the incarnations that were silent for long.
-
-        One that falls silent alone counts as crashed; several at a time are
-        taken for a lost rack or a cut, which no content is to blame for.
-        """
-        live = [r for r in self.state.targets.values() if not r.retired]
-        silences = {r.target: self._silence_s(r, now) for r in live}
-        together = sum(s >= RETIRE_S - SILENCE_SPREAD_S for s in silences.values())
-        alone = together == 1 and now - self._retired_at > SILENCE_SPREAD_S
-        effects: list[Effect] = []
-        for record in live:
-            if silences[record.target] < RETIRE_S:
-                continue
-            self._retired_at = now
-            cmd = Retire(
-                target=record.target, incarnation=record.incarnation, crashed=alone
-            )
-            effects += self._on_command('', 0, cmd, now, time_ms)
-        return effects
-
-    def _silence_s(self, record: TargetRecord, now: float) -> float:
-        heard = self.registry.last_heard(record.target, record.incarnation)
-        return now - max(heard or 0.0, self._replica.led_since)
-
     def _reconcile(self, now: float, time_ms: int) -> list[Effect]:
         """Give orders under a fencing number of this leadership."""
         if not self._replica.is_settled:
@@ -252,7 +224,7 @@
                 case Apply(entry=entry):
                     left += self._apply(entry)
                 case RestoreState():
-                    self._writer = None
+                    self._compaction.abandon()
                     self.state = unpack_state(effect.data)
                     self._applied = effect.index
                 case _:
@@ -292,20 +264,3 @@
         waiting = [p for p in self._waiting.values() if p.sender]
         self._waiting.clear()
         return [Send(to=p.sender, call=p.call, body=reply) for p in waiting]
-
-    def _compact(self) -> list[Effect]:
-        """Begin a snapshot when many records are held, or go on with one."""
-        if self._writer is None:
-            held = self._applied - self._replica.log.base_index
-            if held < max(self._snapshot_entries, len(self.state.claims) // 2):
-                return []
-            self._writer = SnapshotWriter(state=self.state, index=self._applied)
-        writer = self._writer
-        offset, data = writer.step(self._snapshot_step)
-        effects: list[Effect] = [
-            self._replica.snapshot_part(writer.index, offset, data)
-        ]
-        if writer.is_done:
-            self._writer = None
-            effects += self._replica.compact(writer.index, writer.data())
-        return effects
--- a/tools/capacity_slopes.py
+++ b/tools/capacity_slopes.py
@@ -19,7 +19,8 @@
     Tier,
     WorkClass,
 )
-from pistachiopath.control.core import SNAPSHOT_STEP_CLAIMS, ControlCore
+from pistachiopath.control.compaction import STEP_CLAIMS
+from pistachiopath.control.core import ControlCore
 from pistachiopath.control.registry import LEASE_S
 from pistachiopath.control.replicated_state import ReplicatedState
 from pistachiopath.control.snapshot import pack_state, unpack_state
@@ -173,7 +174,7 @@
     writer = SnapshotWriter(state=state, index=1)
     pauses = []
     while True:
-        offset, data = writer.step(SNAPSHOT_STEP_CLAIMS)
+        offset, data = writer.step(STEP_CLAIMS)
         part = WriteSnapshotPart(index=1, term=1, members=(), offset=offset, data=data)
         file.write_part(part)
         if writer.is_done:
