--- a/tests/test_admission/test_shared_allowance.py
+++ b/tests/test_admission/test_shared_allowance.py
@@ -72,7 +72,7 @@
 
 
 def test_an_entry_that_ended_takes_no_more_than_its_part_along():
-    # Failing first: 0.69 of the allowance while one entry of seven was gone.
+    # Failing first: 0.60 of the allowance while one entry of seven was gone.
     entries = Entries(7)
     rng = random.Random(6)
     entries.press(4.0, rng)
