Placement: an engine whose load is not known is like the others, at its own speed

Now the wait to expect there is the mean of those that are known, and the speed is the last that was told. Two tests failed first.

--- a/pistachiopath/grants/watch.py
+++ b/pistachiopath/grants/watch.py
@@ -90,6 +90,11 @@
             return None
         return known
 
+    def last(self, gate: str) -> GateLoad | None:
+        """Return the last load of a gate, however old it is."""
+        known = self._loads.get(gate)
+        return known.load if known is not None else None
+
     def is_awaited(self, gate: str, now: float) -> bool:
         """Tell whether a gate whose load is not known may be there all the same."""
         return now < self._answers_by.get(gate, math.inf)
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -172,8 +172,9 @@
         if best is None or best.record.replica == record.replica:
             return False
         need = work.need
-        saved = self._placement.cost(here[0], need, 0, now)
-        saved -= self._placement.cost(best, need, 0, now)
+        typical_ms = self._placement.typical_wait_ms(others, need)
+        saved = self._placement.cost(here[0], need, 0, now, typical_ms)
+        saved -= self._placement.cost(best, need, 0, now, typical_ms)
         if best.load is None and now - asked_at < JUST_ASKED_S:
             looks = work.looks < MAX_LOOKS and saved > MOVE_GAIN_MS
             work.looks += looks
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -58,6 +58,7 @@
                 is_silent=self._subscriber.is_silent(record.replica, now),
                 ungated_places=self._ungated_places(record),
                 awaits_gate=self._awaits_gate(record, now),
+                last_load=self._loads.last(self.gate(record)),
             )
             for record in self.ready()
             if record.service == service and record.replica not in excluded
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -9,6 +9,7 @@
 from ..grants.kept_places import kept_places
 from ..grants.watch import KnownLoad
 from ..messages.directory import ReplicaRecord
+from ..messages.grants import GateLoad
 from .prompt_memory import HOME_SHARE, PromptMemory
 from .prompt_part import PromptPart
 from .replica_health import ReplicaHealth
@@ -41,7 +42,8 @@
     `ungated_places` is how many requests this entry may have at an engine
     whose gate does not answer, so that all entries together do not fill it;
     0 for a target without an engine.  `awaits_gate` is set while a gate that
-    this entry has just learned of may still answer.
+    is not known to be out of reach may still answer.  `last_load` is the last
+    load however old: it tells the engine's speed.
     """
 
     record: ReplicaRecord
@@ -49,6 +51,7 @@
     is_silent: bool
     ungated_places: int = 0
     awaits_gate: bool = False
+    last_load: GateLoad | None = None
 
     @property
     def is_gated(self) -> bool:
@@ -100,18 +103,42 @@
         if not candidates:
             return None
         cached = self._cached_tokens(candidates, need, now)
+        typical_ms = self.typical_wait_ms(candidates, need)
         costs = [
-            self.cost(c, need, cached.get(c.record.replica, 0), now) for c in candidates
+            self.cost(c, need, cached.get(c.record.replica, 0), now, typical_ms)
+            for c in candidates
         ]
         near_ms = NEAR_MS if any(c.load for c in candidates) else PLAIN_NEAR_MS
         limit = min(costs) + near_ms
         near = [c for c, cost in zip(candidates, costs, strict=True) if cost <= limit]
         return self._rng.choice(near)
 
-    def cost(self, candidate: Candidate, need: Need, cached: int, now: float) -> float:
-        """Return the estimated cost of a candidate in milliseconds."""
+    def typical_wait_ms(self, candidates: list[Candidate], need: Need) -> float:
+        """Return the wait to expect at an engine whose load is not known.
+
+        It is probably like the others.
+        """
+        waits = [
+            self._wait_ms(c.load, self._own_of(c), need)
+            for c in candidates
+            if c.load is not None
+        ]
+        return UNKNOWN_LOAD_MS + sum(waits) / max(1, len(waits))
+
+    def cost(
+        self,
+        candidate: Candidate,
+        need: Need,
+        cached: int,
+        now: float,
+        typical_ms: float = UNKNOWN_LOAD_MS,
+    ) -> float:
+        """Return the estimated cost of a candidate in milliseconds.
+
+        `typical_ms` is the wait where the load is not known.
+        """
         record = candidate.record
-        own = self._own.get(record.replica) or _Own()
+        own = self._own_of(candidate)
         penalty = self.health.failures(record.replica, now) * FAILURE_MS
         if record.zone != self._zone:
             penalty += OTHER_ZONE_MS
@@ -122,7 +149,7 @@
         if candidate.load is not None:
             return penalty + self._engine_cost(candidate.load, own, need, cached)
         if candidate.ungated_places:
-            return penalty + self._ungated_cost(candidate, own, need)
+            return penalty + typical_ms + self._ungated_cost(candidate, need, cached)
         slots = max(1, record.slots)
         waiting_ms = own.outstanding * PLAIN_WORK_MS / slots
         return penalty + waiting_ms + UNKNOWN_LOAD_MS
@@ -133,7 +160,7 @@
             return False
         load = candidate.load.load
         ahead = sum(t.waiting for t in load.waiting if t.tier <= need.tier)
-        own = self._own.get(candidate.record.replica) or _Own()
+        own = self._own_of(candidate)
         unseen = sum(at > candidate.load.heard_at for at, _ in own.asked)
         kept = kept_places(need.tier, load.slots)
         return load.running + ahead + unseen < load.slots - kept
@@ -167,30 +194,46 @@
             del self._own[name]
             self.memory.forget(name)
 
-    @staticmethod
-    def _ungated_cost(candidate: Candidate, own: _Own, need: Need) -> float:
-        """Estimate the cost at an engine that nobody keeps from being full."""
+    def _own_of(self, candidate: Candidate) -> _Own:
+        return self._own.get(candidate.record.replica) or _Own()
+
+    def _ungated_cost(self, candidate: Candidate, need: Need, cached: int) -> float:
+        """Estimate the cost beside the wait where the load is not known."""
+        work_ms = self._work_cost(candidate.last_load, need, cached)
+        if candidate.awaits_gate:
+            return work_ms
+        own = self._own_of(candidate)
         beyond = max(0, own.outstanding + 1 - candidate.ungated_places)
-        prompt_ms = need.prompt_tokens * DEFAULT_PROMPT_MS
-        output_ms = need.output_tokens * DEFAULT_OUTPUT_MS
-        work_ms = prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
-        return UNKNOWN_LOAD_MS + work_ms + beyond * UNGATED_WAIT_MS
+        return work_ms + beyond * UNGATED_WAIT_MS
 
     def _engine_cost(
         self, known: KnownLoad, own: _Own, need: Need, cached: int
     ) -> float:
+        wait_ms = self._wait_ms(known, own, need)
+        return wait_ms + self._work_cost(known.load, need, cached)
+
+    @staticmethod
+    def _work_cost(load: GateLoad | None, need: Need, cached: int) -> float:
+        """Estimate the cost of the work at the speeds that a gate has told."""
+        fresh = max(0, need.prompt_tokens - cached)
+        prompt_ms = fresh * DEFAULT_PROMPT_MS
+        output_ms = need.output_tokens * DEFAULT_OUTPUT_MS
+        if load is not None:
+            prompt_ms = fresh * load.ms_per_1000_prompt_tokens / 1000
+            output_ms = need.output_tokens * load.ms_per_1000_output_tokens / 1000
+        return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
+
+    @staticmethod
+    def _wait_ms(known: KnownLoad, own: _Own, need: Need) -> float:
+        """Estimate the wait for a place behind what goes first."""
         load = known.load
         unseen = [ms for at, ms in own.asked if at > known.heard_at]
         ahead = sum(t.waiting for t in load.waiting if t.tier <= need.tier)
         ahead_ms = sum(t.work_ms for t in load.waiting if t.tier <= need.tier)
         free = load.slots - load.running - ahead - len(unseen)
-        wait_ms = 0.0
-        if free <= 0:
-            wait_ms = load.free_in_ms + (ahead_ms + sum(unseen)) / max(1, load.slots)
-        fresh = max(0, need.prompt_tokens - cached)
-        prompt_ms = fresh * load.ms_per_1000_prompt_tokens / 1000
-        output_ms = need.output_tokens * load.ms_per_1000_output_tokens / 1000
-        return wait_ms + prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
+        if free > 0:
+            return 0.0
+        return load.free_in_ms + (ahead_ms + sum(unseen)) / max(1, load.slots)
 
     def _cached_tokens(
         self, candidates: list[Candidate], need: Need, now: float
--- a/tests/test_routing/test_placement.py
+++ b/tests/test_routing/test_placement.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from pistachiopath.grants.watch import KnownLoad
 from pistachiopath.messages.grants import GateLoad, TierLoad
 from pistachiopath.routing.placement import Candidate, Need, Placement
@@ -154,3 +156,25 @@
 
 def test_nobody_is_chosen_from_nobody():
     assert placement().choose([], NEED, 0.0) is None
+
+
+def awaited(name, last=None):
+    return attrs.evolve(
+        candidate(name, ungated_places=1), awaits_gate=True, last_load=last
+    )
+
+
+def test_an_engine_whose_load_is_not_known_is_taken_to_be_like_the_others():
+    # Failing first: it was taken for idle, however busy all others were.
+    parts = placement()
+    busy = [candidate(f'r{n}', load(running=4, free_in_ms=900)) for n in (1, 2, 3)]
+    less_busy = candidate('r4', load(running=4, free_in_ms=100))
+    assert chosen(parts, [*busy, less_busy, awaited('r5')], NEED) == {'r4'}
+    assert {'r1', 'r5'} <= chosen(parts, [*busy, awaited('r5')], NEED)
+
+
+def test_the_speed_of_an_engine_is_known_longer_than_its_load():
+    parts = placement()
+    fast = awaited('r1', load(prompt=30, output=1000).load)
+    slow = awaited('r2', load(prompt=90, output=3000).load)
+    assert chosen(parts, [fast, slow], NEED) == {'r1'}
