--- /dev/null
+++ b/tests/harness/gates_world.py
@@ -0,0 +1,248 @@
+"""Entries before gates over virtual time, with the product's own decisions."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from pistachiopath.errors.relay import TurnedAway
+from pistachiopath.grants.gate import GrantGate
+from pistachiopath.grants.watch import KnownLoad, LoadWatch
+from pistachiopath.messages.grants import (
+    Ask,
+    Denied,
+    GateLoad,
+    Granted,
+    ReleasePlace,
+    WatchLoad,
+)
+from pistachiopath.relay import placer as placer_module
+from pistachiopath.relay.placer import Placer
+from pistachiopath.routing.placement import Candidate, Placement
+from tests.test_directory.records import record
+from tests.test_relay.streams import stream_work
+
+from .network import VirtualNetwork
+
+SLOTS = 5
+OBJECTIVE_S = 1.0
+TIMEOUT_S = 6.0
+TICK_S = 0.05
+PROMPT_MS = 0.027
+OUTPUT_MS = 1.0
+# Engines of one service differ in speed.
+SLOWNESS = (1.0, 1.0, 1.5)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """A request, where it waits and what became of it."""
+
+    number: int
+    work: object
+    prompt: int
+    output: int
+    asked_at: float
+    candidate: Candidate | None = None
+    placed_at: float = 0.0
+    asks: int = 0
+    first_at: float | None = None
+
+
+class EntryNode:
+    """One entry: it is its own `targets` for the placer."""
+
+    def __init__(self, world, name, seed):
+        self.world = world
+        self.name = name
+        self.loads = LoadWatch(own_address=name)
+        self.placement = Placement(zone='a', rng=random.Random(seed))
+        self.placer = Placer(
+            places=None,
+            placement=self.placement,
+            targets=self,
+            rng=random.Random(seed + 1),
+        )
+        self.waiting = {}
+
+    def gate(self, replica_record):
+        return replica_record.replica
+
+    def candidates(self, service, excluded, now):
+        return [
+            self._candidate(item, now)
+            for item in self.world.records
+            if item.replica not in excluded
+        ]
+
+    def _candidate(self, item, now):
+        load = self.loads.get(item.replica, now)
+        if self.world.is_all_known:
+            known = self.world.gates[item.replica].load(now)
+            load = KnownLoad(load=known, heard_at=now)
+        return Candidate(
+            record=item,
+            load=load,
+            is_silent=False,
+            ungated_places=1,
+            awaits_gate=self.loads.is_awaited(item.replica, now),
+            last_load=self.loads.last(item.replica),
+        )
+
+    def place(self, job):
+        job.candidate = self.placer.choose(job.work)
+        job.placed_at = self.world.net.now
+        job.asks += 1
+        replica = job.candidate.record.replica
+        self.placement.asked(replica, job.work.need, self.world.net.now)
+        self.waiting[f'{job.number}.{job.asks}'] = job
+        self.world.ask(self, job)
+
+    def leave(self, job, name):
+        del self.waiting[name]
+        replica = job.candidate.record.replica
+        self.placement.left(replica)
+        body = ReleasePlace(request=name, first_ms=0, ok=False)
+        self.world.tell_gate(self, replica, body)
+
+    def heard(self, gate, body):
+        now = self.world.net.now
+        if isinstance(body, GateLoad):
+            self.loads.heard(gate, body, now)
+            self.look(gate)
+        elif body.request in self.waiting:
+            job = self.waiting[body.request]
+            if isinstance(body, Granted):
+                del self.waiting[body.request]
+                self.world.run(self, job, body.request)
+            elif isinstance(body, Denied):
+                self.leave(job, body.request)
+                job.work.denied.add(gate)
+                if len(job.work.denied) < 2:
+                    self.place(job)
+
+    def look(self, gate=None):
+        """Let those who wait look whether another gate is better."""
+        for name, job in list(self.waiting.items()):
+            if gate not in (None, job.candidate.record.replica):
+                continue
+            if self.placer._is_better_elsewhere(job.work, job.candidate, job.placed_at):
+                self.leave(job, name)
+                self.place(job)
+
+
+class GatesWorld:
+    """Plays a load; `is_all_known` lets entries know all loads at once."""
+
+    def __init__(self, patch, *, entries, gates, seed, is_all_known=False):
+        self.net = VirtualNetwork(seed=seed)
+        self.rng = random.Random(seed)
+        self.is_all_known = is_all_known
+        self.gates = {f'g{n}:1': GrantGate() for n in range(gates)}
+        self.records = [
+            record(replica=name, address=f'10.0.{n // 200}.{n % 200}:80', slots=SLOTS)
+            for n, name in enumerate(self.gates)
+        ]
+        self.slowness = {
+            name: SLOWNESS[n % len(SLOWNESS)] for n, name in enumerate(self.gates)
+        }
+        self.entries = [EntryNode(self, f'e{n}', seed + n) for n in range(entries)]
+        self.by_name = {e.name: e for e in self.entries}
+        self.jobs = []
+        self.messages = 0
+        patch.setattr(placer_module, 'time', self)
+        self.net.at(0.0, self._tick)
+
+    def monotonic(self):
+        return self.net.now
+
+    def _tick(self):
+        now = self.net.now
+        slots = dict.fromkeys(self.gates, SLOTS)
+        for entry in self.entries:
+            for send in entry.loads.tick(slots, now):
+                self.tell_gate(entry, send.to, send.body)
+            entry.look()
+        for name, gate in self.gates.items():
+            self._carry_out(name, gate.tick(now))
+        self.net.at(now + TICK_S, self._tick)
+
+    def ask(self, entry, job):
+        body = Ask(
+            request=f'{job.number}.{job.asks}',
+            tier=1,
+            customer='c',
+            prompt_tokens=job.prompt,
+            output_tokens=job.output,
+            objective_ms=int(1000 * (job.asked_at + OBJECTIVE_S - self.net.now)),
+            deadline_ms=int(1000 * (job.asked_at + TIMEOUT_S - self.net.now)),
+            slots=SLOTS,
+        )
+        self.tell_gate(entry, job.candidate.record.replica, body)
+
+    def tell_gate(self, entry, name, body):
+        self.messages += 1
+        self.net.send(entry.name, name, lambda: self._at_gate(entry.name, name, body))
+
+    def _at_gate(self, sender, name, body):
+        gate = self.gates[name]
+        now = self.net.now
+        handle = {Ask: gate.ask, ReleasePlace: gate.release, WatchLoad: gate.watch}
+        self._carry_out(name, handle[type(body)](sender, body, now))
+
+    def _carry_out(self, name, effects):
+        for effect in effects:
+            self.messages += 1
+            entry = self.by_name[effect.to]
+            self.net.send(
+                name, effect.to, lambda e=entry, b=effect.body: e.heard(name, b)
+            )
+
+    def run(self, entry, job, name):
+        replica = job.candidate.record.replica
+        slowness = self.slowness[replica]
+        first_ms = job.prompt * PROMPT_MS * slowness
+        job.first_at = self.net.now + first_ms / 1000
+        ends_at = job.first_at + job.output * OUTPUT_MS * slowness / 1000
+        body = ReleasePlace(request=name, first_ms=int(first_ms), ok=True)
+
+        def end():
+            entry.placement.left(replica)
+            self.tell_gate(entry, replica, body)
+
+        self.net.at(ends_at, end)
+
+    def arrive(self):
+        """Let one request come to some entry."""
+        prompt = self.rng.choice((600, 1800, 2900))
+        output = self.rng.choice((30, 60, 280))
+        work = stream_work(self.net.now, tier=1, timeout_s=TIMEOUT_S)
+        job = Job(
+            number=len(self.jobs),
+            work=work,
+            prompt=prompt,
+            output=output,
+            asked_at=self.net.now,
+        )
+        self.jobs.append(job)
+        try:
+            self.rng.choice(self.entries).place(job)
+        except TurnedAway:
+            job.first_at = None
+
+    def play(self, seconds, load):
+        """Offer a part of what all engines can do; return the part in time."""
+        mean_ms = 1767 * PROMPT_MS + 123 * OUTPUT_MS
+        speed = sum(1 / s for s in self.slowness.values())
+        rate = load * speed * SLOTS * 1000 / mean_ms
+        at = 0.5
+        while at < seconds:
+            self.net.at(at, self.arrive)
+            at += self.rng.expovariate(rate)
+        self.net.run_until(seconds + TIMEOUT_S)
+        in_time = [
+            j.first_at is not None and j.first_at - j.asked_at <= OBJECTIVE_S
+            for j in self.jobs
+        ]
+        return sum(in_time) / len(in_time)
