--- a/pistachiopath/admission/allowance_lender.py
+++ b/pistachiopath/admission/allowance_lender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 if TYPE_CHECKING:
     from ..routes.customer_account import CustomerAccount
 
+logger = logging.getLogger(__name__)
+
 LIVE_S = 0.8
 # Two parts that are cut off from each other both count on the whole for so long.
 LENDER_LIVE_S = 0.45
@@ -35,6 +38,8 @@
 # A customer that has less of its burst left, or asks for more than its rate, is
 # served by leases.
 LEASED_PART = 0.5
+# A customer on the border is logged no more often than this.
+LOG_S = 1.0
 # What is left or owed is spread over this time.
 SETTLE_S = 2.0
 # What was let through so long ago binds nobody any more.
@@ -70,7 +75,8 @@
     """What is left of an allowance over all entries, and who asked for it.
 
     `used` and `asked` are the totals of this lender's own entries; `lent` was
-    lent by single costs since other lenders were last told.
+    lent by single costs since other lenders were last told.  `is_scarce` is what
+    was last logged.
     """
 
     level: float
@@ -78,6 +84,8 @@
     used: int = 0
     asked: int = 0
     lent: float = 0.0
+    is_scarce: bool = False
+    log_at: float = 0.0
     demand: RecentRate = attrs.field(factory=RecentRate)
 
 
@@ -290,7 +298,10 @@
         for name, bucket in self._buckets.items():
             self._refill(name, bucket, share, now)
             customer = self._customers[name]
-            if self._is_scarce(customer, bucket, share, now):
+            is_scarce = self._is_scarce(customer, bucket, share, now)
+            if is_scarce != bucket.is_scarce and now >= bucket.log_at:
+                self._log(name, bucket, share, now)
+            if is_scarce:
                 part = self._part(entry, name, now)
                 leases.append(self._lease(customer, part, share))
         return AllowanceLeases(leases=tuple(leases))
@@ -302,6 +313,21 @@
             return True
         return bucket.demand.at(now) > customer.rate_per_s * share
 
+    @staticmethod
+    def _log(name: str, bucket: _Bucket, share: float, now: float) -> None:
+        """Tell that a customer is served by leases now, or freely again."""
+        bucket.is_scarce = not bucket.is_scarce
+        bucket.log_at = now + LOG_S
+        logger.info(
+            'allowance_scarce' if bucket.is_scarce else 'allowance_free',
+            extra={
+                'customer': name,
+                'left': int(bucket.level),
+                'asked_per_s': int(bucket.demand.at(now)),
+                'share': round(share, 3),
+            },
+        )
+
     def _part(self, entry: str, customer: str, now: float) -> float:
         """Return the part of an entry: of recent demand, and of what is spare."""
         demand = self._entries[entry].demand.get(customer, RecentRate()).at(now)
--- a/pistachiopath/relay/lender_link.py
+++ b/pistachiopath/relay/lender_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import time
 from typing import TYPE_CHECKING
@@ -19,6 +20,8 @@
     from ..messages.allowance import AllowanceLeases, Borrowed
     from ..messages.base import Message
 
+logger = logging.getLogger(__name__)
+
 REPORT_S = 0.1
 # With nothing to report the lender hears this often that the entry is there.
 IDLE_REPORT_S = 0.35
@@ -58,7 +61,7 @@
         lender = self._subscriber.main(now)
         if lender != self._lender:
             self._lender = lender
-            self._begin()
+            self._begin('chosen' if lender else 'none_answers')
         if not lender:
             return
         pause_s = REPORT_S if self._allowance.has_news else IDLE_REPORT_S
@@ -108,15 +111,23 @@
     def lost(self, peer: str) -> None:
         """Take in that a node is out of reach."""
         if peer == self._lender:
-            self._begin()
+            self._begin('link_lost')
 
     def tell(self, body: Message) -> None:
         """Let all other entries know something."""
         if self._lender:
             self._send(self._lender, 0, body)
 
-    def _begin(self) -> None:
+    def _begin(self, reason: str) -> None:
         """Begin a session: the lender counts what it is told from zero."""
         self._session += 1
+        logger.info(
+            'lender',
+            extra={
+                'lender': self._lender,
+                'session': self._session,
+                'reason': reason,
+            },
+        )
         self._allowance.begin_session(self._session)
         self._told_at = 0.0
