--- a/pistachiopath/admission/allowance_lender.py
+++ b/pistachiopath/admission/allowance_lender.py
@@ -2,33 +2,25 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..messages.allowance import (
     AllowanceLease,
     AllowanceLeases,
     CustomerUse,
     UseReport,
 )
+from .heard_nodes import LENDER_LIVE_S, LIVE_S, HeardNodes
+from .lender_bucket import LenderBucket
 from .recent_rate import RecentRate
+from .reporter import Reporter
 
 if TYPE_CHECKING:
     from ..routes.customer_account import CustomerAccount
 
-logger = logging.getLogger(__name__)
-
-LIVE_S = 0.8
-# Two parts that are cut off from each other both count on the whole for so long.
-LENDER_LIVE_S = 0.45
-FORGET_S = 30.0
 # Other lenders hear of what was lent within this time.
 NEXT_REPORT_S = 0.05
-# Lenders that are cut off from each other may share one that hears both.
-OVERLAP_SAFETY = 0.75
 # Lenders know each other's use a moment late: one bucket in one place would let
 # some of what they refuse through.  This part of the overage makes up for it.
 OVERAGE_SHARE = 0.5
@@ -38,8 +30,6 @@
 # A customer that has less of its burst left, or asks for more than its rate, is
 # served by leases.
 LEASED_PART = 0.5
-# A customer on the border is logged no more often than this.
-LOG_S = 1.0
 # What is left or owed is spread over this time.
 SETTLE_S = 2.0
 # What was let through so long ago binds nobody any more.
@@ -52,43 +42,6 @@
 SETTLED_S = 2.0
 
 
-@attrs.define(kw_only=True)
-class _Reporter:
-    """An entry or another lender, and the totals that it last told.
-
-    Where `is_complete`, a customer without totals had none when it was first
-    heard; otherwise nothing is known of what came before.
-    """
-
-    heard_at: float
-    session: int
-    entries: int = 1
-    heard: int = 1
-    known: int = 1
-    is_complete: bool = False
-    totals: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    demand: dict[str, RecentRate] = attrs.field(factory=dict)
-
-
-@attrs.define(kw_only=True)
-class _Bucket:
-    """What is left of an allowance over all entries, and who asked for it.
-
-    `used` and `asked` are the totals of this lender's own entries; `lent` was
-    lent by single costs since other lenders were last told.  `is_scarce` is what
-    was last logged.
-    """
-
-    level: float
-    updated_at: float
-    used: int = 0
-    asked: int = 0
-    lent: float = 0.0
-    is_scarce: bool = False
-    log_at: float = 0.0
-    demand: RecentRate = attrs.field(factory=RecentRate)
-
-
 class AllowanceLender:
     """Counts what all entries use, and lends parts of what is scarce.
 
@@ -108,16 +61,14 @@
         self._headroom = 1.0 + OVERAGE_SHARE * overage
         self._slack_tokens = SLACK_SHARE * slack_tokens
         self._customers: dict[str, CustomerAccount] = {}
-        self._buckets: dict[str, _Bucket] = {}
-        self._entries: dict[str, _Reporter] = {}
-        self._lenders: dict[str, _Reporter] = {}
+        self._buckets: dict[str, LenderBucket] = {}
+        self._nodes = HeardNodes()
         self._told: dict[str, dict[str, tuple[int, int]]] = {}
-        self._known_entries = 1
         self._settled_at = math.inf
 
     def set_known_entries(self, number: int) -> None:
         """Take in how many entries there are."""
-        self._known_entries = max(1, number)
+        self._nodes.set_known_entries(number)
 
     def adopt(self, customers: tuple[CustomerAccount, ...], now: float) -> None:
         """Follow a new configuration; customers new in it have a full burst."""
@@ -130,8 +81,8 @@
             del self._buckets[name]
         for customer in limited:
             if customer.name not in self._buckets:
-                part = START_PART if is_first else self.share(now)
-                self._buckets[customer.name] = _Bucket(
+                part = START_PART if is_first else self._nodes.share(now)
+                self._buckets[customer.name] = LenderBucket(
                     level=part * self._burst(customer), updated_at=now
                 )
 
@@ -141,11 +92,11 @@
         What it used while it was not heard came out of its own share, by which
         the copy here was not refilled.
         """
-        entry = self._entries.get(name)
+        entry = self._nodes.entries.get(name)
         is_new = entry is None or entry.session != body.session
         if is_new:
-            entry = _Reporter(heard_at=now, session=body.session)
-            self._entries[name] = entry
+            entry = Reporter(heard_at=now, session=body.session)
+            self._nodes.entries[name] = entry
         silent_s = now - entry.heard_at
         counted = min(1.0, LIVE_S / silent_s) if silent_s > 0 else 1.0
         entry.heard_at = now
@@ -154,7 +105,7 @@
             # The count began with a predecessor of this process.
             entry.totals = {u.customer: (u.total, u.asked) for u in body.uses}
             return True
-        share = self.share(now)
+        share = self._nodes.share(now)
         for use in body.uses:
             used, asked = entry.totals.get(use.customer, (0, 0))
             entry.totals[use.customer] = (use.total, use.asked)
@@ -179,14 +130,13 @@
         if bucket is None:
             return 0.0
         account = self._customers[customer]
-        share = self.share(now)
+        share = self._nodes.share(now)
         self._refill(customer, bucket, share, now)
         missing = min(cost, self._burst(account) * share) - bucket.level
         if missing > 0:
             return missing / max(1.0, self._rate(account, share))
-        if bucket.lent and bucket.lent + cost > self._part_of_lender(now) * self._burst(
-            account
-        ):
+        most = self._part_of_lender(now) * self._burst(account)
+        if bucket.lent and bucket.lent + cost > most:
             return NEXT_REPORT_S
         bucket.level -= cost
         bucket.lent += cost
@@ -195,17 +145,17 @@
 
     def _part_of_lender(self, now: float) -> float:
         """Return the part that may be lent before other lenders hear of it."""
-        if not self._live_lenders(now):
+        if not self._nodes.live_lenders(now):
             return 1.0
-        return len(self.live_entries(now)) / self._known(now)
+        return len(self.live_entries(now)) / self._nodes.known(now)
 
     def heard_lender(self, name: str, body: UseReport, now: float) -> None:
         """Take in what another lender reports for its entries."""
-        known = self._lenders.get(name)
+        known = self._nodes.lenders.get(name)
         if known is None or known.session != body.session:
             # What was used before it was first heard is long refilled.
             totals = {u.customer: (u.total, u.asked) for u in body.uses}
-            self._lenders[name] = _Reporter(
+            self._nodes.lenders[name] = Reporter(
                 heard_at=now,
                 session=body.session,
                 is_complete=body.begins,
@@ -213,13 +163,13 @@
             )
         else:
             self._take_off(known, body, now)
-        lender = self._lenders[name]
+        lender = self._nodes.lenders[name]
         lender.heard_at = now
         lender.entries = body.entries
         lender.heard = body.heard
         lender.known = body.known
 
-    def _take_off(self, lender: _Reporter, body: UseReport, now: float) -> None:
+    def _take_off(self, lender: Reporter, body: UseReport, now: float) -> None:
         """Take off what a lender's entries have used since it was last heard.
 
         What they used while it was not counted here came out of its own share,
@@ -227,7 +177,7 @@
         """
         silent_s = now - lender.heard_at
         counted = min(1.0, LENDER_LIVE_S / silent_s) if silent_s > 0 else 1.0
-        share = self.share(now)
+        share = self._nodes.share(now)
         for use in body.uses:
             nothing = (0, 0) if lender.is_complete else None
             told = lender.totals.get(use.customer, nothing)
@@ -252,8 +202,7 @@
 
     def lost(self, name: str) -> None:
         """Take in that an entry or a lender is out of reach."""
-        self._entries.pop(name, None)
-        self._lenders.pop(name, None)
+        self._nodes.lost(name)
         self._told.pop(name, None)
 
     def report(self, to: str, now: float) -> UseReport:
@@ -279,63 +228,43 @@
             begins=begins,
             is_lender=True,
             entries=len(self.live_entries(now)),
-            heard=self._heard(now),
-            known=self._known(now),
+            heard=self._nodes.heard(now),
+            known=self._nodes.known(now),
         )
 
     def live_entries(self, now: float) -> list[str]:
-        """Return the entries that report here, and forget those long gone."""
-        for reporters in (self._entries, self._lenders):
-            for name, reporter in list(reporters.items()):
-                if now - reporter.heard_at >= FORGET_S:
-                    del reporters[name]
-        return [n for n, e in self._entries.items() if now - e.heard_at < LIVE_S]
+        """Return the entries that report here."""
+        return self._nodes.live_entries(now)
 
     def leases(self, entry: str, now: float) -> AllowanceLeases:
         """Return the leases of an entry that reports here."""
-        share = self.share(now)
+        share = self._nodes.share(now)
         leases = []
         for name, bucket in self._buckets.items():
             self._refill(name, bucket, share, now)
             customer = self._customers[name]
             is_scarce = self._is_scarce(customer, bucket, share, now)
-            if is_scarce != bucket.is_scarce and now >= bucket.log_at:
-                self._log(name, bucket, share, now)
+            bucket.log(name, share, now, is_scarce=is_scarce)
             if is_scarce:
                 part = self._part(entry, name, now)
                 leases.append(self._lease(customer, part, share))
         return AllowanceLeases(leases=tuple(leases))
 
     def _is_scarce(
-        self, customer: CustomerAccount, bucket: _Bucket, share: float, now: float
+        self, customer: CustomerAccount, bucket: LenderBucket, share: float, now: float
     ) -> bool:
         if bucket.level < LEASED_PART * self._burst(customer) * share:
             return True
         return bucket.demand.at(now) > customer.rate_per_s * share
 
-    @staticmethod
-    def _log(name: str, bucket: _Bucket, share: float, now: float) -> None:
-        """Tell that a customer is served by leases now, or freely again."""
-        bucket.is_scarce = not bucket.is_scarce
-        bucket.log_at = now + LOG_S
-        logger.info(
-            'allowance_scarce' if bucket.is_scarce else 'allowance_free',
-            extra={
-                'customer': name,
-                'left': int(bucket.level),
-                'asked_per_s': int(bucket.demand.at(now)),
-                'share': round(share, 3),
-            },
-        )
-
     def _part(self, entry: str, customer: str, now: float) -> float:
         """Return the part of an entry: of recent demand, and of what is spare."""
-        demand = self._entries[entry].demand.get(customer, RecentRate()).at(now)
+        demand = self._nodes.entries[entry].demand.get(customer, RecentRate()).at(now)
         total = max(demand, self._buckets[customer].demand.at(now))
         rate = self._customers[customer].rate_per_s
         spare = max(IDLE_PART, 1.0 - total / rate)
         by_demand = (1.0 - IDLE_PART) * demand / max(total, rate)
-        return by_demand + spare / self._known(now)
+        return by_demand + spare / self._nodes.known(now)
 
     def _lease(
         self, customer: CustomerAccount, part: float, share: float
@@ -349,35 +278,6 @@
             level=max(0, int(part * bucket.level)),
         )
 
-    def share(self, now: float) -> float:
-        """Return the part of all allowances that belongs to the entries heard.
-
-        Where all lenders heard hear as many entries as this one, the parts of
-        all lenders and of lone entries are no more than the whole.  Otherwise
-        some hear both sides of a cut.
-        """
-        heard = self._heard(now)
-        known = self._known(now)
-        if heard >= known:
-            return 1.0
-        if all(lender.heard == heard for lender in self._live_lenders(now)):
-            return heard / known
-        return OVERLAP_SAFETY * heard / known
-
-    def _live_lenders(self, now: float) -> list[_Reporter]:
-        lenders = self._lenders.values()
-        return [r for r in lenders if now - r.heard_at < LENDER_LIVE_S]
-
-    def _heard(self, now: float) -> int:
-        own = sum(now - e.heard_at < LIVE_S for e in self._entries.values())
-        return own + sum(lender.entries for lender in self._live_lenders(now))
-
-    def _known(self, now: float) -> int:
-        """Return how many entries there are, as any of those heard knows."""
-        live = [e for e in self._entries.values() if now - e.heard_at < LIVE_S]
-        told = [r.known for r in (*live, *self._live_lenders(now))]
-        return max(self._known_entries, *told, 1)
-
     def _burst(self, customer: CustomerAccount) -> float:
         slack = self._slack_tokens if customer.counts_tokens else 0.0
         return customer.burst + slack
@@ -386,7 +286,9 @@
         factor = self._headroom if share >= 1.0 else share
         return customer.rate_per_s * factor
 
-    def _refill(self, name: str, bucket: _Bucket, share: float, now: float) -> None:
+    def _refill(
+        self, name: str, bucket: LenderBucket, share: float, now: float
+    ) -> None:
         customer = self._customers[name]
         gained = (now - bucket.updated_at) * self._rate(customer, share)
         most = self._burst(customer) * (share if now >= self._settled_at else 1.0)
--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..effects import Send
 from ..gate.fairness import FairTags
 from ..messages.grants import (
@@ -18,14 +16,13 @@
 from .place import Place
 from .speed import EngineSpeed
 from .tiers import Tiers
+from .watchers import Watchers
 
 if TYPE_CHECKING:
     from ..messages.grants import Ask, ReleasePlace, WatchLoad
 
-LOAD_PERIOD_S = 0.03
 # Who waits in vain hears it within this time.
 LOOK_PERIOD_S = 0.2
-WATCH_LEASE_S = 3.0
 # Runs of an entry that is out of reach may go on at the engine for a while.
 LOST_HOLD_S = 1.0
 RETRY_MIN_MS = 200
@@ -34,16 +31,6 @@
 MIN_GRANTS_PER_S = 0.7
 
 
-@attrs.define(kw_only=True)
-class _Watcher:
-    """An entry that watches the load, and what it was last told."""
-
-    heard_at: float
-    period_s: float
-    told_at: float
-    told_change: int
-
-
 class GrantGate:
     """All entries ask here before they send a request to one engine.
 
@@ -63,7 +50,7 @@
         self._fair = FairTags()
         self._tiers = Tiers()
         self._order = 0
-        self._watchers: dict[str, _Watcher] = {}
+        self._watchers = Watchers()
         self._look_at = 0.0
         self._change = 0
 
@@ -113,17 +100,12 @@
     def watch(self, asker: str, body: WatchLoad, now: float) -> list[Send]:
         """Tell an entry the load, now and when it changes."""
         self.slots = body.slots or self.slots
-        self._watchers[asker] = _Watcher(
-            heard_at=now,
-            period_s=max(LOAD_PERIOD_S, body.period_ms / 1000),
-            told_at=now,
-            told_change=self._change,
-        )
+        self._watchers.watch(asker, body.period_ms, self._change, now)
         return [Send(to=asker, call=0, body=self.load(now))]
 
     def lost(self, asker: str, now: float) -> list[Send]:
         """Take in that an entry is out of reach."""
-        self._watchers.pop(asker, None)
+        self._watchers.lost(asker)
         for key in [k for k in self._waiting if k[0] == asker]:
             del self._waiting[key]
         for key, place in self._running.items():
@@ -273,26 +255,14 @@
 
     def _load_for(self, asker: str, now: float) -> Send:
         """Return the load for an entry that hears from this gate anyway."""
-        watcher = self._watchers.get(asker)
-        if watcher is not None:
-            watcher.told_at = now
-            watcher.told_change = self._change
+        self._watchers.told(asker, self._change, now)
         return Send(to=asker, call=0, body=self.load(now))
 
     def _tell(self, now: float) -> list[Send]:
-        """Tell those who watch of a changed load, each with its pause between."""
-        effects: list[Send] = []
-        for name, watcher in list(self._watchers.items()):
-            if now - watcher.heard_at >= WATCH_LEASE_S:
-                del self._watchers[name]
-            elif self._is_due(watcher, now):
-                effects.append(self._load_for(name, now))
-        return effects
-
-    def _is_due(self, watcher: _Watcher, now: float) -> bool:
-        if watcher.told_change == self._change:
-            return False
-        return now - watcher.told_at >= watcher.period_s
+        """Tell those who watch of a changed load."""
+        return [
+            self._load_for(name, now) for name in self._watchers.due(self._change, now)
+        ]
 
 
 def _granted(place: Place) -> Send:
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from pistachiopath.admission import allowance_lender
+from pistachiopath.admission import heard_nodes
 from pistachiopath.admission.allowance_lender import AllowanceLender
+from pistachiopath.admission.heard_nodes import HeardNodes
 from pistachiopath.directory import directory
 from pistachiopath.errors.exchange import ExchangeFailed
 from pistachiopath.errors.relay import TurnedAway
@@ -98,13 +99,13 @@
 
 def whole_allowance_when_cut_off(patch):
     """Each part that is cut off lets the whole allowance through."""
-    patch.setattr(AllowanceLender, 'share', lambda self, now: 1.0)
+    patch.setattr(HeardNodes, 'share', lambda self, now: 1.0)
     return allowance_checks.test_a_cut_does_not_double_what_a_burst_may_take
 
 
 def both_sides_of_a_cut_count_on_those_between(patch):
     """A part that shares entries with another one is used in full."""
-    patch.setattr(allowance_lender, 'OVERLAP_SAFETY', 1.0)
+    patch.setattr(heard_nodes, 'OVERLAP_SAFETY', 1.0)
     check = allowance_checks
     return lambda: (
         check.test_lenders_that_hear_both_sides_of_a_cut_do_not_double_the_allowance(
