Gates log each place granted or denied; entries say where an objective passed

- agents: place_granted and place_denied with tier, wait, objective and patience left, places held, others of the tier still in time, whether the tier had its turn; denials with cause and both estimates; counters and a histogram beside them.
- entries: request_done says objective, time spent on earlier attempts and where the objective passed.

No decision changes: the estimate of a wait is the same two numbers, now in a type.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -12,10 +12,14 @@
     Granted,
     TierLoad,
 )
+from .denial_cause import DenialCause
+from .gate_log import GateLog
 from .kept_places import kept_places
+from .occupancy import Occupancy
 from .place import Place
 from .speed import EngineSpeed
 from .tiers import Tiers
+from .wait_estimate import WaitEstimate
 from .watchers import Watchers
 
 if TYPE_CHECKING:
@@ -45,7 +49,8 @@
     Methods return effects; `now` is a monotonic clock in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, log: GateLog | None = None) -> None:
+        self._log = log or GateLog()
         self.slots = DEFAULT_SLOTS
         self.speed = EngineSpeed()
         self._waiting: dict[tuple[str, str], Place] = {}
@@ -80,9 +85,10 @@
         self.slots = ask.slots or self.slots
         self._tiers.record_request(ask.tier, now)
         place = self._new_place(entry, ask, now)
-        wait_ms = self._wait_ms(place, now)
-        if self._is_infeasible(place, wait_ms, now):
-            denial = _denied(place, int(wait_ms) - ask.objective_ms)
+        estimate = self._estimate_wait(place, now)
+        cause = self._denial_cause(place, estimate, now)
+        if cause is not None:
+            denial = self._deny(place, cause, estimate, now)
             return [denial, self._load_for(entry, now)]
         self._waiting[key] = place
         self._load_version += 1
@@ -154,25 +160,50 @@
             self._recheck_at = now + RECHECK_PERIOD_S
         effects: list[Send] = []
         for key, place in list(self._waiting.items()):
-            wait_ms = self._wait_ms(place, now) if is_recheck_due else 0.0
-            is_expired = now >= place.patience_at
-            if is_expired or (
-                is_recheck_due and self._is_infeasible(place, wait_ms, now)
-            ):
+            estimate = WaitEstimate()
+            cause = DenialCause.EXPIRED if now >= place.patience_at else None
+            if is_recheck_due:
+                estimate = self._estimate_wait(place, now)
+                cause = cause or self._denial_cause(place, estimate, now)
+            if cause is not None:
                 del self._waiting[key]
                 self._load_version += 1
-                effects.append(_denied(place, int(wait_ms) - place.ask.objective_ms))
+                effects.append(self._deny(place, cause, estimate, now))
         return effects
 
-    def _is_infeasible(self, place: Place, wait_ms: float, now: float) -> bool:
-        """Return whether a request is expected to exceed its patience or deadline.
+    def _deny(
+        self, place: Place, cause: DenialCause, estimate: WaitEstimate, now: float
+    ) -> Send:
+        self._log.denied(place, cause, estimate, self._occupancy(place, now), now)
+        return _denied(place, int(estimate.wait_ms) - place.ask.objective_ms)
+
+    def _denial_cause(
+        self, place: Place, estimate: WaitEstimate, now: float
+    ) -> DenialCause | None:
+        """Return the time that a request is expected to exceed, or None.
 
         An early denial costs a caller less than one after a long wait.
         """
-        first_ms = wait_ms + self.speed.first_ms(place.ask.prompt_tokens)
+        first_ms = estimate.wait_ms + self.speed.first_ms(place.ask.prompt_tokens)
         if now + first_ms / 1000 > place.patience_at:
-            return True
-        return now + (wait_ms + self._work_ms(place)) / 1000 > place.deadline_at
+            return DenialCause.PATIENCE
+        end_ms = estimate.wait_ms + self._work_ms(place)
+        if now + end_ms / 1000 > place.deadline_at:
+            return DenialCause.DEADLINE
+        return None
+
+    def _occupancy(self, place: Place, now: float) -> Occupancy:
+        in_time = [
+            p
+            for p in self._waiting.values()
+            if p.ask.tier == place.ask.tier and p is not place and not p.is_late(now)
+        ]
+        return Occupancy(
+            slots=self.slots,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            tier_in_time=len(in_time),
+        )
 
     def _new_place(self, entry: str, ask: Ask, now: float) -> Place:
         self._order += 1
@@ -214,6 +245,9 @@
                 return effects
             key = min(eligible, key=lambda k: self._priority(self._waiting[k], now))
             place = self._waiting.pop(key)
+            by_turn = self._tiers.has_turn(place.ask.tier)
+            occupancy = self._occupancy(place, now)
+            self._log.granted(place, occupancy, now, by_turn=by_turn)
             waiting_tiers = {p.ask.tier for p in self._waiting.values()}
             self._tiers.record_grant(place.ask.tier, waiting_tiers, now)
             place.granted_at = now
@@ -222,30 +256,33 @@
             self._load_version += 1
             effects.append(_granted(place))
 
-    def _wait_ms(self, place: Place, now: float) -> float:
+    def _estimate_wait(self, place: Place, now: float) -> WaitEstimate:
         """Estimate how long a request waits behind those of higher priority."""
         priority = self._priority(place, now)
         ahead = [p for p in self._waiting.values() if self._priority(p, now) < priority]
         if not ahead and self._has_room(place):
-            return 0.0
+            return WaitEstimate()
         work_ms = sum(self._work_ms(p) for p in ahead)
         by_work_ms = self._free_in_ms(now) + work_ms / max(1, self.slots)
-        return max(by_work_ms, self._wait_by_rate_ms(place, ahead, now))
+        tier = place.ask.tier
+        ahead_in_tier = sum(p.ask.tier == tier for p in ahead)
+        rate = self._tiers.grants_per_s(tier, now)
+        return WaitEstimate(
+            ahead=len(ahead),
+            by_work_ms=by_work_ms,
+            by_rate_ms=self._wait_by_rate_ms(tier, ahead_in_tier, rate),
+            grants_per_s=rate,
+        )
 
-    def _wait_by_rate_ms(self, place: Place, ahead: list[Place], now: float) -> float:
-        """Estimate the wait from the tier's recent grant rate.
+    def _wait_by_rate_ms(self, tier: int, ahead: int, grants_per_s: float) -> float:
+        """Estimate the wait behind others of the tier from its recent grant rate.
 
         The rate accounts for more urgent requests that will arrive meanwhile.
         The most urgent tier has none ahead of it, so its estimate is 0.
         """
-        tier = place.ask.tier
         if not self._tiers.index(tier):
             return 0.0
-        ahead_in_tier = sum(p.ask.tier == tier for p in ahead)
-        if not ahead_in_tier:
-            return 0.0
-        rate = self._tiers.grants_per_s(tier, now)
-        return ahead_in_tier * 1000 / max(rate, MIN_GRANTS_PER_S)
+        return ahead * 1000 / max(grants_per_s, MIN_GRANTS_PER_S)
 
     def _free_in_ms(self, now: float) -> float:
         """Estimate when the next place will be free."""
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -13,6 +13,7 @@
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from .gate import GrantGate
+from .gate_log import GateLog
 
 if TYPE_CHECKING:
     from ..messages.base import Message
@@ -29,7 +30,7 @@
     """Runs the gate of the engine on this VM."""
 
     def __init__(self, *, address: str, secret: bytes, metrics: Metrics) -> None:
-        self.gate = GrantGate()
+        self.gate = GrantGate(log=GateLog(metrics=metrics))
         self._address = address
         self._metrics = metrics
         self._network = Network(
--- a/pistachiopath/relay/request_log.py
+++ b/pistachiopath/relay/request_log.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from .timing import timing
+
 if TYPE_CHECKING:
     from ..errors.relay import TurnedAway
     from ..telemetry.metrics import Metrics
@@ -47,6 +49,9 @@
                 'waited_ms': int(work.waited_s * 1000),
                 'first_ms': int(first_s * 1000),
                 'total_ms': int((now - work.started_at) * 1000),
+                'objective_ms': int(route.objective_s * 1000),
+                'spent_ms': work.spent_ms,
+                'timing': timing(work).value,
                 'version': version,
             },
         )
@@ -74,6 +79,7 @@
                 'customer': exc.customer,
                 'cost': int(exc.cost),
                 'held_ms': int(held_s * 1000),
+                'spent_ms': work.spent_ms if work else 0,
                 'tries': work.tries if work else 0,
                 'version': version,
             },
@@ -82,6 +88,7 @@
     def _count(self, work: Work, total_s: float, first_s: float) -> None:
         route = work.admitted.route.name
         self._metrics.count('requests_total', outcome=work.outcome, route=route)
+        self._metrics.count('timings_total', timing=timing(work).value, route=route)
         self._metrics.observe('request', total_s, route=route)
         self._metrics.observe('wait', work.waited_s, route=route)
         if work.first_event_at:
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -64,6 +64,11 @@
             parts=self.req.parts,
         )
 
+    @property
+    def spent_ms(self) -> int:
+        """Milliseconds that the caller spent on earlier attempts."""
+        return int((self.started_at - self.first_attempt_at) * 1000)
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the deadline, at least 0."""
         return max(0.0, self.deadline_at - now)
