Group: a seed passes the probe of an empty disk on to the leader

What callers saw: nothing yet; with more than three control nodes operators would have. A control node whose disk came back empty stayed outside its group for good, and the next losses took the majority: no reads or puts until the end.

Cause: a member without a log probes the configured seeds (three at most). Only a leader admits it, and the leader may be none of them; the seeds answered "not blank" and dropped the rest.

Ruled out: a pending change of members (commit 27 of 27), a version lost (acked equals the survivors').

Now a follower sends a probe that comes from the prober itself on to its leader.

The harness restarts nodes in sorted order, so a seed gives one verdict.

--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -129,6 +129,9 @@
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
             effects += self._admit_learner(probe, now, time_ms)
+        elif self.replica.leader and sender == probe.address:
+            # The prober knows the configured addresses; the leader may be at another.
+            effects.append(Send(to=self.replica.leader, call=0, body=probe))
         return effects
 
     def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
--- a/tests/harness/document_faults.py
+++ b/tests/harness/document_faults.py
@@ -6,6 +6,7 @@
 
 SEEDS = ('c0', 'c1', 'c2')
 ROUNDS = 14
+OTHERS = ('c3', 'c4', 'c5')
 
 
 def inject_fault(world, rng, down):
@@ -13,27 +14,30 @@
 
     `down` holds the names of the stopped nodes.  Returns the seconds to wait.
     """
+    names = tuple(world.nodes)
     kind = rng.choice(['kill', 'power', 'wipe', 'cut', 'heal', 'all', 'cut under load'])
     if kind == 'heal' or down:
-        for name in list(down):
+        for name in sorted(down):
             world.nodes[name].start()
             down.discard(name)
         world.net.cuts = set()
         return 4.0
     if kind in ('kill', 'power', 'wipe'):
-        name = rng.choice(SEEDS)
-        world.nodes[name].kill(power=kind != 'kill')
-        if kind == 'wipe':
-            world.nodes[name].lose_disk()
-        down.add(name)
+        for name in draw_losses(world, rng):
+            world.nodes[name].kill(power=kind != 'kill')
+            if kind == 'wipe':
+                world.nodes[name].lose_disk()
+            down.add(name)
+        if kind == 'wipe' and world.tolerated > 1 and rng.random() < 0.5:
+            lose_power(world, down)
         return rng.uniform(0.0, 3.0)
     if kind == 'all':
-        for name in SEEDS:
+        for name in names:
             world.nodes[name].kill(power=True)
             down.add(name)
         return rng.uniform(0.0, 1.0)
-    name = rng.choice(SEEDS)
-    for other in SEEDS:
+    name = rng.choice(names)
+    for other in names:
         if other != name:
             world.net.cuts |= {(name, other), (other, name)}
     if kind == 'cut under load':
@@ -41,28 +45,44 @@
     return rng.uniform(0.0, 4.0)
 
 
+def draw_losses(world, rng):
+    """Return the names of as many nodes as may be lost at once."""
+    names = tuple(world.nodes)
+    if world.tolerated == 1:
+        return [rng.choice(names)]
+    return rng.sample(names, world.tolerated)
+
+
+def lose_power(world, down):
+    """Stop all nodes that run; their disks keep what was synced."""
+    for name, node in world.nodes.items():
+        if name not in down:
+            node.kill(power=True)
+            down.add(name)
+
+
 def put_and_read_everywhere(world, rng):
     """Put, and read at all nodes, while an isolated leader may still lead."""
     for _ in range(rng.randrange(5, 15)):
         world.run(0.1)
         world.put()
-        for name in SEEDS:
+        for name in world.nodes:
             world.read(name)
 
 
-def run_random_faults(seed):
+def run_random_faults(seed, *, others=(), tolerated=1):
     """Put and read among faults; check that no acknowledged version is lost."""
-    world = DocumentWorld(seed=seed)
-    world.run(3.0)
+    world = DocumentWorld(seed=seed, others=others, tolerated=tolerated)
+    world.run(3.0 if tolerated == 1 else 6.0)
     rng = world.rng
     down = set()
     for _ in range(ROUNDS):
         for _ in range(rng.randrange(4)):
-            world.put(rng.choice([None, *SEEDS]))
-            world.read(rng.choice([None, *SEEDS]))
+            world.put(rng.choice([None, *world.nodes]))
+            world.read(rng.choice([None, *world.nodes]))
             world.run(rng.choice([0.0, 0.003, 0.1]))
         world.run(inject_fault(world, rng, down))
-    for name in down:
+    for name in sorted(down):
         world.nodes[name].start()
     world.net.cuts = set()
     world.run(5.0)
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.harness.document_faults import SEEDS, run_random_faults
+from tests.harness.document_faults import OTHERS, SEEDS, run_random_faults
 from tests.harness.document_world import DocumentWorld
 
 
@@ -197,3 +197,27 @@
 @pytest.mark.parametrize('seed', range(40))
 def test_acknowledged_puts_are_never_lost_or_read_stale_under_random_faults(seed):
     run_random_faults(seed)
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_two_losses_at_once_lose_nothing_under_random_faults(seed):
+    run_random_faults(seed, others=OTHERS, tolerated=2)
+
+
+def test_an_empty_disk_rejoins_though_the_leader_is_not_a_seed():
+    world = formed_world(others=OTHERS, tolerated=2)
+    world.run(3.0)
+    while world.leader().name in SEEDS:
+        leader = world.leader()
+        leader.kill()
+        world.run(2.0)
+        leader.start()
+        world.run(2.0)
+    node = world.nodes['c1']
+    node.kill(power=True)
+    node.lose_disk()
+    world.run(0.5)
+    node.start()
+    world.run(3.0)
+    assert world.leader().name not in SEEDS
+    assert node.replica.member in {m.member for m in world.leader().replica.members}
