Control nodes send a follower one configuration at a time

Cause: content that a follower had not confirmed yet was sent with every poll (0.4 s, 0.05 s for one that starts), every change of a replica and every version; an entry that waited for it asked all other control nodes after 0.3 s. With a configuration of 1,400 routes and versions 0.2 s apart the copies filled the links (10 Mbit/s), the newest came behind all of them, and up to 32 MB of copies wait in each link's queue.

Now a follower receives one configuration at a time and, when it confirms, the newest: versions between are skipped. It is sent again when its link is lost, or after 0.5 s and the time that 0.25 MB/s needs. An entry whose main control node has offered a version asks others after 1.5 s.

Tests: test_content_in_flight.py. Before: 88 copies of 0.5 MB in 0.6 s to one follower (now 1, then the newest), and both control nodes asked at once. Four of five failed.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -16,13 +16,19 @@
 FOLLOWER_LEASE_S = 3.0
 FOLLOWER_RETENTION_S = 20.0
 CONTROL_RETENTION_S = 20.0
+# A configuration that a follower has not confirmed in this time, and at this
+# rate, is taken to be lost.  Links of small VMs carry 0.6 MB/s or more.
+CONFIRM_TIMEOUT_S = 0.5
+MIN_BYTES_PER_S = 250_000
 
 
 @attrs.define(kw_only=True)
 class _Follower:
     """A node that follows this one, and what it has received.
 
-    `since` is the last change of the directory that was sent to it.
+    `since` is the last change of the directory that was sent to it.  While it
+    receives the configuration of version `sent_version`, until it confirms it
+    or `sent_until`, it is sent no other.
     """
 
     last_follow_at: float
@@ -30,6 +36,15 @@
     wants_content: bool
     version: int = 0
     since: int = 0
+    sent_version: int = 0
+    sent_until: float = 0.0
+
+    def needs_content(self, version: int, now: float) -> bool:
+        """Return whether to send the configuration of a version now."""
+        if not self.wants_content or version <= self.version:
+            return False
+        is_receiving = self.sent_version > self.version and now < self.sent_until
+        return not is_receiving
 
 
 class Announcer:
@@ -112,9 +127,19 @@
             version=body.version,
             since=since,
         )
+        previous = self._followers.get(sender)
+        if previous is not None:
+            follower.sent_version = previous.sent_version
+            follower.sent_until = previous.sent_until
         self._followers[sender] = follower
         return [self._push_to(sender, follower, now)]
 
+    def link_lost(self, address: str) -> None:
+        """Forget what was on its way to a follower; its next poll is answered."""
+        follower = self._followers.get(address)
+        if follower is not None:
+            follower.sent_version = 0
+
     def all_entries_hold(self, version: int, now: float) -> bool:
         """Return whether every live entry that follows has this version or a newer."""
         return all(
@@ -172,12 +197,12 @@
         ]
 
     def _push_to(self, name: str, follower: _Follower, now: float) -> Send:
-        has_newer = self.version > follower.version and follower.wants_content
+        content = self._content_for(follower, now)
         news = News(
             feed=self._feed,
             change=self.directory.change,
             version=self.version,
-            content=self.content if has_newer else b'',
+            content=content,
             records=self.directory.since(follower.since),
             controls=self.controls(now),
             entries=self.entries(now),
@@ -185,3 +210,16 @@
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
+
+    def _content_for(self, follower: _Follower, now: float) -> bytes:
+        """Return the configuration if it is to be sent now, or nothing.
+
+        A follower needs the newest version only, so those that come while it
+        receives one are skipped.
+        """
+        if not follower.needs_content(self.version, now):
+            return b''
+        follower.sent_version = self.version
+        transfer_s = len(self.content) / MIN_BYTES_PER_S
+        follower.sent_until = now + CONFIRM_TIMEOUT_S + transfer_s
+        return self.content
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -22,6 +22,9 @@
 # If the main control node does not send a newer configuration within this time,
 # it is requested from any control node that offers it.
 CONTENT_TIMEOUT_S = 0.3
+# A configuration that the main control node has offered is on its way.  Another
+# copy would only delay it on the same link.
+OFFERED_CONTENT_TIMEOUT_S = 1.5
 # A node without a configuration serves no requests.  It polls this often, so that
 # it soon finds a first control node that starts after it.
 INITIAL_FOLLOW_INTERVAL_S = 0.05
@@ -112,7 +115,8 @@
         has_no_contact = not self.version and not self.live_controls(now)
         effects: list[Send] = []
         for address, source in self._sources.items():
-            is_content_late = now - source.newer_version_since >= CONTENT_TIMEOUT_S
+            timeout_s = self._content_timeout_s(address, main)
+            is_content_late = now - source.newer_version_since >= timeout_s
             if now < source.next_follow_at and not is_content_late:
                 continue
             if is_content_late:
@@ -123,6 +127,14 @@
             effects.append(self._follow(address, source, wants_content=is_content_late))
         return effects
 
+    def _content_timeout_s(self, address: str, main: str) -> float:
+        """Return how long a newer configuration may be offered without content."""
+        source = self._sources.get(main)
+        is_offered = source is not None and source.newer_version_since < math.inf
+        if is_offered and address != main:
+            return OFFERED_CONTENT_TIMEOUT_S
+        return CONTENT_TIMEOUT_S
+
     def _follow_interval_s(
         self, address: str, main: str, *, has_no_contact: bool
     ) -> float:
--- /dev/null
+++ b/tests/test_directory/test_content_in_flight.py
@@ -0,0 +1,98 @@
+"""Configurations on links that are slower than the operators' changes."""
+
+from __future__ import annotations
+
+import pytest
+
+from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.subscriber import Subscriber
+from pistachiopath.messages.directory import Follow, News
+
+from .records import record
+
+CONTENT = b'x' * 500_000
+
+
+@pytest.fixture
+def announcer():
+    return Announcer(address='c1', feed=1, silent_after_s=3.6, now=0.0)
+
+
+def follow(version):
+    return Follow(version=version, feed=1, since=0, is_entry=True, wants_content=True)
+
+
+def sent_versions(effects):
+    """Return the versions whose content is among the sends."""
+    return [
+        send.body.version
+        for send in effects
+        if isinstance(send.body, News) and send.body.content
+    ]
+
+
+def test_a_slow_follower_gets_one_configuration_at_a_time_and_the_newest_next(
+    announcer,
+):
+    announcer.follow('e1', follow(0), 0.0)
+    sent = sent_versions(announcer.publish(1, CONTENT, 0.1))
+    for number in range(2, 31):
+        now = 0.1 + number * 0.02
+        sent += sent_versions(announcer.publish(number, CONTENT, now))
+        change = record(replica=f'r{number}')
+        sent += sent_versions(announcer.announce(change, now))
+        sent += sent_versions(announcer.follow('e1', follow(0), now))
+    assert sent == [1]
+    assert sent_versions(announcer.follow('e1', follow(1), 0.8)) == [30]
+
+
+def test_a_configuration_that_was_lost_with_its_link_is_sent_again(announcer):
+    announcer.follow('e1', follow(0), 0.0)
+    assert sent_versions(announcer.publish(1, CONTENT, 0.1)) == [1]
+    announcer.link_lost('e1')
+    assert sent_versions(announcer.follow('e1', follow(0), 0.2)) == [1]
+
+
+def test_a_configuration_that_never_arrives_is_sent_again_after_its_time(announcer):
+    announcer.follow('e1', follow(0), 0.0)
+    announcer.publish(1, CONTENT, 0.0)
+    assert sent_versions(announcer.follow('e1', follow(0), 2.4)) == []
+    assert sent_versions(announcer.follow('e1', follow(0), 2.6)) == [1]
+
+
+def test_a_small_configuration_is_repeated_soon(announcer):
+    announcer.follow('e1', follow(0), 0.0)
+    announcer.publish(1, b'small', 0.0)
+    assert sent_versions(announcer.follow('e1', follow(0), 0.6)) == [1]
+
+
+def offer(version):
+    return News(
+        feed=1,
+        change=0,
+        version=version,
+        content=b'',
+        records=(),
+        controls=(),
+        entries=1,
+        silent=(),
+    )
+
+
+def wanted_from(entry, now):
+    return {send.to for send in entry.tick(now) if send.body.wants_content}
+
+
+def test_what_the_main_control_node_sends_slowly_is_not_asked_of_others():
+    entry = Subscriber(is_entry=True, own_address='e1')
+    entry.set_seeds(('c1', 'c2'), 0.0)
+    for control in ('c1', 'c2'):
+        entry.on_news(control, offer(0), 0.0)
+    entry.version = 1
+    main = entry.main(0.0)
+    entry.tick(0.0)
+    for control in ('c1', 'c2'):
+        entry.on_news(control, offer(2), 0.1)
+    for tenth in range(2, 12):
+        assert wanted_from(entry, tenth / 10) <= {main}
+    assert len(wanted_from(entry, 1.7)) == 2
