--- a/pistachiopath/document/settings.py
+++ b/pistachiopath/document/settings.py
@@ -12,8 +12,9 @@
     `node_address` and `seeds` are addresses for messages between nodes: that of
     this node and those of control nodes.  This node takes part in forming a
     first group only if `forms` is true.  The group has
-    2 * `tolerated_losses` + 1 voters.  A replica that announces nothing for
-    `silent_after_s` seconds is reported as silent.  All entries together may
+    2 * `tolerated_losses` + 1 voters; a `diskless` node is none of them.  A
+    replica that announces nothing for `silent_after_s` seconds is reported as
+    silent.  All entries together may
     exceed a customer's allowance by the fraction `allowance_overage` of it and
     by `allowance_slack_tokens`.
     """
@@ -23,5 +24,6 @@
     forms: bool
     tolerated_losses: int
     silent_after_s: float
+    diskless: bool = False
     allowance_overage: float = 0.0
     allowance_slack_tokens: float = 0.0
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -130,6 +130,7 @@
             timing=DOCUMENT_TIMING,
             forms=cfg.forms,
             voters=2 * cfg.tolerated_losses + 1,
+            diskless=cfg.diskless,
         )
         self.core = DocumentCore(group=group)
         return self.core, folder
--- a/pistachiopath/messages/replication.py
+++ b/pistachiopath/messages/replication.py
@@ -7,11 +7,15 @@
 
 @message
 class Member(Message):
-    """A member of the group; its identity belongs to one data folder."""
+    """A member of the group; its identity belongs to one data folder.
+
+    A `diskless` member loses its folder when its process ends, so it never votes.
+    """
 
     member: str
     address: str
     voter: bool = True
+    diskless: bool = False
 
 
 @message
@@ -111,6 +115,7 @@
 
     member: str
     address: str
+    diskless: bool = False
 
 
 @message
@@ -120,6 +125,7 @@
     member: str
     address: str
     blank: bool
+    diskless: bool = False
 
 
 @message
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import random
+import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -37,7 +38,8 @@
     """Stores the configuration and the replicas' announcements."""
 
     def __init__(self, cfg: PlatformSettings, metrics: Metrics) -> None:
-        folder = Path(cfg.data_folder)
+        # On a VM without a disk the folder ends with the process.
+        folder = Path(cfg.data_folder or tempfile.mkdtemp(prefix='control-'))
         try:
             self._shell = DocumentShell(
                 cfg=DocumentSettings(
@@ -45,6 +47,7 @@
                     seeds=cfg.seed_nodes,
                     forms=cfg.is_first_start,
                     tolerated_losses=cfg.tolerated_losses,
+                    diskless=not cfg.data_folder,
                     silent_after_s=SILENT_AFTER_PERIODS * cfg.announce_ms / 1000,
                     allowance_overage=cfg.allowance_overage,
                     allowance_slack_tokens=cfg.allowance_slack_tokens,
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -41,7 +41,8 @@
     learners.  A voter that has been silent for `REPLACE_VOTER_AFTER_S` is
     removed if a learner is ready for promotion.  Members change one at a time.
 
-    This member takes part in forming a first group only if `forms` is true.
+    This member takes part in forming a first group only if `forms` is true.  With
+    `diskless` it is never a voter: it follows the log and passes requests on.
     """
 
     def __init__(
@@ -55,17 +56,19 @@
         timing: Timing,
         forms: bool = True,
         voters: int = 0,
+        diskless: bool = False,
     ) -> None:
         self.replica = Replica(
             address=address, persisted=persisted, rng=rng, now=now, timing=timing
         )
         self._other_addresses: tuple[str, ...] = ()
         self._can_form = False
-        self._may_form = forms
+        self._may_form = forms and not diskless
         self._voters = voters
+        self._diskless = diskless
         self.set_addresses(addresses)
         self._timing = timing
-        self._blank_replies: dict[str, tuple[float, str]] = {}
+        self._blank_replies: dict[str, tuple[float, ProbeReply]] = {}
         self._probe_at = now
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
@@ -115,7 +118,11 @@
     def _probe(self) -> list[Effect]:
         if not self._other_addresses:
             return self._form(()) if self._can_form and self.is_blank else []
-        probe = Probe(member=self.replica.member, address=self.replica.address)
+        probe = Probe(
+            member=self.replica.member,
+            address=self.replica.address,
+            diskless=self._diskless,
+        )
         return [Send(to=a, call=0, body=probe) for a in self._other_addresses]
 
     def _on_probe(
@@ -125,6 +132,7 @@
             member=self.replica.member,
             address=self.replica.address,
             blank=self.is_blank,
+            diskless=self._diskless,
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
@@ -138,23 +146,19 @@
         if not reply.blank:
             self._blank_replies.pop(reply.address, None)
             return []
-        self._blank_replies[reply.address] = (now, reply.member)
+        self._blank_replies[reply.address] = (now, reply)
         all_blank = all(
             a in self._blank_replies
             and now - self._blank_replies[a][0] < BLANK_REPLY_MAX_AGE_S
             for a in self._other_addresses
         )
-        has_lowest_address = all(
-            self.replica.address < a for a in self._other_addresses
-        )
-        if not (self.is_blank and self._can_form and all_blank and has_lowest_address):
+        if not (self.is_blank and self._can_form and all_blank):
             return []
-        return self._form(
-            tuple(
-                Member(member=self._blank_replies[a][1], address=a)
-                for a in self._other_addresses
-            )
-        )
+        replies = [self._blank_replies[a][1] for a in self._other_addresses]
+        others = [_member_of(reply) for reply in replies]
+        if any(m.voter and m.address < self.replica.address for m in others):
+            return []
+        return self._form(tuple(others))
 
     def _form(self, others: tuple[Member, ...]) -> list[Effect]:
         own = Member(member=self.replica.member, address=self.replica.address)
@@ -190,7 +194,12 @@
             return []
         if not any(m.voter for m in remaining):
             return []
-        learner = Member(member=probe.member, address=probe.address, voter=False)
+        learner = Member(
+            member=probe.member,
+            address=probe.address,
+            voter=False,
+            diskless=probe.diskless,
+        )
         return self._propose_members((*remaining, learner), now, time_ms)
 
     def _repair(self, now: float, time_ms: int) -> list[Effect]:
@@ -231,6 +240,8 @@
         return self.replica.log.members_index > self.replica.commit
 
     def _is_promotable(self, member: Member, now: float) -> bool:
+        if member.diskless:
+            return False
         progress = self.replica.progress_of(member.member)
         if progress is None or now - progress.last_reply_at > PROMOTION_MAX_SILENCE_S:
             return False
@@ -244,3 +255,13 @@
             EntryKind.MEMBERS, now, time_ms, members=members
         )
         return effects + self.replica.flush(now)
+
+
+def _member_of(reply: ProbeReply) -> Member:
+    """Return the first group's member for a folder that is known to be empty."""
+    return Member(
+        member=reply.member,
+        address=reply.address,
+        voter=not reply.diskless,
+        diskless=reply.diskless,
+    )
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -261,12 +261,14 @@
 struct Probe {
   member @0 :Text;
   address @1 :Text;
+  diskless @2 :Bool;
 }
 
 struct ProbeReply {
   member @0 :Text;
   address @1 :Text;
   blank @2 :Bool;
+  diskless @3 :Bool;
 }
 
 struct Form {
@@ -344,6 +346,7 @@
   member @0 :Text;
   address @1 :Text;
   voter @2 :Bool;
+  diskless @3 :Bool;
 }
 
 struct StoredVote {
--- a/tests/harness/document_world.py
+++ b/tests/harness/document_world.py
@@ -25,11 +25,12 @@
 class DocumentNode:
     """A control node that can be killed, lose its disk and be restarted."""
 
-    def __init__(self, *, world, name, seeds, forms):
+    def __init__(self, *, world, name, seeds, forms, diskless=False):
         self.world = world
         self.name = name
         self.seeds = seeds
         self.forms = forms
+        self.diskless = diskless
         self.alive = False
         self._generation = 0
         self._disks = 0
@@ -40,6 +41,8 @@
         self.disk = Disk(member=f'{self.name}-disk{self._disks}')
 
     def start(self):
+        if self.diskless:
+            self.lose_disk()
         self.alive = True
         self._generation += 1
         self.core = DocumentCore(
@@ -52,6 +55,7 @@
                 timing=DOCUMENT_TIMING,
                 forms=self.forms,
                 voters=2 * self.world.tolerated + 1,
+                diskless=self.diskless,
             )
         )
         self.forms = False
@@ -111,9 +115,13 @@
         for name in (*seeds, *others):
             self.add(name, forms=True)
 
-    def add(self, name, *, forms=False, seeds=None):
+    def add(self, name, *, forms=False, seeds=None, diskless=False):
         node = DocumentNode(
-            world=self, name=name, seeds=seeds or self.seeds, forms=forms
+            world=self,
+            name=name,
+            seeds=seeds or self.seeds,
+            forms=forms,
+            diskless=diskless,
         )
         self.nodes[name] = node
         node.start()
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -199,11 +199,64 @@
     run_random_faults(seed)
 
 
+def test_two_disks_lost_with_all_power_keep_what_was_acknowledged():
+    # Regression: three control nodes ran where two disks may be lost at once.
+    world = formed_world(others=OTHERS, tolerated=2)
+    world.run(3.0)
+    version = world.put()
+    world.run(0.05)
+    assert world.acked == version
+    lost = [world.leader().name, next(n for n in SEEDS if n != world.leader().name)]
+    for node in world.nodes.values():
+        node.kill(power=True)
+    for name in lost:
+        world.nodes[name].lose_disk()
+    world.run(1.5)
+    for node in world.nodes.values():
+        node.start()
+    world.run(5.0)
+    world.read()
+    world.run(1.0)
+    assert world.reads == 1
+    assert world.leader().core.version == version
+
+
 @pytest.mark.parametrize('seed', range(60))
 def test_two_losses_at_once_lose_nothing_under_random_faults(seed):
     run_random_faults(seed, others=OTHERS, tolerated=2)
 
 
+def test_a_diskless_node_follows_and_passes_puts_on_but_never_votes():
+    world = formed_world(tolerated=2)
+    for name in ('d0', 'd1'):
+        world.add(name, diskless=True)
+    world.run(3.0)
+    assert world.voters() == sorted(SEEDS)
+    assert world.nodes['d0'].core.leader == world.leader().name
+    version = world.put()
+    world.run(0.5)
+    assert world.nodes['d1'].core.version == version
+    world.nodes['d1'].kill()
+    world.run(0.5)
+    world.nodes['d1'].start()
+    world.run(3.0)
+    assert world.nodes['d1'].core.version == version
+    assert world.voters() == sorted(SEEDS)
+
+
+def test_a_diskless_seed_neither_forms_a_group_nor_votes_in_it():
+    world = DocumentWorld(seed=5, seeds=('c1', 'c2', 'c3'), tolerated=1)
+    for name in world.seeds:
+        world.nodes[name].kill()
+        world.nodes[name].lose_disk()
+    world.seeds = ('c0', 'c1', 'c2')
+    world.add('c0', forms=True, diskless=True)
+    for name in ('c1', 'c2'):
+        world.add(name, forms=True)
+    world.run(3.0)
+    assert world.voters() == ['c1', 'c2']
+
+
 def test_an_empty_disk_rejoins_though_the_leader_is_not_a_seed():
     world = formed_world(others=OTHERS, tolerated=2)
     world.run(3.0)
