Group: a silent voter is replaced before it is removed

What callers saw: nothing yet; found by random schedules of six control nodes.

Cause: a voter silent for 3 s was removed as soon as a learner could replace it, and the learner got its vote in a later record. Between the two the group had four voters, and two lost disks left two of four: no majority again, though all VMs were back and no more disks were lost than tolerated.

Now the learner votes first, so that the voters number 2f+2 for a moment, and the silent one goes next. Ruled out: one record for both (majorities of the two groups need not meet).

--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -39,7 +39,7 @@
     With `voters` above zero the group also admits members at addresses that
     are not configured.  It grows to that many voters and keeps the others as
     learners.  A voter that has been silent for `REPLACE_VOTER_AFTER_S` is
-    removed if a learner is ready for promotion.  Members change one at a time.
+    replaced if a learner is ready for promotion.  Members change one at a time.
 
     This member takes part in forming a first group only if `forms` is true.  With
     `diskless` it is never a voter: it follows the log and passes requests on.
@@ -208,29 +208,38 @@
             return []
         members = self.replica.members
         promotable = [m for m in members if not m.voter and self._is_promotable(m, now)]
-        missing_voters = self._voters - sum(m.voter for m in members)
-        if promotable and (not self._voters or missing_voters > 0):
+        silent = self._silent_members(now) if self._voters else []
+        if promotable and self._needs_voter(silent):
             return self._propose_members(self._with_vote(promotable[0]), now, time_ms)
-        removed = (
-            self._member_to_remove(now, has_replacement=bool(promotable))
-            if self._voters
-            else None
-        )
-        if removed is None:
+        removable = [m for m in silent if not m.voter or self._extra_voters() > 0]
+        if not removable:
             return []
-        remaining = tuple(m for m in members if m != removed)
+        remaining = tuple(m for m in members if m != removable[0])
         return self._propose_members(remaining, now, time_ms)
 
-    def _member_to_remove(self, now: float, *, has_replacement: bool) -> Member | None:
-        """Return a member that has been silent for too long, or None."""
+    def _needs_voter(self, silent: list[Member]) -> bool:
+        """Tell whether to promote a learner, also to replace a silent voter.
+
+        The replacement votes before the silent voter is removed: its disk may
+        still be needed if others are lost meanwhile.
+        """
+        extra = self._extra_voters()
+        has_silent_voter = any(m.voter for m in silent)
+        return not self._voters or extra < 0 or (extra == 0 and has_silent_voter)
+
+    def _extra_voters(self) -> int:
+        return sum(m.voter for m in self.replica.members) - self._voters
+
+    def _silent_members(self, now: float) -> list[Member]:
+        """Return the members that have been silent for too long."""
+        silent = []
         for member in self.replica.others():
             progress = self.replica.progress_of(member.member)
             silent_s = now - progress.last_reply_at if progress else 0.0
-            if not member.voter and silent_s >= REMOVE_LEARNER_AFTER_S:
-                return member
-            if member.voter and has_replacement and silent_s >= REPLACE_VOTER_AFTER_S:
-                return member
-        return None
+            limit_s = REPLACE_VOTER_AFTER_S if member.voter else REMOVE_LEARNER_AFTER_S
+            if silent_s >= limit_s:
+                silent.append(member)
+        return silent
 
     def _with_vote(self, learner: Member) -> tuple[Member, ...]:
         voter = Member(member=learner.member, address=learner.address)
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -274,3 +274,21 @@
     world.run(3.0)
     assert world.leader().name not in SEEDS
     assert node.replica.member in {m.member for m in world.leader().replica.members}
+
+
+def test_a_voter_that_is_cut_off_is_replaced_before_it_is_removed():
+    # Regression: the group had four voters meanwhile, and two lost disks stopped it.
+    world = formed_world(others=OTHERS, tolerated=2)
+    world.run(3.0)
+    world.put()
+    world.run(0.5)
+    cut = next(n for n in world.voters() if n != world.leader().name)
+    for other in world.nodes:
+        if other != cut:
+            world.net.cuts |= {(cut, other), (other, cut)}
+    fewest = 5
+    for _ in range(300):
+        world.run(0.02)
+        fewest = min(fewest, len(world.voters()))
+    assert fewest == 5
+    assert cut not in world.voters()
