Group: probes reach the members that a node knows, not the seeds alone

What callers saw: nothing yet; found by random schedules of six control nodes.

Cause: nodes without a log, and nodes without a leader, probed the seeds only. With two seeds wiped and the third removed while it was cut off, no seed was in the group or knew its leader: the three stayed outside for good, and the next two losses stopped it.

Now a node also probes the members in its log, and one without a leader passes a probe on to these.

--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -116,14 +116,18 @@
     # Forming the first group
 
     def _probe(self) -> list[Effect]:
-        if not self._other_addresses:
+        addresses = {
+            *self._other_addresses,
+            *(m.address for m in self.replica.others()),
+        }
+        if not addresses:
             return self._form(()) if self._can_form and self.is_blank else []
         probe = Probe(
             member=self.replica.member,
             address=self.replica.address,
             diskless=self._diskless,
         )
-        return [Send(to=a, call=0, body=probe) for a in self._other_addresses]
+        return [Send(to=a, call=0, body=probe) for a in sorted(addresses)]
 
     def _on_probe(
         self, sender: str, probe: Probe, now: float, time_ms: int
@@ -137,11 +141,23 @@
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
             effects += self._admit_learner(probe, now, time_ms)
-        elif self.replica.leader and sender == probe.address:
-            # The prober knows the configured addresses; the leader may be at another.
-            effects.append(Send(to=self.replica.leader, call=0, body=probe))
+        elif sender == probe.address:
+            effects += self._pass_on(probe)
         return effects
 
+    def _pass_on(self, probe: Probe) -> list[Effect]:
+        """Pass a probe on to the leader, or to all members if it is not known.
+
+        The prober knows the configured addresses; the leader may be at another.
+        """
+        members = [m.address for m in self.replica.others()]
+        addresses = [self.replica.leader] if self.replica.leader else members
+        return [
+            Send(to=address, call=0, body=probe)
+            for address in addresses
+            if address != probe.address
+        ]
+
     def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
         if not reply.blank:
             self._blank_replies.pop(reply.address, None)
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -292,3 +292,28 @@
         fewest = min(fewest, len(world.voters()))
     assert fewest == 5
     assert cut not in world.voters()
+
+
+def test_empty_disks_rejoin_though_no_seed_is_in_the_group():
+    # Regression: the only seed with a log had been removed and knew no leader.
+    world = formed_world(others=OTHERS, tolerated=2)
+    world.run(3.0)
+    while world.leader().name in SEEDS:
+        leader = world.leader()
+        leader.kill()
+        world.run(2.0)
+        leader.start()
+        world.run(2.0)
+    world.nodes['c1'].kill()
+    world.run(8.0)
+    assert 'c1' not in world.voters()
+    for name in ('c0', 'c2'):
+        world.nodes[name].kill(power=True)
+        world.nodes[name].lose_disk()
+    world.run(0.2)
+    for name in SEEDS:
+        world.nodes[name].start()
+    world.run(4.0)
+    assert len(world.voters()) == 5
+    members = {m.member for m in world.leader().replica.members}
+    assert {world.nodes[name].replica.member for name in SEEDS} <= members
