Entries grant their share of places before engines without a gate

Cause: an entry gave itself at least one place at each engine without a gate and sent at once, without limit. 18 entries before an engine of five places send 18.

Now an entry asks a gate of its own, one for each service, for its share of the places of all engines that have none in reach. It is the gate that agents run: by tier, fairly, with early refusals. A request waits there only until the engine's own gate answers.

--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -102,7 +102,7 @@
         run: ExchangeRun | None = None
         result: ExchangeResult | None = None
         try:
-            if candidate.is_gated:
+            if candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
                 if grant is None:
                     return NotRun(reason=MOVED, arrived=False)
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -16,6 +16,7 @@
 from ..exchange.limits import ExchangeLimits
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
+from ..grants.gate_log import GateLog
 from ..grants.watch import LoadWatch
 from ..messages.allowance import AllowanceLeases, Borrowed
 from ..messages.directory import News
@@ -31,6 +32,7 @@
 from .departure import LEAVE_ROTATION_S, Departure
 from .dispatcher import Dispatcher
 from .lender_link import LenderLink
+from .own_gates import OwnGates
 from .placer import Placer
 from .places import Places
 from .request_log import RequestLog
@@ -104,7 +106,10 @@
             on_lost=self._on_lost,
             silence_s=LINK_SILENCE_S,
         )
-        self._places = Places(send=self._network.send, on_silent=self._loads.mark_lost)
+        self._own_gates = OwnGates(
+            deliver=self._on_gate_reply, log=GateLog(metrics=metrics)
+        )
+        self._places = Places(send=self._send_to_gate, on_silent=self._loads.mark_lost)
         self._pool = ConnectionPool(request_id_header=dialect.request_id_header)
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
@@ -254,6 +259,7 @@
             if routes is not None:
                 gates = self._targets.gates(routes)
                 self._apply_effects(self._loads.tick(gates, now))
+            self._own_gates.tick(now)
             self._lender.tick(now)
             self._crashes.tick(now)
             if now >= prune_at:
@@ -281,10 +287,10 @@
             case News():
                 self._on_news(sender, body, now)
             case Granted() | Denied():
-                self._places.handle_reply(sender, body)
+                self._on_gate_reply(sender, body)
             case GateLoad():
                 self._loads.record_load(sender, body, now)
-                self._places.handle_load(sender)
+                self._on_gate_reply(sender, body)
             case AllowanceLeases():
                 self._lender.handle_leases(sender, body, now)
             case Borrowed():
@@ -292,6 +298,18 @@
             case CrashMarks():
                 self._crashes.handle_marks(body, now)
 
+    def _send_to_gate(self, gate: str, call: int, body: Message) -> None:
+        if self._own_gates.handles(gate):
+            self._own_gates.send(gate, body)
+        else:
+            self._network.send(gate, call, body)
+
+    def _on_gate_reply(self, gate: str, body: Message) -> None:
+        if isinstance(body, GateLoad):
+            self._places.handle_load(gate)
+        else:
+            self._places.handle_reply(gate, body)
+
     def _on_news(self, sender: str, body: News, now: float) -> None:
         version = self._subscriber.version
         effects = self._subscriber.on_news(sender, body, now)
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -10,6 +10,7 @@
 
 from ..errors.relay import GateLost, PlaceDenied, TurnedAway
 from ..messages.grants import Ask
+from .own_gates import OwnGates
 
 if TYPE_CHECKING:
     import random
@@ -108,6 +109,7 @@
         route = work.admitted.route
         customer = work.admitted.customer
         objective_s = route.objective_s - (started_at - work.first_attempt_at)
+        gate, slots = self._gate(candidate)
         ask = Ask(
             request=f'{work.req.request_id}.{work.tries}',
             tier=work.admitted.tier,
@@ -117,10 +119,9 @@
             objective_ms=max(0, int(objective_s * 1000)),
             deadline_ms=int(work.remaining_s(started_at) * 1000),
             patience_ms=max(1, int(self._patience_s(work, started_at) * 1000)),
-            slots=candidate.record.slots,
+            slots=slots,
             customer_tier=work.admitted.customer_tier,
         )
-        gate = self._targets.gate(candidate.record)
         try:
             return self._places.acquire(
                 gate,
@@ -145,6 +146,13 @@
         finally:
             work.waited_s += time.monotonic() - started_at
 
+    def _gate(self, candidate: Candidate) -> tuple[str, int]:
+        """Return the address of the gate to ask, and the number of its places."""
+        record = candidate.record
+        if candidate.is_gated:
+            return self._targets.gate(record), record.slots
+        return OwnGates.address(record.service), candidate.shared_places
+
     def _retry_after_s(self, work: Work, wait_s: float) -> float:
         """Return the seconds after which a caller without a place should retry.
 
@@ -180,8 +188,10 @@
         record = candidate.record
         candidates = self._targets.candidates(work.admitted.service, set(), now)
         current = [c for c in candidates if c.record.replica == record.replica]
-        if not current or not current[0].is_gated:
+        if not current or current[0].is_gated != candidate.is_gated:
             return True
+        if not candidate.is_gated:
+            return False
         best = self._placement.choose(candidates, work.need, now)
         if best is None or best.record.replica == record.replica:
             return False
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
+import attrs
+
 from ..directory.replica_state import ReplicaState
 from ..routing.placement import Candidate
 
@@ -51,7 +54,7 @@
         self, service: str, excluded: set[str], now: float
     ) -> list[Candidate]:
         """Return the replicas of a service that accept new requests."""
-        return [
+        found = [
             Candidate(
                 record=record,
                 load=self._loads.get(self.gate(record), now),
@@ -63,6 +66,7 @@
             for record in self.ready()
             if record.service == service and record.replica not in excluded
         ]
+        return self._with_shared_places(found)
 
     def mark_superseded(self, record: ReplicaRecord, now: float) -> None:
         """Mark a lifetime as ended after another one answered at its address.
@@ -78,16 +82,35 @@
             extra={'replica': record.replica, 'address': record.address},
         )
 
+    def _with_shared_places(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Add this entry's share of the places of all engines without a gate."""
+        places = sum(
+            self._slots(c.record)
+            for c in candidates
+            if c.ungated_places and not c.is_gated
+        )
+        if not places:
+            return candidates
+        shared = math.ceil(places / max(1, self._subscriber.entries))
+        return [
+            attrs.evolve(c, shared_places=shared)
+            if c.ungated_places and not c.is_gated
+            else c
+            for c in candidates
+        ]
+
+    def _slots(self, record: ReplicaRecord) -> int:
+        service = self._engine_service(record)
+        return record.slots or (service.slots if service else 0)
+
     def _ungated_places(self, record: ReplicaRecord) -> int:
         """Return this entry's share of an engine's places, at least 1.
 
         A replica without an engine has 0.
         """
-        service = self._engine_service(record)
-        if service is None:
+        if self._engine_service(record) is None:
             return 0
-        entries = max(1, self._subscriber.entries)
-        return max(1, (record.slots or service.slots) // entries)
+        return max(1, self._slots(record) // max(1, self._subscriber.entries))
 
     def _awaits_gate(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether an answer of an engine's gate may still be expected."""
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -45,7 +45,8 @@
 
     `ungated_places` is how many requests this entry may have at an engine
     whose gate does not answer, so that all entries together do not overload
-    it; it is 0 for a target without an engine.  `awaits_gate` is set while a
+    it, and `shared_places` how many at all such engines of the service; both
+    are 0 for a target without an engine.  `awaits_gate` is set while a
     gate that is not known to be unreachable may still answer.  `last_load` is
     the last reported load at any age, and is used for the engine's speed.
     """
@@ -54,14 +55,20 @@
     load: KnownLoad | None
     is_silent: bool
     ungated_places: int = 0
+    shared_places: int = 0
     awaits_gate: bool = False
     last_load: GateLoad | None = None
 
     @property
     def is_gated(self) -> bool:
-        """Return whether a request has to ask the gate for a place."""
+        """Return whether a request has to ask the engine's gate for a place."""
         return self.load is not None or self.awaits_gate
 
+    @property
+    def needs_place(self) -> bool:
+        """Return whether a request has to ask a gate, or this entry, for a place."""
+        return self.is_gated or self.shared_places > 0
+
 
 @attrs.define(kw_only=True, frozen=True)
 class Need:
