Entries believe replicas that say in an answer that they leave, or want quiet

Until now an entry sent on to a replica that left until a control node told it, and at once to one that asked to be left alone.

Now the head of an answer is decoded once into a TargetNotice. Leaving is merged into the entry's directory as a state that never goes back in a lifetime; the wish stands in ReplicaHealth, by lifetime and the monotonic clock. Candidates leave both out, also in the fallback to all replicas; a waiting request moves, and the replica is looked at again right before the send. A service whose replicas all want quiet refuses at once and says when the first is back. Values that can't be read are logged and counted.

--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from ..errors.exchange import BadHttp
 from ..exchange.hop_headers import end_to_end
 from ..relay.caller_request import CallerRequest
+from ..relay.target_notice import TargetNotice
 from ..relay.verdict import Verdict
 from ..routing.prompt_part import PromptPart
 from . import names
@@ -16,6 +18,9 @@
     from ..exchange.request import Headers, HttpRequest
 
 STATUS_MISDIRECTED_REQUEST = 421
+STATUS_UNAVAILABLE = 503
+SECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+MAX_LOGGED = 40
 # With these statuses the system itself promises that a request did not run.
 # From a replica they prove nothing without the header `names.NOT_EXECUTED`.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -83,6 +88,21 @@
             return Verdict.UNPROVEN
         return Verdict.SUCCESS
 
+    def notice(self, head: AnswerHead) -> TargetNotice:
+        """Return what a replica's answer says of the replica itself.
+
+        An answer for another replica's address says nothing.
+        """
+        if head.status == STATUS_MISDIRECTED_REQUEST:
+            return TargetNotice()
+        is_leaving = head.header(names.LEAVING) == '1'
+        wish = head.header(names.RETRY_AFTER).strip()
+        if head.status != STATUS_UNAVAILABLE or not wish:
+            return TargetNotice(is_leaving=is_leaving)
+        if not SECONDS.fullmatch(wish):
+            return TargetNotice(is_leaving=is_leaving, unreadable=wish[:MAX_LOGGED])
+        return TargetNotice(is_leaving=is_leaving, quiet_s=float(wish))
+
     def caller_headers(self, head: AnswerHead) -> Headers:
         """Return the headers of a replica's answer that are sent to the caller."""
         return end_to_end(head.headers)
@@ -91,7 +111,7 @@
         """Return the headers of an answer that the entry itself generates."""
         headers = [(names.REQUEST_ID, req.request_id.encode('latin-1'))]
         if retry_after_s is not None:
-            headers.append((b'retry-after', b'%.2f' % retry_after_s))
+            headers.append((names.RETRY_AFTER, b'%.2f' % retry_after_s))
         return headers
 
 
--- a/pistachiopath/platform/names.py
+++ b/pistachiopath/platform/names.py
@@ -39,6 +39,8 @@
 # Set by a replica on its answers.
 SIGNATURE = b'replica-signature'
 NOT_EXECUTED = b'not-executed'
+LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 
 READY_PATH = '/pistachiopath/readyz'
 REPLICAS_PATH = '/pistachiopath/replicas/'
--- a/pistachiopath/relay/dialect.py
+++ b/pistachiopath/relay/dialect.py
@@ -8,6 +8,7 @@
     from ..exchange.answer import AnswerHead
     from ..exchange.request import Headers, HttpRequest
     from .caller_request import CallerRequest
+    from .target_notice import TargetNotice
     from .verdict import Verdict
 
 
@@ -33,6 +34,9 @@
     def verdict(self, head: AnswerHead) -> Verdict:
         """Classify an answer by its head."""
 
+    def notice(self, head: AnswerHead) -> TargetNotice:
+        """Return what a target's answer says of the target itself."""
+
     def caller_headers(self, head: AnswerHead) -> Headers:
         """Return the headers to send to the caller with a target's answer."""
 
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -23,6 +23,7 @@
     from .crashes import Crashes
     from .dialect import Dialect
     from .ended import ExchangeResult
+    from .notices import Notices
     from .placer import Placer
     from .places import Grant, Places
     from .work import Work
@@ -50,6 +51,7 @@
         budget_limits: RetryBudgetLimits,
         known_entries: Callable[[], int],
         crashes: Crashes,
+        notices: Notices,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
@@ -59,6 +61,7 @@
         self._budget_limits = budget_limits
         self._known_entries = known_entries
         self._crashes = crashes
+        self._notices = notices
         self._budgets: dict[str, RetryBudget] = {}
 
     def serve(self, conn: ServerConnection, work: Work) -> None:
@@ -106,6 +109,8 @@
                 grant = self._placer.acquire(work, candidate)
                 if grant is None:
                     return NotRun(reason=MOVED, arrived=False)
+            if not self._placer.may_send(record):
+                return NotRun(reason=MOVED, arrived=False)
             work.sends += 1
             run = ExchangeRun(
                 conn=conn,
@@ -113,6 +118,7 @@
                 record=record,
                 dialect=self._dialect,
                 pool=self._pool,
+                notices=self._notices,
             )
             # If the caller disconnects or the timeout expires during the
             # exchange, the request may or may not have run.
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -32,6 +32,7 @@
 from .departure import LEAVE_ROTATION_S, Departure
 from .dispatcher import Dispatcher
 from .lender_link import LenderLink
+from .notices import Notices
 from .own_gates import OwnGates
 from .placer import Placer
 from .places import Places
@@ -119,6 +120,13 @@
             loads=self._loads,
             agent_port=cfg.agent_port,
             routes=lambda: self._routes.current,
+            health=self._placement.health,
+        )
+        self._notices = Notices(
+            dialect=dialect,
+            targets=self._targets,
+            health=self._placement.health,
+            metrics=metrics,
         )
         self._lender = LenderLink(
             subscriber=self._subscriber,
@@ -148,6 +156,7 @@
             budget_limits=cfg.retry_budget,
             known_entries=lambda: self._subscriber.entries,
             crashes=self._crashes,
+            notices=self._notices,
         )
         self._attempts = EarlierAttempts()
         self._in_flight = 0
@@ -279,6 +288,7 @@
         self._pool.prune(now)
         ready = {r.replica for r in self._targets.ready()}
         self._placement.keep_only(ready)
+        self._notices.prune(now)
         self._subscriber.directory.prune(now)
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -22,6 +22,7 @@
     from ..messages.directory import ReplicaRecord
     from .dialect import Dialect
     from .ended import ExchangeResult
+    from .notices import Notices
     from .work import Work
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -50,6 +51,7 @@
         record: ReplicaRecord,
         dialect: Dialect,
         pool: ConnectionPool,
+        notices: Notices,
     ) -> None:
         self.first_event_ms = 0
         self._conn = conn
@@ -57,6 +59,7 @@
         self._record = record
         self._dialect = dialect
         self._pool = pool
+        self._notices = notices
         self._sent_at = 0.0
 
     def run(self) -> ExchangeResult:
@@ -102,7 +105,9 @@
 
     def _read_head(self, target: TargetConnection) -> AnswerHead:
         with self._stall_timeout():
-            return target.read_head()
+            head = target.read_head()
+        self._notices.record(self._work.req.request_id, self._record, head)
+        return head
 
     def _stall_timeout(self) -> gevent.Timeout:
         """Return a timeout for the next data from the target.
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -79,6 +79,9 @@
             chosen = self._placement.choose(self._candidates(work, now), work.need, now)
             if chosen is not None:
                 return chosen
+            back_at = self._targets.first_back_at(work.admitted.service, now)
+            if back_at is not None and back_at > until:
+                raise self._all_quiet(back_at - now)
             if now >= until:
                 raise TurnedAway(
                     status=503,
@@ -87,6 +90,21 @@
                 )
             gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
 
+    def _all_quiet(self, wait_s: float) -> TurnedAway:
+        """Return the refusal for a service whose replicas want to be left alone.
+
+        The jitter spreads the returns, none of which comes too early.
+        """
+        return TurnedAway(
+            status=503,
+            reason='targets_quiet',
+            retry_after_s=wait_s * self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR),
+        )
+
+    def may_send(self, record: ReplicaRecord) -> bool:
+        """Return whether a chosen replica still accepts new requests."""
+        return self._targets.may_send(record, time.monotonic())
+
     def _candidates(self, work: Work, now: float) -> list[Candidate]:
         """Return the replicas that have neither failed nor denied a place.
 
--- /dev/null
+++ b/pistachiopath/relay/target_notice.py
@@ -0,0 +1,24 @@
+"""What a replica says of itself in the head of an answer."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True, frozen=True)
+class TargetNotice:
+    """Wishes of a replica beside its answer.
+
+    `is_leaving` means that it takes no new requests.  For `quiet_s` seconds it
+    wants none from this entry.  `unreadable` is a stated time that can't be read,
+    and counts as no wish.
+    """
+
+    is_leaving: bool = False
+    quiet_s: float = 0.0
+    unreadable: str = ''
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the replica said nothing."""
+        return self == TargetNotice()
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -19,6 +19,7 @@
     from ..messages.directory import ReplicaRecord
     from ..routes.route_set import RouteSet
     from ..routes.service import Service
+    from ..routing.replica_health import ReplicaHealth
 
 logger = logging.getLogger(__name__)
 
@@ -36,11 +37,13 @@
         loads: LoadWatch,
         agent_port: int,
         routes: Callable[[], RouteSet | None],
+        health: ReplicaHealth,
     ) -> None:
         self._subscriber = subscriber
         self._loads = loads
         self._agent_port = agent_port
         self._routes = routes
+        self._health = health
 
     def ready(self) -> list[ReplicaRecord]:
         """Return the records of all replicas that accept new requests."""
@@ -64,7 +67,9 @@
                 last_load=self._loads.last(self.gate(record)),
             )
             for record in self.ready()
-            if record.service == service and record.replica not in excluded
+            if record.service == service
+            and record.replica not in excluded
+            and not self._is_quiet(record, now)
         ]
         return self._with_shared_places(found)
 
@@ -82,6 +87,41 @@
             extra={'replica': record.replica, 'address': record.address},
         )
 
+    def may_send(self, record: ReplicaRecord, now: float) -> bool:
+        """Return whether a chosen replica still accepts new requests."""
+        current = self._subscriber.directory.get(record.replica)
+        if current is None or current.born_ms != record.born_ms:
+            return False
+        return current.state == ReplicaState.READY and not self._is_quiet(record, now)
+
+    def first_back_at(self, service: str, now: float) -> float | None:
+        """Return when the first replica of a service wants requests again.
+
+        Returns None if none of them wants to be left alone.
+        """
+        ends = [
+            self._health.quiet_until(record.replica, record.born_ms)
+            for record in self.ready()
+            if record.service == service and self._is_quiet(record, now)
+        ]
+        return min(ends, default=None)
+
+    def _is_quiet(self, record: ReplicaRecord, now: float) -> bool:
+        return now < self._health.quiet_until(record.replica, record.born_ms)
+
+    def mark_leaving(self, record: ReplicaRecord, now: float) -> bool:
+        """Mark a lifetime as draining; return whether that is news.
+
+        Its later announcements do not undo this.
+        """
+        directory = self._subscriber.directory
+        current = directory.get(record.replica)
+        if current is None or current.born_ms != record.born_ms:
+            return False
+        if current.state != ReplicaState.READY:
+            return False
+        return directory.merge(attrs.evolve(current, state=ReplicaState.DRAINING), now)
+
     def _with_shared_places(self, candidates: list[Candidate]) -> list[Candidate]:
         """Add this entry's share of the places of all engines without a gate."""
         places = sum(
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -112,6 +112,9 @@
     def gate(self, replica_record):
         return replica_record.replica
 
+    def first_back_at(self, service, now):
+        return None
+
     def candidates(self, service, excluded, now):
         return [
             self._candidate(item, now)
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -16,12 +16,14 @@
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.crashes import Crashes
 from pistachiopath.relay.dispatcher import Dispatcher
+from pistachiopath.relay.notices import Notices
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.places import Places
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
 from pistachiopath.routing.placement import Candidate, Placement
+from pistachiopath.telemetry.metrics import Metrics
 from tests.test_directory.records import record
 
 SIGNED = b'Request-Id: abc\r\nReplica-Signature: s\r\n'
@@ -84,6 +86,7 @@
         self._prefix = prefix
         self._calls = 0
         self.superseded = []
+        self.accept = True
 
     def mark_superseded(self, replica_record, now):
         self.superseded.append(replica_record.replica)
@@ -106,6 +109,15 @@
     def gate(self, replica_record):
         return replica_record.replica
 
+    def may_send(self, replica_record, now):
+        return self.accept
+
+    def mark_leaving(self, replica_record, now):
+        return False
+
+    def first_back_at(self, service, now):
+        return None
+
 
 class GrantingGate:
     """Grants every place, and records the types of the messages it receives."""
@@ -160,13 +172,16 @@
     prefix='r',
     gate=None,
     superseded=None,
+    accept=True,
 ):
     """Serve one request; return the caller and the work.
 
     Without a `gate` the targets have none.  The names of replicas whose lifetime
-    has ended are appended to `superseded`.
+    has ended are appended to `superseded`.  Without `accept` the targets have
+    begun to leave since they were chosen.
     """
     fake_targets = FakeTargets(targets, vanish, prefix, awaits_gate=bool(gate))
+    fake_targets.accept = accept
     if superseded is not None:
         fake_targets.superseded = superseded
     route = Route(
@@ -209,6 +224,12 @@
         budget_limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
         known_entries=lambda: 1,
         crashes=crashes or FakeEntry([]).crashes,
+        notices=Notices(
+            dialect=PlatformDialect(),
+            targets=fake_targets,
+            health=placement.health,
+            metrics=Metrics(),
+        ),
     )
     caller = FakeCaller()
     dispatcher.serve(caller, work)
--- a/tests/test_relay/test_dispatcher.py
+++ b/tests/test_relay/test_dispatcher.py
@@ -57,6 +57,14 @@
     assert gate.received == [Ask, ReleasePlace]
 
 
+def test_a_replica_that_left_while_a_request_waited_for_its_place_is_not_sent_to():
+    gate, target = GrantingGate(), ScriptedTarget([answer()])
+    with pytest.raises(TurnedAway):
+        serve([target], ONCE, gate=gate, accept=False, wait_s=0.2)
+    assert target.requests == []
+    assert gate.received.count(Ask) == gate.received.count(ReleasePlace)
+
+
 @pytest.mark.parametrize('cut', CUT)
 def test_a_once_request_that_may_have_run_is_not_repeated(cut):
     first, second = ScriptedTarget(CUT[cut]), ScriptedTarget([answer()])
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -11,6 +11,7 @@
 from pistachiopath.relay.targets import Targets
 from pistachiopath.routes.route_set import RouteSet
 from pistachiopath.routes.service import Service
+from pistachiopath.routing.replica_health import ReplicaHealth
 from tests.test_directory.records import record
 from tests.test_grants.test_gate import ask
 
@@ -68,7 +69,11 @@
         fake.directory.merge(record(replica=name, service='model', slots=5), 0.0)
     loads = LoadWatch()
     return loads, Targets(
-        subscriber=fake, loads=loads, agent_port=7002, routes=lambda: routes
+        subscriber=fake,
+        loads=loads,
+        agent_port=7002,
+        routes=lambda: routes,
+        health=ReplicaHealth(),
     )
 
 
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -45,6 +45,9 @@
     def gate(self, replica_record):
         return replica_record.replica
 
+    def first_back_at(self, service, now):
+        return None
+
 
 class Gates:
     """Denies places at the gates `denying`; others grant one unless it should move."""
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -2,6 +2,7 @@
 
 from pistachiopath.grants.watch import LoadWatch
 from pistachiopath.relay.targets import Targets
+from pistachiopath.routing.replica_health import ReplicaHealth
 from tests.test_directory.records import record
 
 from .parts import FakeEntry
@@ -10,7 +11,11 @@
 def make_targets(*replicas):
     entry = FakeEntry(replicas)
     return entry, Targets(
-        subscriber=entry, loads=LoadWatch(), agent_port=7002, routes=lambda: None
+        subscriber=entry,
+        loads=LoadWatch(),
+        agent_port=7002,
+        routes=lambda: None,
+        health=ReplicaHealth(),
     )
 
 
