Dispatcher: a replica that left before the send costs a short pause

In the product the choice leaves such replicas out, so a loop needs two views that differ; a pause of 5 ms bounds it all the same.

--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -33,6 +33,7 @@
 MAX_FAILURES = 5
 MOVED = 'moved'
 UNREACHABLE_RETRY_PAUSE_S = 0.02
+RECHOOSE_PAUSE_S = 0.005
 MIN_REMAINING_S = 0.03
 FAILURE_RETRY_AFTER_S = 0.5
 
@@ -110,6 +111,7 @@
                 if grant is None:
                     return NotRun(reason=MOVED, arrived=False)
             if not self._placer.may_send(record):
+                gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
             work.sends += 1
             run = ExchangeRun(
