Gate: order and bookkeeping of places in a class of their own

No decision changes; tests of grants, of the loads in virtual time and of entries' own gates pass unchanged.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
-from ..gate.fairness import FairTags
 from ..messages.grants import (
     Denied,
     GateLoad,
@@ -14,16 +13,14 @@
 )
 from .denial_cause import DenialCause
 from .gate_log import GateLog
-from .kept_places import kept_places
-from .occupancy import Occupancy
-from .place import Place
+from .place_queue import PlaceQueue
 from .speed import EngineSpeed
-from .tiers import Tiers
 from .wait_estimate import WaitEstimate
 from .watchers import Watchers
 
 if TYPE_CHECKING:
     from ..messages.grants import Ask, ReleasePlace, WatchLoad
+    from .place import Place
 
 # Waiting requests are checked this often for whether they can still be served
 # in time, so one that cannot is denied within this period.
@@ -31,7 +28,6 @@
 # The runs of an unreachable entry may continue on the engine for a while.
 LOST_ENTRY_HOLD_S = 1.0
 MIN_RETRY_AFTER_MS = 200
-DEFAULT_SLOTS = 4
 # Lower bound for the grant rate in wait estimates: a tier without recent
 # requests has a measured rate near zero.
 MIN_GRANTS_PER_S = 0.7
@@ -51,26 +47,26 @@
 
     def __init__(self, *, log: GateLog | None = None) -> None:
         self._log = log or GateLog()
-        self.slots = DEFAULT_SLOTS
         self.speed = EngineSpeed()
-        self._waiting: dict[tuple[str, str], Place] = {}
-        self._running: dict[tuple[str, str], Place] = {}
-        self._fair_tags = FairTags()
-        self._tiers = Tiers()
-        self._order = 0
+        self._queue = PlaceQueue()
         self._watchers = Watchers()
         self._recheck_at = 0.0
         self._load_version = 0
 
+    @property
+    def slots(self) -> int:
+        """Number of places."""
+        return self._queue.slots
+
     @property
     def running(self) -> int:
         """Number of places in use."""
-        return len(self._running)
+        return len(self._queue.running)
 
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return len(self._waiting)
+        return len(self._queue.waiting)
 
     def ask(self, entry: str, ask: Ask, now: float) -> list[Send]:
         """Handle a request for a place: grant it, deny it or queue it.
@@ -78,19 +74,18 @@
         A repeated request does not take a second place.
         """
         key = (entry, ask.request)
-        if key in self._running:
-            return [_granted(self._running[key])]
-        if key in self._waiting:
+        if key in self._queue.running:
+            return [_granted(self._queue.running[key])]
+        if key in self._queue.waiting:
             return [self._load_for(entry, now)]
-        self.slots = ask.slots or self.slots
-        self._tiers.record_request(ask.tier, now)
-        place = self._new_place(entry, ask, now)
+        self._queue.slots = ask.slots or self.slots
+        place = self._queue.new_place(entry, ask, now)
         estimate = self._estimate_wait(place, now)
         cause = self._denial_cause(place, estimate, now)
         if cause is not None:
             denial = self._deny(place, cause, estimate, now)
             return [denial, self._load_for(entry, now)]
-        self._waiting[key] = place
+        self._queue.waiting[key] = place
         self._load_version += 1
         effects = self._grant_due(now)
         return [*effects, self._load_for(entry, now), *self._notify_watchers(now)]
@@ -99,8 +94,8 @@
         """Remove a request that stopped waiting or has left its place."""
         key = (entry, body.request)
         self._load_version += 1
-        self._waiting.pop(key, None)
-        place = self._running.pop(key, None)
+        self._queue.waiting.pop(key, None)
+        place = self._queue.running.pop(key, None)
         if place is not None and body.ok:
             ask = place.ask
             held_ms = (now - place.granted_at) * 1000
@@ -111,7 +106,7 @@
 
     def watch(self, entry: str, body: WatchLoad, now: float) -> list[Send]:
         """Send an entry the load now and whenever it changes."""
-        self.slots = body.slots or self.slots
+        self._queue.slots = body.slots or self.slots
         self._watchers.watch(entry, body.period_ms, self._load_version, now)
         return [Send(to=entry, call=0, body=self.load(now))]
 
@@ -121,9 +116,9 @@
         Its running requests keep their places for `LOST_ENTRY_HOLD_S`.
         """
         self._watchers.remove(entry)
-        for key in [k for k in self._waiting if k[0] == entry]:
-            del self._waiting[key]
-        for key, place in self._running.items():
+        for key in [k for k in self._queue.waiting if k[0] == entry]:
+            del self._queue.waiting[key]
+        for key, place in self._queue.running.items():
             if key[0] == entry:
                 place.lost_at = place.lost_at or now
         self._load_version += 1
@@ -132,10 +127,10 @@
     def tick(self, now: float) -> list[Send]:
         """Run periodic work: expiry, places of lost entries, load reports."""
         effects = self._deny_infeasible(now)
-        for key, place in list(self._running.items()):
+        for key, place in list(self._queue.running.items()):
             is_lost = place.lost_at and now - place.lost_at >= LOST_ENTRY_HOLD_S
             if is_lost or now >= place.deadline_at:
-                del self._running[key]
+                del self._queue.running[key]
                 self._load_version += 1
         return effects + self._grant_due(now) + self._notify_watchers(now)
 
@@ -143,7 +138,7 @@
         """Return the load as it is reported to entries."""
         return GateLoad(
             slots=self.slots,
-            running=len(self._running),
+            running=len(self._queue.running),
             waiting=self._tier_loads(now),
             free_in_ms=int(self._free_in_ms(now)),
             ms_per_1000_prompt_tokens=int(self.speed.prompt_ms * 1000),
@@ -159,14 +154,14 @@
         if is_recheck_due:
             self._recheck_at = now + RECHECK_PERIOD_S
         effects: list[Send] = []
-        for key, place in list(self._waiting.items()):
+        for key, place in list(self._queue.waiting.items()):
             estimate = WaitEstimate()
             cause = DenialCause.EXPIRED if now >= place.patience_at else None
             if is_recheck_due:
                 estimate = self._estimate_wait(place, now)
                 cause = cause or self._denial_cause(place, estimate, now)
             if cause is not None:
-                del self._waiting[key]
+                del self._queue.waiting[key]
                 self._load_version += 1
                 effects.append(self._deny(place, cause, estimate, now))
         return effects
@@ -174,7 +169,7 @@
     def _deny(
         self, place: Place, cause: DenialCause, estimate: WaitEstimate, now: float
     ) -> Send:
-        self._log.denied(place, cause, estimate, self._occupancy(place, now), now)
+        self._log.denied(place, cause, estimate, self._queue.occupancy(place, now), now)
         return _denied(place, int(estimate.wait_ms) - place.ask.objective_ms)
 
     def _denial_cause(
@@ -192,81 +187,31 @@
             return DenialCause.DEADLINE
         return None
 
-    def _occupancy(self, place: Place, now: float) -> Occupancy:
-        in_time = [
-            p
-            for p in self._waiting.values()
-            if p.ask.tier == place.ask.tier and p is not place and not p.is_late(now)
-        ]
-        return Occupancy(
-            slots=self.slots,
-            running=len(self._running),
-            waiting=len(self._waiting),
-            tier_in_time=len(in_time),
-        )
-
-    def _new_place(self, entry: str, ask: Ask, now: float) -> Place:
-        self._order += 1
-        tokens = ask.prompt_tokens + ask.output_tokens
-        return Place(
-            entry=entry,
-            ask=ask,
-            asked_at=now,
-            order=self._order,
-            fair_tag=self._fair_tags.tag(ask.tier, ask.customer, tokens),
-        )
-
-    def _priority(self, place: Place, now: float) -> tuple[int, int, float, int]:
-        """Order of grants: by tier and lateness, then fairly by customer."""
-        tier = place.ask.tier
-        tie_break = (place.ask.customer_tier, place.fair_tag, place.order)
-        if self._tiers.has_turn(tier):
-            return (-1, *tie_break)
-        rank = self._tiers.rank(tier, late=place.is_late(now))
-        return (rank, *tie_break)
-
-    def _has_room(self, place: Place) -> bool:
-        """Return whether a place is free beyond those reserved for urgent tiers.
-
-        Runs of less urgent tiers are the longest.  If they held all places,
-        urgent requests would wait for them, whereas a free place slows nothing
-        down.
-        """
-        index = self._tiers.index(place.ask.tier)
-        return len(self._running) < self.slots - kept_places(index, self.slots)
-
     def _grant_due(self, now: float) -> list[Send]:
         effects: list[Send] = []
+        queue = self._queue
         while True:
-            eligible = [
-                k for k, place in self._waiting.items() if self._has_room(place)
-            ]
-            if not eligible:
+            key = queue.next_to_run(now)
+            if key is None:
                 return effects
-            key = min(eligible, key=lambda k: self._priority(self._waiting[k], now))
-            place = self._waiting.pop(key)
-            by_turn = self._tiers.has_turn(place.ask.tier)
-            occupancy = self._occupancy(place, now)
+            place = queue.waiting.pop(key)
+            by_turn = queue.tiers.has_turn(place.ask.tier)
+            occupancy = queue.occupancy(place, now)
             self._log.granted(place, occupancy, now, by_turn=by_turn)
-            waiting_tiers = {p.ask.tier for p in self._waiting.values()}
-            self._tiers.record_grant(place.ask.tier, waiting_tiers, now)
-            place.granted_at = now
-            self._running[key] = place
-            self._fair_tags.started(place.ask.tier, place.fair_tag)
+            queue.start(key, place, now)
             self._load_version += 1
             effects.append(_granted(place))
 
     def _estimate_wait(self, place: Place, now: float) -> WaitEstimate:
         """Estimate how long a request waits behind those of higher priority."""
-        priority = self._priority(place, now)
-        ahead = [p for p in self._waiting.values() if self._priority(p, now) < priority]
-        if not ahead and self._has_room(place):
+        ahead = self._queue.ahead_of(place, now)
+        if not ahead and self._queue.has_room(place):
             return WaitEstimate()
         work_ms = sum(self._work_ms(p) for p in ahead)
         by_work_ms = self._free_in_ms(now) + work_ms / max(1, self.slots)
         tier = place.ask.tier
         ahead_in_tier = sum(p.ask.tier == tier for p in ahead)
-        rate = self._tiers.grants_per_s(tier, now)
+        rate = self._queue.tiers.grants_per_s(tier, now)
         return WaitEstimate(
             ahead=len(ahead),
             by_work_ms=by_work_ms,
@@ -280,16 +225,16 @@
         The rate accounts for more urgent requests that will arrive meanwhile.
         The most urgent tier has none ahead of it, so its estimate is 0.
         """
-        if not self._tiers.index(tier):
+        if not self._queue.tiers.index(tier):
             return 0.0
         return ahead * 1000 / max(grants_per_s, MIN_GRANTS_PER_S)
 
     def _free_in_ms(self, now: float) -> float:
         """Estimate when the next place will be free."""
-        if len(self._running) < self.slots:
+        if len(self._queue.running) < self.slots:
             return 0.0
         end_times = [
-            p.granted_at + self._work_ms(p) / 1000 for p in self._running.values()
+            p.granted_at + self._work_ms(p) / 1000 for p in self._queue.running.values()
         ]
         return max(0.0, min(end_times) - now) * 1000
 
@@ -302,7 +247,7 @@
         Late requests are left out because they rank below the next tier.
         """
         sums: dict[int, list[float]] = {}
-        for place in self._waiting.values():
+        for place in self._queue.waiting.values():
             if not place.is_late(now):
                 tier_sum = sums.setdefault(place.ask.tier, [0, 0.0])
                 tier_sum[0] += 1
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -35,6 +35,9 @@
     'grants/gate.py',
     'grants/kept_places.py',
     'grants/place.py',
+    'grants/place_queue.py',
+    'grants/tiers.py',
+    'grants/wait_estimate.py',
     'grants/speed.py',
     'grants/watch.py',
 )
