Control nodes without a disk keep their log in memory

Cause: such a node put its log into a temporary folder. On a VM without a disk a folder can be made, but nothing can be synced: load failed with EROFS and the process ended.

Test: test_a_control_node_without_a_data_folder_needs_no_disk (fsync, fdatasync and mkdir refused) fails with the temporary folder.

--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -36,6 +36,8 @@
     from ..messages.directory import ReplicaRecord
     from ..routes.customer_account import CustomerAccount
     from ..storage.data_folder import DataFolder
+    from ..storage.memory_folder import MemoryFolder
+    from ..storage.no_record_file import NoRecordFile
     from ..storage.record_file import RecordFile
     from .settings import DocumentSettings
 
@@ -62,8 +64,8 @@
         self,
         *,
         cfg: DocumentSettings,
-        open_folder: Callable[[], DataFolder],
-        replicas: RecordFile,
+        open_folder: Callable[[], DataFolder | MemoryFolder],
+        replicas: RecordFile | NoRecordFile,
         customers: Callable[[bytes], tuple[CustomerAccount, ...]],
         rng: random.Random,
         secret: bytes,
@@ -114,7 +116,7 @@
         self._client = DocumentClient(leader=lambda: self.core.leader)
         self._results: dict[int, gevent.event.AsyncResult] = {}
 
-    def _open(self) -> tuple[DocumentCore, DataFolder]:
+    def _open(self) -> tuple[DocumentCore, DataFolder | MemoryFolder]:
         """Open the folder and return a core with its state.
 
         Raises `StorageFailed` or `CorruptFile` if the folder cannot be read.
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -5,7 +5,6 @@
 import logging
 import os
 import random
-import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,8 @@
 from ..exchange.server import HttpServer
 from ..relay.settings import LINK_SECRET
 from ..storage.data_folder import DataFolder
+from ..storage.memory_folder import MemoryFolder
+from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
 from ..util.program import EXIT_FAILED
 from .configuration import decode_configuration
@@ -38,8 +39,8 @@
     """Stores the configuration and the replicas' announcements."""
 
     def __init__(self, cfg: PlatformSettings, metrics: Metrics) -> None:
-        # On a VM without a disk the folder ends with the process.
-        folder = Path(cfg.data_folder or tempfile.mkdtemp(prefix='control-'))
+        folder = Path(cfg.data_folder)
+        has_disk = bool(cfg.data_folder)
         try:
             self._shell = DocumentShell(
                 cfg=DocumentSettings(
@@ -47,14 +48,18 @@
                     seeds=cfg.seed_nodes,
                     forms=cfg.is_first_start,
                     tolerated_losses=cfg.tolerated_losses,
-                    diskless=not cfg.data_folder,
+                    diskless=not has_disk,
                     silent_after_s=SILENT_AFTER_PERIODS * cfg.announce_ms / 1000,
                     allowance_overage=cfg.allowance_overage,
                     allowance_slack_tokens=cfg.allowance_slack_tokens,
                 ),
-                open_folder=lambda: DataFolder(path=folder),
+                open_folder=lambda: (
+                    DataFolder(path=folder) if has_disk else MemoryFolder()
+                ),
                 customers=lambda content: decode_configuration(content).customers,
-                replicas=RecordFile(path=folder / 'replicas'),
+                replicas=(
+                    RecordFile(path=folder / 'replicas') if has_disk else NoRecordFile()
+                ),
                 rng=random.Random(os.urandom(8)),
                 secret=LINK_SECRET,
             )
