--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -257,7 +257,7 @@
     assert world.voters() == ['c1', 'c2']
 
 
-def test_an_empty_disk_rejoins_though_the_leader_is_not_a_seed():
+def world_led_by_no_seed():
     world = formed_world(others=OTHERS, tolerated=2)
     world.run(3.0)
     while world.leader().name in SEEDS:
@@ -266,6 +266,11 @@
         world.run(2.0)
         leader.start()
         world.run(2.0)
+    return world
+
+
+def test_an_empty_disk_rejoins_though_the_leader_is_not_a_seed():
+    world = world_led_by_no_seed()
     node = world.nodes['c1']
     node.kill(power=True)
     node.lose_disk()
@@ -296,14 +301,7 @@
 
 def test_empty_disks_rejoin_though_no_seed_is_in_the_group():
     # Regression: the only seed with a log had been removed and knew no leader.
-    world = formed_world(others=OTHERS, tolerated=2)
-    world.run(3.0)
-    while world.leader().name in SEEDS:
-        leader = world.leader()
-        leader.kill()
-        world.run(2.0)
-        leader.start()
-        world.run(2.0)
+    world = world_led_by_no_seed()
     world.nodes['c1'].kill()
     world.run(8.0)
     assert 'c1' not in world.voters()
--- a/tests/test_relay/test_overload.py
+++ b/tests/test_relay/test_overload.py
@@ -8,37 +8,25 @@
 CALM_FLOOR = 0.45
 SECONDS = 12.0
 
-LONG_THIRD_TIER = (
-    JobKind(
-        tier=0,
-        share=57,
-        prompts=(1500, 2500, 4600),
-        outputs=(30, 50, 70),
-        objective_s=1.035,
-        timeout_s=6.2,
-        pause_s=0.8,
-        deadline_spread=0.13,
-    ),
-    JobKind(
-        tier=1,
-        share=61,
-        prompts=(900, 1500, 3000),
-        outputs=(15, 25, 35),
-        objective_s=0.819,
-        timeout_s=4.1,
-        pause_s=0.8,
-        deadline_spread=0.13,
-    ),
-    JobKind(
-        tier=2,
-        share=32,
-        prompts=(300, 500, 800),
-        outputs=(140, 280, 420),
-        objective_s=0.615,
-        timeout_s=15.4,
+
+def kind(tier, share, prompts, outputs, objective_s, timeout_s):
+    """Return a kind whose callers wait for up to an eighth less than the timeout."""
+    return JobKind(
+        tier=tier,
+        share=share,
+        prompts=prompts,
+        outputs=outputs,
+        objective_s=objective_s,
+        timeout_s=timeout_s,
         pause_s=0.8,
         deadline_spread=0.13,
-    ),
+    )
+
+
+LONG_THIRD_TIER = (
+    kind(0, 57, (1500, 2500, 4600), (30, 50, 70), 1.035, 6.2),
+    kind(1, 61, (900, 1500, 3000), (15, 25, 35), 0.819, 4.1),
+    kind(2, 32, (300, 500, 800), (140, 280, 420), 0.615, 15.4),
 )
 
 
