Capacity of the platform path with two control nodes a data centre

The page is rendered anew from the sizes measured before, with 10 control nodes today and 22 at the size to design for. What an entry hears of 10 fits (2,640 B/s); of 22 it does not (5,280 of 3,000 B/s): it has to follow those of its data centre alone, which the page asked for already and which is not built.

A group may have 40 members (before: 16, fewer than 22 control nodes).

--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -24,7 +24,7 @@
 # A voter that is silent for this long is removed if a learner can replace it.
 REPLACE_VOTER_AFTER_S = 3.0
 REMOVE_LEARNER_AFTER_S = 15.0
-MAX_MEMBERS = 16
+MAX_MEMBERS = 40
 
 
 class Group:
--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -20,13 +20,15 @@
 REQUESTS_PER_S = 35_000
 # The large fleet of today.
 TODAY_ENTRIES = 70
-TODAY_CONTROLS = 5
+TODAY_CONTROLS = 10
 TODAY_REQUESTS_PER_S = 540
 TODAY_TARGETS = 64
 # Number of customers that exceed their rate at the same time.
 SCARCE_CUSTOMERS = 1
+CONTROLS_PER_DATA_CENTRE = 2
 # Assumptions at the size to design for.
 ACTIVE_SHARE = 0.05
+CONTROLS = CONTROLS_PER_DATA_CENTRE * ZONES
 MEMBER_EVENTS_PER_S = 2 * (120 + 2_700) / 86_400
 
 
@@ -102,12 +104,12 @@
             *control_rows(sizes, TODAY_ENTRIES, TODAY_CONTROLS, TODAY_TARGETS),
         ),
         'same': (
-            *entry_rows(sizes, ZONES, REQUESTS_PER_S / NODES),
+            *entry_rows(sizes, CONTROLS, REQUESTS_PER_S / NODES),
             (
                 'entry: changes of replicas, from each control node',
-                ZONES * change_bytes,
+                CONTROLS * change_bytes,
             ),
-            *control_rows(sizes, NODES, ZONES, TARGETS),
+            *control_rows(sizes, NODES, CONTROLS, TARGETS),
         ),
         'then': (
             (
@@ -170,7 +172,8 @@
 |---|---|---|
 {tables['then']}
 
-An entry follows the control nodes of its data centre alone; announcements stay
+With two control nodes a data centre an entry hears all {CONTROLS}, which is beyond
+its budget. An entry follows those of its data centre alone; announcements stay
 there, only births and ends leave it. That {ACTIVE_SHARE:.0%} of the customers are
 active at a time is assumed, not measured.
 """
