Placer: a request leaves its wait for an own place for an engine with a gate

Where one agent of 22 is gone, an entry's share is one place, and what waited for it stayed there beside free engines with a gate.

Now such a request moves as others do, but not between engines that share the place.

Tests: two in test_placer.py; the first failed before.

--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -208,11 +208,12 @@
         current = [c for c in candidates if c.record.replica == record.replica]
         if not current or current[0].is_gated != candidate.is_gated:
             return True
-        if not candidate.is_gated:
-            return False
         best = self._placement.choose(candidates, work.need, now)
         if best is None or best.record.replica == record.replica:
             return False
+        if not candidate.is_gated and not best.is_gated:
+            # This entry's own places are the same at all engines without a gate.
+            return False
         need = work.need
         typical_ms = self._placement.typical_wait_ms(candidates, need)
         saved_ms = self._placement.cost(current[0], need, 0, now, typical_ms)
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -169,3 +169,29 @@
     first = candidate('r1', running=SLOTS, waiting=2, free_in_ms=100)
     assert not moves(first, candidate('r2', running=SLOTS - 1), tier=2)
     assert moves(first, candidate('r2', running=SLOTS - 1), tier=0)
+
+
+def ungated(name):
+    return attrs.evolve(
+        candidate(name, running=0), load=None, ungated_places=1, shared_places=1
+    )
+
+
+def test_a_request_that_waits_for_an_own_place_moves_to_a_free_engine_with_a_gate():
+    waiting = ungated('r1')
+    targets = [waiting, candidate('r2', running=1)]
+    placer = placer_for(targets, Gates())
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    for _ in range(3):
+        placer._placement.add_request('r1', work.need, time.monotonic())
+    assert placer.acquire(work, waiting) is None
+
+
+def test_a_request_that_waits_for_an_own_place_does_not_change_between_such_engines():
+    waiting = ungated('r1')
+    gates = Gates()
+    placer = placer_for([waiting, ungated('r2')], gates)
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    for _ in range(3):
+        placer._placement.add_request('r1', work.need, time.monotonic())
+    assert placer.acquire(work, waiting) == 'own:model'
