--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -17,7 +17,6 @@
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
 from ..grants.gate_log import GateLog
-from ..grants.watch import LoadWatch
 from ..messages.allowance import AllowanceLeases, Borrowed
 from ..messages.directory import News
 from ..messages.grants import Denied, GateLoad, Granted
@@ -31,11 +30,10 @@
 from .crashes import Crashes
 from .departure import LEAVE_ROTATION_S, Departure
 from .dispatcher import Dispatcher
+from .gate_link import GateLink
 from .lender_link import LenderLink
 from .notices import Notices
-from .own_gates import OwnGates
 from .placer import Placer
-from .places import Places
 from .request_log import RequestLog
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
@@ -95,8 +93,6 @@
         self._spans = spans
         self._subscriber = Subscriber(is_entry=True, own_address=cfg.node_address)
         self._subscriber.set_seeds(cfg.seeds, time.monotonic())
-        self._loads = LoadWatch(own_address=cfg.node_address)
-        self._departure = Departure(grace_s=cfg.grace_s, loads=self._loads)
         started_ms = int(time.time() * 1000)
         self._allowance = LeasedAllowance(started_ms=started_ms)
         self._network = Network(
@@ -107,17 +103,19 @@
             on_lost=self._on_lost,
             silence_s=LINK_SILENCE_S,
         )
-        self._own_gates = OwnGates(
-            deliver=self._on_gate_reply, log=GateLog(metrics=metrics)
+        self._gates = GateLink(
+            own_address=cfg.node_address,
+            send=self._network.send,
+            log=GateLog(metrics=metrics),
         )
-        self._places = Places(send=self._send_to_gate, on_silent=self._loads.mark_lost)
+        self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
         self._pool = ConnectionPool(request_id_header=dialect.request_id_header)
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
         )
         self._targets = Targets(
             subscriber=self._subscriber,
-            loads=self._loads,
+            loads=self._gates.loads,
             agent_port=cfg.agent_port,
             routes=lambda: self._routes.current,
             health=self._placement.health,
@@ -145,10 +143,10 @@
         self._dispatcher = Dispatcher(
             dialect=dialect,
             pool=self._pool,
-            places=self._places,
+            places=self._gates.places,
             placement=self._placement,
             placer=Placer(
-                places=self._places,
+                places=self._gates.places,
                 placement=self._placement,
                 targets=self._targets,
                 rng=rng,
@@ -267,8 +265,7 @@
             routes = self._routes.current
             if routes is not None:
                 gates = self._targets.gates(routes)
-                self._apply_effects(self._loads.tick(gates, now))
-            self._own_gates.tick(now)
+                self._apply_effects(self._gates.tick(gates, now))
             self._lender.tick(now)
             self._crashes.tick(now)
             if now >= prune_at:
@@ -296,11 +293,8 @@
         match body:
             case News():
                 self._on_news(sender, body, now)
-            case Granted() | Denied():
-                self._on_gate_reply(sender, body)
-            case GateLoad():
-                self._loads.record_load(sender, body, now)
-                self._on_gate_reply(sender, body)
+            case Granted() | Denied() | GateLoad():
+                self._gates.receive(sender, body, now)
             case AllowanceLeases():
                 self._lender.handle_leases(sender, body, now)
             case Borrowed():
@@ -308,18 +302,6 @@
             case CrashMarks():
                 self._crashes.handle_marks(body, now)
 
-    def _send_to_gate(self, gate: str, call: int, body: Message) -> None:
-        if self._own_gates.handles(gate):
-            self._own_gates.send(gate, body)
-        else:
-            self._network.send(gate, call, body)
-
-    def _on_gate_reply(self, gate: str, body: Message) -> None:
-        if isinstance(body, GateLoad):
-            self._places.handle_load(gate)
-        else:
-            self._places.handle_reply(gate, body)
-
     def _on_news(self, sender: str, body: News, now: float) -> None:
         version = self._subscriber.version
         effects = self._subscriber.on_news(sender, body, now)
@@ -335,8 +317,7 @@
     def _on_lost(self, peer: str) -> None:
         self._subscriber.link_lost(peer)
         self._lender.handle_lost(peer)
-        self._loads.mark_lost(peer)
-        self._places.handle_lost(peer)
+        self._gates.link_lost(peer)
 
     def _apply_effects(self, effects: list) -> None:
         for effect in effects:
