--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -96,12 +96,12 @@
         if head.status == STATUS_MISDIRECTED_REQUEST:
             return TargetNotice()
         is_leaving = head.header(names.LEAVING) == '1'
-        wish = head.header(names.RETRY_AFTER).strip()
-        if head.status != STATUS_UNAVAILABLE or not wish:
+        stated = head.header(names.RETRY_AFTER).strip()
+        if head.status != STATUS_UNAVAILABLE or not stated:
             return TargetNotice(is_leaving=is_leaving)
-        if not SECONDS.fullmatch(wish):
-            return TargetNotice(is_leaving=is_leaving, unreadable=wish[:MAX_LOGGED])
-        return TargetNotice(is_leaving=is_leaving, quiet_s=float(wish))
+        if not SECONDS.fullmatch(stated):
+            return TargetNotice(is_leaving=is_leaving, unreadable=stated[:MAX_LOGGED])
+        return TargetNotice(is_leaving=is_leaving, backoff_s=float(stated))
 
     def caller_headers(self, head: AnswerHead) -> Headers:
         """Return the headers of a replica's answer that are sent to the caller."""
--- a/pistachiopath/relay/notices.py
+++ b/pistachiopath/relay/notices.py
@@ -18,11 +18,11 @@
 
 
 class Notices:
-    """Believes replicas that leave, and those that want to be left alone.
+    """Records that replicas leave, or ask for a backoff.
 
-    Both beliefs hold for the lifetime that answered, in this entry only: a
-    replica that states something false loses requests of the entries that it
-    answered, and no others.
+    Both hold for the lifetime that answered, in this entry only: a replica that
+    states something false loses requests of the entries that it answered, and
+    no others.
     """
 
     def __init__(
@@ -52,23 +52,25 @@
         if notice.is_leaving and self._targets.mark_leaving(record, now):
             self._count('leaving')
             logger.info('replica_leaving', extra={**fields, 'source': 'answer'})
-        if notice.quiet_s > 0:
-            self._health.wants_quiet(
-                record.replica, record.born_ms, notice.quiet_s, now
+        if notice.backoff_s > 0:
+            self._health.asked_for_backoff(
+                record.replica, record.born_ms, notice.backoff_s, now
+            )
+            self._count('backoff')
+            logger.info(
+                'replica_backoff', extra={**fields, 'backoff_s': notice.backoff_s}
             )
-            self._count('quiet')
-            logger.info('replica_quiet', extra={**fields, 'quiet_s': notice.quiet_s})
         if notice.unreadable:
             self._count('unreadable')
             logger.warning(
-                'replica_quiet_unreadable',
+                'replica_backoff_unreadable',
                 extra={**fields, 'value': notice.unreadable},
             )
 
     def prune(self, now: float) -> None:
-        """Log the wishes to be left alone that have ended."""
-        for replica in self._health.take_ended_quiet(now):
-            logger.info('replica_quiet_ended', extra={'replica': replica})
+        """Log the backoffs that have ended."""
+        for replica in self._health.take_ended_backoffs(now):
+            logger.info('replica_backoff_ended', extra={'replica': replica})
 
     def _count(self, kind: str) -> None:
         self._metrics.count('replica_notices_total', kind=kind)
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -79,9 +79,9 @@
             chosen = self._placement.choose(self._candidates(work, now), work.need, now)
             if chosen is not None:
                 return chosen
-            back_at = self._targets.first_back_at(work.admitted.service, now)
+            back_at = self._targets.first_backoff_end(work.admitted.service, now)
             if back_at is not None and back_at > until:
-                raise self._all_quiet(back_at - now)
+                raise self._all_back_off(back_at - now)
             if now >= until:
                 raise TurnedAway(
                     status=503,
@@ -90,14 +90,14 @@
                 )
             gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
 
-    def _all_quiet(self, wait_s: float) -> TurnedAway:
-        """Return the refusal for a service whose replicas want to be left alone.
+    def _all_back_off(self, wait_s: float) -> TurnedAway:
+        """Return the refusal for a service whose replicas all ask for a backoff.
 
         The jitter spreads the returns, none of which comes too early.
         """
         return TurnedAway(
             status=503,
-            reason='targets_quiet',
+            reason='targets_back_off',
             retry_after_s=wait_s * self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR),
         )
 
--- a/pistachiopath/relay/target_notice.py
+++ b/pistachiopath/relay/target_notice.py
@@ -7,15 +7,15 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class TargetNotice:
-    """Wishes of a replica beside its answer.
+    """State of a replica, beside its answer.
 
-    `is_leaving` means that it takes no new requests.  For `quiet_s` seconds it
-    wants none from this entry.  `unreadable` is a stated time that can't be read,
-    and counts as no wish.
+    `is_leaving` means that it takes no new requests.  For `backoff_s` seconds it
+    asks for none from this entry.  `unreadable` is a stated time that can't be
+    read, and counts as no backoff.
     """
 
     is_leaving: bool = False
-    quiet_s: float = 0.0
+    backoff_s: float = 0.0
     unreadable: str = ''
 
     @property
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -69,7 +69,7 @@
             for record in self.ready()
             if record.service == service
             and record.replica not in excluded
-            and not self._is_quiet(record, now)
+            and not self._is_backing_off(record, now)
         ]
         return self._with_shared_places(found)
 
@@ -92,22 +92,24 @@
         current = self._subscriber.directory.get(record.replica)
         if current is None or current.born_ms != record.born_ms:
             return False
-        return current.state == ReplicaState.READY and not self._is_quiet(record, now)
+        return current.state == ReplicaState.READY and not self._is_backing_off(
+            record, now
+        )
 
-    def first_back_at(self, service: str, now: float) -> float | None:
-        """Return when the first replica of a service wants requests again.
+    def first_backoff_end(self, service: str, now: float) -> float | None:
+        """Return when the first backoff of a service's replicas ends.
 
-        Returns None if none of them wants to be left alone.
+        Returns None if none of them has asked for one.
         """
         ends = [
-            self._health.quiet_until(record.replica, record.born_ms)
+            self._health.backoff_until(record.replica, record.born_ms)
             for record in self.ready()
-            if record.service == service and self._is_quiet(record, now)
+            if record.service == service and self._is_backing_off(record, now)
         ]
         return min(ends, default=None)
 
-    def _is_quiet(self, record: ReplicaRecord, now: float) -> bool:
-        return now < self._health.quiet_until(record.replica, record.born_ms)
+    def _is_backing_off(self, record: ReplicaRecord, now: float) -> bool:
+        return now < self._health.backoff_until(record.replica, record.born_ms)
 
     def mark_leaving(self, record: ReplicaRecord, now: float) -> bool:
         """Mark a lifetime as draining; return whether that is news.
--- a/pistachiopath/routing/replica_health.py
+++ b/pistachiopath/routing/replica_health.py
@@ -13,16 +13,16 @@
 class _FailureRecord:
     """Decaying count of recent failures, and until when to avoid the replica.
 
-    The lifetime that started at `quiet_born_ms` wants no requests before
-    `quiet_until`.
+    The lifetime that started at `backoff_born_ms` has asked for no requests
+    before `backoff_until`.
     """
 
     failures: float = 0.0
     updated_at: float = 0.0
     down_until: float = 0.0
     down_s: float = DOWN_MIN_S
-    quiet_born_ms: int = 0
-    quiet_until: float = 0.0
+    backoff_born_ms: int = 0
+    backoff_until: float = 0.0
 
 
 class ReplicaHealth:
@@ -61,32 +61,32 @@
             record.down_until = now + record.down_s
             record.down_s = min(DOWN_MAX_S, record.down_s * 2)
 
-    def wants_quiet(
-        self, replica: str, born_ms: int, quiet_s: float, now: float
+    def asked_for_backoff(
+        self, replica: str, born_ms: int, backoff_s: float, now: float
     ) -> None:
-        """Record that a lifetime wants no requests for some seconds.
+        """Record that a lifetime asked for no requests for some seconds.
 
-        A shorter wish does not end a longer one.
+        A shorter backoff does not end a longer one.
         """
         record = self._records.setdefault(replica, _FailureRecord(updated_at=now))
-        if record.quiet_born_ms != born_ms:
-            record.quiet_born_ms = born_ms
-            record.quiet_until = 0.0
-        record.quiet_until = max(record.quiet_until, now + quiet_s)
+        if record.backoff_born_ms != born_ms:
+            record.backoff_born_ms = born_ms
+            record.backoff_until = 0.0
+        record.backoff_until = max(record.backoff_until, now + backoff_s)
 
-    def quiet_until(self, replica: str, born_ms: int) -> float:
-        """Return until when a lifetime wants no requests, 0 if it said nothing."""
+    def backoff_until(self, replica: str, born_ms: int) -> float:
+        """Return when the backoff of a lifetime ends, 0 if it has none."""
         record = self._records.get(replica)
-        if record is None or record.quiet_born_ms != born_ms:
+        if record is None or record.backoff_born_ms != born_ms:
             return 0.0
-        return record.quiet_until
+        return record.backoff_until
 
-    def take_ended_quiet(self, now: float) -> list[str]:
-        """Return the replicas whose wish has ended since the last call."""
+    def take_ended_backoffs(self, now: float) -> list[str]:
+        """Return the replicas whose backoff has ended since the last call."""
         ended = []
         for replica, record in self._records.items():
-            if record.quiet_until and now >= record.quiet_until:
-                record.quiet_until = 0.0
+            if record.backoff_until and now >= record.backoff_until:
+                record.backoff_until = 0.0
                 ended.append(replica)
         return ended
 
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -112,7 +112,7 @@
     def gate(self, replica_record):
         return replica_record.replica
 
-    def first_back_at(self, service, now):
+    def first_backoff_end(self, service, now):
         return None
 
     def candidates(self, service, excluded, now):
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -115,7 +115,7 @@
     def mark_leaving(self, replica_record, now):
         return False
 
-    def first_back_at(self, service, now):
+    def first_backoff_end(self, service, now):
         return None
 
 
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -171,14 +171,14 @@
     return dispatcher_checks.test_a_replica_that_left_during_the_wait_is_not_sent_to
 
 
-def wish_forgotten_on_a_success(patch):
-    """Ends the wish to be left alone when a request is answered."""
+def backoff_forgotten_on_a_success(patch):
+    """Ends a backoff when a request is answered."""
 
     def succeeded(self, replica, now):
         self._records.pop(replica, None)
 
     patch.setattr(ReplicaHealth, 'succeeded', succeeded)
-    return notice_checks.test_no_shorter_wish_and_no_success_ends_a_wish
+    return notice_checks.test_neither_a_shorter_backoff_nor_a_success_ends_a_backoff
 
 
 def every_copy_at_once(patch):
@@ -228,7 +228,7 @@
     any_stream_while_stopping,
     more_grants_than_places,
     look_only_at_the_choice,
-    wish_forgotten_on_a_success,
+    backoff_forgotten_on_a_success,
     every_copy_at_once,
     timeout_less_deadline_is_spent,
 ]
--- a/tests/test_relay/test_notices.py
+++ b/tests/test_relay/test_notices.py
@@ -1,4 +1,4 @@
-"""Replicas that leave, or want to be left alone, and say so in an answer."""
+"""Replicas that leave, or ask for a backoff, and say so in an answer."""
 
 from __future__ import annotations
 
@@ -48,12 +48,12 @@
     assert node.send_request().startswith(b'HTTP/1.1 200')
 
 
-def quiet(seconds):
+def refused_for(seconds):
     return answer(b'', b'503 Busy', REFUSED + b'Retry-After: %s\r\n' % seconds)
 
 
-def test_a_replica_that_wants_quiet_gets_nothing_until_its_time_is_over(node):  # noqa: F811
-    target = ScriptedTarget([quiet(b'0.9'), answer()], [answer()])
+def test_a_replica_that_asks_for_a_backoff_gets_nothing_until_it_ends(node):  # noqa: F811
+    target = ScriptedTarget([refused_for(b'0.9'), answer()], [answer()])
     node.receive_news(records=[plain(target)])
     node.send_request()
     response = node.send_request()
@@ -64,8 +64,11 @@
     assert node.send_request().startswith(b'HTTP/1.1 200')
 
 
-def test_a_refusal_while_all_want_quiet_says_when_the_first_is_back(node):  # noqa: F811
-    targets = [ScriptedTarget([quiet(b'40')]), ScriptedTarget([quiet(b'20')])]
+def test_a_refusal_while_all_back_off_says_when_the_first_is_back(node):  # noqa: F811
+    targets = [
+        ScriptedTarget([refused_for(b'40')]),
+        ScriptedTarget([refused_for(b'20')]),
+    ]
     records = [
         record(replica=f'r{n}', service='plain', address=target.address)
         for n, target in enumerate(targets)
@@ -83,8 +86,8 @@
     assert [len(t.requests) for t in targets] == [1, 1]
 
 
-def test_another_service_goes_on_beside_one_that_wants_quiet(node):  # noqa: F811
-    busy, other = ScriptedTarget([quiet(b'30')]), ScriptedTarget([answer()])
+def test_another_service_goes_on_beside_one_that_backs_off(node):  # noqa: F811
+    busy, other = ScriptedTarget([refused_for(b'30')]), ScriptedTarget([answer()])
     node.receive_news(records=[plain(busy)])
     node.send_request()
     node.receive_news(
@@ -94,7 +97,7 @@
 
 
 @pytest.mark.parametrize(
-    ('status', 'value', 'quiet_s', 'unreadable'),
+    ('status', 'value', 'backoff_s', 'unreadable'),
     [
         (503, b'2', 2.0, ''),
         (503, b' 0.25 ', 0.25, ''),
@@ -108,16 +111,16 @@
         (421, b'2', 0.0, ''),
     ],
 )
-def test_only_seconds_beside_a_503_are_a_wish(status, value, quiet_s, unreadable):
+def test_only_seconds_beside_a_503_are_a_backoff(status, value, backoff_s, unreadable):
     head = AnswerHead(status=status, headers=[(b'retry-after', value)])
     notice = PlatformDialect().notice(head)
-    assert (notice.quiet_s, notice.unreadable) == (quiet_s, unreadable)
+    assert (notice.backoff_s, notice.unreadable) == (backoff_s, unreadable)
 
 
-def test_no_shorter_wish_and_no_success_ends_a_wish():
+def test_neither_a_shorter_backoff_nor_a_success_ends_a_backoff():
     health = ReplicaHealth()
-    health.wants_quiet('r', 1, 10.0, 0.0)
-    health.wants_quiet('r', 1, 1.0, 1.0)
+    health.asked_for_backoff('r', 1, 10.0, 0.0)
+    health.asked_for_backoff('r', 1, 1.0, 1.0)
     health.succeeded('r', 2.0)
-    assert health.quiet_until('r', 1) == 10.0
-    assert health.quiet_until('r', 2) == 0.0
+    assert health.backoff_until('r', 1) == 10.0
+    assert health.backoff_until('r', 2) == 0.0
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -45,7 +45,7 @@
     def gate(self, replica_record):
         return replica_record.replica
 
-    def first_back_at(self, service, now):
+    def first_backoff_end(self, service, now):
         return None
 
 
