--- a/pistachiopath/document/settings.py
+++ b/pistachiopath/document/settings.py
@@ -14,9 +14,8 @@
     first group only if `forms` is true.  The group has
     2 * `tolerated_losses` + 1 voters; a `diskless` node is none of them.  A
     replica that announces nothing for `silent_after_s` seconds is reported as
-    silent.  All entries together may
-    exceed a customer's allowance by the fraction `allowance_overage` of it and
-    by `allowance_slack_tokens`.
+    silent.  All entries together may exceed a customer's allowance by the
+    fraction `allowance_overage` of it and by `allowance_slack_tokens`.
     """
 
     node_address: str
--- a/pistachiopath/relay/usual_deadline.py
+++ b/pistachiopath/relay/usual_deadline.py
@@ -7,7 +7,7 @@
 
 SAMPLES = 256
 MIN_SAMPLES = 16
-# The lower half of the samples holds callers that came back, so the spread is
+# Callers that came back are in the lower half of the samples, so the spread is
 # measured in the upper half.
 SPREAD_FACTOR = 3.0
 MIN_SPENT_S = 0.1
--- a/tests/test_relay/test_usual_deadline.py
+++ b/tests/test_relay/test_usual_deadline.py
@@ -41,8 +41,7 @@
 def test_two_groups_of_callers_with_unlike_deadlines_are_both_in_time():
     rng = random.Random(3)
     _, spent = learn([rng.choice((3.0, 15.0)) for _ in range(1000)])
-    # The median is 15 s and the upper half has no spread where 15 s prevails.
-    assert sum(s > 0 for s in spent) <= 0.5 * len(spent)
+    assert sum(s > 0 for s in spent) <= 0.01 * len(spent)
 
 
 def test_nothing_is_said_of_a_route_with_few_requests():
