--- a/pistachiopath/relay/caller_request.py
+++ b/pistachiopath/relay/caller_request.py
@@ -7,6 +7,9 @@
 from ..exchange.request import HttpRequest
 from ..routing.prompt_part import PromptPart
 
+# Bounds the length of a log line.
+MAX_LOGGED_PARTS = 16
+
 
 @attrs.define(kw_only=True, frozen=True)
 class CallerRequest:
@@ -28,3 +31,8 @@
     has_counts: bool = False
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
+
+    @property
+    def part_ids(self) -> str:
+        """Identities of the first parts of the prompt, for logs."""
+        return ','.join(part.part_id for part in self.parts[:MAX_LOGGED_PARTS])
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -164,6 +164,8 @@
                     'request': work.req.request_id,
                     'replica': replica,
                     'try': work.tries,
+                    'ran_ms': work.ran_ms(now),
+                    'parts': work.req.part_ids,
                     'ended': type(result).__name__,
                     'reason': getattr(result, 'reason', ''),
                     'status': result.head.status
--- a/pistachiopath/relay/request_log.py
+++ b/pistachiopath/relay/request_log.py
@@ -52,6 +52,7 @@
                 'objective_ms': int(route.objective_s * 1000),
                 'spent_ms': work.spent_ms,
                 'timing': timing(work).value,
+                'parts': work.req.part_ids,
                 'version': version,
             },
         )
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -67,6 +67,10 @@
         """Milliseconds that the caller spent on earlier attempts."""
         return int((self.started_at - self.first_attempt_at) * 1000)
 
+    def ran_ms(self, now: float) -> int:
+        """Return the milliseconds since the last send, -1 if there was none."""
+        return int((now - self.sent_at) * 1000) if self.sent_at else -1
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the deadline, at least 0."""
         return max(0.0, self.deadline_at - now)
