Requests that share a part of their prompt which crashes replicas are stopped

Cause: what crashes replicas was known by one fingerprint of customer, path and body. Of requests no two of which are alike none is ever blamed twice. Class of fault: an identity that is finer than the cause.

Change: a run consists of the whole request and of each part of its prompt but the last (quarantine/content.py). quarantine/blame.py decides from all known crashes which contents explain them; what ran beside a blamed one goes free. Parts that ran well are remembered, and a node that knows so answers the first mark. Each entry looks again right before the send and while a request waits. A quarantine of a part ends by a trial of one request at one entry.

Tests: tests/test_relay/test_crashing_parts.py plays four sizes and seven kinds of traffic in virtual time; with the parts left out, as before, it fails (mutation parts_are_not_looked_at). 200 random sets of crashes in each order give one verdict.

Whole requests before parts at equal counts: a request that crashed replicas twice could clear the part.

One test was changed: test_content_in_quarantine_is_not_sent_again gave the marks before the request was served, which is refused at once now; the marks now arrive during the first send, and it also asserts that this one took place.

--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -4,9 +4,12 @@
 
 import time
 
+from ..errors.exchange import ConnectFailed
 from .target_connection import TargetConnection
 
 MAX_IDLE_PER_TARGET = 8
+# A target that does not answer within this time neither accepts nor refuses.
+CHECK_TIMEOUT_S = 0.3
 
 
 class ConnectionPool:
@@ -30,6 +33,21 @@
         self.opened += 1
         return conn
 
+    def refuses(self, address: str) -> bool:
+        """Return whether a target refuses connections.
+
+        A connection that it accepts is kept for the next request.
+        """
+        conn = TargetConnection(address=address, request_id_header=self._id_header)
+        try:
+            conn.connect(CHECK_TIMEOUT_S)
+        except ConnectFailed as exc:
+            return exc.reason == ConnectionRefusedError.__name__
+        self.opened += 1
+        conn.keep_idle(time.monotonic())
+        self.give_back(conn)
+        return False
+
     def give_back(self, conn: TargetConnection) -> None:
         """Keep a connection that is ready for another request."""
         idle = self._idle.setdefault(conn.address, [])
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -66,6 +66,10 @@
         )
         self._sock = sock
 
+    def keep_idle(self, now: float) -> None:
+        """Prepare a new connection for its first request later on."""
+        self.idle_until = now + DEFAULT_IDLE_TIMEOUT_S
+
     def is_reusable(self, now: float) -> bool:
         """Return whether the idle connection can carry another request.
 
--- a/pistachiopath/messages/quarantine.py
+++ b/pistachiopath/messages/quarantine.py
@@ -9,23 +9,48 @@
 class CrashMark(Message):
     """Content that a replica was running when it crashed.
 
-    `lifetime` identifies the replica and the start of its process.  The run was
-    interrupted `age_ms` ago, `ran_ms` after it began.
+    `fingerprint` is the key of the content: a whole request where `depth` is 0,
+    else the part of a prompt at that position.  `lifetime` identifies the replica
+    and the start of its process.  The run was interrupted `age_ms` ago, `ran_ms`
+    after it began.
     """
 
     fingerprint: bytes
     lifetime: str
     age_ms: int
     ran_ms: int
+    depth: int = 0
+
+
+@message
+class ContentProof(Message):
+    """Content that ran well `age_ms` ago, before it was in a crash."""
+
+    key: bytes
+    age_ms: int
+
+
+@message
+class ContentTrial(Message):
+    """A node began to try a content in quarantine, `age_ms` ago.
+
+    `number` counts the trials of a content from 1 on.
+    """
+
+    key: bytes
+    number: int
+    age_ms: int
 
 
 @message
 class CrashMarks(Message):
     """Crash marks that one entry shares with the other entries.
 
-    `cleared` holds the fingerprints of contents with earlier marks that have
-    since run to completion.
+    `cleared` holds the keys of contents with earlier marks that have since run
+    to completion, `proofs` those that ran well before their marks.
     """
 
     marks: tuple[CrashMark, ...] = ()
     cleared: tuple[bytes, ...] = ()
+    proofs: tuple[ContentProof, ...] = ()
+    trials: tuple[ContentTrial, ...] = ()
--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -47,6 +47,7 @@
             prompt_tokens=counts[0] if counts else 0,
             output_tokens=counts[1] if counts else 0,
             has_counts=counts is not None,
+            model=http.header(names.MODEL),
             parts=_parse_prompt_parts(http.header(names.PROMPT_PARTS)),
             last_event=_parse_integer(http.header(names.LAST_EVENT)),
         )
--- a/pistachiopath/platform/names.py
+++ b/pistachiopath/platform/names.py
@@ -12,6 +12,7 @@
 # Number of prompt tokens and maximum number of output tokens, comma-separated.
 TOKEN_COUNTS = b'token-usage'
 PROMPT_PARTS = b'prefix-hash'
+MODEL = b'model'
 LAST_EVENT = b'last-event-id'
 
 # Set by the entry on requests to a replica.
--- a/pistachiopath/quarantine/crash_watch.py
+++ b/pistachiopath/quarantine/crash_watch.py
@@ -6,8 +6,12 @@
 
 import attrs
 
-from ..messages.quarantine import CrashMark, CrashMarks
-from .suspects import QUARANTINE_CRASHES
+from ..messages.quarantine import ContentProof, CrashMark, CrashMarks
+from .blame import WHOLE_REQUEST_CRASHES, CrashHistory, blamed_contents
+from .broken_run import BrokenRun
+from .content import Content
+from .proven_contents import ProvenContents
+from .trials import Trials
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,24 +31,34 @@
 
 
 @attrs.define(kw_only=True, frozen=True)
-class _BrokenRun:
-    """A run whose replica ended the connection before its response was complete."""
+class _UnexplainedRun:
+    """A broken-off run of which it is not known whether its replica has ended."""
 
-    fingerprint: bytes
-    started_at: float
-    broken_at: float
+    contents: tuple[Content, ...]
+    run: BrokenRun
+
+
+@attrs.define(kw_only=True)
+class _Marks:
+    """The crashes in which a content was, by the lifetime of the replica."""
+
+    content: Content
+    runs: dict[str, BrokenRun] = attrs.field(factory=dict)
+
+    @property
+    def last_broken_at(self) -> float:
+        """Time of the last crash."""
+        return max(run.broken_at for run in self.runs.values())
 
 
 class CrashWatch:
-    """Counts the crashes of each request content over all entries.
+    """Finds the contents that crash replicas, from the crashes of all entries.
 
     A broken run alone is no evidence, because connections break for many
-    reasons.  It counts once its replica is known to have ended as well.  If
-    content of an earlier crash is among the broken runs, only that content is
-    blamed.  Content is quarantined after two crashes, the second of them in a
-    run that began after the first: otherwise content that runs on many
-    replicas would be quarantined when several of them crash at once.  Content
-    that runs to completion is cleared.
+    reasons.  It counts once its replica is known to have ended as well.  Each
+    crash marks what the replica was running: whole requests and the parts of
+    their prompts.  `blamed_contents` decides which of them are in quarantine.
+    Content that runs to completion is cleared.
 
     Marks are merged by union, so they may arrive repeatedly and in any order.
     `now` is a monotonic clock in seconds.
@@ -57,21 +71,44 @@
     540.0
     """
 
-    def __init__(self) -> None:
-        self._broken_runs: dict[str, list[_BrokenRun]] = {}
-        self._marks: dict[bytes, dict[str, _BrokenRun]] = {}
+    def __init__(self, *, node: str = '') -> None:
+        self._broken_runs: dict[str, list[_UnexplainedRun]] = {}
+        self._marks: dict[bytes, _Marks] = {}
         self._cleared_at: dict[bytes, float] = {}
+        self._proven = ProvenContents()
+        self._unsent_proofs: set[bytes] = set()
+        self._trials = Trials(node=node)
+        self._blamed: dict[bytes, CrashHistory] | None = None
 
     @property
     def has_marks(self) -> bool:
         """Whether any content has a crash mark."""
         return bool(self._marks)
 
+    @property
+    def blamed(self) -> dict[bytes, CrashHistory]:
+        """The contents in quarantine, by key."""
+        if self._blamed is None:
+            self._blamed = blamed_contents(self._histories())
+        return self._blamed
+
     def broke_off(
-        self, lifetime: str, fingerprint: bytes, began_at: float, now: float
+        self,
+        lifetime: str,
+        fingerprint: bytes,
+        began_at: float,
+        now: float,
+        *,
+        parts: tuple[Content, ...] = (),
     ) -> None:
-        """Record that a replica broke off a run of this content."""
-        run = _BrokenRun(fingerprint=fingerprint, started_at=began_at, broken_at=now)
+        """Record that a replica broke off a run of this request.
+
+        `parts` are the parts of its prompt that may have caused that.
+        """
+        run = _UnexplainedRun(
+            contents=(Content(key=fingerprint), *parts),
+            run=BrokenRun(started_at=began_at, broken_at=now),
+        )
         self._broken_runs.setdefault(lifetime, []).append(run)
 
     def pending(self) -> tuple[str, ...]:
@@ -80,104 +117,185 @@
 
     def ended(self, lifetime: str, now: float) -> tuple[CrashMark, ...]:
         """Record that a replica has ended; return the marks to send to others."""
-        runs = self._broken_runs.pop(lifetime, [])
-        if not runs or now - runs[-1].broken_at >= EVIDENCE_S:
+        broken = self._broken_runs.pop(lifetime, [])
+        if not broken or now - broken[-1].run.broken_at >= EVIDENCE_S:
             return ()
-        last_at = runs[-1].broken_at
+        last_at = broken[-1].run.broken_at
         running = {
-            r.fingerprint: r for r in runs if last_at - r.broken_at < SAME_CRASH_S
+            content: b.run
+            for b in broken
+            if last_at - b.run.broken_at < SAME_CRASH_S
+            for content in b.contents
         }
-        suspects = [fp for fp in running if fp in self._marks]
-        blamed = sorted(suspects or running)
-        for fingerprint in blamed:
-            self._add_mark(lifetime, running[fingerprint])
-        return tuple(_crash_mark(lifetime, running[fp], now) for fp in blamed)
+        marks = []
+        for content, run in sorted(running.items(), key=lambda item: item[0].key):
+            self._add_mark(content, lifetime, run)
+            marks.append(_crash_mark(content, lifetime, run, now))
+        return tuple(marks)
 
     def delivered(self, fingerprint: bytes, now: float) -> bool:
         """Clear content that ran to completion; return whether it had marks."""
-        if self._marks.pop(fingerprint, None) is None:
-            return False
-        self._cleared_at[fingerprint] = now
-        return True
+        return self._clear(fingerprint, now)
+
+    def proven(self, parts: Iterable[Content], now: float) -> tuple[bytes, ...]:
+        """Record that these parts crash no replica; return those that had marks."""
+        keys = [part.key for part in parts]
+        self._proven.add(keys, now)
+        if not self._marks:
+            return ()
+        return tuple(key for key in keys if self._clear(key, now))
+
+    def take_proofs(self, now: float) -> tuple[ContentProof, ...]:
+        """Return proofs of marked contents that no other node has sent yet."""
+        proofs = tuple(
+            ContentProof(key=key, age_ms=int((now - self._cleared_at[key]) * 1000))
+            for key in sorted(self._unsent_proofs)
+            if key in self._cleared_at
+        )
+        self._unsent_proofs.clear()
+        return proofs
 
     def heard(self, body: CrashMarks, now: float) -> bool:
-        """Merge another node's marks and clearings; return whether any is new."""
-        is_new = any(fp not in self._cleared_at for fp in body.cleared)
-        for fingerprint in body.cleared:
-            self._marks.pop(fingerprint, None)
-            self._cleared_at[fingerprint] = now
+        """Merge what another node sent; return whether any of it is new."""
+        is_new = False
+        for key in body.cleared:
+            is_new |= key not in self._cleared_at
+            is_new |= self._clear(key, now)
+            self._cleared_at[key] = now
+        for proof in body.proofs:
+            is_new |= self._hear_proof(proof, now)
         for mark in body.marks:
             at = now - mark.age_ms / 1000
-            run = _BrokenRun(
-                fingerprint=mark.fingerprint,
-                started_at=at - mark.ran_ms / 1000,
-                broken_at=at,
-            )
+            content = Content(key=mark.fingerprint, depth=mark.depth)
+            run = BrokenRun(started_at=at - mark.ran_ms / 1000, broken_at=at)
             if now - at < RETENTION_S:
-                is_new |= self._add_mark(mark.lifetime, run)
+                is_new |= self._add_mark(content, mark.lifetime, run)
+        for trial in body.trials:
+            is_new |= self._trials.heard(trial, now)
         return is_new
 
     def left_s(self, fingerprint: bytes, now: float) -> float:
-        """Return the remaining quarantine of content in seconds, 0 if there is none."""
-        crashes = _separate_crash_times(self._marks.get(fingerprint, {}).values())
-        if len(crashes) < QUARANTINE_CRASHES:
+        """Return the remaining quarantine of content in seconds, 0 if there is none.
+
+        It is also 0 for a part that this node may try; see `begin_trial`.
+        """
+        history = self.blamed.get(fingerprint)
+        if history is None:
             return 0.0
-        return max(0.0, crashes[-1] + RETENTION_S - now)
+        last_at = max(run.broken_at for run in history.runs.values())
+        if history.content.is_part:
+            return max(0.0, self._trials.due_at(fingerprint, last_at) - now)
+        return max(0.0, last_at + RETENTION_S - now)
+
+    def begin_trial(self, key: bytes, now: float) -> CrashMarks:
+        """Begin a trial of a part in quarantine; return the message for others."""
+        return CrashMarks(trials=(self._trials.begin(key, now),))
 
     def marks(self, now: float) -> CrashMarks:
-        """Return the newest marks, for nodes that may have missed them."""
+        """Return what nodes may have missed: quarantined first, then the newest."""
         marks = [
-            _crash_mark(lifetime, run, now)
-            for runs in self._marks.values()
-            for lifetime, run in runs.items()
+            _crash_mark(m.content, lifetime, run, now)
+            for m in self._marks.values()
+            for lifetime, run in m.runs.items()
         ]
-        return CrashMarks(marks=tuple(sorted(marks, key=_age_ms)[:MAX_MESSAGE_MARKS]))
+        blamed = self.blamed
+        marks.sort(key=lambda m: (m.fingerprint not in blamed, m.age_ms))
+        return CrashMarks(
+            marks=tuple(marks[:MAX_MESSAGE_MARKS]), trials=self._trials.messages(now)
+        )
 
     def prune(self, now: float) -> None:
         """Remove expired records, and the earliest contents above `MAX_CONTENTS`."""
-        for lifetime, runs in list(self._broken_runs.items()):
-            if now - runs[-1].broken_at >= EVIDENCE_S:
+        for lifetime, broken in list(self._broken_runs.items()):
+            if now - broken[-1].run.broken_at >= EVIDENCE_S:
                 del self._broken_runs[lifetime]
-        for fingerprint, runs in list(self._marks.items()):
-            excess = len(self._marks) > MAX_CONTENTS
-            if excess or now - max(r.broken_at for r in runs.values()) >= RETENTION_S:
-                del self._marks[fingerprint]
-        for fingerprint, at in list(self._cleared_at.items()):
+        blamed = self.blamed
+        for key, marks in list(self._marks.items()):
+            is_excess = len(self._marks) > MAX_CONTENTS and key not in blamed
+            if is_excess or now - marks.last_broken_at >= RETENTION_S:
+                del self._marks[key]
+                self._blamed = None
+        for key, at in list(self._cleared_at.items()):
             if now - at >= RETENTION_S:
-                del self._cleared_at[fingerprint]
+                del self._cleared_at[key]
+        self._trials.keep_only(set(self._marks))
 
-    def _add_mark(self, lifetime: str, run: _BrokenRun) -> bool:
+    def _histories(self) -> list[CrashHistory]:
+        return [
+            CrashHistory(
+                content=m.content, runs=dict(m.runs), is_proven=key in self._cleared_at
+            )
+            for key, m in self._marks.items()
+            if len(m.runs) >= WHOLE_REQUEST_CRASHES
+        ]
+
+    def _add_mark(self, content: Content, lifetime: str, run: BrokenRun) -> bool:
         """Store a mark; return whether it is new."""
-        cleared_at = self._cleared_at.get(run.fingerprint)
+        self._use_own_proof(content.key)
+        cleared_at = self._cleared_at.get(content.key)
         if cleared_at is not None and run.broken_at <= cleared_at:
             # The sender had not yet received the clearing of this content.
             return False
-        marks = self._marks.setdefault(run.fingerprint, {})
-        existing = marks.get(lifetime)
+        marks = self._marks.setdefault(content.key, _Marks(content=content))
+        existing = marks.runs.get(lifetime)
         # A delayed message makes its crash look more recent than it was, so the
         # earliest time is kept.
         if existing is None or run.broken_at < existing.broken_at:
-            marks[lifetime] = run
+            marks.runs[lifetime] = run
+            self._blamed = None
         return existing is None
 
+    def _use_own_proof(self, key: bytes) -> None:
+        """Use what this node knows of a content that gets its first mark."""
+        proven_at = self._proven.at(key)
+        if proven_at is not None and key not in self._cleared_at:
+            self._cleared_at[key] = proven_at
+            self._unsent_proofs.add(key)
+
+    def _hear_proof(self, proof: ContentProof, now: float) -> bool:
+        """Merge a proof; return whether no proof of this content was known."""
+        self._unsent_proofs.discard(proof.key)
+        if proof.key in self._cleared_at:
+            return False
+        at = now - proof.age_ms / 1000
+        self._cleared_at[proof.key] = at
+        marks = self._marks.get(proof.key)
+        if marks is not None:
+            marks.runs = {k: r for k, r in marks.runs.items() if r.broken_at > at}
+            if not marks.runs:
+                del self._marks[proof.key]
+        self._blamed = None
+        return True
+
+    def _clear(self, key: bytes, now: float) -> bool:
+        """Remove the marks of a content that ran well; return whether it had any.
 
-def _separate_crash_times(runs: Iterable[_BrokenRun]) -> list[float]:
-    """Return crash times, each of a run that began after the previous crash."""
-    times: list[float] = []
-    for run in sorted(runs, key=lambda r: r.broken_at):
-        if not times or run.started_at >= times[-1]:
-            times.append(run.broken_at)
-    return times
+        Crashes that it explained are removed, so that they blame no other.
+        """
+        history = self.blamed.get(key) if key in self._marks else None
+        marks = self._marks.pop(key, None)
+        if marks is None:
+            return False
+        self._cleared_at[key] = now
+        self._blamed = None
+        for lifetime in history.runs if history else ():
+            self._remove_crash(lifetime)
+        return True
 
+    def _remove_crash(self, lifetime: str) -> None:
+        for key, marks in list(self._marks.items()):
+            marks.runs.pop(lifetime, None)
+            if not marks.runs:
+                del self._marks[key]
 
-def _crash_mark(lifetime: str, run: _BrokenRun, now: float) -> CrashMark:
+
+def _crash_mark(
+    content: Content, lifetime: str, run: BrokenRun, now: float
+) -> CrashMark:
     return CrashMark(
-        fingerprint=run.fingerprint,
+        fingerprint=content.key,
         lifetime=lifetime,
         age_ms=int((now - run.broken_at) * 1000),
         ran_ms=int((run.broken_at - run.started_at) * 1000),
+        depth=content.depth,
     )
-
-
-def _age_ms(mark: CrashMark) -> int:
-    return mark.age_ms
--- a/pistachiopath/relay/caller_request.py
+++ b/pistachiopath/relay/caller_request.py
@@ -29,6 +29,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     has_counts: bool = False
+    model: str = ''
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
 
--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING
 
+import gevent
+
 from ..directory.replica_state import ReplicaState
 from ..errors.relay import TurnedAway
 from ..messages.quarantine import CrashMarks
@@ -12,7 +15,7 @@
 from .exchange_run import REFUSED
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ..directory.subscriber import Subscriber
     from ..messages.directory import ReplicaRecord
@@ -22,14 +25,23 @@
 
 logger = logging.getLogger(__name__)
 
+# A node that lost a message, or started since, has the marks within this time.
+RESEND_INTERVAL_S = 5.0
+# After news of a crash messages are repeated sooner.
+RECENT_NEWS_S = 10.0
+RECENT_RESEND_INTERVAL_S = 2.0
+
 
 class Crashes:
     """Detects runs that a crash broke off, and reports them to other entries.
 
     A replica counts as crashed if it refuses connections.  One that broke off a
     run also counts as crashed if a later lifetime is known, if it is recorded as
-    gone, or if no control node receives its heartbeats any more.  `broadcast`
-    sends a message to all other entries.
+    gone, if no control node receives its heartbeats any more, or if another entry
+    reports its crash.
+
+    `broadcast` sends a message to all other entries and returns whether it
+    could.  `refuses` returns whether an address refuses connections.
     """
 
     def __init__(
@@ -37,24 +49,45 @@
         *,
         watch: CrashWatch,
         subscriber: Subscriber,
-        broadcast: Callable[[CrashMarks], None],
+        broadcast: Callable[[CrashMarks], bool],
+        refuses: Callable[[str], bool],
     ) -> None:
         self._watch = watch
         self._subscriber = subscriber
         self._broadcast = broadcast
+        self._refuses = refuses
         self._records: dict[str, ReplicaRecord] = {}
+        self._checked: set[str] = set()
+        self._quarantined: frozenset[bytes] = frozenset()
+        self._news_at = -RECENT_NEWS_S
+        self._resend_at = 0.0
 
     def check(self, work: Work, now: float) -> None:
-        """Raise `TurnedAway` for content that is quarantined."""
-        remaining_s = self._quarantine_s(work, now)
-        if remaining_s > 0:
-            raise TurnedAway(
-                status=503, reason='quarantined', retry_after_s=remaining_s
+        """Raise `TurnedAway` for a request with content in quarantine."""
+        for key in self._quarantined_contents(work):
+            remaining_s = self._watch.left_s(key, now)
+            if remaining_s > 0:
+                raise self._turned_away(work, key, remaining_s)
+
+    def check_send(self, work: Work, now: float) -> None:
+        """Check a request right before it is sent to a replica.
+
+        It may be the one request with which a part in quarantine is tried again.
+        """
+        self.check(work, now)
+        for key in self._quarantined_contents(work):
+            if not self._broadcast(self._watch.begin_trial(key, now)):
+                raise self._turned_away(work, key, self._watch.left_s(key, now))
+            logger.info(
+                'quarantine_trial',
+                extra={'request': work.req.request_id, 'content': key.hex()},
             )
 
     def is_quarantined(self, work: Work, now: float) -> bool:
-        """Return whether the content of a request is quarantined."""
-        return self._quarantine_s(work, now) > 0
+        """Return whether a request has content in quarantine."""
+        return any(
+            self._watch.left_s(key, now) > 0 for key in self._quarantined_contents(work)
+        )
 
     def record_result(
         self, work: Work, record: ReplicaRecord, result: ExchangeResult, now: float
@@ -63,21 +96,37 @@
         lifetime = _lifetime(record)
         match result:
             case Delivered():
-                self._clear(work, now)
+                self._record_delivered(work, now)
             case Lost(broken_off=True):
                 self._records[lifetime] = record
-                self._watch.broke_off(lifetime, work.fingerprint, work.sent_at, now)
+                parts = () if work.has_lived else work.shared_parts
+                self._watch.broke_off(
+                    lifetime, work.fingerprint, work.sent_at, now, parts=parts
+                )
+                self._check_replica(record)
             case NotRun(reason=reason) if reason == REFUSED:
-                self._record_crash(lifetime, now)
+                self._record_crash(lifetime, now, 'refused')
+
+    def run_lived(self, work: Work, now: float) -> None:
+        """Record that a run has been writing for a while, so it crashes nothing."""
+        work.has_lived = True
+        self._record_proof(work, now)
 
     def tick(self, now: float) -> None:
         """Check whether replicas that broke off runs have ended."""
         pending = self._watch.pending()
         for lifetime in pending:
-            if self._has_ended(self._records[lifetime], now):
-                self._record_crash(lifetime, now)
+            evidence = self._evidence(self._records[lifetime], now)
+            if evidence:
+                self._record_crash(lifetime, now, evidence)
         if pending:
             self._prune(now)
+        proofs = self._watch.take_proofs(now)
+        if proofs:
+            self._broadcast(CrashMarks(proofs=proofs))
+        self._log_quarantine()
+        if now >= self._resend_at:
+            self._resend(now)
 
     def broadcast_marks(self, now: float) -> None:
         """Send the newest marks again, for entries that may have missed them."""
@@ -87,41 +136,121 @@
 
     def handle_marks(self, body: CrashMarks, now: float) -> None:
         """Merge the crash marks of another entry."""
-        self._watch.heard(body, now)
+        if self._watch.heard(body, now):
+            self._news_at = now
+            self._resend_at = min(self._resend_at, now + RECENT_RESEND_INTERVAL_S)
+        pending = set(self._watch.pending())
+        for lifetime in sorted({m.lifetime for m in body.marks} & pending):
+            self._record_crash(lifetime, now, 'reported')
 
-    def _quarantine_s(self, work: Work, now: float) -> float:
+    def _quarantined_contents(self, work: Work) -> Iterator[bytes]:
+        """Yield the keys of a request's contents that are in quarantine."""
         if not self._watch.has_marks:
-            return 0.0
-        return self._watch.left_s(work.fingerprint, now)
+            return
+        blamed = self._watch.blamed
+        if not blamed:
+            return
+        keys = [work.fingerprint, *(part.key for part in work.shared_parts)]
+        yield from (key for key in keys if key in blamed)
 
-    def _clear(self, work: Work, now: float) -> None:
+    def _turned_away(self, work: Work, key: bytes, remaining_s: float) -> TurnedAway:
+        history = self._watch.blamed[key]
+        depth = history.content.depth
+        logger.info(
+            'request_quarantined',
+            extra={
+                'request': work.req.request_id,
+                'content': key.hex(),
+                'part': work.req.parts[depth - 1].part_id if depth else '',
+                'crashes': len(history.runs),
+                'left_s': round(remaining_s, 3),
+            },
+        )
+        reason = 'quarantined_part' if depth else 'quarantined'
+        return TurnedAway(status=503, reason=reason, retry_after_s=remaining_s)
+
+    def _record_delivered(self, work: Work, now: float) -> None:
+        self._record_proof(work, now)
         if not self._watch.has_marks:
             return
         fingerprint = work.fingerprint
         if self._watch.delivered(fingerprint, now):
             self._broadcast(CrashMarks(cleared=(fingerprint,)))
 
-    def _has_ended(self, record: ReplicaRecord, now: float) -> bool:
+    def _record_proof(self, work: Work, now: float) -> None:
+        cleared = self._watch.proven(work.shared_parts, now)
+        if cleared:
+            self._broadcast(CrashMarks(cleared=cleared))
+
+    def _check_replica(self, record: ReplicaRecord) -> None:
+        """Find out at once whether a replica that broke off a run has ended."""
+        lifetime = _lifetime(record)
+        if lifetime not in self._checked:
+            self._checked.add(lifetime)
+            gevent.spawn(self._connect, record)
+
+    def _connect(self, record: ReplicaRecord) -> None:
+        lifetime = _lifetime(record)
+        try:
+            has_ended = self._refuses(record.address)
+        finally:
+            self._checked.discard(lifetime)
+        if has_ended:
+            self._record_crash(lifetime, time.monotonic(), 'refused')
+
+    def _evidence(self, record: ReplicaRecord, now: float) -> str:
+        """Return how it is known that a replica has ended, or an empty string."""
         current = self._subscriber.directory.get(record.replica)
         if current is None or current.born_ms != record.born_ms:
-            return True
+            return 'later_lifetime'
         if current.state == ReplicaState.GONE:
-            return True
-        return self._subscriber.is_silent(record.replica, now)
+            return 'gone'
+        return 'silent' if self._subscriber.is_silent(record.replica, now) else ''
 
-    def _record_crash(self, lifetime: str, now: float) -> None:
+    def _record_crash(self, lifetime: str, now: float, evidence: str) -> None:
         marks = self._watch.ended(lifetime, now)
         if not marks:
             return
+        self._news_at = now
+        self._resend_at = now + RECENT_RESEND_INTERVAL_S
         logger.warning(
             'replica_crashed',
             extra={
                 'lifetime': lifetime,
+                'evidence': evidence,
+                'broken_ms_ago': max(m.age_ms for m in marks),
                 'blamed': ','.join(m.fingerprint.hex() for m in marks),
             },
         )
         self._broadcast(CrashMarks(marks=marks))
 
+    def _log_quarantine(self) -> None:
+        """Log the contents whose quarantine has begun or ended."""
+        blamed = self._watch.blamed
+        quarantined = frozenset(blamed)
+        if quarantined == self._quarantined:
+            return
+        for key in sorted(quarantined - self._quarantined):
+            history = blamed[key]
+            logger.warning(
+                'quarantine_begun',
+                extra={
+                    'content': key.hex(),
+                    'depth': history.content.depth,
+                    'ran_well_before': history.is_proven,
+                    'crashes': ','.join(sorted(history.runs)),
+                },
+            )
+        for key in sorted(self._quarantined - quarantined):
+            logger.warning('quarantine_ended', extra={'content': key.hex()})
+        self._quarantined = quarantined
+
+    def _resend(self, now: float) -> None:
+        is_recent = now - self._news_at < RECENT_NEWS_S
+        interval_s = RECENT_RESEND_INTERVAL_S if is_recent else RESEND_INTERVAL_S
+        self._resend_at = now + interval_s
+        self.broadcast_marks(now)
+
     def _prune(self, now: float) -> None:
         self._watch.prune(now)
         pending = set(self._watch.pending())
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -97,6 +97,7 @@
 
     def _try_once(self, conn: ServerConnection, work: Work) -> ExchangeResult:
         """Choose a replica, wait for a place and run one exchange."""
+        self._crashes.check(work, time.monotonic())
         candidate = self._placer.choose(work)
         record = candidate.record
         work.tries += 1
@@ -113,6 +114,7 @@
             if not self._placer.may_send(record):
                 gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
+            self._crashes.check_send(work, time.monotonic())
             work.sends += 1
             run = ExchangeRun(
                 conn=conn,
@@ -121,6 +123,7 @@
                 dialect=self._dialect,
                 pool=self._pool,
                 notices=self._notices,
+                on_lived=self._crashes.run_lived,
             )
             # If the caller disconnects or the timeout expires during the
             # exchange, the request may or may not have run.
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -58,8 +58,6 @@
 
 TICK_S = 0.05
 PRUNE_INTERVAL_S = 1.0
-# A new entry learns of quarantined content within this time.
-CRASH_MARKS_INTERVAL_S = 5.0
 # A link without traffic for longer is reopened.
 LINK_SILENCE_S = 1.5
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
@@ -136,9 +134,10 @@
             allowance=self._allowance, borrow=self._lender.borrow, rng=rng
         )
         self._crashes = Crashes(
-            watch=CrashWatch(),
+            watch=CrashWatch(node=cfg.node_address),
             subscriber=self._subscriber,
             broadcast=self._lender.broadcast,
+            refuses=self._pool.refuses,
         )
         self._dispatcher = Dispatcher(
             dialect=dialect,
@@ -149,6 +148,7 @@
                 places=self._gates.places,
                 placement=self._placement,
                 targets=self._targets,
+                is_quarantined=self._crashes.is_quarantined,
                 rng=rng,
             ),
             budget_limits=cfg.retry_budget,
@@ -258,7 +258,7 @@
     # Other nodes
 
     def _run_timers(self) -> None:
-        prune_at = resend_marks_at = 0.0
+        prune_at = 0.0
         while True:
             now = time.monotonic()
             self._apply_effects(self._subscriber.tick(now))
@@ -271,9 +271,6 @@
             if now >= prune_at:
                 prune_at = now + PRUNE_INTERVAL_S
                 self._prune(now)
-            if now >= resend_marks_at:
-                resend_marks_at = now + CRASH_MARKS_INTERVAL_S
-                self._crashes.broadcast_marks(now)
             gevent.sleep(TICK_S)
 
     def _prune(self, now: float) -> None:
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -14,6 +14,8 @@
 from .verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..exchange.answer import AnswerHead
     from ..exchange.pool import ConnectionPool
     from ..exchange.server_connection import ServerConnection
@@ -31,6 +33,8 @@
 # `STALL_OBJECTIVE_FACTOR` times the route's objective and at least `STALL_MIN_S`.
 STALL_OBJECTIVE_FACTOR = 2.0
 STALL_MIN_S = 1.2
+# A replica that crashes on a request does so when it begins to write the answer.
+LIVED_S = 1.0
 STALLED = 'stalled'
 REFUSED = 'connect_ConnectionRefusedError'
 OTHER_REPLICA = 'other_replica'
@@ -52,6 +56,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         notices: Notices,
+        on_lived: Callable[[Work, float], None],
     ) -> None:
         self.first_event_ms = 0
         self._conn = conn
@@ -60,7 +65,9 @@
         self._dialect = dialect
         self._pool = pool
         self._notices = notices
+        self._on_lived = on_lived
         self._sent_at = 0.0
+        self._first_event_at = 0.0
 
     def run(self) -> ExchangeResult:
         """Send the request, and deliver the answer."""
@@ -100,6 +107,7 @@
             last_event=work.last_event,
         )
         self._sent_at = work.sent_at = now
+        work.has_lived = False
         http = work.req.http
         target.send(http.method, http.target, headers, http.body)
 
@@ -206,12 +214,19 @@
         work.last_event = event.number
 
     def _record_first_event(self) -> None:
+        now = time.monotonic()
         if self.first_event_ms:
+            self._check_lived(now)
             return
-        now = time.monotonic()
+        self._first_event_at = now
         self.first_event_ms = max(1, int((now - self._sent_at) * 1000))
         self._work.first_event_at = self._work.first_event_at or now
 
+    def _check_lived(self, now: float) -> None:
+        is_old = now - self._first_event_at >= LIVED_S
+        if is_old and not self._work.has_lived:
+            self._on_lived(self._work, now)
+
 
 def may_resume(work: Work) -> bool:
     """Return whether another target can resume a stream after its last event."""
--- a/pistachiopath/relay/lender_link.py
+++ b/pistachiopath/relay/lender_link.py
@@ -119,10 +119,15 @@
         if peer == self._lender:
             self._begin_session('link_lost')
 
-    def broadcast(self, body: Message) -> None:
-        """Send a message to all other entries, by way of the lender."""
-        if self._lender:
-            self._send(self._lender, 0, body)
+    def broadcast(self, body: Message) -> bool:
+        """Send a message to all other entries, by way of the lender.
+
+        Returns whether there is one.
+        """
+        if not self._lender:
+            return False
+        self._send(self._lender, 0, body)
+        return True
 
     def _begin_session(self, reason: str) -> None:
         """Begin a session, in which the lender counts reported use from zero."""
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
@@ -54,7 +55,8 @@
 class Placer:
     """Chooses a replica, waits for a place, and moves to a better replica.
 
-    Raises `TurnedAway` for a request that can't be placed in time.
+    Raises `TurnedAway` for a request that can't be placed in time.  A request that
+    `is_quarantined` while it waits for a place waits no longer.
     """
 
     def __init__(
@@ -63,11 +65,13 @@
         places: Places,
         placement: Placement,
         targets: Targets,
+        is_quarantined: Callable[[Work, float], bool],
         rng: random.Random,
     ) -> None:
         self._places = places
         self._placement = placement
         self._targets = targets
+        self._is_quarantined = is_quarantined
         self._rng = rng
 
     def choose(self, work: Work) -> Candidate:
@@ -201,8 +205,10 @@
         )
 
     def _should_move(self, work: Work, candidate: Candidate, asked_at: float) -> bool:
-        """Return whether a waiting request should move to another gate."""
+        """Return whether a waiting request should leave this gate."""
         now = time.monotonic()
+        if self._is_quarantined(work, now):
+            return True
         record = candidate.record
         candidates = self._targets.candidates(work.admitted.service, set(), now)
         current = [c for c in candidates if c.record.replica == record.replica]
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..claims.identity import fingerprint
+from ..quarantine.content import Content, shared_parts
 from ..routing.placement import Need
 from .admitter import Admitted
 from .caller_request import CallerRequest
@@ -18,8 +19,9 @@
     target may have started the request.  `last_event` is the last event that
     the caller has, or the one after which it asked to resume.
     `first_attempt_at` is the caller's first attempt, if it was turned away
-    before; `sent_at` is the last send to a replica.  `unknown_load_moves`
-    counts the moves of a new request to gates whose load was not known.
+    before; `sent_at` is the last send to a replica, and `has_lived` tells whether
+    that run has been writing its answer for a while.  `unknown_load_moves` counts
+    the moves of a new request to gates whose load was not known.
     """
 
     req: CallerRequest
@@ -34,9 +36,11 @@
     last_event: int | None = None
     first_event_at: float = 0.0
     sent_at: float = 0.0
+    has_lived: bool = False
     waited_s: float = 0.0
     unknown_load_moves: int = 0
     replica: str = ''
+    shared_parts: tuple[Content, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
     outcome: str = ''
@@ -92,4 +96,5 @@
         deadline_at=now + wait_s,
         first_attempt_at=now - spent_s,
         last_event=req.last_event,
+        shared_parts=shared_parts(req.model, [part.part_id for part in req.parts]),
     )
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -492,6 +492,8 @@
 struct CrashMarks {
   marks @0 :List(CrashMark);
   cleared @1 :List(Data);
+  proofs @2 :List(ContentProof);
+  trials @3 :List(ContentTrial);
 }
 
 struct AllowanceLeases {
@@ -579,6 +581,18 @@
   lifetime @1 :Text;
   ageMs @2 :Int64;
   ranMs @3 :Int64;
+  depth @4 :Int64;
+}
+
+struct ContentProof {
+  key @0 :Data;
+  ageMs @1 :Int64;
+}
+
+struct ContentTrial {
+  key @0 :Data;
+  number @1 :Int64;
+  ageMs @2 :Int64;
 }
 
 struct AllowanceLease {
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -105,6 +105,7 @@
             places=None,
             placement=self.placement,
             targets=self,
+            is_quarantined=lambda work, now: False,
             rng=random.Random(seed + 1),
         )
         self.waiting = {}
--- a/tests/test_quarantine/test_crash_watch.py
+++ b/tests/test_quarantine/test_crash_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pistachiopath.messages.quarantine import CrashMarks
+from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.quarantine.crash_watch import (
     EVIDENCE_S,
     MAX_CONTENTS,
@@ -12,6 +13,7 @@
     RETENTION_S,
     CrashWatch,
 )
+from pistachiopath.quarantine.proven_contents import MAX_PROVEN
 
 GUILTY, OTHER = b'guilty', b'other'
 
@@ -142,3 +144,64 @@
     other = CrashWatch()
     other.heard(expired_marks, 900.0)
     assert not other.has_marks
+
+
+def test_a_node_answers_the_first_mark_of_a_part_that_it_has_seen_run_well():
+    (part,) = shared_parts('m', ['shared', 'last'])
+    local, remote = CrashWatch(), CrashWatch()
+    remote.proven((part,), 0.5)
+    local.broke_off('r1', b'x', 0.9, 1.0, parts=(part,))
+    remote.heard(CrashMarks(marks=local.ended('r1', 1.0)), 1.01)
+    proofs = remote.take_proofs(1.05)
+    assert [proof.key for proof in proofs] == [part.key]
+    assert remote.take_proofs(1.06) == ()
+    # A second node that knows the same says nothing once it has heard the proof.
+    assert local.heard(CrashMarks(proofs=proofs), 1.1)
+    assert not local.heard(CrashMarks(proofs=proofs), 1.2)
+    for number in (2, 3):
+        local.broke_off(
+            f'r{number}', b'%d' % number, number, number + 0.1, parts=(part,)
+        )
+        local.ended(f'r{number}', number + 0.1)
+    assert local.left_s(part.key, 3.2) == 0
+
+
+def test_crashes_under_one_part_send_no_sound_request_into_quarantine():
+    first, bad = shared_parts('m', ['first', 'bad', 'last'])
+    watch = CrashWatch()
+    for number in (1, 2, 3):
+        at = float(number)
+        watch.broke_off(f'r{number}', b'%d' % number, at - 0.1, at, parts=(first, bad))
+        if number < 3:
+            watch.broke_off(f'r{number}', OTHER, at - 0.1, at, parts=(first,))
+        watch.ended(f'r{number}', at)
+        watch.proven((first,), at + 0.5)
+    assert set(watch.blamed) == {bad.key}
+    assert watch.left_s(OTHER, 3.0) == 0
+    assert watch.left_s(first.key, 3.0) == 0
+
+
+def test_quarantined_contents_go_first_in_a_bounded_message():
+    (bad,) = shared_parts('m', ['bad', 'last'])
+    old, new = CrashWatch(), CrashWatch()
+    for number in (1, 2, 3):
+        old.broke_off(f'r{number}', b'%d' % number, number, number + 0.1, parts=(bad,))
+        old.ended(f'r{number}', number + 0.1)
+    for number in range(2 * MAX_MESSAGE_MARKS):
+        crash(old, f'other{number}', 5.0, b'other%d' % number)
+    new.heard(old.marks(6.0), 6.0)
+    assert new.left_s(bad.key, 6.0) > 0
+
+
+def test_the_memory_of_crashes_does_not_grow_with_the_number_of_parts():
+    watch = CrashWatch()
+    for number in range(3 * MAX_CONTENTS):
+        parts = shared_parts('m', [f'part{number}', 'last'])
+        watch.proven(parts, 1.0)
+        watch.broke_off(f'r{number}', b'%d' % number, 0.9, 1.0, parts=parts)
+        watch.ended(f'r{number}', 1.0)
+        if number % 500 == 0:
+            watch.prune(1.0)
+    watch.prune(1.0)
+    assert len(watch._marks) <= MAX_CONTENTS
+    assert len(watch._proven._at) <= MAX_PROVEN
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -23,6 +23,7 @@
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
 from pistachiopath.routing.placement import Candidate, Placement
+from pistachiopath.routing.prompt_part import PromptPart
 from pistachiopath.telemetry.metrics import Metrics
 from tests.test_directory.records import record
 
@@ -61,17 +62,25 @@
 class FakeEntry:
     """Directory and crash records of an entry, and the marks it broadcasts."""
 
-    def __init__(self, replicas):
+    def __init__(self, replicas, *, refuses=False):
         self.directory = Directory()
         self.silent = set()
         self.sent_marks = []
+        self.is_connected = True
         self.watch = CrashWatch()
         self.crashes = Crashes(
-            watch=self.watch, subscriber=self, broadcast=self.sent_marks.append
+            watch=self.watch,
+            subscriber=self,
+            broadcast=self._broadcast,
+            refuses=lambda address: refuses,
         )
         for replica in replicas:
             self.directory.merge(record(replica=replica), 0.0)
 
+    def _broadcast(self, body):
+        self.sent_marks.append(body)
+        return self.is_connected
+
     def is_silent(self, replica, now):
         return replica in self.silent
 
@@ -173,6 +182,7 @@
     gate=None,
     superseded=None,
     accept=True,
+    parts=(),
 ):
     """Serve one request; return the caller and the work.
 
@@ -184,6 +194,7 @@
     fake_targets.accept = accept
     if superseded is not None:
         fake_targets.superseded = superseded
+    crashes = crashes or FakeEntry([]).crashes
     route = Route(
         name='r',
         host='h',
@@ -205,6 +216,7 @@
         request_id='abc',
         host='h',
         key='',
+        parts=tuple(PromptPart(part_id=part, tokens=9) for part in parts),
     )
     admitted = Admitted(route=route, service='model', customer=None, tier=0, cost=0.0)
     work = make_work(req, admitted, time.monotonic())
@@ -219,11 +231,12 @@
             places=places,
             placement=placement,
             targets=fake_targets,
+            is_quarantined=crashes.is_quarantined,
             rng=random.Random(2),
         ),
         budget_limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
         known_entries=lambda: 1,
-        crashes=crashes or FakeEntry([]).crashes,
+        crashes=crashes,
         notices=Notices(
             dialect=PlatformDialect(),
             targets=fake_targets,
--- a/tests/test_relay/test_crashes.py
+++ b/tests/test_relay/test_crashes.py
@@ -7,11 +7,39 @@
 import pytest
 
 from pistachiopath.errors.relay import TurnedAway
+from pistachiopath.messages.grants import Ask
+from pistachiopath.messages.quarantine import CrashMark, CrashMarks
+from pistachiopath.quarantine import trials
+from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.relay.ended import Delivered
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
 
-from .parts import IDEMPOTENT, FakeEntry, answer, serve
+from .parts import (
+    IDEMPOTENT,
+    RESUMABLE,
+    FakeEntry,
+    GrantingGate,
+    answer,
+    chunk,
+    events,
+    serve,
+    stream_head,
+)
+
+
+class SlowGate(GrantingGate):
+    """Calls `before_grant` before each place that it grants."""
+
+    def __init__(self, before_grant):
+        super().__init__()
+        self._before_grant = before_grant
+
+    def _send(self, to, call, body):
+        if isinstance(body, Ask):
+            self._before_grant()
+        super()._send(to, call, body)
+
 
 BROKEN = {'reset': RESET, 'closed': CLOSE}
 
@@ -95,15 +123,15 @@
     spare = ScriptedTarget([answer()])
     marks = entry.sent_marks[0].marks
     target = ScriptedTarget([b'', RESET])
-    # As if the report of a second crash arrived after the entry had checked the
-    # request: `serve` checks for quarantine only before it sends again.
+    # The report of a second crash arrives after the request was sent.
     body = attrs.evolve(
         entry.sent_marks[0], marks=(attrs.evolve(marks[0], lifetime='x', ran_ms=0),)
     )
     time.sleep(0.01)
-    entry.crashes.handle_marks(body, time.monotonic())
+    gevent.spawn(entry.crashes.handle_marks, body, time.monotonic())
     caller, _ = serve([target, spare], IDEMPOTENT, crashes=entry.crashes)
     assert caller.status == 502
+    assert len(target.requests) == 1
     assert spare.requests == []
 
 
@@ -123,3 +151,115 @@
     entry.crashes.broadcast_marks(time.monotonic())
     late.crashes.handle_marks(entry.sent_marks[-1], time.monotonic())
     assert late.watch.has_marks
+
+
+def quarantine_part(entry, part='bad'):
+    """Let three replicas crash under requests that share a part."""
+    (content,) = shared_parts('', [part, 'last'])
+    now = time.monotonic()
+    marks = [
+        CrashMark(
+            fingerprint=content.key,
+            lifetime=f'x{n}',
+            age_ms=1000 * n,
+            ran_ms=10,
+            depth=content.depth,
+        )
+        for n in (1, 2, 3)
+    ]
+    entry.crashes.handle_marks(CrashMarks(marks=tuple(marks)), now)
+    return content.key
+
+
+def test_an_entry_connects_to_a_replica_that_broke_off_and_knows_at_once():
+    entry = FakeEntry(['r0'], refuses=True)
+    break_off(entry)
+    gevent.sleep(0)
+    assert [len(body.marks) for body in entry.sent_marks] == [1]
+
+
+def test_a_crash_that_another_entry_reports_counts_for_the_own_broken_run():
+    entry = FakeEntry(['r0'])
+    break_off(entry)
+    lifetime = entry.watch.pending()[0]
+    mark = CrashMark(fingerprint=b'other', lifetime=lifetime, age_ms=1, ran_ms=9)
+    entry.crashes.handle_marks(CrashMarks(marks=(mark,)), time.monotonic())
+    assert [len(body.marks) for body in entry.sent_marks] == [1]
+    assert entry.watch.pending() == ()
+
+
+def test_a_request_with_a_part_in_quarantine_is_refused_with_when_to_come_back():
+    entry = FakeEntry([])
+    quarantine_part(entry)
+    target = ScriptedTarget([answer()])
+    with pytest.raises(TurnedAway) as caught:
+        serve([target], IDEMPOTENT, crashes=entry.crashes, parts=('a', 'bad', 'last'))
+    assert caught.value.status == 503
+    assert caught.value.reason == 'quarantined_part'
+    assert 20.0 < caught.value.retry_after_s < 70.0
+    assert target.requests == []
+
+
+def test_requests_without_the_part_in_quarantine_are_served():
+    entry = FakeEntry([])
+    quarantine_part(entry)
+    for parts in ((), ('a', 'last'), ('a', 'bad')):
+        target = ScriptedTarget([answer()])
+        caller, _ = serve([target], IDEMPOTENT, crashes=entry.crashes, parts=parts)
+        assert caller.status == 200
+
+
+def test_a_part_that_is_quarantined_during_the_wait_for_a_place_is_not_sent():
+    entry = FakeEntry([])
+    target = ScriptedTarget([answer()])
+    gate = SlowGate(lambda: quarantine_part(entry))
+    with pytest.raises(TurnedAway) as caught:
+        serve(
+            [target],
+            IDEMPOTENT,
+            crashes=entry.crashes,
+            parts=('bad', 'last'),
+            gate=gate,
+        )
+    assert caught.value.reason == 'quarantined_part'
+    assert target.requests == []
+
+
+def test_a_stream_that_broke_off_under_a_quarantined_part_is_not_resumed():
+    entry = FakeEntry(['r0'])
+    target = ScriptedTarget([stream_head() + chunk(events(0, 1)), RESET])
+    spare = ScriptedTarget([stream_head() + chunk(events(2, 3)) + b'0\r\n\r\n'])
+    gevent.spawn(quarantine_part, entry)
+    caller, work = serve(
+        [target, spare],
+        RESUMABLE,
+        stream=True,
+        crashes=entry.crashes,
+        parts=('bad', 'last'),
+    )
+    assert not caller.finished
+    assert caller.body == events(0, 1)
+    assert work.outcome == 'broken_off'
+    assert spare.requests == []
+
+
+def test_one_request_tries_a_part_in_quarantine_when_its_time_has_come(monkeypatch):
+    monkeypatch.setattr(trials, 'FIRST_TRIAL_S', 0.0)
+    entry = FakeEntry([])
+    key = quarantine_part(entry)
+    target = ScriptedTarget([answer()])
+    caller, _ = serve([target], IDEMPOTENT, crashes=entry.crashes, parts=('bad', 'z'))
+    assert caller.status == 200
+    assert [t.key for body in entry.sent_marks for t in body.trials] == [key]
+    assert entry.sent_marks[-1].cleared == (key,)
+
+
+def test_a_part_is_not_tried_while_no_other_entry_would_hear_of_it(monkeypatch):
+    monkeypatch.setattr(trials, 'FIRST_TRIAL_S', 0.0)
+    entry = FakeEntry([])
+    entry.is_connected = False
+    quarantine_part(entry)
+    target = ScriptedTarget([answer()])
+    with pytest.raises(TurnedAway):
+        serve([target], IDEMPOTENT, crashes=entry.crashes, parts=('bad', 'z'))
+    assert target.requests == []
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -12,8 +12,11 @@
 from pistachiopath.errors.relay import TurnedAway
 from pistachiopath.exchange import target_connection
 from pistachiopath.grants.place_queue import PlaceQueue
-from pistachiopath.quarantine import crash_watch
+from pistachiopath.quarantine import blame, crash_watch
+from pistachiopath.quarantine.crash_watch import CrashWatch
+from pistachiopath.quarantine.trials import Trials
 from pistachiopath.relay.attempts import EarlierAttempts
+from pistachiopath.relay.crashes import Crashes
 from pistachiopath.relay.departure import Departure
 from pistachiopath.relay.dispatcher import Dispatcher
 from pistachiopath.relay.ended import Delivered, Lost
@@ -21,13 +24,17 @@
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.targets import Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
+from tests.harness import crash_world
 from tests.test_admission import test_leased_allowance as allowance_checks
 from tests.test_directory import test_content_in_flight as content_checks
 from tests.test_directory import test_directory as directory_checks
 from tests.test_exchange import test_target_connection as connection_checks
 from tests.test_grants import test_gate as gate_checks
 from tests.test_quarantine import test_crash_watch as crash_checks
+from tests.test_quarantine import test_trials as trial_checks
 
+from . import test_crashes as crash_relay_checks
+from . import test_crashing_parts as part_checks
 from . import test_departure as departure_checks
 from . import test_dispatcher as dispatcher_checks
 from . import test_notices as notice_checks
@@ -142,8 +149,8 @@
 def crashes_at_once_add_up(patch):
     """Blames content that runs on many replicas for each crash of a rack."""
     patch.setattr(
-        crash_watch,
-        '_separate_crash_times',
+        blame,
+        'separate_crash_times',
         lambda runs: [run.broken_at for run in runs],
     )
     return crash_checks.test_simultaneous_crashes_count_once_for_the_same_content
@@ -209,6 +216,37 @@
     )
 
 
+def parts_are_not_looked_at(patch):
+    """Takes each request for content of its own."""
+    patch.setattr(crash_world, 'shared_parts', lambda model, part_ids: ())
+    check = part_checks
+    return lambda: (
+        check.test_requests_that_share_a_crashing_part_stop_crashing_replicas(
+            'three_sites', 'after_the_first_part'
+        )
+    )
+
+
+def no_look_at_quarantine_before_the_send(patch):
+    """Sends what was quarantined while it waited for a place."""
+    patch.setattr(Crashes, 'check_send', lambda *_: None)
+    check = crash_relay_checks
+    return check.test_a_part_that_is_quarantined_during_the_wait_for_a_place_is_not_sent
+
+
+def trials_are_not_deferred(patch):
+    """Lets each entry try a part in quarantine, whatever others have tried."""
+    patch.setattr(Trials, 'heard', lambda *_: False)
+    return trial_checks.test_a_part_in_quarantine_is_tried_by_one_node_at_a_time
+
+
+def proofs_are_forgotten(patch):
+    """Forgets the parts that ran well before the first crash."""
+    patch.setattr(CrashWatch, '_use_own_proof', lambda *_: None)
+    check = crash_checks
+    return check.test_a_node_answers_the_first_mark_of_a_part_that_it_has_seen_run_well
+
+
 FAILURES = (AssertionError, ExchangeFailed, TurnedAway, pytest.fail.Exception)
 
 MUTATIONS = [
@@ -231,6 +269,10 @@
     backoff_forgotten_on_a_success,
     every_copy_at_once,
     timeout_less_deadline_is_spent,
+    parts_are_not_looked_at,
+    no_look_at_quarantine_before_the_send,
+    trials_are_not_deferred,
+    proofs_are_forgotten,
 ]
 
 
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -65,11 +65,12 @@
         return None if self.moved else gate
 
 
-def placer_for(candidates, gates):
+def placer_for(candidates, gates, *, quarantined=False):
     return Placer(
         places=gates,
         placement=Placement(zone='a', rng=random.Random(1)),
         targets=FakeTargets(candidates),
+        is_quarantined=lambda work, now: quarantined,
         rng=random.Random(2),
     )
 
@@ -195,3 +196,12 @@
     for _ in range(3):
         placer._placement.add_request('r1', work.need, time.monotonic())
     assert placer.acquire(work, waiting) == 'own:model'
+
+
+def test_a_request_whose_content_is_quarantined_leaves_its_wait_at_once():
+    gates = Gates()
+    candidates = [candidate('r1', running=0)]
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    placer = placer_for(candidates, gates, quarantined=True)
+    assert placer.acquire(work, placer.choose(work)) is None
+    assert gates.moved
