A request no longer moves back and forth between gates without waiting

Cause: a request that waits for a place looked for a better replica among all, also those that had failed it or denied it a place, and then chose among the others: it came back to the place that it had left. Gates in the entry's own process reply at once, so nothing in this circle waited: no other request was served meanwhile, no close of a caller seen, no deadline kept. Besides, the request itself was counted against its own place when it looked.

The three tests failed before. Ruled out: the requests waited neither for a connection nor for a grant; no `gate_lost` line stands beside them.

--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -110,6 +110,8 @@
             if candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
                 if grant is None:
+                    # Gates in this process reply without a wait.
+                    gevent.sleep(RECHOOSE_PAUSE_S)
                     return NotRun(reason=MOVED, arrived=False)
             if not self._placer.may_send(record):
                 gevent.sleep(RECHOOSE_PAUSE_S)
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -210,10 +210,11 @@
         if self._is_quarantined(work, now):
             return True
         record = candidate.record
-        candidates = self._targets.candidates(work.admitted.service, set(), now)
-        current = [c for c in candidates if c.record.replica == record.replica]
+        known = self._targets.candidates(work.admitted.service, set(), now)
+        current = [c for c in known if c.record.replica == record.replica]
         if not current or current[0].is_gated != candidate.is_gated:
             return True
+        candidates = self._candidates(work, now)
         best = self._placement.choose(candidates, work.need, now)
         if best is None or best.record.replica == record.replica:
             return False
@@ -222,7 +223,9 @@
             return False
         need = work.need
         typical_ms = self._placement.typical_wait_ms(candidates, need)
-        saved_ms = self._placement.cost(current[0], need, 0, now, typical_ms)
+        saved_ms = self._placement.cost(
+            current[0], need, 0, now, typical_ms, is_placed=True
+        )
         saved_ms -= self._placement.cost(best, need, 0, now, typical_ms)
         if best.load is None and now - asked_at < NEW_REQUEST_S:
             should_move = (
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -161,10 +161,13 @@
         cached: int,
         now: float,
         typical_ms: float = UNKNOWN_LOAD_MS,
+        *,
+        is_placed: bool = False,
     ) -> float:
         """Return the estimated cost of a candidate in milliseconds.
 
-        `typical_ms` is the wait assumed if the load is not known.
+        `typical_ms` is the wait assumed if the load is not known.  With
+        `is_placed` the request is one of those of this entry at the candidate.
         """
         record = candidate.record
         own = self._own_requests_at(candidate)
@@ -178,7 +181,9 @@
         if candidate.load is not None:
             return penalty + self._engine_cost(candidate.load, own, need, cached)
         if candidate.ungated_places:
-            return penalty + typical_ms + self._ungated_cost(candidate, need, cached)
+            others = own.outstanding - is_placed
+            work_ms = self._ungated_cost(candidate, need, cached, others)
+            return penalty + typical_ms + work_ms
         slots = max(1, record.slots)
         wait_ms = own.outstanding * PLAIN_REQUEST_MS / slots
         return penalty + wait_ms + UNKNOWN_LOAD_MS
@@ -226,13 +231,17 @@
     def _own_requests_at(self, candidate: Candidate) -> _OwnRequests:
         return self._own_requests.get(candidate.record.replica) or _OwnRequests()
 
-    def _ungated_cost(self, candidate: Candidate, need: Need, cached: int) -> float:
-        """Estimate the cost without the typical wait if the load is not known."""
+    def _ungated_cost(
+        self, candidate: Candidate, need: Need, cached: int, others: int
+    ) -> float:
+        """Estimate the cost without the typical wait if the load is not known.
+
+        `others` is how many other requests of this entry are at the candidate.
+        """
         work_ms = self._work_cost(candidate.last_load, need, cached)
         if candidate.awaits_gate:
             return work_ms
-        own = self._own_requests_at(candidate)
-        excess = max(0, own.outstanding + 1 - candidate.ungated_places)
+        excess = max(0, others + 1 - candidate.ungated_places)
         return work_ms + excess * UNGATED_WAIT_MS
 
     def _engine_cost(
--- a/tests/test_relay/test_dispatcher.py
+++ b/tests/test_relay/test_dispatcher.py
@@ -65,6 +65,26 @@
     assert gate.received.count(Ask) == gate.received.count(ReleasePlace)
 
 
+class MovingGate(GrantingGate):
+    """Replies at once, each time in a way that makes the request move."""
+
+    MAX_ASKS = 2000
+
+    def _send(self, to, call, body):
+        self.received.append(type(body))
+        assert len(self.received) < self.MAX_ASKS, 'the request never waits'
+        if isinstance(body, Ask):
+            self.places.handle_lost(to)
+
+
+def test_a_request_that_moves_again_and_again_lets_other_work_run_and_times_out():
+    gate, target = MovingGate(), ScriptedTarget([answer()])
+    with pytest.raises(TurnedAway) as caught:
+        serve([target], ONCE, gate=gate, wait_s=0.3)
+    assert caught.value.reason == 'timeout'
+    assert target.requests == []
+
+
 @pytest.mark.parametrize('cut', CUT)
 def test_a_once_request_that_may_have_run_is_not_repeated(cut):
     first, second = ScriptedTarget(CUT[cut]), ScriptedTarget([answer()])
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -205,3 +205,25 @@
     placer = placer_for(candidates, gates, quarantined=True)
     assert placer.acquire(work, placer.choose(work)) is None
     assert gates.moved
+
+
+def test_a_request_does_not_leave_its_wait_for_a_replica_that_it_will_not_choose():
+    waiting = ungated('r1')
+    targets = [waiting, candidate('r2', running=0), candidate('r3', running=0)]
+    gates = Gates()
+    placer = placer_for(targets, gates)
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    work.excluded.add('r2')
+    work.denied.add('r3')
+    for _ in range(3):
+        placer._placement.add_request('r1', work.need, time.monotonic())
+    assert placer.choose(work) is waiting
+    assert placer.acquire(work, waiting) == 'own:model'
+
+
+def test_a_request_in_its_own_place_is_not_counted_against_that_place():
+    waiting = ungated('r1')
+    placer = placer_for([waiting, candidate('r2', running=0)], Gates())
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    placer._placement.add_request('r1', work.need, time.monotonic())
+    assert placer.acquire(work, waiting) == 'own:model'
