A refusal that a replica repeats is not taken for the next answer

No caller here has reported it; shown by a scripted target.

Cause: an answer without an id counted as the answer to whatever was sent last. On a kept connection a refusal that is written once more arrives just before the next answer. The look for unasked bytes before the send comes too early for it. With an id the same holds when the request itself comes again on the connection that has carried it.

Change: without an id only the first answer on a connection is taken; a later one ends the exchange, which may have run. A request does not go out on a connection that has carried its id (the last 64 are remembered).

Both tests failed before. A repeated refusal with the id of another request was discarded already, and still is.

--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -20,11 +20,19 @@
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
-    def take(self, address: str, connect_timeout_s: float) -> TargetConnection:
-        """Return an idle or new connection to a target; raises `ConnectFailed`."""
+    def take(
+        self, address: str, connect_timeout_s: float, request_id: bytes = b''
+    ) -> TargetConnection:
+        """Return an idle or new connection to a target; raises `ConnectFailed`.
+
+        A connection that has carried `request_id` is left alone: a target that
+        repeats its response to that request would be taken to answer this one.
+        """
         idle = self._idle.get(address, [])
-        while idle:
-            conn = idle.pop()
+        usable = [c for c in idle if not c.has_carried(request_id)]
+        while usable:
+            conn = usable.pop()
+            idle.remove(conn)
             if conn.is_reusable(time.monotonic()):
                 return conn
             conn.close()
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import gevent
@@ -26,13 +27,16 @@
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_TIMEOUT_S = 0.3
+# Requests whose responses may still be repeated.
+MAX_REMEMBERED_IDS = 64
 
 
 class TargetConnection:
     """Sends requests one after the other and reads their responses.
 
     A response with the request id of another request is late: it is read and
-    discarded.
+    discarded.  One without an id may be late as well, unless it is the first on
+    the connection.
     """
 
     def __init__(self, *, address: str, request_id_header: bytes) -> None:
@@ -44,6 +48,9 @@
         self._http = self._new_parser()
         self._sent_events: list = []
         self._request_id = b''
+        self._carried_ids: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
         self._writer: gevent.Greenlet | None = None
         self._ended = False
 
@@ -89,6 +96,10 @@
             self._sock.settimeout(None)
         return False
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with this id was sent on this connection."""
+        return request_id in self._carried_ids
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request; raises `BrokenOff`.
 
@@ -97,6 +108,8 @@
         """
         self.requests += 1
         self._request_id = _header_value(headers, self._id_header)
+        if self._request_id:
+            self._carried_ids.append(self._request_id)
         if body or method not in (b'GET', b'HEAD', b'DELETE'):
             headers = [*headers, (b'content-length', b'%d' % len(body))]
         request = h11.Request(method=method, target=target, headers=headers)
@@ -127,6 +140,8 @@
                 raise self._broken_off(None)
             head = AnswerHead(status=event.status_code, headers=list(event.headers))
             echoed = _header_value(head.headers, self._id_header)
+            if not echoed and self._request_id and self.requests > 1:
+                raise Garbled(address=self.address, reason='no_request_id', sent=True)
             if not echoed or echoed == self._request_id:
                 return head
             self._discard_response()
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -72,7 +72,11 @@
     def run(self) -> ExchangeResult:
         """Send the request, and deliver the answer."""
         try:
-            target = self._pool.take(self._record.address, CONNECT_TIMEOUT_S)
+            target = self._pool.take(
+                self._record.address,
+                CONNECT_TIMEOUT_S,
+                self._work.req.request_id.encode('latin-1'),
+            )
         except ConnectFailed as exc:
             return NotRun(reason=f'connect_{exc.reason}', arrived=False)
         is_reusable = False
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -170,3 +170,34 @@
     with gevent.Timeout(20), pytest.raises(BrokenOff):
         conn.read_head()
     conn.close()
+
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+
+
+def test_a_refusal_that_is_repeated_without_an_id_is_not_the_next_answer():
+    target = ScriptedTarget([REFUSAL, REFUSAL + response(b'2')])
+    conn = connect(target)
+    send_request(conn)
+    head, _ = read_response(conn)
+    assert conn.finish(head, time.monotonic())
+    send_request(conn, b'2')
+    with pytest.raises(Garbled) as caught:
+        conn.read_head()
+    assert caught.value.reason == 'no_request_id'
+
+
+def test_a_request_is_not_sent_again_on_a_connection_that_has_carried_it():
+    refusal = b'HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n'
+    target = ScriptedTarget([refusal, refusal + response(b'1')], [response(b'1')])
+    pool = ConnectionPool(request_id_header=ID)
+    first = pool.take(target.address, 1.0, b'1')
+    send_request(first)
+    head, _ = read_response(first)
+    assert first.finish(head, time.monotonic())
+    pool.give_back(first)
+    again = pool.take(target.address, 1.0, b'1')
+    assert again is not first
+    send_request(again)
+    assert read_response(again)[0].status == 200
+    assert pool.take(target.address, 1.0, b'2') is first
