An engine's answer that is cut is never complete (the product's own path)

Cause: the parser below urllib3 takes a head that ends with its connection, and `read1` takes any clean end of a body without a length for its end.

Change: an agent's runs go through the connections that entries use (exchange/, h11), in agent/engine_answer.py. A stream that ends within an event is broken off. After a refusal the connection is closed: engines name no request in their answers, so a second refusal could not be told from the next answer. Orders, probes and the list of models stay with urllib3.

--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -9,26 +9,27 @@
 import gevent
 import urllib3
 
+from ..errors.exchange import ConnectFailed, ExchangeFailed
 from ..errors.outcomes import OutcomeKind
 from ..gate.run import RunState
 from ..messages.claims import OutcomeRecord
 from ..messages.fencing import LoadedModel
+from .engine_answer import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, EngineRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..gate.run import Run
     from ..messages.fencing import Order
+    from .engine_answer import EngineAnswer
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 60.0
-MAX_READ_BYTES = 64 * 1024
 MAX_RESUMES = 3
 RESUME_DELAY_S = 0.2
 REFUSAL_STATUSES = (429, 503)
 RETRY_AFTER_MS = 500
+MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -57,6 +58,7 @@
         self._pool = urllib3.PoolManager(
             timeout=timeout, retries=False, maxsize=64, block=False
         )
+        self._requests = EngineRequests(address=address)
         self._greenlets: dict[bytes, gevent.Greenlet] = {}
         self._streams: dict[bytes, str] = {}
 
@@ -124,13 +126,17 @@
     def _run(self, run: Run) -> None:
         try:
             self._start_or_resume(run)
-        except urllib3.exceptions.NewConnectionError:
+        except ConnectFailed:
             # Nothing was sent, so this attempt did not run the request.
             self._on_refused(run, RETRY_AFTER_MS)
-        except urllib3.exceptions.HTTPError as exc:
+        except ExchangeFailed as exc:
             logger.warning(
                 'engine_stream_broke',
-                extra={'request': run.key.hex(), 'error': type(exc).__name__},
+                extra={
+                    'request': run.key.hex(),
+                    'error': type(exc).__name__,
+                    'reason': exc.reason,
+                },
             )
             self._resume(run)
 
@@ -142,53 +148,34 @@
             failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='not_resumable')
             self._on_end(run, failed)
             return
-        headers = {'Content-Type': run.work.content_type}
+        headers = [(b'content-type', run.work.content_type.encode('latin-1'))]
         if run.work.traceparent:
-            headers['traceparent'] = run.work.traceparent
-        response = self._pool.request(
-            run.work.method,
-            self._base_url + run.work.path,
-            body=run.work.body or None,
-            headers=headers,
-            preload_content=False,
+            headers.append((b'traceparent', run.work.traceparent.encode('latin-1')))
+        answer = self._requests.send(
+            run.work.method, run.work.path, headers, run.work.body
         )
-        if response.status in REFUSAL_STATUSES:
-            response.drain_conn()
+        if answer.status in REFUSAL_STATUSES:
+            answer.discard()
             self._on_refused(run, RETRY_AFTER_MS)
             return
-        stream = response.headers.get('X-Stream-Id')
+        stream = answer.header(b'x-stream-id')
         if stream:
             self._streams[run.key] = stream
             run.resumable = True
-        self._read(run, response)
-
-    def _request_stream(self, run: Run) -> urllib3.BaseHTTPResponse:
-        url = f'{self._base_url}/v1/streams/{self._streams[run.key]}'
-        return self._pool.request(
-            'GET',
-            url,
-            fields={'offset': str(len(run.answer))},
-            preload_content=False,
-        )
+        self._read(run, answer)
 
-    def _read(self, run: Run, response: urllib3.BaseHTTPResponse) -> None:
-        status = response.status
-        content_type = response.headers.get('Content-Type', '')
-        complete = False
-        try:
-            while data := response.read1(MAX_READ_BYTES):
-                self._on_data(run, status, content_type, data)
-            complete = True
-        finally:
-            if complete:
-                response.release_conn()
-            else:
-                response.close()
+    def _request_stream(self, run: Run) -> EngineAnswer:
+        path = f'/v1/streams/{self._streams[run.key]}?offset={len(run.answer)}'
+        return self._requests.send('GET', path, [], b'')
+
+    def _read(self, run: Run, answer: EngineAnswer) -> None:
+        for data in answer.parts():
+            self._on_data(run, answer.status, answer.content_type, data)
         self._forget(run)
-        self._on_end(run, self._outcome(run, status, content_type))
+        self._on_end(run, self._outcome(answer.status, answer.content_type))
 
     @staticmethod
-    def _outcome(run: Run, status: int, content_type: str) -> OutcomeRecord:
+    def _outcome(status: int, content_type: str) -> OutcomeRecord:
         if status >= MIN_SERVER_ERROR_STATUS:
             return OutcomeRecord(kind=OutcomeKind.FAILED, reason=f'engine_{status}')
         return OutcomeRecord(
@@ -200,18 +187,18 @@
         for _ in range(MAX_RESUMES if run.key in self._streams else 0):
             gevent.sleep(RESUME_DELAY_S)
             try:
-                response = self._request_stream(run)
-            except urllib3.exceptions.NewConnectionError:
+                answer = self._request_stream(run)
+            except ConnectFailed:
                 self._on_crash(run)
                 break
-            except urllib3.exceptions.HTTPError:
+            except ExchangeFailed:
                 continue
-            if response.status >= 400:  # noqa: PLR2004
-                response.drain_conn()
+            if answer.status >= MIN_ERROR_STATUS:
+                answer.discard()
                 break
             try:
-                self._read(run, response)
-            except urllib3.exceptions.HTTPError:
+                self._read(run, answer)
+            except ExchangeFailed:
                 continue
             return
         self._forget(run)
