A broken stream whose events have no numbers is not continued elsewhere

Cause: a stream of a resumable route was sent elsewhere after its last event also where no event had told its number. The next replica is told no position then, and begins anew.

Change: a stream of which the caller has an event with data but without a number is not sent elsewhere; it ends as broken off. Comments between events do not matter.

--- a/pistachiopath/exchange/sse.py
+++ b/pistachiopath/exchange/sse.py
@@ -10,10 +10,14 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class StreamEvent:
-    """The bytes of one event and its numeric id, or -1 if it has none."""
+    """The bytes of one event and its numeric id, or -1 if it has none.
+
+    `has_data` is false for a comment, which callers do not see.
+    """
 
     data: bytes
     number: int
+    has_data: bool
 
 
 class EventSplitter:
@@ -43,11 +47,19 @@
         """Add bytes and return the events that they complete."""
         *complete, self._partial = (self._partial + data).split(EVENT_END)
         return [
-            StreamEvent(data=part + EVENT_END, number=_event_number(part))
+            StreamEvent(
+                data=part + EVENT_END,
+                number=_event_number(part),
+                has_data=_has_data(part),
+            )
             for part in complete
         ]
 
 
+def _has_data(event: bytes) -> bool:
+    return any(line.startswith(b'data') for line in event.split(b'\n'))
+
+
 def _event_number(event: bytes) -> int:
     for line in event.split(b'\n'):
         name, _, value = line.partition(b':')
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -209,6 +209,7 @@
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
         if event.number < 0:
+            work.has_unnumbered_events |= event.has_data
             return
         expected = None
         if work.last_event is not None:
@@ -233,5 +234,10 @@
 
 
 def may_resume(work: Work) -> bool:
-    """Return whether another target can resume a stream after its last event."""
+    """Return whether another target can resume a stream after its last event.
+
+    None can if the caller has events without a number.
+    """
+    if work.has_unnumbered_events:
+        return False
     return work.admitted.route.repetition is Repetition.RESUMABLE
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -34,6 +34,7 @@
     failures: int = 0
     may_have_run: bool = False
     last_event: int | None = None
+    has_unnumbered_events: bool = False
     first_event_at: float = 0.0
     sent_at: float = 0.0
     has_lived: bool = False
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -183,6 +183,7 @@
     superseded=None,
     accept=True,
     parts=(),
+    caller=None,
 ):
     """Serve one request; return the caller and the work.
 
@@ -244,7 +245,7 @@
             metrics=Metrics(),
         ),
     )
-    caller = FakeCaller()
+    caller = caller or FakeCaller()
     dispatcher.serve(caller, work)
     return caller, work
 
