No more callers are taken to have come back than were sent away

Change: each caller that an entry sends away without an answer lets two later ones of the route count as returns, for the next few hundred requests; they may come from other entries, which send away about as many.

What remains: while many are refused, some of the wrong callers may be taken for returns, at most as many.

--- a/pistachiopath/relay/attempts.py
+++ b/pistachiopath/relay/attempts.py
@@ -27,3 +27,9 @@
             self._usual.clear()
         usual = self._usual.setdefault(route.name, UsualDeadline())
         return usual.spent_s(req.deadline_s)
+
+    def failed(self, route: Route) -> None:
+        """Record that a caller of the route got no answer and may come back."""
+        usual = self._usual.get(route.name)
+        if usual is not None:
+            usual.failed()
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -226,10 +226,13 @@
             self._departure.check(work, started_at)
             self._crashes.check(work, started_at)
             self._dispatcher.serve(conn, work)
+            if work.outcome != 'delivered':
+                self._attempts.failed(work.admitted.route)
             self._log.done(work, self._routes.version)
         except TurnedAway as exc:
             if work is not None:
                 self._admitter.give_back(work.admitted)
+                self._attempts.failed(work.admitted.route)
             headers = self._dialect.own_headers(req, exc.retry_after_s)
             conn.respond(exc.status, headers, b'')
             held_s = time.monotonic() - started_at
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -169,6 +169,7 @@
                 if len(job.work.denied) < MAX_DENIALS:
                     self.place(job)
                 else:
+                    self.attempts.failed(job.work.admitted.route)
                     self.world.refuse(self, job, body.retry_after_ms / 1000)
 
     def move_waiting(self, gate=None):
@@ -326,6 +327,7 @@
         try:
             entry.place(job)
         except TurnedAway:
+            entry.attempts.failed(job.work.admitted.route)
             job.refusals += 1
 
     def play(self, seconds, load):
