--- a/pistachiopath/quarantine/crash_watch.py
+++ b/pistachiopath/quarantine/crash_watch.py
@@ -12,6 +12,7 @@
 from .content import Content
 from .proven_contents import ProvenContents
 from .trials import Trials
+from .unexplained_runs import UnexplainedRuns
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,25 +20,12 @@
 # Longer than callers take to retry (seconds) and shorter than the deployment of a
 # fixed replica takes (hours).
 RETENTION_S = 600.0
-# A crash breaks all runs of a replica within this time.
-SAME_CRASH_S = 0.3
-# Evidence of a crash arrives within this time, with the next connection or
-# announcement.
-EVIDENCE_S = 6.0
 # Bound the memory of an entry and the size of its messages when many replicas
 # crash.
 MAX_CONTENTS = 2_000
 MAX_MESSAGE_MARKS = 64
 
 
-@attrs.define(kw_only=True, frozen=True)
-class _UnexplainedRun:
-    """A broken-off run of which it is not known whether its replica has ended."""
-
-    contents: tuple[Content, ...]
-    run: BrokenRun
-
-
 @attrs.define(kw_only=True)
 class _Marks:
     """The crashes in which a content was, by the lifetime of the replica."""
@@ -72,7 +60,7 @@
     """
 
     def __init__(self, *, node: str = '') -> None:
-        self._broken_runs: dict[str, list[_UnexplainedRun]] = {}
+        self._unexplained = UnexplainedRuns()
         self._marks: dict[bytes, _Marks] = {}
         self._cleared_at: dict[bytes, float] = {}
         self._proven = ProvenContents()
@@ -105,28 +93,17 @@
 
         `parts` are the parts of its prompt that may have caused that.
         """
-        run = _UnexplainedRun(
-            contents=(Content(key=fingerprint), *parts),
-            run=BrokenRun(started_at=began_at, broken_at=now),
-        )
-        self._broken_runs.setdefault(lifetime, []).append(run)
+        contents = (Content(key=fingerprint), *parts)
+        run = BrokenRun(started_at=began_at, broken_at=now)
+        self._unexplained.add(lifetime, contents, run)
 
     def pending(self) -> tuple[str, ...]:
         """Return the replica lifetimes that broke off runs and may have crashed."""
-        return tuple(self._broken_runs)
+        return self._unexplained.lifetimes()
 
     def ended(self, lifetime: str, now: float) -> tuple[CrashMark, ...]:
         """Record that a replica has ended; return the marks to send to others."""
-        broken = self._broken_runs.pop(lifetime, [])
-        if not broken or now - broken[-1].run.broken_at >= EVIDENCE_S:
-            return ()
-        last_at = broken[-1].run.broken_at
-        running = {
-            content: b.run
-            for b in broken
-            if last_at - b.run.broken_at < SAME_CRASH_S
-            for content in b.contents
-        }
+        running = self._unexplained.take(lifetime, now)
         marks = []
         for content, run in sorted(running.items(), key=lambda item: item[0].key):
             self._add_mark(content, lifetime, run)
@@ -206,9 +183,7 @@
 
     def prune(self, now: float) -> None:
         """Remove expired records, and the earliest contents above `MAX_CONTENTS`."""
-        for lifetime, broken in list(self._broken_runs.items()):
-            if now - broken[-1].run.broken_at >= EVIDENCE_S:
-                del self._broken_runs[lifetime]
+        self._unexplained.prune(now)
         blamed = self.blamed
         for key, marks in list(self._marks.items()):
             is_excess = len(self._marks) > MAX_CONTENTS and key not in blamed
--- a/tests/test_quarantine/test_crash_watch.py
+++ b/tests/test_quarantine/test_crash_watch.py
@@ -7,13 +7,13 @@
 from pistachiopath.messages.quarantine import CrashMarks
 from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.quarantine.crash_watch import (
-    EVIDENCE_S,
     MAX_CONTENTS,
     MAX_MESSAGE_MARKS,
     RETENTION_S,
     CrashWatch,
 )
 from pistachiopath.quarantine.proven_contents import MAX_PROVEN
+from pistachiopath.quarantine.unexplained_runs import EVIDENCE_S
 
 GUILTY, OTHER = b'guilty', b'other'
 
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -12,7 +12,7 @@
 from pistachiopath.errors.relay import TurnedAway
 from pistachiopath.exchange import target_connection
 from pistachiopath.grants.place_queue import PlaceQueue
-from pistachiopath.quarantine import blame, crash_watch
+from pistachiopath.quarantine import blame, unexplained_runs
 from pistachiopath.quarantine.crash_watch import CrashWatch
 from pistachiopath.quarantine.trials import Trials
 from pistachiopath.relay.attempts import EarlierAttempts
@@ -142,7 +142,7 @@
 
 def each_break_is_a_crash(patch):
     """Counts a broken run as a crash although its replica is alive."""
-    patch.setattr(crash_watch, 'EVIDENCE_S', 1000.0)
+    patch.setattr(unexplained_runs, 'EVIDENCE_S', 1000.0)
     return crash_checks.test_broken_connections_without_an_ended_replica_are_no_crash
 
 
