--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -11,8 +11,6 @@
 from ..admission.leased_allowance import LeasedAllowance
 from ..directory.subscriber import Subscriber
 from ..effects import Send
-from ..errors.exchange import BadHttp, CallerLeft
-from ..errors.relay import TurnedAway
 from ..exchange.limits import ExchangeLimits
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
@@ -26,7 +24,6 @@
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from .admitter import Admitter
-from .attempts import EarlierAttempts
 from .crashes import Crashes
 from .departure import LEAVE_ROTATION_S, Departure
 from .dispatcher import Dispatcher
@@ -34,11 +31,11 @@
 from .lender_link import LenderLink
 from .notices import Notices
 from .placer import Placer
+from .request_handler import RequestHandler
 from .request_log import RequestLog
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
 from .targets import Targets
-from .work import Work, make_work
 
 if TYPE_CHECKING:
     import random
@@ -50,7 +47,6 @@
     from ..routes.route_set import RouteSet
     from ..telemetry.metrics import Metrics
     from ..telemetry.spans import Spans
-    from .caller_request import CallerRequest
     from .dialect import Dialect
     from .settings import RelaySettings
 
@@ -60,9 +56,6 @@
 PRUNE_INTERVAL_S = 1.0
 # A link without traffic for longer is reopened.
 LINK_SILENCE_S = 1.5
-NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-# A node that starts has its configuration within a few hundred ms.
-FIRST_CONFIGURATION_WAIT_S = 0.6
 
 
 class RelayEntry:
@@ -85,10 +78,7 @@
     ) -> None:
         self._routes = RoutesInForce(decode=decode)
         self._cfg = cfg
-        self._dialect = dialect
         self._metrics = metrics
-        self._log = RequestLog(metrics=metrics)
-        self._spans = spans
         self._subscriber = Subscriber(is_entry=True, own_address=cfg.node_address)
         self._subscriber.set_seeds(cfg.seeds, time.monotonic())
         started_ms = int(time.time() * 1000)
@@ -130,16 +120,13 @@
             send=self._network.send,
             session=started_ms,
         )
-        self._admitter = Admitter(
-            allowance=self._allowance, borrow=self._lender.borrow, rng=rng
-        )
         self._crashes = Crashes(
             watch=CrashWatch(node=cfg.node_address),
             subscriber=self._subscriber,
             broadcast=self._lender.broadcast,
             refuses=self._pool.refuses,
         )
-        self._dispatcher = Dispatcher(
+        dispatcher = Dispatcher(
             dialect=dialect,
             pool=self._pool,
             places=self._gates.places,
@@ -156,11 +143,21 @@
             crashes=self._crashes,
             notices=self._notices,
         )
-        self._attempts = EarlierAttempts()
-        self._in_flight = 0
+        self._handler = RequestHandler(
+            dialect=dialect,
+            routes=self._routes,
+            admitter=Admitter(
+                allowance=self._allowance, borrow=self._lender.borrow, rng=rng
+            ),
+            departure=self._departure,
+            crashes=self._crashes,
+            dispatcher=dispatcher,
+            log=RequestLog(metrics=metrics),
+            spans=spans,
+        )
         self._server = HttpServer(
             address=cfg.callers_address,
-            handle=self._handle,
+            handle=self._handler.handle,
             limits=lambda: self._routes.limits,
             name='callers',
         )
@@ -197,67 +194,12 @@
         self._departure.close()
         self._server.stop_accepting()
         self._server.wait_until_idle(self._departure.remaining_s(time.monotonic()))
-        logger.info('stopped', extra={'in_flight': self._in_flight})
+        logger.info('stopped', extra={'in_flight': self._handler.in_flight})
         self._network.close(drain_s=0.1)
 
-    # Requests
-
     def _handle_readiness(self, conn: ServerConnection, _req: HttpRequest) -> None:
         conn.respond(200 if self.is_ready else 503, [], b'')
 
-    def _handle(self, conn: ServerConnection, http: HttpRequest) -> None:
-        self._in_flight += 1
-        try:
-            req = self._dialect.read(http)
-            self._serve(conn, req)
-        except BadHttp as exc:
-            if conn.has_begun:
-                raise CallerLeft from exc
-            conn.respond(exc.status, [], b'')
-        finally:
-            self._in_flight -= 1
-
-    def _serve(self, conn: ServerConnection, req: CallerRequest) -> None:
-        started_at = time.monotonic()
-        work: Work | None = None
-        span = self._spans.begin('entry')
-        try:
-            work = self._admit(req, started_at)
-            self._departure.check(work, started_at)
-            self._crashes.check(work, started_at)
-            self._dispatcher.serve(conn, work)
-            if work.outcome != 'delivered':
-                self._attempts.failed(work.admitted.route)
-            self._log.done(work, self._routes.version)
-        except TurnedAway as exc:
-            if work is not None:
-                self._admitter.give_back(work.admitted)
-                self._attempts.failed(work.admitted.route)
-            headers = self._dialect.own_headers(req, exc.retry_after_s)
-            conn.respond(exc.status, headers, b'')
-            held_s = time.monotonic() - started_at
-            self._log.turned_away(req, work, exc, held_s, self._routes.version)
-        except CallerLeft:
-            if work is not None:
-                work.outcome = 'caller_left'
-                self._log.done(work, self._routes.version)
-            raise
-        finally:
-            span.end()
-
-    def _admit(self, req: CallerRequest, now: float) -> Work:
-        self._departure.check_open()
-        routes = self._routes.wait(FIRST_CONFIGURATION_WAIT_S)
-        if routes is None:
-            raise TurnedAway(
-                status=503,
-                reason='no_configuration',
-                retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
-            )
-        admitted = self._admitter.admit(req, routes, now)
-        spent_s = self._attempts.spent_s(req, admitted.route)
-        return make_work(req, admitted, now, spent_s=spent_s)
-
     # Other nodes
 
     def _run_timers(self) -> None:
@@ -279,7 +221,7 @@
     def _prune(self, now: float) -> None:
         self._metrics.set('connections', self._server.connections)
         self._metrics.set('connections_opened_total', self._pool.opened)
-        self._metrics.set('in_flight', self._in_flight)
+        self._metrics.set('in_flight', self._handler.in_flight)
         self._metrics.set('replicas_ready', len(self._targets.ready()))
         self._metrics.set('controls_live', self._subscriber.live_controls(now))
         self._pool.prune(now)
--- /dev/null
+++ b/pistachiopath/relay/request_handler.py
@@ -0,0 +1,124 @@
+"""Requests of callers at an entry, from the first byte read to the last sent."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..errors.exchange import BadHttp, CallerLeft
+from ..errors.relay import TurnedAway
+from .attempts import EarlierAttempts
+from .work import Work, make_work
+
+if TYPE_CHECKING:
+    from ..exchange.request import HttpRequest
+    from ..exchange.server_connection import ServerConnection
+    from ..telemetry.spans import Spans
+    from .admitter import Admitter
+    from .caller_request import CallerRequest
+    from .crashes import Crashes
+    from .departure import Departure
+    from .dialect import Dialect
+    from .dispatcher import Dispatcher
+    from .request_log import RequestLog
+    from .routes_in_force import RoutesInForce
+
+NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+# A node that starts has its configuration within a few hundred ms.
+FIRST_CONFIGURATION_WAIT_S = 0.6
+
+
+class RequestHandler:
+    """Admits requests, has them served, and logs what became of them.
+
+    Each request is handled in the greenlet of its caller's connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        routes: RoutesInForce,
+        admitter: Admitter,
+        departure: Departure,
+        crashes: Crashes,
+        dispatcher: Dispatcher,
+        log: RequestLog,
+        spans: Spans,
+    ) -> None:
+        self.in_flight = 0
+        self._dialect = dialect
+        self._routes = routes
+        self._admitter = admitter
+        self._departure = departure
+        self._crashes = crashes
+        self._dispatcher = dispatcher
+        self._log = log
+        self._spans = spans
+        self._attempts = EarlierAttempts()
+
+    def handle(self, conn: ServerConnection, http: HttpRequest) -> None:
+        """Answer a request; raises `CallerLeft` if its caller has left."""
+        self.in_flight += 1
+        try:
+            req = self._dialect.read(http)
+            self._serve(conn, req)
+        except BadHttp as exc:
+            if conn.has_begun:
+                raise CallerLeft from exc
+            conn.respond(exc.status, [], b'')
+        finally:
+            self.in_flight -= 1
+
+    def admit(self, req: CallerRequest, now: float) -> Work:
+        """Return the state of a request; raises `TurnedAway` if it is refused."""
+        self._departure.check_open()
+        routes = self._routes.wait(FIRST_CONFIGURATION_WAIT_S)
+        if routes is None:
+            raise TurnedAway(
+                status=503,
+                reason='no_configuration',
+                retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
+            )
+        admitted = self._admitter.admit(req, routes, now)
+        spent_s = self._attempts.spent_s(req, admitted.route)
+        return make_work(req, admitted, now, spent_s=spent_s)
+
+    def _serve(self, conn: ServerConnection, req: CallerRequest) -> None:
+        started_at = time.monotonic()
+        work: Work | None = None
+        span = self._spans.begin('entry')
+        try:
+            work = self.admit(req, started_at)
+            self._departure.check(work, started_at)
+            self._crashes.check(work, started_at)
+            self._dispatcher.serve(conn, work)
+            if work.outcome != 'delivered':
+                self._attempts.failed(work.admitted.route)
+            self._log.done(work, self._routes.version)
+        except TurnedAway as exc:
+            self._refuse(conn, req, work, exc, started_at)
+        except CallerLeft:
+            if work is not None:
+                work.outcome = 'caller_left'
+                self._log.done(work, self._routes.version)
+            raise
+        finally:
+            span.end()
+
+    def _refuse(
+        self,
+        conn: ServerConnection,
+        req: CallerRequest,
+        work: Work | None,
+        exc: TurnedAway,
+        started_at: float,
+    ) -> None:
+        """Answer a request that did not run; `work` is None if it was not admitted."""
+        if work is not None:
+            self._admitter.give_back(work.admitted)
+            self._attempts.failed(work.admitted.route)
+        headers = self._dialect.own_headers(req, exc.retry_after_s)
+        conn.respond(exc.status, headers, b'')
+        held_s = time.monotonic() - started_at
+        self._log.turned_away(req, work, exc, held_s, self._routes.version)
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -15,6 +15,7 @@
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.relay import entry as entry_module
+from pistachiopath.relay import request_handler
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.entry import RelayEntry
 from pistachiopath.relay.settings import RelaySettings
@@ -85,7 +86,7 @@
 
 @pytest.fixture
 def node(monkeypatch):
-    monkeypatch.setattr(entry_module, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
+    monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
     monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
     return Node()
 
@@ -147,7 +148,7 @@
             key='k3',
             deadline_s=5.0 * rng.uniform(0.87, 1.0),
         )
-        spent.append(node.entry._admit(req, 100.0).spent_ms)
+        spent.append(node.entry._handler.admit(req, 100.0).spent_ms)
     assert sum(ms > 0 for ms in spent) <= 2
 
 
