A request's body is hashed once, however often quarantine is checked

While any content is in quarantine each waiting request was hashed again at each load report of its gate: 18 kB bodies, hundreds of waiting requests. The hash is kept with the request. The test failed before.

--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -46,16 +46,19 @@
     denied: set[str] = attrs.field(factory=set)
     outcome: str = ''
     status: int = 0
+    _fingerprint: bytes = b''
 
     @property
     def fingerprint(self) -> bytes:
         """Identity of the content, which is the same in every attempt."""
-        customer = self.admitted.customer
-        return fingerprint(
-            customer.name if customer else '',
-            self.req.http.target.decode('latin-1'),
-            self.req.http.body,
-        )
+        if not self._fingerprint:
+            customer = self.admitted.customer
+            self._fingerprint = fingerprint(
+                customer.name if customer else '',
+                self.req.http.target.decode('latin-1'),
+                self.req.http.body,
+            )
+        return self._fingerprint
 
     @property
     def need(self) -> Need:
--- a/tests/test_relay/test_crashes.py
+++ b/tests/test_relay/test_crashes.py
@@ -11,6 +11,7 @@
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
 from pistachiopath.quarantine import trials
 from pistachiopath.quarantine.content import shared_parts
+from pistachiopath.relay import work as work_module
 from pistachiopath.relay.ended import Delivered
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
@@ -263,3 +264,11 @@
     with pytest.raises(TurnedAway):
         serve([target], IDEMPOTENT, crashes=entry.crashes, parts=('bad', 'z'))
     assert target.requests == []
+
+
+def test_a_body_is_hashed_once_however_often_its_request_is_checked(monkeypatch):
+    entry = FakeEntry(['r0'])
+    quarantine_part(entry)
+    work = break_off(entry)
+    monkeypatch.setattr(work_module, 'fingerprint', None)
+    assert not entry.crashes.is_quarantined(work, time.monotonic())
