A part at several positions of prompts is judged alike at all nodes

Two nodes that heard the same crashes in another order could blame two different parts: of parts in the same crashes the later one in the prompt is blamed, and a part kept the position of the mark that arrived first. It counts at its latest position now.

--- a/pistachiopath/quarantine/crash_watch.py
+++ b/pistachiopath/quarantine/crash_watch.py
@@ -28,7 +28,10 @@
 
 @attrs.define(kw_only=True)
 class _Marks:
-    """The crashes in which a content was, by the lifetime of the replica."""
+    """The crashes in which a content was, by the lifetime of the replica.
+
+    A part counts at its latest position among the prompts that have it.
+    """
 
     content: Content
     runs: dict[str, BrokenRun] = attrs.field(factory=dict)
@@ -212,6 +215,9 @@
             # The sender had not yet received the clearing of this content.
             return False
         marks = self._marks.setdefault(content.key, _Marks(content=content))
+        if content.depth > marks.content.depth:
+            marks.content = content
+            self._blamed = None
         existing = marks.runs.get(lifetime)
         # A delayed message makes its crash look more recent than it was, so the
         # earliest time is kept.
--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -57,7 +57,7 @@
         self._broadcast = broadcast
         self._refuses = refuses
         self._records: dict[str, ReplicaRecord] = {}
-        self._checked: set[str] = set()
+        self._being_checked: set[str] = set()
         self._quarantined: frozenset[bytes] = frozenset()
         self._news_at = -RECENT_NEWS_S
         self._resend_at = 0.0
@@ -185,8 +185,8 @@
     def _check_replica(self, record: ReplicaRecord) -> None:
         """Find out at once whether a replica that broke off a run has ended."""
         lifetime = _lifetime(record)
-        if lifetime not in self._checked:
-            self._checked.add(lifetime)
+        if lifetime not in self._being_checked:
+            self._being_checked.add(lifetime)
             gevent.spawn(self._connect, record)
 
     def _connect(self, record: ReplicaRecord) -> None:
@@ -194,7 +194,7 @@
         try:
             has_ended = self._refuses(record.address)
         finally:
-            self._checked.discard(lifetime)
+            self._being_checked.discard(lifetime)
         if has_ended:
             self._record_crash(lifetime, time.monotonic(), 'refused')
 
--- a/tests/test_quarantine/test_crash_watch.py
+++ b/tests/test_quarantine/test_crash_watch.py
@@ -205,3 +205,24 @@
     watch.prune(1.0)
     assert len(watch._marks) <= MAX_CONTENTS
     assert len(watch._proven._at) <= MAX_PROVEN
+
+
+def test_a_part_at_several_positions_is_judged_alike_in_any_order():
+    names = sorted(['a', 'b'], key=lambda name: shared_parts('m', [name, 'z'])[0].key)
+    later, earlier = names
+    first, other = shared_parts('m', [earlier, later, 'last'])
+    again, _ = shared_parts('m', [later, earlier, 'last'])
+    assert again.key == other.key
+    bodies = []
+    for number, parts in enumerate([(first, other), (first, again)] * 3):
+        watch = CrashWatch()
+        watch.broke_off(f'r{number}', b'%d' % number, number, number + 0.1, parts=parts)
+        marks = watch.ended(f'r{number}', number + 0.1)
+        bodies.append((number + 0.1, CrashMarks(marks=marks)))
+    verdicts = set()
+    for order in (bodies, bodies[::-1]):
+        watch = CrashWatch()
+        for at, body in order:
+            watch.heard(body, at)
+        verdicts.add(frozenset(watch.blamed))
+    assert verdicts == {frozenset({other.key})}
