A verdict on many crashes takes a fifth of a second instead of 13

With 1,000 contents of five crashes each, as a node that reports crashes which did not happen could make it, finding what to blame took 13.4 s of processor time in each entry (0.19 s now): each blamed content made all others be counted anew. Only those in the crashes that it explains are.

The verdicts are the same: the tests of blame in each order and the model of entries pass unchanged. A test with 2,000 contents bounds the time.

--- a/pistachiopath/quarantine/blame.py
+++ b/pistachiopath/quarantine/blame.py
@@ -47,30 +47,15 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class _Candidate:
-    """A content with enough crashes that no blamed content explains."""
+    """A content with enough crashes that no blamed content explains.
+
+    Candidates are blamed in the order of `rank`, the highest first.
+    """
 
     history: CrashHistory
     lifetimes: frozenset[str]
     crashes: int
-    blamed_at: float
-
-    @property
-    def rank(self) -> tuple:
-        """Order in which candidates are blamed, the highest first.
-
-        Of contents in equally many crashes these go first: what has not run well
-        before, what was in enough crashes earlier, whole requests, and the later
-        part of a prompt, which is in fewer requests.
-        """
-        history = self.history
-        return (
-            len(self.lifetimes),
-            not history.is_proven,
-            -self.blamed_at,
-            not history.content.is_part,
-            history.content.depth,
-            history.content.key,
-        )
+    rank: tuple
 
     def is_like(self, other: _Candidate) -> bool:
         """Return whether another candidate of this kind was in all these crashes."""
@@ -82,6 +67,50 @@
         )
 
 
+class _Candidates:
+    """The candidates that are left while crashes are being explained."""
+
+    def __init__(self, histories: Iterable[CrashHistory]) -> None:
+        self._explained: set[str] = set()
+        self._by_key: dict[bytes, _Candidate] = {}
+        self._by_lifetime: dict[str, list[CrashHistory]] = {}
+        for history in histories:
+            for lifetime in history.runs:
+                self._by_lifetime.setdefault(lifetime, []).append(history)
+            self._update(history)
+
+    def first(self) -> _Candidate | None:
+        """Return the candidate with the highest rank, or None if there is none."""
+        return max(self._by_key.values(), key=lambda c: c.rank, default=None)
+
+    def like(self, first: _Candidate) -> list[_Candidate]:
+        """Return the other candidates that were in all crashes of this one."""
+        lifetime = next(iter(first.lifetimes))
+        found = [self._by_key.get(h.content.key) for h in self._by_lifetime[lifetime]]
+        return [c for c in found if c is not None and first.is_like(c)]
+
+    def explain(self, lifetimes: frozenset[str]) -> None:
+        """Leave out crashes that are explained now."""
+        self._explained |= lifetimes
+        for lifetime in lifetimes:
+            for history in self._by_lifetime[lifetime]:
+                self._update(history)
+
+    def _update(self, history: CrashHistory) -> None:
+        runs = {k: run for k, run in history.runs.items() if k not in self._explained}
+        times = _counted_crashes(history, runs.values())
+        key = history.content.key
+        if len(times) < history.needed_crashes:
+            self._by_key.pop(key, None)
+            return
+        self._by_key[key] = _Candidate(
+            history=history,
+            lifetimes=frozenset(runs),
+            crashes=len(times),
+            rank=_rank(history, len(runs), times[history.needed_crashes - 1]),
+        )
+
+
 def blamed_contents(histories: Iterable[CrashHistory]) -> dict[bytes, CrashHistory]:
     """Return the contents to blame: few that explain the crashes together.
 
@@ -90,13 +119,11 @@
     many crashes for a while.  The result depends on the crashes alone, not on
     the order in which they became known.
     """
-    histories = list(histories)
+    candidates = _Candidates(histories)
     blamed: dict[bytes, CrashHistory] = {}
-    explained: frozenset[str] = frozenset()
-    while candidates := _candidates(histories, explained):
-        first = max(candidates, key=lambda c: c.rank)
-        rivals = [c for c in candidates if first.is_like(c)]
-        explained |= first.lifetimes
+    while (first := candidates.first()) is not None:
+        rivals = candidates.like(first)
+        candidates.explain(first.lifetimes)
         if not first.history.content.is_part:
             chosen = [first, *(c for c in rivals if c.lifetimes == first.lifetimes)]
         elif rivals and first.crashes < TIED_PART_CRASHES:
@@ -108,24 +135,22 @@
     return blamed
 
 
-def _candidates(
-    histories: Iterable[CrashHistory], explained: frozenset[str]
-) -> list[_Candidate]:
-    found = []
-    for history in histories:
-        runs = {k: run for k, run in history.runs.items() if k not in explained}
-        times = _counted_crashes(history, runs.values())
-        if len(times) < history.needed_crashes:
-            continue
-        found.append(
-            _Candidate(
-                history=history,
-                lifetimes=frozenset(runs),
-                crashes=len(times),
-                blamed_at=times[history.needed_crashes - 1],
-            )
-        )
-    return found
+def _rank(history: CrashHistory, crashes: int, blamed_at: float) -> tuple:
+    """Return the order in which contents are blamed, the highest first.
+
+    Of contents in equally many crashes these go first: what has not run well
+    before, what was in enough crashes earlier, whole requests, and the later part
+    of a prompt, which is in fewer requests.
+    """
+    content = history.content
+    return (
+        crashes,
+        not history.is_proven,
+        -blamed_at,
+        not content.is_part,
+        content.depth,
+        content.key,
+    )
 
 
 def _counted_crashes(history: CrashHistory, runs: Collection[BrokenRun]) -> list[float]:
--- a/tests/test_quarantine/test_blame.py
+++ b/tests/test_quarantine/test_blame.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 
 from pistachiopath.quarantine.blame import CrashHistory, blamed_contents
 from pistachiopath.quarantine.broken_run import BrokenRun
@@ -90,3 +91,13 @@
             frozenset(blamed(*order)) for order in itertools.permutations(histories)
         }
         assert len(results) == 1
+
+
+def test_the_verdict_on_many_contents_takes_little_time():
+    histories = [
+        history(Content(key=b'%d' % n, depth=1), *range(5 * n, 5 * n + 5))
+        for n in range(2000)
+    ]
+    started_at = time.process_time()
+    assert len(blamed(*histories)) == 2000
+    assert time.process_time() - started_at < 3.0
