Only parts are tried again; a whole request's quarantine just ends

In the second between the end of a whole request's quarantine and its removal the entry announced a trial for it, and refused it where no control node was in reach. Found when the change was read again; the test failed before.

--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -76,6 +76,8 @@
         """
         self.check(work, now)
         for key in self._quarantined_contents(work):
+            if not self._watch.blamed[key].content.is_part:
+                continue
             if not self._broadcast(self._watch.begin_trial(key, now)):
                 raise self._turned_away(work, key, self._watch.left_s(key, now))
             logger.info(
--- a/tests/test_relay/test_crashes.py
+++ b/tests/test_relay/test_crashes.py
@@ -11,6 +11,7 @@
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
 from pistachiopath.quarantine import trials
 from pistachiopath.quarantine.content import shared_parts
+from pistachiopath.quarantine.crash_watch import RETENTION_S
 from pistachiopath.relay import work as work_module
 from pistachiopath.relay.ended import Delivered
 from tests.test_directory.records import record
@@ -272,3 +273,14 @@
     work = break_off(entry)
     monkeypatch.setattr(work_module, 'fingerprint', None)
     assert not entry.crashes.is_quarantined(work, time.monotonic())
+
+
+def test_a_whole_request_whose_quarantine_is_over_is_sent_without_a_trial():
+    entry = FakeEntry(['r0', 's0'])
+    crash_replica(entry, 'r')
+    work = crash_replica(entry, 's')
+    over_at = time.monotonic() + RETENTION_S + 1.0
+    entry.is_connected = False
+    entry.sent_marks.clear()
+    entry.crashes.check_send(work, over_at)
+    assert entry.sent_marks == []
