What is said of returns and of cleared contents is what the code does

Contents are cleared when they run well, not only when they are complete. No change of behaviour.

A case is added to the model: a crashing part that comes first, from the first moment on, in each fifth request, before the only first part.

--- a/pistachiopath/messages/quarantine.py
+++ b/pistachiopath/messages/quarantine.py
@@ -47,7 +47,8 @@
     """Crash marks that one entry shares with the other entries.
 
     `cleared` holds the keys of contents with earlier marks that have since run
-    to completion, `proofs` those that ran well before their marks.
+    well, `proofs` those that ran well before their marks, and `trials` the last
+    trials of contents in quarantine.
     """
 
     marks: tuple[CrashMark, ...] = ()
--- a/pistachiopath/quarantine/crash_watch.py
+++ b/pistachiopath/quarantine/crash_watch.py
@@ -49,7 +49,7 @@
     reasons.  It counts once its replica is known to have ended as well.  Each
     crash marks what the replica was running: whole requests and the parts of
     their prompts.  `blamed_contents` decides which of them are in quarantine.
-    Content that runs to completion is cleared.
+    Content that runs well is cleared.
 
     Marks are merged by union, so they may arrive repeatedly and in any order.
     `now` is a monotonic clock in seconds.
--- a/pistachiopath/relay/usual_deadline.py
+++ b/pistachiopath/relay/usual_deadline.py
@@ -22,8 +22,9 @@
     A request does not say whether its caller was refused before.  One whose
     deadline lies far below those that others of the route state is taken to
     have spent the difference to the median on earlier attempts; any other is
-    taken for a first attempt.  No more are taken to have come back than were
-    sent away without an answer lately.  Deadlines are in seconds.
+    taken for a first attempt.  For each caller that was sent away without an
+    answer lately at most `RETURNS_PER_FAILURE` are taken to have come back.
+    Deadlines are in seconds.
 
     >>> usual = UsualDeadline()
     >>> {usual.spent_s(deadline) for deadline in [15.0, 14.0, 13.5] * 6}
--- a/tests/test_relay/test_crashing_parts.py
+++ b/tests/test_relay/test_crashing_parts.py
@@ -20,6 +20,9 @@
     'rare': Traffic(guilty={'bad': 0.006}, until=60.0),
     'two_of_them': Traffic(guilty={'bad': 0.03, 'worse': 0.03}),
     'one_first_part_only': Traffic(first_parts=1),
+    'first_and_never_seen_to_run_well': Traffic(
+        first_parts=1, guilty={'bad': 0.2}, position=0, guilty_from=0.0
+    ),
 }
 
 
