Tests: a target that falls silent and goes on costs its caller the answer (known red)

What callers see on this code: a stream that may be resumed is cut in the middle (200, broken off), an idempotent request gets 502 or 504, where the target is silent for 1.7 s and then goes on, and there is no other target, no retry budget, no further target allowed, a gate elsewhere that denies or has a long queue, or a target elsewhere that refuses the connection.

--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -65,7 +65,8 @@
     """Target that responds to each request with the next scripted bytes.
 
     A script is a list of connections, each a list of responses.  `CLOSE`
-    closes the connection, `RESET` resets it, and `MUTE` sends no response.
+    closes the connection, `RESET` resets it, and `MUTE` sends no response.  A
+    response may be a `Paused`.
     """
 
     def __init__(self, *connections):
@@ -92,12 +93,28 @@
             if request is None:
                 return
             self.requests.append(request)
-            if response is not MUTE:
+            if isinstance(response, Paused):
+                response.send(sock)
+            elif response is not MUTE:
                 sock.sendall(response)
         while sock.recv(65536):
             pass
 
 
+class Paused:
+    """A response in parts: bytes, and silences in seconds between them."""
+
+    def __init__(self, *parts):
+        self._parts = parts
+
+    def send(self, sock):
+        for part in self._parts:
+            if isinstance(part, bytes):
+                sock.sendall(part)
+            else:
+                gevent.sleep(part)
+
+
 CLOSE = object()
 RESET = object()
 MUTE = object()
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -176,6 +176,7 @@
     attempts=2,
     budget=100.0,
     wait_s=5.0,
+    objective_s=1.0,
     vanish=False,
     crashes=None,
     prefix='r',
@@ -204,7 +205,7 @@
         repetition=repetition,
         is_stream=stream,
         timeout_s=wait_s,
-        objective_s=1.0,
+        objective_s=objective_s,
         max_targets=attempts,
     )
     req = CallerRequest(
--- /dev/null
+++ b/tests/test_relay/test_silent_targets.py
@@ -0,0 +1,167 @@
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from pistachiopath.messages.grants import Ask, Denied, Granted, ReleasePlace
+from tests.test_exchange.sockets import CLOSE, MUTE, Paused, ScriptedTarget
+
+from .parts import (
+    IDEMPOTENT,
+    ONCE,
+    RESUMABLE,
+    GrantingGate,
+    answer,
+    chunk,
+    events,
+    serve,
+    stream_head,
+)
+
+# Longer than the silence after which a place elsewhere is sought, here 1.2 s.
+SILENCE_S = 1.7
+OBJECTIVE_S = 0.4
+WAIT_S = 6.0
+STREAM = events(0, 5)
+END = b'0\r\n\r\n'
+HEAD, BODY = answer()[:-4], answer()[-4:]
+SILENT = {
+    'resumable stream, in the middle': (
+        RESUMABLE,
+        [stream_head() + chunk(events(0, 2)), SILENCE_S, chunk(events(3, 5)) + END],
+    ),
+    'resumable stream, before the head': (
+        RESUMABLE,
+        [SILENCE_S, stream_head() + chunk(STREAM) + END],
+    ),
+    'stream that runs once, in the middle': (
+        ONCE,
+        [stream_head() + chunk(events(0, 2)), SILENCE_S, chunk(events(3, 5)) + END],
+    ),
+    'idempotent, before the head': (IDEMPOTENT, [SILENCE_S, answer()]),
+    'idempotent, in the body': (IDEMPOTENT, [HEAD, SILENCE_S, BODY]),
+    'request that runs once, in the body': (ONCE, [HEAD, SILENCE_S, BODY]),
+}
+
+
+class DenyingGate(GrantingGate):
+    """Grants the first place that is asked for, and denies all others."""
+
+    def _send(self, to, call, body):
+        self.received.append(body)
+        if not isinstance(body, Ask):
+            return
+        is_first = sum(isinstance(b, Ask) for b in self.received) == 1
+        if is_first:
+            self.places.handle_reply(to, Granted(request=body.request))
+        else:
+            denied = Denied(request=body.request, retry_after_ms=200)
+            self.places.handle_reply(to, denied)
+
+
+class FullGate(GrantingGate):
+    """Grants the first place that is asked for, and lets all others wait."""
+
+    def _send(self, to, call, body):
+        self.received.append(body)
+        asks = [b for b in self.received if isinstance(b, Ask)]
+        if isinstance(body, Ask) and len(asks) == 1:
+            self.places.handle_reply(to, Granted(request=body.request))
+        else:
+            self.places.handle_load(to)
+
+
+def serve_slowly(targets, repetition, **options):
+    return serve(targets, repetition, wait_s=WAIT_S, objective_s=OBJECTIVE_S, **options)
+
+
+def no_other_target():
+    return [], {}
+
+
+def no_retry_budget():
+    return [ScriptedTarget([answer()])], {'budget': 0.0}
+
+
+def no_further_target_allowed():
+    return [ScriptedTarget([answer()])], {'attempts': 1}
+
+
+def no_place_elsewhere():
+    return [ScriptedTarget([answer()])], {'gate': DenyingGate()}
+
+
+def a_long_queue_elsewhere():
+    return [ScriptedTarget([answer()])], {'gate': FullGate()}
+
+
+def no_connection_elsewhere():
+    other = ScriptedTarget()
+    return [other], {}
+
+
+NOTHING_BETTER = [
+    no_other_target,
+    no_retry_budget,
+    no_further_target_allowed,
+    no_place_elsewhere,
+    a_long_queue_elsewhere,
+    no_connection_elsewhere,
+]
+
+
+@pytest.mark.parametrize('elsewhere', NOTHING_BETTER)
+@pytest.mark.parametrize('case', SILENT)
+def test_an_answer_is_whole_if_its_target_falls_silent_and_goes_on(case, elsewhere):
+    repetition, parts = SILENT[case]
+    is_stream = 'stream' in case
+    others, options = elsewhere()
+    target = ScriptedTarget([Paused(*parts)])
+    caller, work = serve_slowly(
+        [target, *others], repetition, stream=is_stream, **options
+    )
+    assert (caller.status, work.outcome) == (200, 'delivered')
+    assert caller.body == (STREAM if is_stream else b'done')
+    assert caller.finished
+    assert all(other.requests == [] for other in others)
+
+
+def test_every_place_that_was_asked_for_beside_a_silent_target_is_released():
+    for gate in (DenyingGate(), FullGate()):
+        target = ScriptedTarget([Paused(SILENCE_S, answer())])
+        serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
+        asked = [b.request for b in gate.received if isinstance(b, Ask)]
+        released = [b.request for b in gate.received if isinstance(b, ReleasePlace)]
+        assert len(asked) > 1
+        assert set(asked) == set(released)
+
+
+def test_a_silent_target_does_not_hold_up_a_request_that_another_can_serve():
+    first, second = ScriptedTarget([MUTE]), ScriptedTarget([answer()])
+    started_at = time.monotonic()
+    caller, _ = serve_slowly([first, second], IDEMPOTENT)
+    assert (caller.status, caller.body) == (200, b'done')
+    assert time.monotonic() - started_at < SILENCE_S
+
+
+def test_a_silent_stream_goes_on_at_another_target_that_has_a_place():
+    first = ScriptedTarget([Paused(stream_head() + chunk(events(0, 2)), WAIT_S)])
+    second = ScriptedTarget([stream_head() + chunk(events(3, 5)) + END])
+    gate = GrantingGate()
+    caller, work = serve_slowly([first, second], RESUMABLE, stream=True, gate=gate)
+    assert caller.body == STREAM
+    assert work.outcome == 'delivered'
+    assert b'last-event-id: 2' in second.requests[0][0]
+    assert gate.received.count(Ask) == gate.received.count(ReleasePlace) == 2
+
+
+def test_a_request_that_moved_from_a_silent_target_counts_once_for_the_retry_budget():
+    targets = [
+        ScriptedTarget([MUTE]),
+        ScriptedTarget([b'', CLOSE]),
+        ScriptedTarget([answer()]),
+    ]
+    caller, _ = serve_slowly(targets, IDEMPOTENT, attempts=3, budget=2.0)
+    assert caller.status == 502
+    assert targets[2].requests == []
