A target that falls silent and goes on no longer costs its caller the answer

Cause: the exchange was ended by the silence itself, before anything better was known. What follows can fail for six reasons: no other target, no retry budget, no further target allowed, a gate elsewhere that denies, one with a long queue, a target that takes no connection. Then the answer was lost, though the first target was sound. The class: giving something up before its replacement is held.

Now the exchange goes on while a second greenlet looks for a place at another replica; it is left only once that place and a connection are held and the retry budget has been charged.

A wait for the head of an answer is resumed after an interruption, also inside an answer that is discarded: its test fails without the change in target_connection.py.

--- a/pistachiopath/admission/retry_budget.py
+++ b/pistachiopath/admission/retry_budget.py
@@ -41,12 +41,16 @@
         self._requests.append(now)
         self._forget(now)
 
-    def take(self, now: float, entries: int) -> bool:
-        """Return whether a retry is allowed and count it; `entries` share the slack."""
+    def allows(self, now: float, entries: int) -> bool:
+        """Return whether a retry is allowed; `entries` share the slack."""
         self._forget(now)
         by_requests = self._limits.ratio * len(self._requests)
         share = self._limits.slack / max(1, entries)
-        if len(self._retries) + 1 > SAFETY_FACTOR * (by_requests + share):
+        return len(self._retries) + 1 <= SAFETY_FACTOR * (by_requests + share)
+
+    def take(self, now: float, entries: int) -> bool:
+        """Count a retry if it is allowed; return whether it is."""
+        if not self.allows(now, entries):
             return False
         self._retries.append(now)
         return True
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -53,6 +53,7 @@
         )
         self._writer: gevent.Greenlet | None = None
         self._ended = False
+        self._is_discarding = False
 
     @staticmethod
     def _new_parser() -> h11.Connection:
@@ -131,7 +132,12 @@
             self._ended = True
 
     def read_head(self) -> AnswerHead:
-        """Return the head of the response; raises `BrokenOff` or `Garbled`."""
+        """Return the head of the response; raises `BrokenOff` or `Garbled`.
+
+        It can be called again after a `gevent.Timeout` has interrupted it.
+        """
+        if self._is_discarding:
+            self._discard_response()
         while True:
             event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -181,8 +187,10 @@
 
     def _discard_response(self) -> None:
         """Discard the response to another request and expect the right one."""
+        self._is_discarding = True
         while self.read_part():
             pass
+        self._is_discarding = False
         trailing = self._http.trailing_data[0]
         self._http = self._new_parser()
         for event in self._sent_events:
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -8,24 +8,23 @@
 
 import gevent
 
-from ..admission.retry_budget import RetryBudget
 from ..errors.relay import TurnedAway
 from .ended import Delivered, Lost, NotRun, TargetFailed
-from .exchange_run import OTHER_REPLICA, ExchangeRun, may_resume
+from .exchange_run import OTHER_REPLICA, ExchangeRun
+from .hedges import Hedges
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ..admission.retry_budget import RetryBudgetLimits
     from ..exchange.pool import ConnectionPool
     from ..exchange.server_connection import ServerConnection
+    from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
     from .crashes import Crashes
     from .dialect import Dialect
     from .ended import ExchangeResult
     from .notices import Notices
     from .placer import Placer
-    from .places import Grant, Places
+    from .places import Places
+    from .retries import Retries
     from .work import Work
 
 logger = logging.getLogger(__name__)
@@ -49,8 +48,7 @@
         places: Places,
         placement: Placement,
         placer: Placer,
-        budget_limits: RetryBudgetLimits,
-        known_entries: Callable[[], int],
+        retries: Retries,
         crashes: Crashes,
         notices: Notices,
     ) -> None:
@@ -59,18 +57,24 @@
         self._places = places
         self._placement = placement
         self._placer = placer
-        self._budget_limits = budget_limits
-        self._known_entries = known_entries
+        self._retries = retries
         self._crashes = crashes
         self._notices = notices
-        self._budgets: dict[str, RetryBudget] = {}
+        self._hedges = Hedges(
+            placer=placer,
+            places=places,
+            placement=placement,
+            pool=pool,
+            crashes=crashes,
+            retries=retries,
+        )
 
     def serve(self, conn: ServerConnection, work: Work) -> None:
         """Deliver a target's answer, or an answer of the entry itself.
 
         Raises `TurnedAway` for a request that did not run.
         """
-        self._budget(work).request(work.started_at)
+        self._retries.record_request(work)
         timeout = gevent.Timeout(work.remaining_s(time.monotonic()))
         with timeout:
             try:
@@ -96,18 +100,21 @@
             return
 
     def _try_once(self, conn: ServerConnection, work: Work) -> ExchangeResult:
-        """Choose a replica, wait for a place and run one exchange."""
-        self._crashes.check(work, time.monotonic())
-        candidate = self._placer.choose(work)
+        """Choose a replica, wait for a place and run one exchange.
+
+        A request that leaves a silent replica has been given both before.
+        """
+        reservation, work.reservation = work.reservation, None
+        candidate = reservation.candidate if reservation else self._choose(work)
+        grant = reservation.grant if reservation else None
         record = candidate.record
         work.tries += 1
         work.replica = record.replica
         self._placement.add_request(record.replica, work.need, time.monotonic())
-        grant: Grant | None = None
         run: ExchangeRun | None = None
         result: ExchangeResult | None = None
         try:
-            if candidate.needs_place:
+            if grant is None and candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
                 if grant is None:
                     # Gates in this process reply without a wait.
@@ -118,15 +125,7 @@
                 return NotRun(reason=MOVED, arrived=False)
             self._crashes.check_send(work, time.monotonic())
             work.sends += 1
-            run = ExchangeRun(
-                conn=conn,
-                work=work,
-                record=record,
-                dialect=self._dialect,
-                pool=self._pool,
-                notices=self._notices,
-                on_lived=self._crashes.run_lived,
-            )
+            run = self._new_run(conn, work, record)
             # If the caller disconnects or the timeout expires during the
             # exchange, the request may or may not have run.
             may_have_run = work.may_have_run
@@ -143,6 +142,24 @@
             if result is not None:
                 self._record_result(work, candidate, result)
 
+    def _choose(self, work: Work) -> Candidate:
+        self._crashes.check(work, time.monotonic())
+        return self._placer.choose(work)
+
+    def _new_run(
+        self, conn: ServerConnection, work: Work, record: ReplicaRecord
+    ) -> ExchangeRun:
+        return ExchangeRun(
+            conn=conn,
+            work=work,
+            record=record,
+            dialect=self._dialect,
+            pool=self._pool,
+            notices=self._notices,
+            hedges=self._hedges,
+            on_lived=self._crashes.run_lived,
+        )
+
     def _record_result(
         self, work: Work, candidate: Candidate, result: ExchangeResult
     ) -> None:
@@ -160,6 +177,9 @@
                 self._pool.forget(candidate.record.address)
             case NotRun(reason=reason) if reason == OTHER_REPLICA:
                 self._placer.mark_superseded(candidate.record, now)
+            case Lost() if work.reservation is not None:
+                # Its silence was recorded when it began.
+                pass
             case TargetFailed() | Lost():
                 health.failed(replica, now)
         if not isinstance(result, Delivered):
@@ -192,17 +212,15 @@
             work.sends -= 1
             gevent.sleep(UNREACHABLE_RETRY_PAUSE_S)
             return True
+        if work.reservation is not None:
+            return True
         is_allowed = isinstance(result, NotRun) or self._may_repeat(work, result)
-        return is_allowed and self._budget(work).take(now, self._known_entries())
+        return is_allowed and self._retries.take_budget(work)
 
     def _may_repeat(self, work: Work, result: ExchangeResult) -> bool:
-        route = work.admitted.route
-        if not route.may_repeat or work.sends >= route.max_targets:
-            return False
-        if self._crashes.is_quarantined(work, time.monotonic()):
-            return False
         delivered = isinstance(result, Lost) and result.delivered
-        return may_resume(work) or not delivered
+        now = time.monotonic()
+        return self._retries.may_repeat(work, delivered=delivered, now=now)
 
     def _respond_failed(
         self, conn: ServerConnection, work: Work, result: ExchangeResult
@@ -244,11 +262,3 @@
         work.outcome = 'timeout'
         work.status = 504
         conn.respond(504, self._dialect.own_headers(work.req, None), b'')
-
-    def _budget(self, work: Work) -> RetryBudget:
-        service = work.admitted.service
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(limits=self._budget_limits)
-            self._budgets[service] = budget
-        return budget
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -33,6 +33,7 @@
 from .placer import Placer
 from .request_handler import RequestHandler
 from .request_log import RequestLog
+from .retries import Retries
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
 from .targets import Targets
@@ -138,8 +139,11 @@
                 is_quarantined=self._crashes.is_quarantined,
                 rng=rng,
             ),
-            budget_limits=cfg.retry_budget,
-            known_entries=lambda: self._subscriber.entries,
+            retries=Retries(
+                limits=cfg.retry_budget,
+                known_entries=lambda: self._subscriber.entries,
+                crashes=self._crashes,
+            ),
             crashes=self._crashes,
             notices=self._notices,
         )
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import gevent
 
 from ..errors.exchange import BrokenOff, ConnectFailed, ExchangeFailed, Garbled
 from ..exchange.sse import MAX_EVENT_BYTES, EventSplitter
-from ..routes.repetition import Repetition
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .verdict import Verdict
 
@@ -24,15 +23,21 @@
     from ..messages.directory import ReplicaRecord
     from .dialect import Dialect
     from .ended import ExchangeResult
+    from .hedge import Hedge
+    from .hedges import Hedges
     from .notices import Notices
     from .work import Work
 
+Data = TypeVar('Data')
+
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.3
-# A request that may be repeated is sent to another target if no data arrives for
-# `STALL_OBJECTIVE_FACTOR` times the route's objective and at least `STALL_MIN_S`.
+# A place elsewhere is sought if no data arrives for `STALL_OBJECTIVE_FACTOR` times
+# the route's objective and at least `STALL_MIN_S`.
 STALL_OBJECTIVE_FACTOR = 2.0
 STALL_MIN_S = 1.2
+# While a place is sought, the silent target is left this soon after it is found.
+MOVE_CHECK_INTERVAL_S = 0.02
 # A replica that crashes on a request does so when it begins to write the answer.
 LIVED_S = 1.0
 STALLED = 'stalled'
@@ -44,7 +49,8 @@
     """Sends a request to a replica and delivers its answer to the caller.
 
     Only whole events of a stream are delivered, in order and once.  An answer
-    that is no stream is delivered when it is complete.
+    that is no stream is delivered when it is complete.  A target that falls
+    silent keeps the request until `hedges` has found it a place elsewhere.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         notices: Notices,
+        hedges: Hedges,
         on_lived: Callable[[Work, float], None],
     ) -> None:
         self.first_event_ms = 0
@@ -65,6 +72,7 @@
         self._dialect = dialect
         self._pool = pool
         self._notices = notices
+        self._hedges = hedges
         self._on_lived = on_lived
         self._sent_at = 0.0
         self._first_event_at = 0.0
@@ -116,22 +124,34 @@
         target.send(http.method, http.target, headers, http.body)
 
     def _read_head(self, target: TargetConnection) -> AnswerHead:
-        with self._stall_timeout():
-            head = target.read_head()
+        head = self._await_data(target.read_head)
         self._notices.record(self._work.req.request_id, self._record, head)
         return head
 
-    def _stall_timeout(self) -> gevent.Timeout:
-        """Return a timeout for the next data from the target.
+    def _await_data(self, read: Callable[[], Data]) -> Data:
+        """Return what `read` returns when the target has sent data.
 
-        It is unlimited for a request that must not be sent to another target.
+        Raises `BrokenOff` once a place elsewhere is reserved for a request whose
+        target is silent.
         """
         route = self._work.admitted.route
-        if not route.may_repeat or route.max_targets < 2:
-            return gevent.Timeout(None)
         stall_s = max(STALL_MIN_S, STALL_OBJECTIVE_FACTOR * route.objective_s)
-        stalled = BrokenOff(address=self._record.address, reason=STALLED, sent=True)
-        return gevent.Timeout(stall_s, stalled)
+        with gevent.Timeout(stall_s, exception=False):
+            return read()
+        hedge = self._hedges.begin(self._work, delivered=self._conn.has_begun)
+        if hedge is None:
+            return read()
+        try:
+            return self._await_data_or_move(read, hedge)
+        finally:
+            hedge.close()
+
+    def _await_data_or_move(self, read: Callable[[], Data], hedge: Hedge) -> Data:
+        while not hedge.has_found:
+            with gevent.Timeout(MOVE_CHECK_INTERVAL_S, exception=False):
+                return read()
+        self._work.reservation = hedge.take()
+        raise BrokenOff(address=self._record.address, reason=STALLED, sent=True)
 
     def _relay_answer(
         self, target: TargetConnection, head: AnswerHead
@@ -159,8 +179,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            with self._stall_timeout():
-                part = target.read_part()
+            part = self._await_data(target.read_part)
             if not part:
                 return b''.join(parts)
             size += len(part)
@@ -175,8 +194,7 @@
     ) -> ExchangeResult:
         splitter = EventSplitter()
         while True:
-            with self._stall_timeout():
-                part = target.read_part()
+            part = self._await_data(target.read_part)
             if not part:
                 break
             events = splitter.feed(part)
@@ -231,13 +249,3 @@
         is_old = now - self._first_event_at >= LIVED_S
         if is_old and not self._work.has_lived:
             self._on_lived(self._work, now)
-
-
-def may_resume(work: Work) -> bool:
-    """Return whether another target can resume a stream after its last event.
-
-    None can if the caller has events without a number.
-    """
-    if work.has_unnumbered_events:
-        return False
-    return work.admitted.route.repetition is Repetition.RESUMABLE
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -94,6 +94,16 @@
                 )
             gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
 
+    def choose_other(self, work: Work) -> Candidate | None:
+        """Return a replica that the request is not excluded from, or None.
+
+        Unlike `choose` it neither waits nor falls back to excluded replicas.
+        """
+        now = time.monotonic()
+        excluded = work.excluded | work.denied
+        candidates = self._targets.candidates(work.admitted.service, excluded, now)
+        return self._placement.choose(candidates, work.need, now)
+
     def _all_back_off(self, wait_s: float) -> TurnedAway:
         """Return the refusal for a service whose replicas all ask for a backoff.
 
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -9,6 +9,7 @@
 from ..routing.placement import Need
 from .admitter import Admitted
 from .caller_request import CallerRequest
+from .reservation import Reservation
 
 
 @attrs.define(kw_only=True)
@@ -21,7 +22,8 @@
     `first_attempt_at` is the caller's first attempt, if it was turned away
     before; `sent_at` is the last send to a replica, and `has_lived` tells whether
     that run has been writing its answer for a while.  `unknown_load_moves` counts
-    the moves of a new request to gates whose load was not known.
+    the moves of a new request to gates whose load was not known.  `reservation`
+    is the place to which it moves from a replica that has fallen silent.
     """
 
     req: CallerRequest
@@ -41,6 +43,7 @@
     waited_s: float = 0.0
     unknown_load_moves: int = 0
     replica: str = ''
+    reservation: Reservation | None = None
     shared_parts: tuple[Content, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -11,7 +11,7 @@
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.exchange.target_connection import TargetConnection
 
-from .sockets import CLOSE, LOOPBACK, RESET, ScriptedTarget
+from .sockets import CLOSE, LOOPBACK, RESET, Paused, ScriptedTarget
 
 ID = b'x-id'
 
@@ -61,6 +61,21 @@
     assert read_response(conn)[1] == b'yes'
 
 
+def test_a_wait_for_a_response_goes_on_after_it_was_interrupted():
+    late = response(b'1', b'late answer')
+    pause = Paused(late[:-4], 0.2, late[-4:], 0.2, response(b'2', b'right'))
+    conn = connect(ScriptedTarget([response(b'1'), pause]))
+    send_request(conn)
+    head, _ = read_response(conn)
+    assert conn.finish(head, time.monotonic())
+    send_request(conn, b'2')
+    for _ in range(9):
+        with gevent.Timeout(0.1, exception=False):
+            conn.read_head()
+            break
+    assert conn.read_part() == b'right'
+
+
 def test_bytes_after_a_response_end_the_connection():
     target = ScriptedTarget([response(b'1') + response(b'1', b'again')])
     conn = connect(target)
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -19,6 +19,7 @@
 from pistachiopath.relay.notices import Notices
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.places import Places
+from pistachiopath.relay.retries import Retries
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
@@ -236,8 +237,11 @@
             is_quarantined=crashes.is_quarantined,
             rng=random.Random(2),
         ),
-        budget_limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
-        known_entries=lambda: 1,
+        retries=Retries(
+            limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
+            known_entries=lambda: 1,
+            crashes=crashes,
+        ),
         crashes=crashes,
         notices=Notices(
             dialect=PlatformDialect(),
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -21,6 +21,7 @@
 from pistachiopath.relay.dispatcher import Dispatcher
 from pistachiopath.relay.ended import Delivered, Lost
 from pistachiopath.relay.exchange_run import ExchangeRun
+from pistachiopath.relay.hedge import Hedge
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.targets import Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
@@ -39,6 +40,7 @@
 from . import test_dispatcher as dispatcher_checks
 from . import test_notices as notice_checks
 from . import test_overload as overload_checks
+from . import test_silent_targets as silence_checks
 from . import test_targets as targets_checks
 from .parts import events
 
@@ -94,6 +96,17 @@
     return check.test_a_broken_stream_that_may_not_resume_does_not_look_complete
 
 
+def silence_ends_an_answer(patch):
+    """Leaves a silent target before anything better is known."""
+    patch.setattr(Hedge, 'has_found', True)
+    cases = silence_checks.SILENT
+    return lambda: (
+        silence_checks.test_an_answer_is_whole_if_its_target_falls_silent_and_goes_on(
+            next(iter(cases)), silence_checks.no_other_target
+        )
+    )
+
+
 def states_revert(patch):
     """Lets the newest announcement set a replica back to an earlier state."""
     patch.setattr(
@@ -255,6 +268,7 @@
     not_run_after_a_send,
     no_order_check,
     a_cut_stream_looks_complete,
+    silence_ends_an_answer,
     states_revert,
     no_lifetimes,
     whole_allowance_when_cut_off,
