A stream that breaks off late is given time to wait for a place elsewhere

What callers saw: a stream that had run for longer than 0.9 of the gap that its caller bears (2 s at least), and whose replica broke it off or fell silent, was cut wherever the gate elsewhere had no free place that very moment.

Cause: the patience that is stated to a gate was reckoned from the arrival of the request, also when the caller has had events since. For such a stream it was 1 ms, and a gate denies what it expects to wait for longer. Callers of streams leave after a gap without events, so the gap begins at the last one.

Evidence: test_a_stream_that_broke_off_late_is_given_time_to_wait_for_a_place failed before (patience 1 ms, more than 2 s asked for) and passes now.

--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -170,7 +170,7 @@
             case Verdict.UNPROVEN:
                 return Lost(reason='unproven', delivered=self._conn.has_begun)
         headers = self._dialect.caller_headers(head)
-        self._record_first_event()
+        self._record_progress()
         self._work.status = head.status
         self._conn.respond(head.status, headers, body)
         return Delivered()
@@ -216,7 +216,7 @@
         for event in events:
             self._check_order(event)
         data = b''.join(event.data for event in events)
-        self._record_first_event()
+        self._record_progress()
         if self._conn.has_begun:
             self._conn.write(data)
             return
@@ -236,8 +236,9 @@
             raise Garbled(address=self._record.address, reason='order', sent=True)
         work.last_event = event.number
 
-    def _record_first_event(self) -> None:
+    def _record_progress(self) -> None:
         now = time.monotonic()
+        self._work.last_event_at = now
         if self.first_event_ms:
             self._check_lived(now)
             return
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -37,8 +37,8 @@
 GAP_MIN_S = 2.0
 GAP_OBJECTIVE_FACTOR = 4.0
 GAP_PAUSE_FACTOR = 8.0
-# Share of that gap within which the first event has to arrive.
-FIRST_EVENT_GAP_SHARE = 0.9
+# Share of that gap within which the next event has to arrive.
+NEXT_EVENT_GAP_SHARE = 0.9
 # A request that moves to another gate loses its position in the queue.  It has to
 # save more than `MOVE_GAIN_MS` to move to a gate where it would not wait, and
 # more than `MOVE_TO_QUEUE_GAIN_MS` to move to a gate where it would.
@@ -196,7 +196,7 @@
 
     @staticmethod
     def _patience_s(work: Work, now: float) -> float:
-        """Return how many seconds a caller waits for the start of its answer.
+        """Return how many seconds a caller waits for its next event.
 
         Callers of streams leave after a gap whose length depends on the route.
         """
@@ -209,10 +209,9 @@
             GAP_OBJECTIVE_FACTOR * route.objective_s,
             GAP_PAUSE_FACTOR * route.pause_s,
         )
-        return min(
-            remaining_s,
-            max(0.0, work.started_at + FIRST_EVENT_GAP_SHARE * gap_s - now),
-        )
+        gap_began_at = max(work.started_at, work.last_event_at)
+        gap_ends_at = gap_began_at + NEXT_EVENT_GAP_SHARE * gap_s
+        return min(remaining_s, max(0.0, gap_ends_at - now))
 
     def _should_move(self, work: Work, candidate: Candidate, asked_at: float) -> bool:
         """Return whether a waiting request should leave this gate."""
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -18,7 +18,8 @@
 
     Times are seconds of a monotonic clock.  `may_have_run` is true once a
     target may have started the request.  `last_event` is the last event that
-    the caller has, or the one after which it asked to resume.
+    the caller has, or the one after which it asked to resume, and `last_event_at`
+    when it was last sent one.
     `first_attempt_at` is the caller's first attempt, if it was turned away
     before; `sent_at` is the last send to a replica, and `has_lived` tells whether
     that run has been writing its answer for a while.  `unknown_load_moves` counts
@@ -38,6 +39,7 @@
     last_event: int | None = None
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
+    last_event_at: float = 0.0
     sent_at: float = 0.0
     has_lived: bool = False
     waited_s: float = 0.0
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -55,10 +55,12 @@
     def __init__(self, denying=()):
         self.denying = denying
         self.asked = []
+        self.patience_ms = []
         self.moved = False
 
     def acquire(self, gate, ask, should_move):
         self.asked.append(gate)
+        self.patience_ms.append(ask.patience_ms)
         if gate in self.denying:
             raise PlaceDenied(retry_after_s=0.5)
         self.moved = should_move()
@@ -111,6 +113,16 @@
     assert gates.asked == ['r1', 'r1']
 
 
+def test_a_stream_that_broke_off_late_is_given_time_to_wait_for_a_place():
+    gates = Gates()
+    now = time.monotonic()
+    work = stream_work(now - 5.0, timeout_s=15.0, objective_s=0.4, pause_s=0.4)
+    work.last_event_at = now
+    placer = placer_for([candidate('r1', running=SLOTS)], gates)
+    placer.acquire(work, placer.choose(work))
+    assert gates.patience_ms[0] > 2000
+
+
 class ChangingGates(Gates):
     """Replaces the second candidate while a request waits at the first gate."""
 
