An announcement that messages can't carry is refused at the boundary

A start in the year 3000 ended the live replica at that address.

Cause: fields were checked for their type alone. The ranges of the message schema and what a header can carry were first met by the encoder, in other greenlets.

Now each record is checked once, where it is decoded: all texts for half pairs, control characters and length, all integers for their ranges, the id for what a header carries unchanged, the address for being a plain IP number, and the start for being at most 60 s ahead of this node's time of day. Text fields are found by type, so a new one is checked too. A refusal is a 400, a line `announcement_refused` of bounded length and a counter by reason; a DELETE with such an id as well.

--- a/pistachiopath/configuration/value_types.py
+++ b/pistachiopath/configuration/value_types.py
@@ -11,16 +11,21 @@
 
 MIN_SECRET_CHARS = 16
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def check_address(value: str) -> str:
     """Return `value` if it is an `ip:port`; raises `ValueError`."""
     host, _, port = value.rpartition(':')
+    is_bracketed = host.startswith('[') and host.endswith(']')
     try:
-        ipaddress.ip_address(host.strip('[]'))
+        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         raise ValueError('not an IP number and port') from None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if '%' in str(address):
+        raise ValueError('not an IP number and port')
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f'port must be 1 to {MAX_PORT}')
     return value
 
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
+from ..directory.record_check import check_replica_id, check_start
 from ..errors.configuration import InvalidConfiguration
+from ..util.plain_text import shortened
 from . import names
 from .configuration import decode_configuration
 from .registration import decode_announcement
@@ -53,19 +55,16 @@
                 return self._read_configuration()
             return 405, EMPTY_BODY
         if path.startswith(names.REPLICAS_PATH):
-            replica = unquote(path.removeprefix(names.REPLICAS_PATH))
-            if req.method == b'PUT':
-                return self._put_announcement(replica, req.body)
-            if req.method == b'DELETE':
-                return self._delete_replica(replica)
-            return 405, EMPTY_BODY
+            return self._answer_replica(req, path.removeprefix(names.REPLICAS_PATH))
         return 404, EMPTY_BODY
 
     def _put_configuration(self, req: HttpRequest) -> tuple[int, bytes]:
         try:
             routes = decode_configuration(req.body)
         except InvalidConfiguration as exc:
-            logger.warning('configuration_refused', extra={'reason': str(exc)})
+            logger.warning(
+                'configuration_refused', extra={'reason': shortened(str(exc))}
+            )
             return 400, INVALID_BODY
         held_version = self._shell.put(routes.version, req.body, ANSWER_TIMEOUT_S)
         logger.info(
@@ -85,17 +84,45 @@
             return 404, EMPTY_BODY
         return 200, reply.content
 
-    def _put_announcement(self, replica: str, body: bytes) -> tuple[int, bytes]:
+    def _answer_replica(self, req: HttpRequest, quoted_id: str) -> tuple[int, bytes]:
+        if req.method not in (b'PUT', b'DELETE'):
+            return 405, EMPTY_BODY
         try:
-            record = decode_announcement(replica, body)
+            replica = _unquoted(quoted_id)
+            if req.method == b'PUT':
+                self._announce(replica, req.body)
+            else:
+                self._shell.depart(replica)
         except InvalidConfiguration as exc:
-            logger.warning(
-                'announcement_refused', extra={'replica': replica, 'reason': str(exc)}
-            )
+            self._log_refused(req, quoted_id, exc)
             return 400, INVALID_BODY
-        self._shell.announce(record)
         return 200, EMPTY_BODY
 
-    def _delete_replica(self, replica: str) -> tuple[int, bytes]:
-        self._shell.depart(replica)
-        return 200, EMPTY_BODY
+    def _announce(self, replica: str, body: bytes) -> None:
+        record = decode_announcement(replica, body)
+        check_start(record, int(time.time() * 1000))
+        self._shell.announce(record)
+
+    def _log_refused(
+        self, req: HttpRequest, quoted_id: str, exc: InvalidConfiguration
+    ) -> None:
+        self._metrics.count('announcements_refused_total', reason=exc.reason)
+        logger.warning(
+            'announcement_refused',
+            extra={
+                'replica': shortened(quoted_id),
+                'method': req.method.decode('latin-1'),
+                'bytes': len(req.body),
+                'reason': shortened(str(exc)),
+            },
+        )
+
+
+def _unquoted(quoted_id: str) -> str:
+    """Return the id of a replica from a path; raises `InvalidConfiguration`."""
+    try:
+        replica = unquote(quoted_id, errors='strict')
+    except UnicodeDecodeError as exc:
+        raise InvalidConfiguration(where='replica', reason='not_utf8') from exc
+    check_replica_id(replica)
+    return replica
--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -5,6 +5,7 @@
 import json
 
 from ..configuration.value_types import check_address
+from ..directory.record_check import check_record
 from ..directory.replica_state import ReplicaState
 from ..errors.configuration import InvalidConfiguration
 from ..messages.directory import ReplicaRecord
@@ -12,6 +13,7 @@
 
 # An announcement with any other state is refused.
 STATES = {'ready': ReplicaState.READY, 'draining': ReplicaState.DRAINING}
+WHERE = 'announcement'
 
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
@@ -19,16 +21,16 @@
     try:
         data = json.loads(content)
     except (ValueError, RecursionError) as exc:
-        raise InvalidConfiguration(where=replica, reason='unreadable') from exc
-    fields = WireFields(data=data, where=replica)
+        raise InvalidConfiguration(where=WHERE, reason='unreadable') from exc
+    fields = WireFields(data=data, where=WHERE)
     state = fields.text('state')
     if state not in STATES:
-        raise InvalidConfiguration(where=replica, reason='unknown_state')
+        raise InvalidConfiguration(where=WHERE, reason='unknown_state')
     try:
         address = check_address(fields.text('address'))
     except ValueError as exc:
-        raise InvalidConfiguration(where=replica, reason='bad_address') from exc
-    return ReplicaRecord(
+        raise InvalidConfiguration(where=WHERE, reason='bad_address') from exc
+    record = ReplicaRecord(
         replica=replica,
         born_ms=fields.integer('born', 0),
         sequence=fields.integer('sequence'),
@@ -39,3 +41,5 @@
         state=STATES[state],
         warmup_ms=int(fields.number('warmup_left_ms', 0)),
     )
+    check_record(record)
+    return record
--- a/pistachiopath/platform/wire_fields.py
+++ b/pistachiopath/platform/wire_fields.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from ..errors.configuration import InvalidConfiguration
+from ..messages.ranges import MAX_EXACT, MAX_INTEGER, MIN_INTEGER
+from ..util.plain_text import text_error
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 
+MAX_TEXT_CHARS = 4096
+
+
 class WireFields:
     """Reads typed fields of one JSON object; raises `InvalidConfiguration`.
 
-    Unknown fields are ignored, because newer writers may add some.
+    Unknown fields are ignored, because newer writers may add some.  Texts can be
+    encoded and sent in headers, and numbers are in the range of messages.
     """
 
     def __init__(self, *, data: object, where: str) -> None:
@@ -32,22 +37,37 @@
         value = self._value(name, default)
         if not isinstance(value, str):
             raise self._wrong_type(name)
+        self._check_text(name, value)
         return value
 
-    def number(self, name: str, default: float | None = None) -> float:
-        """Return a finite number."""
+    def number(
+        self,
+        name: str,
+        default: float | None = None,
+        *,
+        low: float = -MAX_EXACT,
+        high: float = MAX_EXACT,
+    ) -> float:
+        """Return a number from `low` to `high`."""
         value = self._value(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise self._wrong_type(name)
-        if not math.isfinite(value):
-            raise self._wrong_type(name)
+        self._check_range(name, value, low, high)
         return value
 
-    def integer(self, name: str, default: int | None = None) -> int:
-        """Return an integer."""
+    def integer(
+        self,
+        name: str,
+        default: int | None = None,
+        *,
+        low: int = MIN_INTEGER,
+        high: int = MAX_INTEGER,
+    ) -> int:
+        """Return an integer from `low` to `high`."""
         value = self._value(name, default)
         if isinstance(value, bool) or not isinstance(value, int):
             raise self._wrong_type(name)
+        self._check_range(name, value, low, high)
         return value
 
     def boolean(self, name: str, default: bool = False) -> bool:
@@ -78,8 +98,21 @@
         value = self._data.get(name, [])
         if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
             raise self._wrong_type(name)
+        for text in value:
+            self._check_text(name, text)
         return tuple(value)
 
+    def _check_text(self, name: str, value: str) -> None:
+        error = text_error(value, MAX_TEXT_CHARS)
+        if error:
+            raise InvalidConfiguration(where=f'{self.where}.{name}', reason=error)
+
+    def _check_range(self, name: str, value: float, low: float, high: float) -> None:
+        """Raise `InvalidConfiguration`, also for a value that is not a number."""
+        if not low <= value <= high:
+            where = f'{self.where}.{name}'
+            raise InvalidConfiguration(where=where, reason='out_of_range')
+
     def _value(self, name: str, default: object) -> object:
         value = self._data.get(name)
         if value is not None:
