A message that can't be encoded no longer ends the greenlet that sends it

What was seen: one record with a value outside the schema's ranges made every message with it raise in Network.send (OverflowError, UnicodeEncodeError, KjException), out of whatever timer or request sent it; what else was to be sent in that step was lost. A payload of more than 8 MiB raised in the link's writer, which then wrote nothing more.

Now the codec raises one typed error with type, field and reason. Network.send logs it (`message_not_sent`, once a second a type) and counts it. Lists whose items mean something without each other (records, silent replicas, uses, leases, crash marks) lose only the odd item, `message_items_left_out`; entries of the replicated log are never left out.

Test: tests/test_transport/test_outbound.py. On the code before all of its tests fail; those of Network.send itself with OverflowError, UnicodeEncodeError and KjException.

--- a/pistachiopath/errors/transport.py
+++ b/pistachiopath/errors/transport.py
@@ -22,6 +22,18 @@
     reason: str
 
 
+@dataclass(kw_only=True)
+class Unencodable(PistachiopathError):
+    """A field of a message holds a value that the schema has no place for.
+
+    `message` is the name of the message type, and `reason` that of the error.
+    """
+
+    message: str
+    field: str
+    reason: str
+
+
 @dataclass(kw_only=True)
 class LinkClosed(PistachiopathError):
     """The peer closed the link."""
--- a/pistachiopath/messages/allowance.py
+++ b/pistachiopath/messages/allowance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .base import Message, message
+from .base import Message, independent_items, message
 
 
 @message
@@ -31,7 +31,7 @@
     """
 
     session: int
-    uses: tuple[CustomerUse, ...]
+    uses: tuple[CustomerUse, ...] = independent_items()
     begins: bool = False
     is_lender: bool = False
     entries: int = 1
@@ -76,4 +76,4 @@
     A customer without a lease is far below its allowance.
     """
 
-    leases: tuple[AllowanceLease, ...]
+    leases: tuple[AllowanceLease, ...] = independent_items()
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .base import Message, message
+from .base import Message, independent_items, message
 
 
 @message
@@ -57,14 +57,14 @@
     change: int
     version: int
     content: bytes
-    records: tuple[ReplicaRecord, ...]
+    records: tuple[ReplicaRecord, ...] = independent_items()
     controls: tuple[str, ...]
     entries: int
-    silent: tuple[str, ...]
+    silent: tuple[str, ...] = independent_items()
 
 
 @message
 class Announcements(Message):
     """Announcements that a control node received and forwards to the others."""
 
-    records: tuple[ReplicaRecord, ...]
+    records: tuple[ReplicaRecord, ...] = independent_items()
--- a/pistachiopath/messages/quarantine.py
+++ b/pistachiopath/messages/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .base import Message, message
+from .base import Message, independent_items, message
 
 
 @message
@@ -51,7 +51,7 @@
     trials of contents in quarantine.
     """
 
-    marks: tuple[CrashMark, ...] = ()
-    cleared: tuple[bytes, ...] = ()
-    proofs: tuple[ContentProof, ...] = ()
-    trials: tuple[ContentTrial, ...] = ()
+    marks: tuple[CrashMark, ...] = independent_items(default=())
+    cleared: tuple[bytes, ...] = independent_items(default=())
+    proofs: tuple[ContentProof, ...] = independent_items(default=())
+    trials: tuple[ContentTrial, ...] = independent_items(default=())
--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -20,6 +20,7 @@
 from .frames import FrameSocket
 from .handshake import ROLE_NODE, ROLE_OPERATOR, Identity, accept, dial
 from .link import SILENCE_S, Link
+from .outbound import OutboundEncoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +66,7 @@
         self._dialling: dict[str, list[bytes]] = {}
         self._failed_at: dict[str, float] = {}
         self._server: gevent.server.StreamServer | None = None
+        self._encoder = OutboundEncoder()
         self.sent_bytes = 0
         self.sent_messages = 0
         self.received_bytes = 0
@@ -78,12 +80,15 @@
     def send(self, to: str, call: int, body: Message) -> None:
         """Send a message, opening a link to an address if there is none.
 
-        A message to this process itself is delivered without a link.
+        A message to this process itself is delivered without a link.  One that
+        can't be encoded is logged and dropped.
         """
         if to == self._identity.name:
             gevent.spawn(self._on_message, to, call, body)
             return
-        payload = encode(Envelope(call=call, body=body))
+        payload = self._encoder.encode(to, call, body)
+        if payload is None:
+            return
         self.sent_bytes += len(payload)
         self.sent_messages += 1
         link = self._links.get(to)
