A peer's odd record is left out of the directory by itself

What was seen: a record that an earlier build had accepted and passed on, with slots of -5, a zone of 1 MB or an id with a line end, was merged as stated. One with an unknown state raised ValueError at its second merge: the rest of that message was lost, with a newer configuration that it carried.

All records, of announcements, peers and the file, come into the directory through `merge`, which now makes the same check as the decoder of announcements, except for the start: clocks of nodes differ, and a record already accepted by a peer is not judged by another clock. What is left out is logged (`replica_left_out`) and counted.

Test: tests/test_directory/test_directory.py; 13 fail on the code before (two with ValueError, the others hold the odd record).

--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import attrs
 
+from ..errors.configuration import InvalidConfiguration
+from ..util.plain_text import shortened
+from .record_check import check_record
 from .replica_state import ReplicaState
 
 if TYPE_CHECKING:
@@ -13,6 +17,8 @@
 
     from ..messages.directory import ReplicaRecord
 
+logger = logging.getLogger(__name__)
+
 GONE_RETENTION_S = 120.0
 
 
@@ -21,12 +27,14 @@
 
     Merging is commutative and idempotent.  A later lifetime replaces an earlier
     one, and the state within a lifetime only moves forward.  Of two lifetimes at
-    one address only the later one is in use.  `now` is a monotonic clock in
-    seconds.
+    one address only the later one is in use.  A record that can't be sent or
+    used is left out and counted in `left_out`: other nodes may run a build that
+    accepts it.  `now` is a monotonic clock in seconds.
     """
 
     def __init__(self) -> None:
         self.change = 0
+        self.left_out = 0
         self._records: dict[str, ReplicaRecord] = {}
         self._changes: dict[str, int] = {}
         self._gone_at: dict[str, float] = {}
@@ -53,6 +61,8 @@
 
         They do not need a new sequence number or warm-up time alone.
         """
+        if not self._is_usable(record):
+            return False
         current = self._records.get(record.replica)
         if current is not None:
             merged = _merged(current, record)
@@ -85,6 +95,22 @@
                 del self._records[replica]
                 del self._changes[replica]
 
+    def _is_usable(self, record: ReplicaRecord) -> bool:
+        try:
+            check_record(record)
+        except InvalidConfiguration as exc:
+            self.left_out += 1
+            logger.warning(
+                'replica_left_out',
+                extra={
+                    'replica': shortened(record.replica),
+                    'reason': str(exc),
+                    'left_out': self.left_out,
+                },
+            )
+            return False
+        return True
+
     def _note_change(self, replica: str, now: float) -> None:
         self.change += 1
         self._changes[replica] = self.change
--- a/tests/test_directory/test_directory.py
+++ b/tests/test_directory/test_directory.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pistachiopath.directory.directory import GONE_RETENTION_S, Directory
+from pistachiopath.directory.subscriber import Subscriber
+from pistachiopath.messages.directory import News
 
 from .records import record
 
@@ -82,3 +85,50 @@
     assert len(directory) == 1
     directory.prune(GONE_RETENTION_S)
     assert len(directory) == 0
+
+
+ODD_RECORDS = [
+    record(replica='odd', state='resting'),
+    record(replica='odd', slots=0),
+    record(replica='odd', slots=-5),
+    record(replica='odd', slots=10**15),
+    record(replica='odd', sequence=-1),
+    record(replica='odd', born_ms=-(2**63)),
+    record(replica='odd', warmup_ms=2**62),
+    record(replica='odd', zone='z' * 1_000_000),
+    record(replica='odd', service='a\0b'),
+    record(replica=''),
+    record(replica='odd\r\nX'),
+    record(replica='o' * 100_000),
+]
+
+
+@pytest.mark.parametrize('odd', ODD_RECORDS, ids=lambda r: repr(r)[:90])
+def test_an_odd_record_of_a_peer_is_left_out_by_itself(odd, caplog):
+    # Regression: nodes of earlier builds accept such announcements and pass them on.
+    directory = Directory()
+    records = (record(), odd, odd, record(replica='r2', address='10.0.0.2:80'))
+    for each in records:
+        directory.merge(each, 0.0)
+    assert sorted(r.replica for r in directory.records()) == ['r1', 'r2']
+    assert directory.left_out == 2
+    assert [r.msg for r in caplog.records] == ['replica_left_out'] * 2
+    assert all(len(r.replica) <= 200 for r in caplog.records)
+
+
+def test_the_news_of_a_peer_is_used_without_its_odd_record():
+    subscriber = Subscriber(is_entry=True, own_address='10.0.0.9:1')
+    body = News(
+        feed=1,
+        change=5,
+        version=3,
+        content=b'{}',
+        records=(ODD_RECORDS[0], record()),
+        controls=(),
+        entries=1,
+        silent=(),
+    )
+    for _ in range(2):
+        subscriber.on_news('10.0.0.8:1', body, 1.0)
+    assert subscriber.version == 3
+    assert [r.replica for r in subscriber.directory.records()] == ['r1']
