A configuration that messages can't carry is refused as invalid

What was seen: timeout_ms of 10^400 raised OverflowError out of the decoder, so the operator's connection ended without an answer. Version 2^70, names with half a surrogate pair or line ends, negative rates and costs were accepted, acknowledged and put into the log or sent on, where their encoding raised.

--- a/pistachiopath/platform/configuration.py
+++ b/pistachiopath/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from ..errors.configuration import InvalidConfiguration
 from ..exchange.limits import ExchangeLimits
+from ..messages.ranges import MAX_EXACT, MAX_TOKENS
 from ..routes.customer_account import CustomerAccount
 from ..routes.repetition import Repetition
 from ..routes.route import Route, Share
@@ -60,12 +61,12 @@
         repetition=repetition,
         is_stream=kind == STREAMING,
         timeout_s=fields.number('timeout_ms') / 1000,
-        objective_s=fields.number('target_latency_ms', 1000) / 1000,
+        objective_s=fields.number('target_latency_ms', 1000, low=0) / 1000,
         tier=fields.integer('priority', 0),
         max_targets=max(1, fields.integer('attempts', 1)),
         # The field is named for a time per token, but it bounds the pause
         # between events.
-        pause_s=fields.number('tpot_target_ms', 0) / 1000,
+        pause_s=fields.number('tpot_target_ms', 0, low=0) / 1000,
         is_public=fields.boolean('public'),
         follows_prompt=fields.boolean('session_affinity'),
     )
@@ -86,10 +87,10 @@
         engine = fields.object('engine')
     return Service(
         name=fields.text('name'),
-        max_connections=fields.integer('max_conns', 0),
+        max_connections=_count(fields, 'max_conns'),
         has_engine=engine is not None,
-        slots=engine.integer('slots', 0) if engine else 0,
-        memory_tokens=engine.integer('kv_capacity', 0) if engine else 0,
+        slots=_count(engine, 'slots') if engine else 0,
+        memory_tokens=_count(engine, 'kv_capacity') if engine else 0,
     )
 
 
@@ -98,10 +99,10 @@
         name=fields.text('name'),
         keys=fields.texts('api_keys'),
         tier=fields.integer('priority') if fields.has('priority') else None,
-        rate_per_s=fields.number('rate_per_s', 0.0),
-        burst=fields.number('burst', 0.0),
+        rate_per_s=fields.number('rate_per_s', 0.0, low=0),
+        burst=fields.number('burst', 0.0, low=0),
         counts_tokens=fields.text('unit', 'requests') == 'tokens',
-        plain_cost=fields.number('plain_tokens', 1.0),
+        plain_cost=fields.number('plain_tokens', 1.0, low=0, high=MAX_TOKENS),
     )
 
 
@@ -111,8 +112,12 @@
         return defaults
     limits = fields.object('limits')
     return ExchangeLimits(
-        max_header_bytes=limits.integer('max_header_bytes', defaults.max_header_bytes),
-        max_body_bytes=limits.integer('max_body_bytes', defaults.max_body_bytes),
-        header_timeout_s=limits.number('header_timeout_ms', 3000) / 1000,
-        idle_timeout_s=limits.number('idle_timeout_ms', 15000) / 1000,
+        max_header_bytes=_count(limits, 'max_header_bytes', defaults.max_header_bytes),
+        max_body_bytes=_count(limits, 'max_body_bytes', defaults.max_body_bytes),
+        header_timeout_s=limits.number('header_timeout_ms', 3000, low=0) / 1000,
+        idle_timeout_s=limits.number('idle_timeout_ms', 15000, low=0) / 1000,
     )
+
+
+def _count(fields: WireFields, name: str, default: int = 0) -> int:
+    return fields.integer(name, default, low=0, high=MAX_EXACT)
