A committed document that can't be decoded doesn't stop a control node's timer

What was seen: where a build that accepts more has committed a document (timeout_ms of 10^400, a negative rate), decoding its accounts raised in the timer of a control node of this build, at each tick: nothing was published, pruned, lent or saved any more.

The accounts last known are kept, `accounts_unusable` is logged, and the document is published: nodes that can decode it do so.

--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -19,8 +19,8 @@
 from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
 from ..util.program import EXIT_FAILED
-from .configuration import decode_configuration
 from .control_api import ControlApi
+from .decoded_accounts import DecodedAccounts
 
 if TYPE_CHECKING:
     from ..telemetry.metrics import Metrics
@@ -56,7 +56,7 @@
                 open_folder=lambda: (
                     DataFolder(path=folder) if has_disk else MemoryFolder()
                 ),
-                customers=lambda content: decode_configuration(content).customers,
+                customers=DecodedAccounts().read,
                 replicas=(
                     RecordFile(path=folder / 'replicas') if has_disk else NoRecordFile()
                 ),
