The largest configuration fits into the messages that carry it

What was seen: a PUT of 8 MiB less a few bytes was read in full and proposed; its record did not fit into a frame of 8 MiB. FrameTooLarge ended the loop of the replica, and the node answered 503 to every later call. Two of more than 4 MiB in one batch made an Append that could not be sent, and was tried again for ever.

A body is limited to 1 MiB less than a frame, and the commands of one Append to 1 MiB unless a single one is larger.

Test: tests/test_platform/test_control_program.py (a whole control program on loopback: the largest body 200, one byte more 413, the next 200; on the code before 503 for 20 tries and the loop's greenlet failed with FrameTooLarge) and tests/test_replication/test_replica.py (new argument).

--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -18,6 +18,7 @@
 from ..storage.memory_folder import MemoryFolder
 from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
+from ..transport.frames import MAX_FRAME_BYTES
 from ..util.program import EXIT_FAILED
 from .control_api import ControlApi
 from .decoded_accounts import DecodedAccounts
@@ -32,7 +33,11 @@
 SILENT_AFTER_PERIODS = 3
 # Every call is answered within 1 second, so a longer drain is not needed.
 DRAIN_TIMEOUT_S = 1.0
-HTTP_LIMITS = ExchangeLimits(max_body_bytes=8 * 1024 * 1024, idle_timeout_s=30.0)
+# A configuration is sent in one frame, with the records of all replicas beside it.
+BESIDE_CONTENT_BYTES = 1024 * 1024
+HTTP_LIMITS = ExchangeLimits(
+    max_body_bytes=MAX_FRAME_BYTES - BESIDE_CONTENT_BYTES, idle_timeout_s=30.0
+)
 
 
 class ControlProgram:
--- a/pistachiopath/replication/log.py
+++ b/pistachiopath/replication/log.py
@@ -50,10 +50,21 @@
             return None
         return self._entries[index - self.base_index - 1]
 
-    def slice(self, first: int, max_entries: int) -> tuple[Entry, ...]:
-        """Return at most `max_entries` records from index `first` on."""
+    def slice(self, first: int, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return records from index `first` on.
+
+        Their commands have at most `max_bytes` together, except for a single
+        larger record.
+        """
         start = first - self.base_index - 1
-        return tuple(self._entries[start : start + max_entries])
+        entries: list[Entry] = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.command)
+            if entries and size > max_bytes:
+                break
+            entries.append(entry)
+        return tuple(entries)
 
     def append(self, entry: Entry) -> None:
         """Add a record at the end."""
--- a/pistachiopath/replication/replicator.py
+++ b/pistachiopath/replication/replicator.py
@@ -12,6 +12,9 @@
     from .replica import Replica
     from .timing import Timing
 
+# Bounds a message with several records, which has to fit into a frame.
+MAX_APPEND_BYTES = 1024 * 1024
+
 
 class Replicator:
     """Sends records and snapshots to followers and tracks their progress.
@@ -112,7 +115,9 @@
             self._send_snapshot(peer, progress, now, resend=resend)
             return
         first = progress.next_index
-        entries = self._replica.log.slice(first, self._timing.max_entries)
+        entries = self._replica.log.slice(
+            first, self._timing.max_entries, MAX_APPEND_BYTES
+        )
         if not entries and not resend and progress.round:
             return
         progress.round += 1
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -3,9 +3,11 @@
 import errno
 import os
 
+import gevent
+import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.platform.control_program import ControlProgram
+from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
 from pistachiopath.platform.decoded_accounts import DecodedAccounts
 from pistachiopath.platform.settings import PlatformSettings
 from pistachiopath.telemetry.metrics import Metrics
@@ -26,14 +28,9 @@
 
 
 def control_program(**settings):
+    fields = {'control': free_address(), 'ports': (7600, 7615)}
     cfg = PlatformSettings(
-        name='n',
-        role='control',
-        zone='a',
-        ip='127.0.0.1',
-        ports=(7600, 7615),
-        control=free_address(),
-        **settings,
+        name='n', role='control', zone='a', ip='127.0.0.1', **fields | settings
     )
     return ControlProgram(cfg, Metrics())
 
@@ -60,3 +57,44 @@
     known = accounts.read(encode(VALID))
     assert [account.name for account in known] == ['t', 'u']
     assert accounts.read(b'{') == known
+
+
+def put_configuration(address, content):
+    """Return the status of a PUT; repeat it while the node has no leader."""
+    host, port = address.split(':')
+    head = (
+        b'PUT /pistachiopath/config HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
+    )
+    for _ in range(20):
+        with gsocket.create_connection((host, int(port)), 5.0) as conn:
+            conn.sendall(head % len(content) + content)
+            status = int(conn.recv(100).split()[1])
+        if status != 503:
+            return status
+        gevent.sleep(0.1)
+    return 503
+
+
+def test_the_largest_configuration_leaves_the_node_able_to_take_the_next(tmp_path):
+    # Regression: its record did not fit into a frame, which ended the replica's loop.
+    node = free_address()
+    port = int(node.split(':')[1])
+    address = free_address()
+    program = control_program(
+        control=address,
+        data_folder=str(tmp_path),
+        seeds=(node,),
+        ports=(port, port + 15),
+        is_first_start=True,
+        tolerated_losses=0,
+    )
+    program.start()
+    try:
+        size = HTTP_LIMITS.max_body_bytes
+        largest = encode(VALID).ljust(size)
+        assert put_configuration(address, largest) == 200
+        assert put_configuration(address, largest + b' ') == 413
+        assert put_configuration(address, encode(VALID | {'version': 8})) == 200
+        assert program._shell.core.version == 8
+    finally:
+        program.stop()
--- a/tests/test_replication/test_replica.py
+++ b/tests/test_replication/test_replica.py
@@ -9,8 +9,10 @@
     InstallSnapshot,
     Member,
 )
+from pistachiopath.replication.log import Log
 from pistachiopath.replication.persisted import Persisted
 from pistachiopath.replication.replica import Replica
+from pistachiopath.replication.replicator import MAX_APPEND_BYTES
 
 MEMBERS = tuple(Member(member=name, address=f'{name}:1') for name in 'abc')
 
@@ -68,6 +70,20 @@
     assert replica.is_caught_up
 
 
+def test_large_records_are_sent_in_several_messages():
+    # Regression: two configurations put at once made a message larger than a frame.
+    large = bytes(3 * 1024 * 1024)
+    entries = tuple(
+        Entry(index=n, term=1, kind='noop', time_ms=0, command=large)
+        for n in range(1, 5)
+    )
+    log = Log(entries=entries)
+    assert log.slice(1, 256, MAX_APPEND_BYTES) == entries[:1]
+    assert log.slice(1, 256, 2 * len(large)) == entries[:2]
+    assert log.slice(3, 1, 2 * len(large)) == entries[2:3]
+    assert log.slice(5, 256, MAX_APPEND_BYTES) == ()
+
+
 def test_snapshot_parts_may_arrive_out_of_order_and_repeatedly():
     replica = follower()
     for offset in (2, 0, 0, 2):
