A number of any length in a caller's header gets an answer

What callers saw: Deadline-Ms, Token-Usage, Prefix-Hash or Last-Event-Id of 400 or 5,000 digits closed the connection without an answer (OverflowError, ValueError in the dialect); a token count of 2^63 was accepted and its Ask could not be encoded.

All decimal numbers of headers go through one parser with a largest value. What states something of the request (deadline, tokens, last event) is answered with 400 and logged as `bad_request`; the tokens of a prompt's part, which only help to choose a target, are dropped with the part as other unreadable ones are. Leading zeros are no error. Tokens are limited to 2^31-1, so that totals over years of requests fit into reports.

--- a/pistachiopath/errors/exchange.py
+++ b/pistachiopath/errors/exchange.py
@@ -15,6 +15,13 @@
     reason: str
 
 
+@dataclass(kw_only=True)
+class NumberTooLarge(PistachiopathError):
+    """A number in a header or an event is above the largest that can be used."""
+
+    maximum: int
+
+
 @dataclass(kw_only=True)
 class CallerLeft(PistachiopathError):
     """The caller closed its connection while its request was being served."""
--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -5,8 +5,10 @@
 import re
 from typing import TYPE_CHECKING
 
-from ..errors.exchange import BadHttp
+from ..errors.exchange import BadHttp, NumberTooLarge
+from ..exchange.decimal import parse_decimal
 from ..exchange.hop_headers import end_to_end
+from ..messages.ranges import MAX_EXACT, MAX_INTEGER, MAX_TOKENS
 from ..relay.caller_request import CallerRequest
 from ..relay.target_notice import TargetNotice
 from ..relay.verdict import Verdict
@@ -37,7 +39,7 @@
         if not request_id:
             raise BadHttp(status=400, reason='no_request_id')
         counts = _parse_token_counts(http.header(names.TOKEN_COUNTS))
-        deadline_ms = _parse_integer(http.header(names.DEADLINE_MS))
+        deadline_ms = _parse_stated(http.header(names.DEADLINE_MS), MAX_EXACT)
         return CallerRequest(
             http=http,
             request_id=request_id,
@@ -49,7 +51,7 @@
             has_counts=counts is not None,
             model=http.header(names.MODEL),
             parts=_parse_prompt_parts(http.header(names.PROMPT_PARTS)),
-            last_event=_parse_integer(http.header(names.LAST_EVENT)),
+            last_event=_parse_stated(http.header(names.LAST_EVENT), MAX_INTEGER),
         )
 
     def target_headers(
@@ -116,14 +118,28 @@
         return headers
 
 
-def _parse_integer(text: str) -> int | None:
-    return int(text) if text.isascii() and text.isdigit() else None
+def _parse_stated(text: str, maximum: int) -> int | None:
+    """Return a number that a caller states, or None; raises `BadHttp`.
+
+    A number that is too large says something of the request that can't be
+    carried out, so it is not taken for absent.
+    """
+    try:
+        return parse_decimal(text, maximum)
+    except NumberTooLarge as exc:
+        raise BadHttp(status=400, reason='number_too_large') from exc
 
 
 def _parse_token_counts(text: str) -> tuple[int, int] | None:
-    """Return the prompt and output token counts, or None if either is invalid."""
+    """Return the prompt and output token counts, or None if either is invalid.
+
+    Raises `BadHttp` if one is too large.
+    """
     prompt, _, output = text.partition(',')
-    numbers = (_parse_integer(prompt.strip()), _parse_integer(output.strip()))
+    numbers = (
+        _parse_stated(prompt.strip(), MAX_TOKENS),
+        _parse_stated(output.strip(), MAX_TOKENS),
+    )
     if None in numbers:
         return None
     return numbers
@@ -133,12 +149,20 @@
     parts = []
     for entry in text.split(','):
         part_id, _, tokens = entry.strip().partition(':')
-        number = _parse_integer(tokens)
+        number = _parse_part_tokens(tokens)
         if part_id and number is not None:
             parts.append(PromptPart(part_id=part_id, tokens=number))
     return tuple(parts)
 
 
+def _parse_part_tokens(text: str) -> int | None:
+    """Return the tokens of a part, which only help to choose a target."""
+    try:
+        return parse_decimal(text, MAX_TOKENS)
+    except NumberTooLarge:
+        return None
+
+
 def _parse_key(authorization: str) -> str:
     if authorization.lower().startswith(names.AUTHORIZATION_SCHEME):
         return authorization[len(names.AUTHORIZATION_SCHEME) :].strip()
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
 from ..errors.exchange import BadHttp, CallerLeft
 from ..errors.relay import TurnedAway
+from ..util.plain_text import shortened
 from .attempts import EarlierAttempts
 from .work import Work, make_work
 
@@ -23,6 +25,8 @@
     from .request_log import RequestLog
     from .routes_in_force import RoutesInForce
 
+logger = logging.getLogger(__name__)
+
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 # A node that starts has its configuration within a few hundred ms.
 FIRST_CONFIGURATION_WAIT_S = 0.6
@@ -64,6 +68,14 @@
             req = self._dialect.read(http)
             self._serve(conn, req)
         except BadHttp as exc:
+            logger.warning(
+                'bad_request',
+                extra={
+                    'request': shortened(http.header(self._dialect.request_id_header)),
+                    'status': exc.status,
+                    'reason': shortened(exc.reason),
+                },
+            )
             if conn.has_begun:
                 raise CallerLeft from exc
             conn.respond(exc.status, [], b'')
--- a/tests/test_platform/test_dialect.py
+++ b/tests/test_platform/test_dialect.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from pistachiopath.errors.exchange import BadHttp
 from pistachiopath.exchange.answer import AnswerHead
 from pistachiopath.exchange.request import HttpRequest
+from pistachiopath.messages.allowance import Borrow
+from pistachiopath.messages.grants import Ask
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.relay.verdict import Verdict
+from pistachiopath.transport.codec import encode_message
 
 HEADERS = {
     b'host': b'a.example:80',
@@ -106,3 +111,43 @@
 def test_verdict_of_an_answer(status, headers, verdict):
     head = AnswerHead(status=status, headers=headers)
     assert PlatformDialect().verdict(head) is verdict
+
+
+HEADER_BYTES = st.one_of(
+    st.binary(max_size=12),
+    st.integers(0, 10**30).map(lambda number: b'%d' % number),
+    st.integers(1, 6000).map(lambda length: b'7' * length),
+    st.lists(
+        st.sampled_from([b'9' * 400, b'4', b',', b':', b'\xb2', b' ', b'a']), max_size=6
+    ).map(b''.join),
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from([name.decode().replace('-', '_') for name in HEADERS]),
+        HEADER_BYTES,
+    ),
+    HEADER_BYTES,
+)
+def test_any_headers_give_a_request_that_can_be_sent_on_or_a_typed_error(
+    changes, last_event_id
+):
+    try:
+        req = read(last_event_id=last_event_id, **changes)
+    except BadHttp as exc:
+        assert exc.status == 400
+        return
+    ask = Ask(
+        request=f'{req.request_id}.1',
+        tier=0,
+        customer='',
+        prompt_tokens=req.prompt_tokens,
+        output_tokens=req.output_tokens,
+        objective_ms=0,
+        deadline_ms=int((req.deadline_s or 0.0) * 1000),
+        slots=1,
+    )
+    encode_message(ask)
+    encode_message(Borrow(customer='', cost=req.prompt_tokens + req.output_tokens))
+    assert forwarded_headers(req, last_event=req.last_event)
--- /dev/null
+++ b/tests/test_relay/test_odd_headers.py
@@ -0,0 +1,66 @@
+"""A caller gets an answer, whatever stands in its headers or in the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from pistachiopath.relay import entry as entry_module
+from pistachiopath.relay import request_handler
+from tests.test_exchange.sockets import ScriptedTarget
+
+from .parts import answer
+from .test_entry import Node, plain
+
+DIGITS_400 = b'9' * 400
+DIGITS_5000 = b'9' * 5000
+
+
+@pytest.fixture
+def node(monkeypatch):
+    monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
+    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    return Node()
+
+
+def request(*headers):
+    lines = [b'POST /pay HTTP/1.1', b'Host: a.example', b'Request-Id: abc', *headers]
+    return b'\r\n'.join([*lines, b'Content-Length: 2', b'', b'hi'])
+
+
+TOO_LARGE = [
+    b'Deadline-Ms: ' + DIGITS_400,
+    b'Deadline-Ms: ' + DIGITS_5000,
+    b'Token-Usage: ' + DIGITS_400 + b',80',
+    b'Token-Usage: 80,' + DIGITS_5000,
+    b'Token-Usage: 9223372036854775808,1',
+    b'Last-Event-Id: ' + DIGITS_400,
+    b'Last-Event-Id: ' + DIGITS_5000,
+]
+UNUSUAL = [
+    b'Deadline-Ms: 600000000000',
+    b'Deadline-Ms: ' + b'0' * 5000 + b'600',
+    b'Deadline-Ms: \xb2',
+    b'Deadline-Ms: -1',
+    b'Token-Usage: 2147483647,2147483647',
+    b'Token-Usage: \xb2,\xb3',
+    b'Last-Event-Id: \xb9',
+    b'Prefix-Hash: a:' + DIGITS_400 + b',b:' + DIGITS_5000 + b',c:1',
+    b'Prefix-Hash: ' + b':,' * 3000,
+    b'Model: \xff\xfe',
+]
+
+
+@pytest.mark.parametrize('header', TOO_LARGE, ids=lambda h: h[:30])
+def test_a_number_that_is_too_large_is_answered_with_400(node, header):
+    target = ScriptedTarget([answer()], [answer()])
+    node.receive_news(records=[plain(target)])
+    assert node.send_request(request(header)).startswith(b'HTTP/1.1 400')
+    assert target.requests == []
+    assert node.send_request(request()).startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize('header', UNUSUAL, ids=lambda h: h[:30])
+def test_an_unusual_header_does_not_cost_a_caller_its_answer(node, header):
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    assert node.send_request(request(header)).startswith(b'HTTP/1.1 200')
