Names and keys beyond latin-1 don't cost callers their answers

What callers saw: a customer whose name the configuration spells with letters beyond latin-1, or with a space at an end, got a closed connection without an answer to each request; so did all requests to a replica with such an id. A key beyond latin-1 was never known (401). Cause: headers were encoded as latin-1, which has no form for these letters (UnicodeEncodeError); h11 refuses a value with a space at an end.

Names go into headers as UTF-8 without spaces at their ends, and keys are read as UTF-8 where their bytes are. Letters of latin-1 change with it: one encoding for all names.

--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -69,10 +69,10 @@
             for name, value in end_to_end(req.http.headers)
             if name not in names.SYSTEM_HEADERS
         ]
-        headers.append((names.REPLICA_EXPECTED, replica.encode('latin-1')))
+        headers.append((names.REPLICA_EXPECTED, _header_value(replica)))
         headers.append((names.DEADLINE_MS, b'%d' % max(1, int(remaining_s * 1000))))
         if customer:
-            headers.append((names.CUSTOMER, customer.encode('latin-1')))
+            headers.append((names.CUSTOMER, _header_value(customer)))
         if last_event is not None:
             headers.append((names.LAST_EVENT, b'%d' % last_event))
         return headers
@@ -118,6 +118,11 @@
         return headers
 
 
+def _header_value(name: str) -> bytes:
+    """Return a name without control characters as the bytes of a header."""
+    return name.strip(' ').encode('utf-8')
+
+
 def _parse_stated(text: str, maximum: int) -> int | None:
     """Return a number that a caller states, or None; raises `BadHttp`.
 
@@ -165,5 +170,13 @@
 
 def _parse_key(authorization: str) -> str:
     if authorization.lower().startswith(names.AUTHORIZATION_SCHEME):
-        return authorization[len(names.AUTHORIZATION_SCHEME) :].strip()
+        return _utf8(authorization[len(names.AUTHORIZATION_SCHEME) :].strip())
     return ''
+
+
+def _utf8(header: str) -> str:
+    """Return the text of a header that may be encoded as UTF-8."""
+    try:
+        return header.encode('latin-1').decode('utf-8')
+    except UnicodeDecodeError:
+        return header
--- a/tests/test_platform/test_dialect.py
+++ b/tests/test_platform/test_dialect.py
@@ -79,6 +79,12 @@
     assert b'tenant' not in forwarded_headers(req, customer='')
 
 
+@pytest.mark.parametrize('name', ['Zürich', '客户', 'Øre 😀', 't ', ' '])
+def test_a_name_beyond_latin_1_is_sent_as_utf_8(name):
+    headers = forwarded_headers(read(), customer=name)
+    assert headers[b'tenant'] == name.strip().encode()
+
+
 def test_resumed_stream_sends_the_last_event_id():
     assert (
         forwarded_headers(read(last_event_id=b'4'), last_event=9)[b'last-event-id']
--- a/tests/test_relay/test_odd_headers.py
+++ b/tests/test_relay/test_odd_headers.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import copy
+
 import pytest
 
 from pistachiopath.relay import entry as entry_module
 from pistachiopath.relay import request_handler
+from tests.test_directory.records import record
 from tests.test_exchange.sockets import ScriptedTarget
+from tests.test_platform.test_configuration import VALID
 
 from .parts import answer
 from .test_entry import Node, plain
@@ -64,3 +68,37 @@
     target = ScriptedTarget([answer()])
     node.receive_news(records=[plain(target)])
     assert node.send_request(request(header)).startswith(b'HTTP/1.1 200')
+
+
+NAMES = ['Zürich', '客户 1', 'Øre 😀', ' t', 't' * 4000]
+
+
+@pytest.mark.parametrize('name', NAMES, ids=lambda n: n[:10])
+def test_a_customer_with_an_unusual_name_gets_its_answers(node, name):
+    target = ScriptedTarget([answer()])
+    document = copy.deepcopy(VALID)
+    document['routes'][1]['public'] = False
+    document['tenants'][1]['name'] = name
+    node.receive_news(document=document, records=[plain(target)])
+    response = node.send_request(request(b'Authorization: Token k3'))
+    assert response.startswith(b'HTTP/1.1 200')
+    head, _ = target.requests[0]
+    assert b'\r\ntenant: ' + name.strip().encode() + b'\r\n' in head
+
+
+def test_a_customer_with_a_key_beyond_latin_1_is_known(node):
+    target = ScriptedTarget([answer()])
+    document = copy.deepcopy(VALID)
+    document['routes'][1]['public'] = False
+    document['tenants'][1]['api_keys'] = ['ключ']
+    node.receive_news(document=document, records=[plain(target)])
+    key = 'Authorization: Token ключ'.encode()
+    assert node.send_request(request(key)).startswith(b'HTTP/1.1 200')
+
+
+def test_a_replica_with_an_id_beyond_latin_1_gets_requests(node):
+    target = ScriptedTarget([answer()])
+    replica = record(service='plain', address=target.address, replica='i-客')
+    node.receive_news(records=[replica])
+    assert node.send_request(request()).startswith(b'HTTP/1.1 200')
+    assert 'i-客'.encode() in target.requests[0][0]
