Events that arrive with one out of order are not lost

What callers saw: when a target's bytes held good events and then one out of order, in one read, the stream was resumed behind the good ones although they had never been written. The caller got a stream that looked complete and lacked them.

Cause: the order of all events of a read was checked first, which moved the last event, and only then were they written. They are now written up to the first odd one.

Test: tests/test_relay/test_caller_bytes.py, skipped, restarted and repeated ids; on the code before the caller gets events 2 to 4 of 0 to 4 in all three.

--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -194,9 +194,20 @@
         return Delivered()
 
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Write whole events; raises `Garbled` if they are out of order."""
-        for event in events:
-            self._check_order(event)
+        """Write whole events up to the first one out of order.
+
+        Raises `Garbled` for that one, behind which another target may resume.
+        """
+        valid: list[StreamEvent] = []
+        try:
+            for event in events:
+                self._check_order(event)
+                valid.append(event)
+        finally:
+            if valid or not events:
+                self._write_events(head, valid)
+
+    def _write_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         data = b''.join(event.data for event in events)
         self._record_first_event()
         if self._conn.has_begun:
--- a/tests/test_relay/test_caller_bytes.py
+++ b/tests/test_relay/test_caller_bytes.py
@@ -21,6 +21,7 @@
 
 END = b'0\r\n\r\n'
 REQUEST = b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'
+CLOSING_REQUEST = REQUEST[:-2] + b'Connection: close\r\n\r\n'
 UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\n'
 NO_IDS = b'data: one\n\ndata: two\n\n'
 
@@ -46,12 +47,12 @@
 }
 
 
-def caller_bytes(targets, repetition):
+def caller_bytes(targets, repetition, request=REQUEST):
     """Serve one request over a real connection; return all that the caller gets."""
     server = EchoServer(
         handle=lambda conn, req: serve(targets, repetition, stream=True, caller=conn)
     )
-    return server.send_parts(REQUEST)
+    return server.send_parts(request)
 
 
 def body_of(data):
@@ -100,6 +101,15 @@
     assert second.requests == []
 
 
+@pytest.mark.parametrize('odd', [5, 0, 1], ids=['skipped', 'restarted', 'repeated'])
+def test_no_event_is_lost_that_arrives_with_one_out_of_order(odd):
+    # Regression: the events before it counted as delivered, and were dropped.
+    first = ScriptedTarget([stream_head() + chunk(events(0, 1) + events(odd, odd))])
+    second = ScriptedTarget([stream_head() + chunk(events(2, 4)) + END])
+    data = caller_bytes([first, second], RESUMABLE, CLOSING_REQUEST)
+    assert body_of(data) == (events(0, 4), True)
+
+
 def test_an_answer_without_a_length_is_framed_for_the_caller():
     target = ScriptedTarget([UNFRAMED_HEAD + events(0, 2), CLOSE])
     assert body_of(caller_bytes([target], RESUMABLE)) == (events(0, 2), True)
