A target's numbers of any length don't end its caller's answer

What callers saw: an event id of more than 4,300 digits raised ValueError, which closed the connection in the middle of the stream. `Keep-Alive: timeout` of '²' or of hundreds of digits raised ValueError or OverflowError after the answer, so the caller's kept connection was closed behind it.

Event ids and idle times go through the parser of headers. An id above 2^63-1 can't be resumed behind, so the event is taken for garbled, as one out of order, and another target resumes where the route lets it. An idle time that is too long is an hour; one that is no number is the default.

--- a/pistachiopath/exchange/sse.py
+++ b/pistachiopath/exchange/sse.py
@@ -4,15 +4,22 @@
 
 import attrs
 
+from ..errors.exchange import NumberTooLarge
+from ..messages.ranges import MAX_INTEGER
+from .decimal import parse_decimal
+
 EVENT_END = b'\n\n'
 MAX_EVENT_BYTES = 1024 * 1024
+NO_NUMBER = -1
+UNUSABLE_NUMBER = -2
 
 
 @attrs.define(kw_only=True, frozen=True)
 class StreamEvent:
-    """The bytes of one event and its numeric id, or -1 if it has none.
+    """The bytes of one event and its numeric id, or `NO_NUMBER` if it has none.
 
-    `has_data` is false for a comment, which callers do not see.
+    The number is `UNUSABLE_NUMBER` if it is too large.  `has_data` is false for a
+    comment, which callers do not see.
     """
 
     data: bytes
@@ -63,7 +70,15 @@
 def _event_number(event: bytes) -> int:
     for line in event.split(b'\n'):
         name, _, value = line.partition(b':')
-        value = value.strip()
-        if name == b'id' and value.isdigit():
-            return int(value)
-    return -1
+        if name == b'id':
+            number = _parse_number(value.strip())
+            if number is not None:
+                return number
+    return NO_NUMBER
+
+
+def _parse_number(text: bytes) -> int | None:
+    try:
+        return parse_decimal(text, MAX_INTEGER)
+    except NumberTooLarge:
+        return UNUSABLE_NUMBER
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -9,9 +9,10 @@
 import gevent.socket as gsocket
 import h11
 
-from ..errors.exchange import BrokenOff, ConnectFailed, Garbled
+from ..errors.exchange import BrokenOff, ConnectFailed, Garbled, NumberTooLarge
 from ..transport.network import split_address
 from .answer import AnswerHead
+from .decimal import parse_decimal
 
 if TYPE_CHECKING:
     from .request import Headers
@@ -27,6 +28,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_TIMEOUT_S = 0.3
+MAX_IDLE_TIMEOUT_S = 3600
 # Requests whose responses may still be repeated.
 MAX_REMEMBERED_IDS = 64
 
@@ -224,11 +226,21 @@
     """
     for part in head.header(b'keep-alive').split(','):
         name, _, value = part.strip().partition('=')
-        if name == 'timeout' and value.isdigit():
-            return max(MIN_IDLE_TIMEOUT_S, int(value) - IDLE_MARGIN_S)
+        if name == 'timeout':
+            return _stated_timeout_s(value)
     return DEFAULT_IDLE_TIMEOUT_S
 
 
+def _stated_timeout_s(text: str) -> float:
+    try:
+        seconds = parse_decimal(text, MAX_IDLE_TIMEOUT_S)
+    except NumberTooLarge:
+        return MAX_IDLE_TIMEOUT_S
+    if seconds is None:
+        return DEFAULT_IDLE_TIMEOUT_S
+    return max(MIN_IDLE_TIMEOUT_S, seconds - IDLE_MARGIN_S)
+
+
 def _header_value(headers: Headers, name: bytes) -> bytes:
     for key, value in headers:
         if key.lower() == name:
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -8,7 +8,12 @@
 import gevent
 
 from ..errors.exchange import BrokenOff, ConnectFailed, ExchangeFailed, Garbled
-from ..exchange.sse import MAX_EVENT_BYTES, EventSplitter
+from ..exchange.sse import (
+    MAX_EVENT_BYTES,
+    NO_NUMBER,
+    UNUSABLE_NUMBER,
+    EventSplitter,
+)
 from ..routes.repetition import Repetition
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .verdict import Verdict
@@ -194,7 +199,7 @@
         return Delivered()
 
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Write whole events up to the first one out of order.
+        """Write whole events up to the first with an id out of order or range.
 
         Raises `Garbled` for that one, behind which another target may resume.
         """
@@ -219,7 +224,9 @@
 
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
-        if event.number < 0:
+        if event.number == UNUSABLE_NUMBER:
+            raise Garbled(address=self._record.address, reason='event_id', sent=True)
+        if event.number == NO_NUMBER:
             work.has_unnumbered_events |= event.has_data
             return
         expected = None
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -54,6 +54,30 @@
     assert read_response(conn)[1] == b'second'
 
 
+KEEP_ALIVES = [
+    ('5', 4.0),
+    ('0', 0.3),
+    ('\xb2', 2.0),
+    ('x', 2.0),
+    ('-3', 2.0),
+    ('', 2.0),
+    ('9' * 400, 3600),
+    ('9' * 5000, 3600),
+]
+
+
+@pytest.mark.parametrize(('stated', 'kept_s'), KEEP_ALIVES, ids=lambda v: str(v)[:8])
+def test_any_stated_idle_time_leaves_the_response_whole(stated, kept_s):
+    # Regression: '\xb2' is a digit for str.isdigit, and int takes 4,300 digits at most.
+    extra = b'Keep-Alive: timeout=' + stated.encode('latin-1') + b'\r\n'
+    conn = connect(ScriptedTarget([response(b'1', extra=extra)]))
+    send_request(conn)
+    head, body = read_response(conn)
+    assert body == b'yes'
+    assert conn.finish(head, 10.0)
+    assert conn.idle_until == 10.0 + kept_s
+
+
 def test_a_late_response_to_another_request_is_discarded():
     target = ScriptedTarget([response(b'0', b'late') + response(b'1')])
     conn = connect(target)
--- a/tests/test_relay/test_caller_bytes.py
+++ b/tests/test_relay/test_caller_bytes.py
@@ -110,6 +110,18 @@
     assert body_of(data) == (events(0, 4), True)
 
 
+@pytest.mark.parametrize('digits', [20, 400, 5000])
+@pytest.mark.parametrize('before', [0, 2])
+def test_a_stream_with_an_id_of_any_length_is_resumed_at_another_target(before, digits):
+    # Regression: the id raised ValueError, which closed the caller's connection.
+    odd = b'id: ' + b'9' * digits + b'\ndata: odd\n\n'
+    sent = events(0, before - 1) if before else b''
+    first = ScriptedTarget([stream_head() + chunk(sent + odd)])
+    second = ScriptedTarget([stream_head() + chunk(events(before, 4)) + END])
+    data = caller_bytes([first, second], RESUMABLE, CLOSING_REQUEST)
+    assert body_of(data) == (events(0, 4), True)
+
+
 def test_an_answer_without_a_length_is_framed_for_the_caller():
     target = ScriptedTarget([UNFRAMED_HEAD + events(0, 2), CLOSE])
     assert body_of(caller_bytes([target], RESUMABLE)) == (events(0, 2), True)
