A request with a part in quarantine gets its refusal at any position

What callers saw: a closed connection without an answer, where the part in quarantine came later in other prompts than in theirs. Cause: the line in the log looked up the caller's id of the part at the position of the mark, which is the latest among all prompts (IndexError); a peer's mark can state any position.

The part is found by its key. Test: tests/test_relay/test_entry.py, positions 1, 3, 2^40 and -5; on the code before the last three get an empty answer.

--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -163,7 +163,7 @@
             extra={
                 'request': work.req.request_id,
                 'content': key.hex(),
-                'part': work.req.parts[depth - 1].part_id if depth else '',
+                'part': _part_id(work, key),
                 'crashes': len(history.runs),
                 'left_s': round(remaining_s, 3),
             },
@@ -260,5 +260,16 @@
             del self._records[lifetime]
 
 
+def _part_id(work: Work, key: bytes) -> str:
+    """Return the caller's id of a part, or an empty string for a whole request.
+
+    The same part may have another position in other requests.
+    """
+    for content, part in zip(work.shared_parts, work.req.parts, strict=False):
+        if content.key == key:
+            return part.part_id
+    return ''
+
+
 def _lifetime(record: ReplicaRecord) -> str:
     return f'{record.replica}@{record.born_ms}'
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -14,6 +14,7 @@
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
+from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.relay import entry as entry_module
 from pistachiopath.relay import request_handler
 from pistachiopath.relay.caller_request import CallerRequest
@@ -166,6 +167,25 @@
     assert target.requests == []
 
 
+@pytest.mark.parametrize('depth', [1, 3, 2**40, -5])
+def test_a_part_in_quarantine_is_refused_at_any_position(node, depth):
+    # Regression: where the part came later in other prompts, there was no answer.
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    (part,) = shared_parts('m', ['shared', 'own'])
+    marks = tuple(
+        CrashMark(
+            fingerprint=part.key, lifetime=name, age_ms=age_ms, ran_ms=10, depth=depth
+        )
+        for name, age_ms in (('r1', 900), ('r2', 500), ('r3', 100))
+    )
+    node.entry._on_message('127.0.0.1:8', 0, CrashMarks(marks=marks))
+    prompt = b'Model: m\r\nPrefix-Hash: shared:5,own:5\r\nContent-Length'
+    response = node.send_request(PAY.replace(b'Content-Length', prompt))
+    assert response.startswith(b'HTTP/1.1 503')
+    assert target.requests == []
+
+
 def test_a_stopping_entry_is_not_ready_and_closes_its_connections(node):
     target = ScriptedTarget([answer()])
     node.receive_news(records=[plain(target)])
