`Connection` can't take the host or the id away from a forwarded request

What callers saw: `Connection: Host` closed the connection without an answer (the request to the target lacked its host, h11.LocalProtocolError); `Connection: Request-Id` led to 504, as no answer could be matched. A target's answer could lose its signature the same way.

These headers belong to the request or the answer and stay. Test: tests/test_relay/test_odd_headers.py; on the code before an empty answer and 504.

--- a/pistachiopath/exchange/hop_headers.py
+++ b/pistachiopath/exchange/hop_headers.py
@@ -24,10 +24,14 @@
 )
 
 
-def end_to_end(headers: Headers) -> Headers:
+HOST = b'host'
+
+
+def end_to_end(headers: Headers, *, kept: frozenset[bytes] = frozenset()) -> Headers:
     """Return the headers that may be forwarded.
 
-    Drops those in `HOP_HEADERS` and those listed in `Connection`.
+    Drops those in `HOP_HEADERS` and those listed in `Connection`, which may name
+    neither `Host` nor any of `kept`.
     """
     named = {
         token.strip().lower()
@@ -35,5 +39,5 @@
         if name == b'connection'
         for token in value.split(b',')
     }
-    dropped = HOP_HEADERS | named
+    dropped = HOP_HEADERS | (named - kept - {HOST})
     return [(name, value) for name, value in headers if name not in dropped]
--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -23,6 +23,8 @@
 STATUS_UNAVAILABLE = 503
 SECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 MAX_LOGGED = 40
+# Headers that belong to the request or the answer, whatever `Connection` says.
+KEPT_HEADERS = frozenset({names.REQUEST_ID, names.SIGNATURE})
 # With these statuses the system itself promises that a request did not run.
 # From a replica they prove nothing without the header `names.NOT_EXECUTED`.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -66,7 +68,7 @@
         """Return the headers of the request that is sent to a replica."""
         headers = [
             (name, value)
-            for name, value in end_to_end(req.http.headers)
+            for name, value in end_to_end(req.http.headers, kept=KEPT_HEADERS)
             if name not in names.SYSTEM_HEADERS
         ]
         headers.append((names.REPLICA_EXPECTED, _header_value(replica)))
@@ -108,7 +110,7 @@
 
     def caller_headers(self, head: AnswerHead) -> Headers:
         """Return the headers of a replica's answer that are sent to the caller."""
-        return end_to_end(head.headers)
+        return end_to_end(head.headers, kept=KEPT_HEADERS)
 
     def own_headers(self, req: CallerRequest, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer that the entry itself generates."""
--- a/tests/test_relay/test_odd_headers.py
+++ b/tests/test_relay/test_odd_headers.py
@@ -51,6 +51,9 @@
     b'Prefix-Hash: a:' + DIGITS_400 + b',b:' + DIGITS_5000 + b',c:1',
     b'Prefix-Hash: ' + b':,' * 3000,
     b'Model: \xff\xfe',
+    # Regression: the request to the target lacked these headers.
+    b'Connection: Host',
+    b'Connection: keep-alive, request-id, replica-signature',
 ]
 
 
