An odd model in an engine's list is left out by itself

What was seen: a model with a version that is a number, or a name with half a surrogate pair, became part of each heartbeat, which then could not be encoded: the target lost its lease. A deeply nested list ended the greenlet that asks for it (RecursionError).

The list is decoded in a module of its own, with texts checked as those of announcements.

--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -13,14 +13,14 @@
 from ..errors.outcomes import OutcomeKind
 from ..gate.run import RunState
 from ..messages.claims import OutcomeRecord
-from ..messages.fencing import LoadedModel
 from .engine_answer import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, EngineRequests
+from .model_list import decode_model_list
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..gate.run import Run
-    from ..messages.fencing import Order
+    from ..messages.fencing import LoadedModel, Order
     from .engine_answer import EngineAnswer
 
 logger = logging.getLogger(__name__)
@@ -110,18 +110,9 @@
             response = self._pool.request(
                 'GET', f'{self._base_url}/models', timeout=1.0
             )
-            models = response.json()['models']
-            return tuple(
-                LoadedModel(
-                    model=m['model'],
-                    version=m['version'],
-                    adapters=tuple(m['adapters']),
-                    ready=m['ready'],
-                )
-                for m in models
-            )
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
+        except urllib3.exceptions.HTTPError:
             return None
+        return decode_model_list(response.data)
 
     def _run(self, run: Run) -> None:
         try:
