A stream id that no path can hold leaves a run with an outcome

What was seen: an engine's stream id with a space or a byte beyond ASCII was put into the path of the request that resumes the stream. h11 refused it, the greenlet of the run ended and the run never got an outcome; with `?` in it the offset was ignored.

Such an id is logged (`stream_id_unusable`) and the stream can't be resumed.

--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import re
 from typing import TYPE_CHECKING
 
 import gevent
@@ -13,6 +14,7 @@
 from ..errors.outcomes import OutcomeKind
 from ..gate.run import RunState
 from ..messages.claims import OutcomeRecord
+from ..util.plain_text import shortened
 from .engine_answer import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, EngineRequests
 from .model_list import decode_model_list
 
@@ -25,6 +27,8 @@
 
 logger = logging.getLogger(__name__)
 
+# A stream id that can stand in a path: printable ASCII without `#` and `?`.
+STREAM_ID = re.compile('[!"$->@-~]{1,256}')
 MAX_RESUMES = 3
 RESUME_DELAY_S = 0.2
 REFUSAL_STATUSES = (429, 503)
@@ -149,12 +153,22 @@
             answer.discard()
             self._on_refused(run, RETRY_AFTER_MS)
             return
-        stream = answer.header(b'x-stream-id')
-        if stream:
-            self._streams[run.key] = stream
-            run.resumable = True
+        self._note_stream(run, answer.header(b'x-stream-id'))
         self._read(run, answer)
 
+    def _note_stream(self, run: Run, stream: str) -> None:
+        """Remember the id under which the engine's stream can be resumed."""
+        if not stream:
+            return
+        if not STREAM_ID.fullmatch(stream):
+            logger.warning(
+                'stream_id_unusable',
+                extra={'request': run.key.hex(), 'stream': shortened(stream)},
+            )
+            return
+        self._streams[run.key] = stream
+        run.resumable = True
+
     def _request_stream(self, run: Run) -> EngineAnswer:
         path = f'/v1/streams/{self._streams[run.key]}?offset={len(run.answer)}'
         return self._requests.send('GET', path, [], b'')
--- a/tests/test_agent/test_engine_client.py
+++ b/tests/test_agent/test_engine_client.py
@@ -97,3 +97,12 @@
     assert client.refused == [b'a']
     assert client.run(b'b').answer == b'done'
     assert client.refused == [b'a']
+
+
+@pytest.mark.parametrize('stream', [b'a b', b'\xff', b'a?x=1', b's' * 1000])
+def test_a_stream_id_that_no_path_can_hold_is_not_used(stream):
+    # Regression: the request to resume raised, and the run never got an outcome.
+    head = HEAD + b'X-Stream-Id: ' + stream + b'\r\nContent-Length: 4\r\n\r\n'
+    client = Client(ScriptedTarget([head + b'do', CLOSE], [WHOLE]))
+    client.run(b'a')
+    assert client.outcomes[b'a'].kind == OutcomeKind.FAILED
