A changed settings file with odd numbers doesn't end the watch

What was seen: a settings file with a number of 5,000 digits or deeply nested raised ValueError or RecursionError out of `load`, which only `InvalidFile` is expected from: the greenlet that watches the file ended, and later changes were never seen. An empty list of ports did the same when the seeds were applied; inf and nan were accepted as times.

These are findings now, as other invalid values.

--- a/pistachiopath/configuration/toml_file.py
+++ b/pistachiopath/configuration/toml_file.py
@@ -13,6 +13,7 @@
 from cattrs.gen import make_dict_structure_fn
 
 from ..errors.settings import Finding, InvalidFile
+from ..messages.ranges import MAX_INTEGER, MIN_INTEGER
 from .value_types import CHECKS, EXAMPLES
 
 if TYPE_CHECKING:
@@ -30,9 +31,12 @@
     if not is_int_for_float and not isinstance(value, tp):
         raise ValueError(f'invalid type, expected {tp.__name__}')
     try:
-        return tp(value)
+        result = tp(value)
     except OverflowError as exc:
         raise ValueError('number out of range') from exc
+    if tp in (int, float) and not MIN_INTEGER <= result <= MAX_INTEGER:
+        raise ValueError('number out of range')
+    return result
 
 
 def make_converter() -> cattrs.Converter:
@@ -127,7 +131,7 @@
     try:
         with path.open('rb') as file:
             return tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         finding = Finding(
             file=path.name,
             key='file',
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -5,7 +5,15 @@
 import attrs
 
 from ..admission.retry_budget import RetryBudgetLimits
-from ..configuration.value_types import Address, OptionalAddress
+from ..configuration.value_types import MAX_PORT, Address, OptionalAddress
+
+# Each kind of program has the first port or one of those after it.
+PROGRAM_PORTS = 3
+
+
+def _check_ports(_settings: object, _field: object, value: tuple[int, ...]) -> None:
+    if not value or not 0 < value[0] <= MAX_PORT - PROGRAM_PORTS + 1:
+        raise ValueError(f'ports must begin with 1 to {MAX_PORT - PROGRAM_PORTS + 1}')
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -23,7 +31,7 @@
     role: str
     zone: str
     ip: str
-    ports: tuple[int, ...]
+    ports: tuple[int, ...] = attrs.field(validator=_check_ports)
     seeds: tuple[Address, ...] = ()
     callers: OptionalAddress = OptionalAddress('')
     readiness: OptionalAddress = OptionalAddress('')
