--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -8,7 +8,12 @@
 import gevent
 
 from ..errors.exchange import BrokenOff, ConnectFailed, ExchangeFailed, Garbled
-from ..exchange.sse import MAX_EVENT_BYTES, EventSplitter
+from ..exchange.sse import (
+    MAX_EVENT_BYTES,
+    NO_NUMBER,
+    UNUSABLE_NUMBER,
+    EventSplitter,
+)
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .verdict import Verdict
 
@@ -212,9 +217,20 @@
         return Delivered()
 
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Write whole events; raises `Garbled` if they are out of order."""
-        for event in events:
-            self._check_order(event)
+        """Write whole events up to the first with an id out of order or range.
+
+        Raises `Garbled` for that one, behind which another target may resume.
+        """
+        valid: list[StreamEvent] = []
+        try:
+            for event in events:
+                self._check_order(event)
+                valid.append(event)
+        finally:
+            if valid or not events:
+                self._write_events(head, valid)
+
+    def _write_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         data = b''.join(event.data for event in events)
         self._record_progress()
         if self._conn.has_begun:
@@ -226,7 +242,9 @@
 
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
-        if event.number < 0:
+        if event.number == UNUSABLE_NUMBER:
+            raise Garbled(address=self._record.address, reason='event_id', sent=True)
+        if event.number == NO_NUMBER:
             work.has_unnumbered_events |= event.has_data
             return
         expected = None
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -3,13 +3,18 @@
 import errno
 import os
 
+import gevent
+import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.platform.control_program import ControlProgram
+from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
+from pistachiopath.platform.decoded_accounts import DecodedAccounts
 from pistachiopath.platform.settings import PlatformSettings
 from pistachiopath.telemetry.metrics import Metrics
 from tools.free_address import free_address
 
+from .test_configuration import VALID, encode
+
 
 @pytest.fixture
 def read_only(monkeypatch):
@@ -22,17 +27,74 @@
         monkeypatch.setattr(os, name, refuse)
 
 
-def test_a_control_node_without_a_data_folder_needs_no_disk(read_only):
-    # Regression: it used a temporary folder, which does not sync, and ended at once.
+def control_program(**settings):
+    fields = {'control': free_address(), 'ports': (7600, 7615)}
     cfg = PlatformSettings(
-        name='n',
-        role='control',
-        zone='a',
-        ip='127.0.0.1',
-        ports=(7600, 7615),
-        control=free_address(),
+        name='n', role='control', zone='a', ip='127.0.0.1', **fields | settings
     )
-    program = ControlProgram(cfg, Metrics())
-    core = program._shell.core
+    return ControlProgram(cfg, Metrics())
+
+
+def test_a_control_node_without_a_data_folder_needs_no_disk(read_only):
+    # Regression: it used a temporary folder, which does not sync, and ended at once.
+    core = control_program()._shell.core
     assert core.version == 0
     assert not core.group.replica.members
+
+
+def test_a_committed_document_that_cannot_be_decoded_is_published_all_the_same():
+    # Regression: its accounts were decoded in the timer, which ended.
+    shell = control_program()._shell
+    shell.core.version = 5
+    shell.core.content = encode(VALID).replace(b'5000', b'1' * 400)
+    shell._publish_committed(1.0)
+    assert shell.announcer.version == 5
+
+
+def test_accounts_are_kept_when_the_next_document_cannot_be_decoded():
+    accounts = DecodedAccounts()
+    assert accounts.read(b'{') == ()
+    known = accounts.read(encode(VALID))
+    assert [account.name for account in known] == ['t', 'u']
+    assert accounts.read(b'{') == known
+
+
+def put_configuration(address, content):
+    """Return the status of a PUT; repeat it while the node has no leader."""
+    host, port = address.split(':')
+    head = (
+        b'PUT /pistachiopath/config HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
+    )
+    for _ in range(20):
+        with gsocket.create_connection((host, int(port)), 5.0) as conn:
+            conn.sendall(head % len(content) + content)
+            status = int(conn.recv(100).split()[1])
+        if status != 503:
+            return status
+        gevent.sleep(0.1)
+    return 503
+
+
+def test_the_largest_configuration_leaves_the_node_able_to_take_the_next(tmp_path):
+    # Regression: its record did not fit into a frame, which ended the replica's loop.
+    node = free_address()
+    port = int(node.split(':')[1])
+    address = free_address()
+    program = control_program(
+        control=address,
+        data_folder=str(tmp_path),
+        seeds=(node,),
+        ports=(port, port + 15),
+        is_first_start=True,
+        tolerated_losses=0,
+    )
+    program.start()
+    try:
+        size = HTTP_LIMITS.max_body_bytes
+        largest = encode(VALID).ljust(size)
+        assert put_configuration(address, largest) == 200
+        assert put_configuration(address, largest + b' ') == 413
+        assert put_configuration(address, encode(VALID | {'version': 8})) == 200
+        assert program._shell.core.version == 8
+    finally:
+        program.stop()
