A message that can't be handled takes neither its link nor the reader with it

What callers saw: nothing by itself; a node that took no part any more while it still answered. What isn't a PistachiopathError ended Link.read without closing the link, so the peer went on sending to a process that did not read; an OSError or a typed error of a handler closed the link, and with it everything else that was queued (at a gate: all requests of that entry).

Cause: one except clause for the transport and for the handlers behind it.

Now: whatever ends the reader or the writer closes the link and is logged; an error in the handling of one message is logged and counted (loop_failures_total, event loop_failed, the same error once in 10 s) and the reader goes on. Reading on was chosen before closing: the protocols resend what is lost, and a message that is sent again and again would close the link each time, with all that is sent beside it. A message above the size of a frame is dropped by itself; FrameTooLarge had ended the writer. A dial that fails unexpectedly (an address without a number as port) counts as failed: it left messages queued for a dial that never ended.

--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -19,6 +19,7 @@
 from ..telemetry.traces import child, context_of
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 from .core import AgentCore
 from .engine_client import EngineClient
 from .events import EventCounter
@@ -50,6 +51,7 @@
     ) -> None:
         self._cfg = cfg
         self.metrics = Metrics()
+        self.failures = LoopFailures(metrics=self.metrics)
         self._tracer = tracer
         self._spans: dict[bytes, Span] = {}
         self._rates = RateLearner()
@@ -72,6 +74,7 @@
             ),
             on_message=self._on_message,
             on_lost=lambda peer: self.core.link_lost(peer, time.monotonic()),
+            failures=self.failures,
         )
         self._engine = EngineClient(
             address=cfg.engine,
--- a/pistachiopath/control/shell.py
+++ b/pistachiopath/control/shell.py
@@ -5,8 +5,10 @@
 import time
 from typing import TYPE_CHECKING
 
+from ..telemetry.metrics import Metrics
 from ..transport.handshake import ROLE_NODE, ROLE_OPERATOR, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 from .core import ControlCore
 from .replica_loop import ReplicaLoop
 
@@ -24,6 +26,8 @@
         self, *, cfg: ControlSettings, folder: DataFolder, rng: random.Random
     ) -> None:
         self._address = cfg.address
+        # This program serves no metrics; failures are only logged.
+        self.failures = LoopFailures(metrics=Metrics())
         self.network = Network(
             identity=Identity(
                 name=cfg.address,
@@ -35,6 +39,7 @@
             ),
             on_message=lambda sender, call, body: self._loop.post(sender, call, body),
             on_lost=lambda peer: None,
+            failures=self.failures,
         )
         self.core = ControlCore(
             address=cfg.address,
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -39,6 +39,7 @@
     from ..storage.memory_folder import MemoryFolder
     from ..storage.no_record_file import NoRecordFile
     from ..storage.record_file import RecordFile
+    from ..util.loop_failures import LoopFailures
     from .settings import DocumentSettings
 
 logger = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
         customers: Callable[[bytes], tuple[CustomerAccount, ...]],
         rng: random.Random,
         secret: bytes,
+        failures: LoopFailures,
     ) -> None:
         now = time.monotonic()
         self._cfg = cfg
@@ -82,6 +84,7 @@
             on_message=self._on_message,
             on_lost=self._on_link_lost,
             silence_s=LINK_SILENCE_S,
+            failures=failures,
         )
         self.core, folder = self._open()
         self._loop = ReplicaLoop(
--- a/pistachiopath/entry/shell.py
+++ b/pistachiopath/entry/shell.py
@@ -21,6 +21,7 @@
 from ..telemetry.traces import child, context_of, traceparent_of
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 from .core import CallerEffect, ConfigurationInForce, EntryCore
 from .requests import ParsedRequest
 
@@ -58,6 +59,7 @@
     ) -> None:
         self.rules: Rules | None = None
         self.metrics = Metrics()
+        self.failures = LoopFailures(metrics=self.metrics)
         self.draining = False
         self._tracer = tracer
         self._calls: dict[int, Call] = {}
@@ -76,6 +78,7 @@
             ),
             on_message=self._on_message,
             on_lost=self._on_lost,
+            failures=self.failures,
         )
 
     def render_metrics(self) -> str:
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -12,6 +12,7 @@
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 from .gate import GrantGate
 from .gate_log import GateLog
 
@@ -42,6 +43,7 @@
                 self.gate.entry_lost(peer, time.monotonic())
             ),
             silence_s=LINK_SILENCE_S,
+            failures=LoopFailures(metrics=metrics),
         )
 
     def start(self) -> None:
--- a/pistachiopath/operator/client.py
+++ b/pistachiopath/operator/client.py
@@ -15,8 +15,10 @@
 from ..messages.configuration import Accept, ConfigurationRequest
 from ..messages.status import Status, StatusRequest
 from ..replication.leader_client import LeaderClient
+from ..telemetry.metrics import Metrics
 from ..transport.handshake import ROLE_OPERATOR, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 
 if TYPE_CHECKING:
     from ..messages.base import Message
@@ -45,6 +47,7 @@
             ),
             on_message=self._on_message,
             on_lost=lambda peer: None,
+            failures=LoopFailures(metrics=Metrics()),
         )
         self._leader = LeaderClient(addresses=cfg.controls, rng=self._rng)
         self._replies: dict[int, gevent.event.AsyncResult] = {}
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -18,6 +18,7 @@
 from ..storage.memory_folder import MemoryFolder
 from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
+from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_FAILED
 from .configuration import decode_configuration
 from .control_api import ControlApi
@@ -62,6 +63,7 @@
                 ),
                 rng=random.Random(os.urandom(8)),
                 secret=LINK_SECRET,
+                failures=LoopFailures(metrics=metrics),
             )
         except (StorageFailed, CorruptFile) as exc:
             logger.critical('data_folder_unusable', extra={'error': repr(exc)})
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -23,6 +23,7 @@
 from ..routing.placement import Placement
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.loop_failures import LoopFailures
 from .admitter import Admitter
 from .crashes import Crashes
 from .departure import LEAVE_ROTATION_S, Departure
@@ -90,6 +91,7 @@
             on_message=self._on_message,
             on_lost=self._on_lost,
             silence_s=LINK_SILENCE_S,
+            failures=LoopFailures(metrics=metrics),
         )
         self._gates = GateLink(
             own_address=cfg.node_address,
--- a/pistachiopath/transport/link.py
+++ b/pistachiopath/transport/link.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -10,14 +12,19 @@
 import gevent.queue
 
 from ..errors.base import PistachiopathError
+from ..errors.transport import FrameTooLarge, LinkClosed
 from .codec import decode
+from .frames import MAX_FRAME_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..messages.envelope import Envelope
+    from ..util.loop_failures import LoopFailures
     from .frames import FrameSocket
 
+logger = logging.getLogger(__name__)
+
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 MAX_BATCH_FRAMES = 64
 SILENCE_S = 5.0
@@ -30,6 +37,12 @@
     more than `silence_s` ago, so that an unnoticed network partition does not
     lose messages for longer.  It also closes the link if more than
     `MAX_QUEUED_BYTES` are queued.
+
+    The link is closed whatever ends one of its greenlets, so that neither side
+    goes on sending to one that no longer reads.  A message whose handling fails
+    does not end the reader: the protocols above resend lost messages, but if the
+    link closed, one message that is sent again and again would take all others
+    with it.
     """
 
     def __init__(
@@ -41,6 +54,7 @@
         on_envelope: Callable[[Link, Envelope], None],
         on_closed: Callable[[Link], None],
         on_received: Callable[[int], None],
+        failures: LoopFailures,
         silence_s: float = SILENCE_S,
     ) -> None:
         self._silence_s = silence_s
@@ -51,6 +65,7 @@
         self._on_envelope = on_envelope
         self._on_closed = on_closed
         self._on_received = on_received
+        self._failures = failures
         self._queue: gevent.queue.Queue = gevent.queue.Queue()
         self._queued_bytes = 0
         self._unanswered_since: float | None = None
@@ -58,9 +73,16 @@
         self._writer = gevent.spawn(self._write)
 
     def send(self, payload: bytes) -> None:
-        """Queue an encoded envelope; a closed or closing link drops it."""
+        """Queue an encoded envelope; a closed or closing link drops it.
+
+        One that is larger than a frame may be is logged and dropped.
+        """
         if self._closed:
             return
+        if len(payload) > MAX_FRAME_BYTES:
+            exc = FrameTooLarge(size=len(payload), limit=MAX_FRAME_BYTES)
+            self._failures.record('link', 'send', exc)
+            return
         now = time.monotonic()
         if self._unanswered_since is None:
             self._unanswered_since = now
@@ -74,12 +96,16 @@
     def read(self) -> None:
         """Read envelopes until the link fails, in the calling greenlet."""
         try:
-            while True:
-                payload = self._frames.read()
-                self._unanswered_since = None
-                self._on_received(len(payload))
-                self._on_envelope(self, decode(payload))
-        except (OSError, PistachiopathError):
+            with contextlib.suppress(OSError, LinkClosed):
+                while True:
+                    self._handle(self._frames.read())
+        except PistachiopathError as exc:
+            logger.warning(
+                'link_unreadable', extra={'peer': self.peer, 'error': repr(exc)}
+            )
+        except Exception as exc:
+            self._failures.record('link', 'read', exc)
+        finally:
             self.close()
 
     def drain(self, timeout_s: float) -> None:
@@ -99,7 +125,26 @@
         self._frames.close()
         self._on_closed(self)
 
+    def _handle(self, payload: bytes) -> None:
+        self._unanswered_since = None
+        self._on_received(len(payload))
+        envelope = decode(payload)
+        try:
+            self._on_envelope(self, envelope)
+        except Exception as exc:
+            self._failures.record('message', type(envelope.body).__name__, exc)
+
     def _write(self) -> None:
+        try:
+            with contextlib.suppress(OSError):
+                self._write_batches()
+        except Exception as exc:
+            self._failures.record('link', 'write', exc)
+        finally:
+            self.close()
+
+    def _write_batches(self) -> None:
+        """Write what is queued until the link is closed; raises `OSError`."""
         while True:
             payload = self._queue.get()
             if payload is None:
@@ -110,11 +155,7 @@
                 if next_payload is None:
                     return
                 batch.append(next_payload)
-            try:
-                self._frames.write(batch)
-            except OSError:
-                self.close()
-                return
+            self._frames.write(batch)
             size = sum(len(part) for part in batch)
             self._queued_bytes -= size
             self.bytes_sent += size
--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable
 
     from ..messages.base import Message
+    from ..util.loop_failures import LoopFailures
 
 logger = logging.getLogger(__name__)
 
@@ -55,12 +56,14 @@
         identity: Identity,
         on_message: Callable[[str, int, Message], None],
         on_lost: Callable[[str], None],
+        failures: LoopFailures,
         silence_s: float = SILENCE_S,
     ) -> None:
         self._identity = identity
         self._silence_s = silence_s
         self._on_message = on_message
         self._on_lost = on_lost
+        self._failures = failures
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, list[bytes]] = {}
         self._failed_at: dict[str, float] = {}
@@ -81,7 +84,7 @@
         A message to this process itself is delivered without a link.
         """
         if to == self._identity.name:
-            gevent.spawn(self._on_message, to, call, body)
+            gevent.spawn(self._deliver_here, call, body)
             return
         payload = encode(Envelope(call=call, body=body))
         self.sent_bytes += len(payload)
@@ -114,20 +117,22 @@
         self._dialling[to] = [payload]
         gevent.spawn(self._dial, to)
 
+    def _deliver_here(self, call: int, body: Message) -> None:
+        try:
+            self._on_message(self._identity.name, call, body)
+        except Exception as exc:
+            self._failures.record('message', type(body).__name__, exc)
+
     def _dial(self, to: str) -> None:
         try:
-            sock = gsocket.create_connection(split_address(to), DIAL_TIMEOUT_S)
-            frames = FrameSocket(sock=_configured(sock), peer=to)
-            with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
-                dial(frames, self._identity, to)
+            frames = self._connect(to)
         except (OSError, PistachiopathError) as exc:
-            if to not in self._failed_at:
-                logger.warning(
-                    'link_failed', extra={'peer': to, 'error': type(exc).__name__}
-                )
-            self._dialling.pop(to, None)
-            self._failed_at[to] = time.monotonic()
-            self._on_lost(to)
+            self._record_failed_dial(to, exc)
+            return
+        except Exception as exc:
+            # Without this, messages would be queued for a dial that never ends.
+            self._failures.record('link', 'dial', exc)
+            self._record_failed_dial(to, exc)
             return
         self._failed_at.pop(to, None)
         link = self._add_link(to, ROLE_NODE, frames)
@@ -135,6 +140,27 @@
             link.send(payload)
         link.read()
 
+    def _connect(self, to: str) -> FrameSocket:
+        """Return an authenticated connection; raises `OSError` or a typed error."""
+        sock = gsocket.create_connection(split_address(to), DIAL_TIMEOUT_S)
+        frames = FrameSocket(sock=_configured(sock), peer=to)
+        try:
+            with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
+                dial(frames, self._identity, to)
+        except BaseException:
+            frames.close()
+            raise
+        return frames
+
+    def _record_failed_dial(self, to: str, exc: Exception) -> None:
+        if to not in self._failed_at:
+            logger.warning(
+                'link_failed', extra={'peer': to, 'error': type(exc).__name__}
+            )
+        self._dialling.pop(to, None)
+        self._failed_at[to] = time.monotonic()
+        self._report_lost(to)
+
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         frames = FrameSocket(sock=_configured(sock), peer='')
         try:
@@ -144,6 +170,10 @@
             logger.warning('link_refused', extra={'error': type(exc).__name__})
             frames.close()
             return
+        except Exception as exc:
+            self._failures.record('link', 'accept', exc)
+            frames.close()
+            return
         self._add_link(hello.name, hello.role, frames).read()
 
     def _add_link(self, peer: str, role: str, frames: FrameSocket) -> Link:
@@ -154,6 +184,7 @@
             on_envelope=self._on_envelope,
             on_closed=self._on_closed,
             on_received=self._count_received,
+            failures=self._failures,
             silence_s=self._silence_s,
         )
         self._links[peer] = link
@@ -177,7 +208,14 @@
     def _on_closed(self, link: Link) -> None:
         if self._links.get(link.peer) is link:
             del self._links[link.peer]
-            self._on_lost(link.peer)
+            self._report_lost(link.peer)
+
+    def _report_lost(self, peer: str) -> None:
+        """Report a lost link; an error does not reach what closed the link."""
+        try:
+            self._on_lost(peer)
+        except Exception as exc:
+            self._failures.record('link', 'lost', exc)
 
 
 def _configured(sock: gsocket.socket) -> gsocket.socket:
--- /dev/null
+++ b/tests/test_transport/test_link.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+import gevent
+import gevent.event
+import pytest
+
+from pistachiopath.errors.transport import LinkClosed, MalformedFrame
+from pistachiopath.messages.document import PutReply, ReadDocument
+from pistachiopath.messages.envelope import Envelope
+from pistachiopath.telemetry.metrics import Metrics
+from pistachiopath.transport.codec import encode
+from pistachiopath.transport.frames import MAX_FRAME_BYTES, pack
+from pistachiopath.transport.link import Link
+from pistachiopath.util.loop_failures import LoopFailures
+
+READ = encode(Envelope(call=1, body=ReadDocument()))
+REPLY = encode(Envelope(call=2, body=PutReply(version=3)))
+
+
+class ScriptedFrames:
+    """Frames whose reads and writes give or raise what a test says."""
+
+    def __init__(self, *, reads=(), writes=()):
+        self._reads = list(reads)
+        self._writes = list(writes)
+        self.written = []
+        self.closed = gevent.event.Event()
+
+    def read(self):
+        if not self._reads:
+            self.closed.wait()
+            raise LinkClosed(peer='p')
+        return self._next(self._reads)
+
+    def write(self, payloads):
+        if self._writes:
+            self._next(self._writes)
+        for payload in payloads:
+            pack(payload)
+        self.written += payloads
+
+    def close(self):
+        self.closed.set()
+
+    @staticmethod
+    def _next(script):
+        item = script.pop(0)
+        if isinstance(item, BaseException):
+            raise item
+        return item
+
+
+class LinkUnderTest:
+    """A link on scripted frames and what it has reported."""
+
+    def __init__(self, *, handle=lambda body: None, **script):
+        self.frames = ScriptedFrames(**script)
+        self.received = []
+        self.closed = 0
+        self.metrics = Metrics()
+        self._handle = handle
+        self.link = Link(
+            peer='p',
+            role='node',
+            frames=self.frames,
+            on_envelope=self._on_envelope,
+            on_closed=self._on_closed,
+            on_received=lambda size: None,
+            failures=LoopFailures(metrics=self.metrics),
+        )
+
+    def _on_envelope(self, _link, envelope):
+        self.received.append(envelope.call)
+        self._handle(envelope.body)
+
+    def _on_closed(self, _link):
+        self.closed += 1
+
+    def failures(self, **labels):
+        text = ','.join(f'{key}="{value}"' for key, value in labels.items())
+        return f'loop_failures_total{{{text}}}' in self.metrics.render()
+
+
+@pytest.mark.parametrize('exc', [RuntimeError(), OSError(), MalformedFrame(reason='')])
+def test_a_message_that_cannot_be_handled_ends_neither_reader_nor_link(exc):
+    def handle(body):
+        if isinstance(body, ReadDocument):
+            raise exc
+
+    test = LinkUnderTest(handle=handle, reads=[READ, REPLY])
+    reader = gevent.spawn(test.link.read)
+    gevent.sleep(0.01)
+    assert test.received == [1, 2]
+    assert not test.closed
+    assert test.failures(loop='message', part='ReadDocument')
+    test.link.close()
+    reader.get(timeout=5)
+
+
+def test_a_reader_that_ends_with_an_unexpected_error_closes_its_link():
+    test = LinkUnderTest(reads=[RuntimeError()])
+    test.link.read()
+    assert test.frames.closed.is_set()
+    assert test.closed == 1
+    assert test.failures(loop='link', part='read')
+
+
+def test_a_reader_that_is_killed_closes_its_link():
+    test = LinkUnderTest()
+    reader = gevent.spawn(test.link.read)
+    gevent.sleep(0)
+    reader.kill()
+    assert test.closed == 1
+
+
+def test_bytes_that_are_no_message_close_the_link_with_a_log_line(caplog):
+    test = LinkUnderTest(reads=[b'garbage'])
+    test.link.read()
+    assert test.closed == 1
+    assert [r.getMessage() for r in caplog.records] == ['link_unreadable']
+
+
+def test_the_end_of_a_connection_closes_the_link_without_a_log_line(caplog):
+    for exc in (LinkClosed(peer='p'), ConnectionResetError()):
+        test = LinkUnderTest(reads=[exc])
+        test.link.read()
+        assert test.closed == 1
+    assert caplog.records == []
+
+
+def test_a_writer_that_ends_with_an_unexpected_error_closes_its_link():
+    test = LinkUnderTest(writes=[RuntimeError()])
+    test.link.send(READ)
+    gevent.sleep(0.01)
+    assert test.closed == 1
+    assert test.failures(loop='link', part='write')
+
+
+def test_a_message_larger_than_a_frame_does_not_end_the_writer():
+    test = LinkUnderTest()
+    test.link.send(b'x' * (MAX_FRAME_BYTES + 1))
+    test.link.send(REPLY)
+    gevent.sleep(0.01)
+    assert test.frames.written == [REPLY]
+    assert not test.closed
+    assert test.failures(loop='link', part='send')
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -20,8 +20,10 @@
 from pistachiopath.messages.claims import Bind, Finish, FinishItem, OutcomeRecord
 from pistachiopath.messages.membership import Register
 from pistachiopath.replication.leader_client import LeaderClient
+from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.transport.handshake import ROLE_NODE, Identity
 from pistachiopath.transport.network import Network
+from pistachiopath.util.loop_failures import LoopFailures
 from tools.cluster import SECRET, Cluster
 from tools.probe import cpu_s, rss_mb
 
@@ -38,6 +40,7 @@
             ),
             on_message=self._on_message,
             on_lost=lambda peer: None,
+            failures=LoopFailures(metrics=Metrics()),
         )
         self._leader = LeaderClient(addresses=tuple(controls), rng=random.Random(1))
         self._answers = {}
