The timers of a control node go on after an error

Cause: one exception in DocumentShell._tick_forever ended its only greenlet, for example an announcement with the sequence 2^70, which RecordFile.save can't encode.

Now: PeriodicLoop runs the parts of the step one by one. A part that raises is logged and counted, the parts after it still run, and it runs again in the next step. What is no ordinary exception (a gevent.Timeout that a part left running) ends the process with 1, since the loop would be gone; GreenletExit ends the loop alone. Customers are adopted in a part of their own, once a version, so that a document whose accounts can't be read is published all the same; leases, reports to lenders and crash marks don't hold each other up.

--- a/pistachiopath/document/lending.py
+++ b/pistachiopath/document/lending.py
@@ -56,6 +56,10 @@
 
     def tick(self, now: float) -> list[Send]:
         """Send the leases, lender reports and crash marks that are due."""
+        return self.send_leases(now) + self.report(now) + self.resend_marks(now)
+
+    def send_leases(self, now: float) -> list[Send]:
+        """Send live entries the leases that are due."""
         effects: list[Send] = []
         live_entries = self._lender.live_entries(now)
         for entry in live_entries:
@@ -63,17 +67,32 @@
                 effects.append(self._leases(entry, now))
         for entry in [e for e in self._last_leases if e not in live_entries]:
             del self._last_leases[entry]
-        if now >= self._report_at:
-            self._report_at = now + LENDER_REPORT_INTERVAL_S
-            effects += [
-                Send(to=name, call=0, body=self._lender.report(name, now))
-                for name in self._controls()
-            ]
-        if now >= self._crash_resend_at:
-            self._crash_resend_at = now + CRASH_RESEND_INTERVAL_S
-            effects += self._resend_crash_marks(now)
         return effects
 
+    def report(self, now: float) -> list[Send]:
+        """Report to the other lenders if that is due."""
+        if now < self._report_at:
+            return []
+        self._report_at = now + LENDER_REPORT_INTERVAL_S
+        return [
+            Send(to=name, call=0, body=self._lender.report(name, now))
+            for name in self._controls()
+        ]
+
+    def resend_marks(self, now: float) -> list[Send]:
+        """Resend crash marks to the other control nodes if that is due.
+
+        They may have missed some.
+        """
+        if now < self._crash_resend_at:
+            return []
+        self._crash_resend_at = now + CRASH_RESEND_INTERVAL_S
+        self._crashes.prune(now)
+        if not self._crashes.has_marks:
+            return []
+        marks = self._crashes.marks(now)
+        return [Send(to=c, call=0, body=marks) for c in self._controls()]
+
     def on_use_report(self, sender: str, body: UseReport, now: float) -> list[Send]:
         """Handle a use report from an entry or from another control node.
 
@@ -130,11 +149,3 @@
             sent_at=now, has_leases=bool(body.leases)
         )
         return Send(to=entry, call=0, body=body)
-
-    def _resend_crash_marks(self, now: float) -> list[Send]:
-        """Resend crash marks to other control nodes, which may have missed some."""
-        self._crashes.prune(now)
-        if not self._crashes.has_marks:
-            return []
-        marks = self._crashes.marks(now)
-        return [Send(to=c, call=0, body=marks) for c in self._controls()]
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -23,6 +23,8 @@
 from ..replication.group import Group
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.loop_part import LoopPart
+from ..util.periodic_loop import PeriodicLoop
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
@@ -118,6 +120,24 @@
         self._peers.set_seeds(cfg.seeds, now)
         self._client = DocumentClient(leader=lambda: self.core.leader)
         self._results: dict[int, gevent.event.AsyncResult] = {}
+        self._adopted_version = 0
+        self._timers = PeriodicLoop(
+            name='control_timers',
+            interval_s=TICK_INTERVAL_S,
+            parts=[
+                LoopPart(name='peers', run=self._follow_peers),
+                LoopPart(name='calls', run=self._resend_calls),
+                LoopPart(name='customers', run=self._adopt_customers),
+                LoopPart(name='publish', run=self._publish_committed),
+                LoopPart(name='prune', run=self.announcer.prune),
+                LoopPart(name='entries', run=self._count_entries),
+                LoopPart(name='leases', run=self._send_leases),
+                LoopPart(name='reports', run=self._report_to_lenders),
+                LoopPart(name='marks', run=self._resend_marks),
+                LoopPart(name='replicas', run=self._save_replicas),
+            ],
+            failures=failures,
+        )
 
     def _open(self) -> tuple[DocumentCore, DataFolder | MemoryFolder]:
         """Open the folder and return a core with its state.
@@ -144,11 +164,12 @@
         """Listen for links and start the replica and the timers."""
         self._network.listen(self._cfg.node_address)
         self._loop.start()
-        gevent.spawn(self._tick_forever)
+        self._timers.start()
 
     def stop(self) -> None:
         """Close the links after a short drain and stop the replica."""
         self._network.close(drain_s=0.1)
+        self._timers.stop()
         self._loop.stop()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -276,24 +297,39 @@
         if result is not None:
             result.set(body)
 
-    def _tick_forever(self) -> None:
-        while True:
-            now = time.monotonic()
-            self._carry_out(self._peers.tick(now))
-            self._carry_out(self._client.due(now))
-            self._publish_committed(now)
-            self.announcer.prune(now)
-            self._lender.set_known_entries(self.announcer.entries(now))
-            self._carry_out(self._lending.tick(now))
-            self._save_replicas(now)
-            gevent.sleep(TICK_INTERVAL_S)
+    def _follow_peers(self, now: float) -> None:
+        self._carry_out(self._peers.tick(now))
 
-    def _publish_committed(self, now: float) -> None:
+    def _resend_calls(self, now: float) -> None:
+        self._carry_out(self._client.due(now))
+
+    def _adopt_customers(self, now: float) -> None:
+        """Lend by a committed document's accounts.
+
+        A document whose accounts can't be read is tried once: it stays the same.
+        """
         core = self.core
-        if core.version <= self.announcer.version:
+        if core.version <= self._adopted_version:
             return
+        self._adopted_version = core.version
         self._lender.adopt(self._customers(core.content), now)
-        self._carry_out(self.announcer.publish(core.version, core.content, now))
+
+    def _publish_committed(self, now: float) -> None:
+        core = self.core
+        if core.version > self.announcer.version:
+            self._carry_out(self.announcer.publish(core.version, core.content, now))
+
+    def _count_entries(self, now: float) -> None:
+        self._lender.set_known_entries(self.announcer.entries(now))
+
+    def _send_leases(self, now: float) -> None:
+        self._carry_out(self._lending.send_leases(now))
+
+    def _report_to_lenders(self, now: float) -> None:
+        self._carry_out(self._lending.report(now))
+
+    def _resend_marks(self, now: float) -> None:
+        self._carry_out(self._lending.resend_marks(now))
 
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
