The timers of an entry go on after an error

What callers saw: an entry that served on with what it held, followed no control node, reported no use and watched no gate any more.

Cause: one exception in RelayEntry._run_timers ended its only greenlet.

The gates in the entry and the watches on the others are parts of their own.

--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -24,6 +24,8 @@
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from ..util.loop_failures import LoopFailures
+from ..util.loop_part import LoopPart
+from ..util.periodic_loop import PeriodicLoop
 from .admitter import Admitter
 from .crashes import Crashes
 from .departure import LEAVE_ROTATION_S, Departure
@@ -83,6 +85,7 @@
         self._subscriber = Subscriber(is_entry=True, own_address=cfg.node_address)
         self._subscriber.set_seeds(cfg.seeds, time.monotonic())
         started_ms = int(time.time() * 1000)
+        failures = LoopFailures(metrics=metrics)
         self._allowance = LeasedAllowance(started_ms=started_ms)
         self._network = Network(
             identity=Identity(
@@ -91,7 +94,7 @@
             on_message=self._on_message,
             on_lost=self._on_lost,
             silence_s=LINK_SILENCE_S,
-            failures=LoopFailures(metrics=metrics),
+            failures=failures,
         )
         self._gates = GateLink(
             own_address=cfg.node_address,
@@ -169,6 +172,12 @@
             limits=ExchangeLimits,
             name='readiness',
         )
+        self._timers = PeriodicLoop(
+            name='entry_timers',
+            interval_s=TICK_S,
+            parts=[*self._tick_parts(), *self._prune_parts()],
+            failures=failures,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -182,7 +191,7 @@
         self._network.listen(self._cfg.node_address)
         self._readiness.start()
         self._server.start()
-        gevent.spawn(self._run_timers)
+        self._timers.start()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Also follow the control nodes at these addresses."""
@@ -204,33 +213,47 @@
 
     # Other nodes
 
-    def _run_timers(self) -> None:
-        prune_at = 0.0
-        while True:
-            now = time.monotonic()
-            self._apply_effects(self._subscriber.tick(now))
-            routes = self._routes.current
-            if routes is not None:
-                gates = self._targets.gates(routes)
-                self._apply_effects(self._gates.tick(gates, now))
-            self._lender.tick(now)
-            self._crashes.tick(now)
-            if now >= prune_at:
-                prune_at = now + PRUNE_INTERVAL_S
-                self._prune(now)
-            gevent.sleep(TICK_S)
+    def _tick_parts(self) -> list[LoopPart]:
+        return [
+            LoopPart(name='controls', run=self._follow_controls),
+            LoopPart(name='gates', run=self._watch_gates),
+            LoopPart(name='own_gates', run=self._gates.tick_own_gates),
+            LoopPart(name='lender', run=self._lender.tick),
+            LoopPart(name='crashes', run=self._crashes.tick),
+        ]
+
+    def _prune_parts(self) -> list[LoopPart]:
+        run_by_name = {
+            'metrics': self._set_metrics,
+            'pool': self._pool.prune,
+            'placement': self._prune_placement,
+            'notices': self._notices.prune,
+            'directory': self._subscriber.directory.prune,
+        }
+        return [
+            LoopPart(name=name, run=run, interval_s=PRUNE_INTERVAL_S)
+            for name, run in run_by_name.items()
+        ]
 
-    def _prune(self, now: float) -> None:
+    def _follow_controls(self, now: float) -> None:
+        self._apply_effects(self._subscriber.tick(now))
+
+    def _watch_gates(self, now: float) -> None:
+        routes = self._routes.current
+        if routes is not None:
+            gates = self._targets.gates(routes)
+            self._apply_effects(self._gates.watch(gates, now))
+
+    def _set_metrics(self, now: float) -> None:
         self._metrics.set('connections', self._server.connections)
         self._metrics.set('connections_opened_total', self._pool.opened)
         self._metrics.set('in_flight', self._handler.in_flight)
         self._metrics.set('replicas_ready', len(self._targets.ready()))
         self._metrics.set('controls_live', self._subscriber.live_controls(now))
-        self._pool.prune(now)
+
+    def _prune_placement(self, _now: float) -> None:
         ready = {r.replica for r in self._targets.ready()}
         self._placement.keep_only(ready)
-        self._notices.prune(now)
-        self._subscriber.directory.prune(now)
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         now = time.monotonic()
--- a/pistachiopath/relay/gate_link.py
+++ b/pistachiopath/relay/gate_link.py
@@ -36,9 +36,12 @@
         self.loads = LoadWatch(own_address=own_address)
         self.places = Places(send=self._send_to_gate, on_silent=self.loads.mark_lost)
 
-    def tick(self, gates: dict[str, int], now: float) -> list[Send]:
-        """Run the timers; `gates` maps the addresses in use to their places."""
+    def tick_own_gates(self, now: float) -> None:
+        """Run the timers of the gates in this entry."""
         self._own_gates.tick(now)
+
+    def watch(self, gates: dict[str, int], now: float) -> list[Send]:
+        """Renew watches; `gates` maps the addresses in use to their places."""
         return self.loads.tick(gates, now)
 
     def receive(self, gate: str, body: Message, now: float) -> None:
