The timers of an agent's gate go on after an error

What callers saw: waits and refusals before an engine with free places. Places of requests that were over, or of entries that were lost, were never granted again.

Cause: one exception in GateShell._loop ended its only greenlet.

Now: the gate and its report of the load are parts of a PeriodicLoop.

--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -6,13 +6,13 @@
 import time
 from typing import TYPE_CHECKING
 
-import gevent
-
 from ..effects import Send
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from ..util.loop_failures import LoopFailures
+from ..util.loop_part import LoopPart
+from ..util.periodic_loop import PeriodicLoop
 from .gate import GrantGate
 from .gate_log import GateLog
 
@@ -34,6 +34,7 @@
         self.gate = GrantGate(log=GateLog(metrics=metrics))
         self._address = address
         self._metrics = metrics
+        failures = LoopFailures(metrics=metrics)
         self._network = Network(
             identity=Identity(
                 name=address, role=ROLE_NODE, secrets={ROLE_NODE: secret}
@@ -43,29 +44,32 @@
                 self.gate.entry_lost(peer, time.monotonic())
             ),
             silence_s=LINK_SILENCE_S,
-            failures=LoopFailures(metrics=metrics),
+            failures=failures,
+        )
+        self._timers = PeriodicLoop(
+            name='gate_timers',
+            interval_s=TICK_S,
+            parts=[
+                LoopPart(name='gate', run=self._tick_gate),
+                LoopPart(name='load', run=self._report_load, interval_s=LOG_PERIOD_S),
+            ],
+            failures=failures,
         )
 
     def start(self) -> None:
         """Start listening and granting places."""
         self._network.listen(self._address)
-        gevent.spawn(self._loop)
+        self._timers.start()
 
     def stop(self) -> None:
         """Stop at once; runs on the engine continue."""
         self._network.close(drain_s=0.1)
+        self._timers.stop()
 
-    def _loop(self) -> None:
-        log_at = 0.0
-        while True:
-            now = time.monotonic()
-            self._apply_effects(self.gate.tick(now))
-            if now >= log_at:
-                log_at = now + LOG_PERIOD_S
-                self._report_load()
-            gevent.sleep(TICK_S)
+    def _tick_gate(self, now: float) -> None:
+        self._apply_effects(self.gate.tick(now))
 
-    def _report_load(self) -> None:
+    def _report_load(self, _now: float) -> None:
         gate = self.gate
         self._metrics.set('gate_running', gate.running)
         self._metrics.set('gate_waiting', gate.waiting)
--- /dev/null
+++ b/tests/test_grants/test_shell.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+import pytest
+
+from pistachiopath.grants.shell import GateShell
+from pistachiopath.messages.grants import Ask, GateLoad, Granted, WatchLoad
+from pistachiopath.telemetry.metrics import Metrics
+from tests.harness.failing import FailingMethod
+from tests.harness.recording_peer import RecordingPeer
+from tests.harness.waiting import wait_until
+from tools.free_address import free_address
+
+SECRET = b's'
+SHORT_DEADLINE_MS = 300
+
+
+class Entry:
+    """An entry that asks a gate for places."""
+
+    def __init__(self, gate):
+        self.peer = RecordingPeer(secret=SECRET)
+        self._gate = gate
+
+    @property
+    def granted(self):
+        return [b.request for b in self.peer.received if isinstance(b, Granted)]
+
+    def ask(self, request, deadline_ms=10_000):
+        self.send(
+            Ask(
+                request=request,
+                tier=0,
+                customer='c',
+                prompt_tokens=1,
+                output_tokens=1,
+                objective_ms=deadline_ms,
+                deadline_ms=deadline_ms,
+                slots=1,
+            )
+        )
+
+    def send(self, body):
+        self.peer.network.send(self._gate, 0, body)
+
+
+class Agent:
+    """The gate of one engine over real sockets."""
+
+    def __init__(self):
+        self.metrics = Metrics()
+        address = free_address()
+        self.shell = GateShell(address=address, secret=SECRET, metrics=self.metrics)
+        self.shell.start()
+        self.entry = Entry(address)
+
+    def stop(self):
+        self.shell.stop()
+        self.entry.peer.stop()
+
+
+@pytest.fixture
+def agent():
+    agent = Agent()
+    yield agent
+    agent.stop()
+
+
+@pytest.mark.parametrize('part', ['gate', 'load'])
+def test_places_are_granted_after_a_timer_has_failed(agent, part):
+    # Regression: one exception ended the timers, and places of requests that
+    # were over were never granted again.
+    methods = {'gate': (agent.shell.gate, 'tick'), 'load': (agent.metrics, 'set')}
+    failing = FailingMethod(*methods[part])
+    wait_until(lambda: failing.failed)
+    agent.entry.ask('first', deadline_ms=SHORT_DEADLINE_MS)
+    wait_until(lambda: agent.entry.granted == ['first'])
+    agent.entry.ask('second')
+    wait_until(lambda: agent.entry.granted == ['first', 'second'])
+    assert f'loop="gate_timers",part="{part}"}} 1' in agent.metrics.render()
+
+
+def test_places_are_granted_after_a_message_that_cannot_be_handled(agent):
+    # Regression: the link was lost, and with it all requests of that entry.
+    failing = FailingMethod(agent.shell.gate, 'watch')
+    agent.entry.send(WatchLoad(slots=1))
+    wait_until(lambda: failing.failed)
+    agent.entry.ask('first')
+    wait_until(lambda: agent.entry.granted == ['first'])
+    agent.entry.send(WatchLoad(slots=1))
+    loads = agent.entry.peer.number(GateLoad)
+    wait_until(lambda: agent.entry.peer.number(GateLoad) > loads)
+    assert agent.entry.peer.lost == []
