A replica whose loop fails ends its process

What callers saw: a control node that answered, and neither voted nor committed nor followed any more: an error in ReplicaLoop._run other than StorageFailed ended its greenlet alone.

Now such an error is logged (loop_ended) and the process ends with 1, to be started again from its disk. Going on was ruled out: the core may have taken a part of a change that was never stored. A message that can't be sent is no such error, since what it tells is stored by then: it is logged, counted and counts as lost, and the later ones are sent. At a planned stop the loop does not write to the folder that stop() has closed: without reopen that ended the process with 1.

--- a/pistachiopath/control/replica_loop.py
+++ b/pistachiopath/control/replica_loop.py
@@ -13,6 +13,7 @@
 from ..effects import Send
 from ..errors.storage import CorruptFile, StorageFailed
 from ..replication.effects import STORAGE_EFFECTS
+from ..util.essential import spawn_essential
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +23,7 @@
     from ..replication.group import Group
     from ..storage.data_folder import DataFolder
     from ..transport.network import Network
+    from ..util.loop_failures import LoopFailures
 
 logger = logging.getLogger(__name__)
 
@@ -57,6 +59,12 @@
     disk is known to be durable.  `reopen` reads the folder again and returns a
     new core for it, so the replica continues as after a crash once the disk
     works.  Without `reopen` the process exits.
+
+    The process also ends after any other error in a batch.  The core may then
+    have taken a part of a change that was never stored, or stored one that it
+    does not know of, and a replica that goes on from there could vote twice or
+    acknowledge what it does not hold.  What is on the disk is consistent, and the
+    next process starts from it.
     """
 
     def __init__(
@@ -65,11 +73,13 @@
         core: ReplicatedCore,
         folder: DataFolder,
         network: Network,
+        failures: LoopFailures,
         reopen: Callable[[], tuple[ReplicatedCore, DataFolder]] | None = None,
     ) -> None:
         self._core = core
         self._folder = folder
         self._network = network
+        self._failures = failures
         self._reopen = reopen
         self._inbox: list[tuple[str, int, Message]] = []
         self._wake = gevent.event.Event()
@@ -78,7 +88,7 @@
 
     def start(self) -> None:
         """Start handling messages."""
-        gevent.spawn(self._run)
+        spawn_essential('replica', self._run)
 
     def stop(self) -> None:
         """Stop before the next batch and close the folder."""
@@ -95,6 +105,8 @@
         while not self._stopping:
             self._wake.wait(timeout=max(0.0, next_tick_at - time.monotonic()))
             self._wake.clear()
+            if self._stopping:
+                return
             now = time.monotonic()
             tick_due = now >= next_tick_at
             if tick_due:
@@ -139,9 +151,16 @@
         self._store(self._core.synced(now), sends)
         self._folder.sync()
         for send in sends:
-            self._network.send(send.to, send.call, send.body)
+            self._send(send)
         self._log_role()
 
+    def _send(self, send: Send) -> None:
+        """Send a message; one that can't be sent counts as lost on the way."""
+        try:
+            self._network.send(send.to, send.call, send.body)
+        except Exception as exc:
+            self._failures.record('replica', type(send.body).__name__, exc)
+
     def _store(self, effects: list, sends: list[Send]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
--- a/pistachiopath/control/shell.py
+++ b/pistachiopath/control/shell.py
@@ -48,7 +48,12 @@
             rng=rng,
             now=time.monotonic(),
         )
-        self._loop = ReplicaLoop(core=self.core, folder=folder, network=self.network)
+        self._loop = ReplicaLoop(
+            core=self.core,
+            folder=folder,
+            network=self.network,
+            failures=self.failures,
+        )
 
     def start(self) -> None:
         """Listen for connections and start handling messages."""
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -93,6 +93,7 @@
             core=self.core,
             folder=folder,
             network=self._network,
+            failures=failures,
             reopen=self._open,
         )
         self.announcer = Announcer(
--- a/tests/test_control/test_replica_loop.py
+++ b/tests/test_control/test_replica_loop.py
@@ -1,12 +1,20 @@
 from __future__ import annotations
 
+import os
+
 import gevent
+import pytest
 
 from pistachiopath.control import replica_loop
 from pistachiopath.control.replica_loop import ReplicaLoop
+from pistachiopath.effects import Send
 from pistachiopath.errors.storage import StorageFailed
+from pistachiopath.messages.document import PutReply, ReadDocument
 from pistachiopath.replication.effects import SaveVote
 from pistachiopath.replication.role import Role
+from pistachiopath.telemetry.metrics import Metrics
+from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.waiting import wait_until
 
 
 class FakeFolder:
@@ -63,7 +71,13 @@
         return FakeCore(), opened[-1]
 
     first = FakeFolder(disk)
-    loop = ReplicaLoop(core=FakeCore(), folder=first, network=None, reopen=reopen)
+    loop = ReplicaLoop(
+        core=FakeCore(),
+        folder=first,
+        network=None,
+        failures=LoopFailures(metrics=Metrics()),
+        reopen=reopen,
+    )
     loop.start()
     while len(opened) < 3:
         gevent.sleep(0.01)
@@ -73,3 +87,89 @@
     while not disk['written']:
         gevent.sleep(0.01)
     loop.stop()
+
+
+class ClosedFolder(FakeFolder):
+    """Data folder that fails once it is closed, as a closed file does."""
+
+    def write(self, effect):
+        if self.closed:
+            raise StorageFailed(operation='SaveVote', reason='9')
+        super().write(effect)
+
+
+class FailingCore(FakeCore):
+    """Core that raises an unexpected error for each message."""
+
+    def receive(self, sender, call, body, now, time_ms):
+        raise RuntimeError('half changed')
+
+
+class ReplyingCore(FakeCore):
+    """Core that sends the call of each message to its sender."""
+
+    def receive(self, sender, call, body, now, time_ms):
+        return [Send(to=sender, call=call, body=PutReply(version=1))]
+
+
+class FailingNetwork:
+    """Network that can't send the first message."""
+
+    def __init__(self):
+        self.calls = 0
+        self.sent = []
+
+    def send(self, to, call, body):
+        self.calls += 1
+        if self.calls == 1:
+            raise OverflowError
+        self.sent.append(call)
+
+
+@pytest.fixture
+def exits(monkeypatch):
+    statuses = []
+    monkeypatch.setattr(os, '_exit', statuses.append)
+    return statuses
+
+
+def make_loop(core, *, network=None, metrics=None, folder=None):
+    loop = ReplicaLoop(
+        core=core,
+        folder=folder or FakeFolder({'full': False, 'written': 0}),
+        network=network,
+        failures=LoopFailures(metrics=metrics or Metrics()),
+    )
+    loop.start()
+    return loop
+
+
+def test_a_replica_that_may_be_half_changed_ends_its_process(exits, caplog):
+    # Regression: its loop ended alone; the node took part in nothing any more.
+    loop = make_loop(FailingCore())
+    loop.post('a', 1, ReadDocument())
+    wait_until(lambda: exits)
+    assert exits == [1]
+    assert 'loop_ended' in [r.getMessage() for r in caplog.records]
+
+
+def test_a_message_that_cannot_be_sent_keeps_no_later_one_from_being_sent(exits):
+    network = FailingNetwork()
+    metrics = Metrics()
+    loop = make_loop(ReplyingCore(), network=network, metrics=metrics)
+    for call in (1, 2):
+        loop.post('a', call, ReadDocument())
+    wait_until(lambda: network.sent)
+    assert network.sent == [2]
+    assert 'loop="replica",part="PutReply"} 1' in metrics.render()
+    assert exits == []
+    loop.stop()
+
+
+def test_a_planned_stop_writes_nothing_to_the_closed_folder(exits):
+    # Regression: a process that stopped as planned could end with status 1.
+    loop = make_loop(FakeCore(), folder=ClosedFolder({'full': False, 'written': 0}))
+    gevent.sleep(0.05)
+    loop.stop()
+    gevent.sleep(2 * replica_loop.TICK_INTERVAL_S)
+    assert exits == []
