The timers of the product's agents and entries go on after an error

What callers saw: a target that was lost after its lease, or an entry that followed no target any more and ended no request in time, both still up.

Cause: one exception ended AgentShell._loop, AgentShell._poll_models or EntryShell._loop; effects that the same step had already decided were lost.

Now they are PeriodicLoops. The step of an agent is split into lease, gate and outcomes, that of an entry into the view and each flow by itself, so one flow that always fails holds up no other. The cores' tick() is unchanged and is the sum of the parts. Going on is safe: gates and claims record a step before its effects are carried out, so a lost effect is a lost message or a run that did not start.

--- a/pistachiopath/agent/core.py
+++ b/pistachiopath/agent/core.py
@@ -150,13 +150,24 @@
 
     def tick(self, now: float) -> list:
         """Run periodic work: resends, heartbeats, starts, reports and retirement."""
+        return self.renew_lease(now) + self.tick_gate(now) + self.report_outcomes(now)
+
+    def renew_lease(self, now: float) -> list:
+        """Resend calls to the leader, register and send heartbeats."""
         effects = self.leader.tick(now)
         if not self.gate.incarnation and not self._register_call:
             effects += self._register(now)
         if self.is_heartbeat_due(now):
             effects += self._send_heartbeat(now)
-        effects += self._queue_outcomes(self.gate.tick(now))
-        effects += self._report_outcomes(now)
+        return effects
+
+    def tick_gate(self, now: float) -> list:
+        """Run the timers of the gate."""
+        return self._queue_outcomes(self.gate.tick(now))
+
+    def report_outcomes(self, now: float) -> list:
+        """Report outcomes, and retire once the target has departed."""
+        effects = self._report_outcomes(now)
         if self.gate.departing and self.gate.is_idle and not self._retire_call:
             effects += self._retire(now)
         return effects
--- a/pistachiopath/agent/shell.py
+++ b/pistachiopath/agent/shell.py
@@ -20,6 +20,8 @@
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from ..util.loop_failures import LoopFailures
+from ..util.loop_part import LoopPart
+from ..util.periodic_loop import PeriodicLoop
 from .core import AgentCore
 from .engine_client import EngineClient
 from .events import EventCounter
@@ -83,12 +85,31 @@
             on_refused=self._on_refused,
             on_crash=self._on_crash,
         )
+        self._timers = PeriodicLoop(
+            name='agent_timers',
+            interval_s=TICK_S,
+            parts=[
+                LoopPart(name='rates', run=self._learn_rates),
+                LoopPart(name='lease', run=self._renew_lease),
+                LoopPart(name='gate', run=self._tick_gate),
+                LoopPart(name='outcomes', run=self._report_outcomes),
+            ],
+            failures=self.failures,
+        )
+        # It waits for the engine, which must not delay the timers.
+        self._models = PeriodicLoop(
+            name='agent_models',
+            interval_s=MODELS_POLL_S,
+            parts=[LoopPart(name='models', run=self._poll_models)],
+            failures=self.failures,
+        )
 
     def start(self) -> None:
         """Listen, register and start to renew the lease."""
         self.network.listen(self._cfg.address)
-        gevent.spawn(self._loop)
-        gevent.spawn(self._poll_models)
+        self._timers.start()
+        if self._cfg.takes_orders:
+            self._models.start()
 
     def stop(self) -> None:
         """Drain the target, then close the network."""
@@ -97,26 +118,35 @@
         while not self.core.is_drained:
             gevent.sleep(TICK_S)
         self.network.close()
+        self.stop_timers()
         logger.info('departed', extra={'target': self._cfg.target})
 
-    def _loop(self) -> None:
-        while True:
-            now = time.monotonic()
-            if self.core.is_heartbeat_due(now):
-                self.core.rates = self._learned_rates(now)
-            self._apply_effects(self.core.tick(now))
-            gevent.sleep(TICK_S)
+    def stop_timers(self) -> None:
+        """Stop the timers at once."""
+        self._timers.stop()
+        self._models.stop()
+
+    def _learn_rates(self, now: float) -> None:
+        if self.core.is_heartbeat_due(now):
+            self.core.rates = self._learned_rates(now)
 
     def _learned_rates(self, now: float) -> tuple[Rate, ...]:
         running = [(r, self._events.count(r.key)) for r in self.core.gate.running()]
         return self._rates.rates(running, now)
 
-    def _poll_models(self) -> None:
-        while self._cfg.takes_orders:
-            loaded = self._engine.loaded_models()
-            if loaded is not None:
-                self.core.loaded = loaded
-            gevent.sleep(MODELS_POLL_S)
+    def _renew_lease(self, now: float) -> None:
+        self._apply_effects(self.core.renew_lease(now))
+
+    def _tick_gate(self, now: float) -> None:
+        self._apply_effects(self.core.tick_gate(now))
+
+    def _report_outcomes(self, now: float) -> None:
+        self._apply_effects(self.core.report_outcomes(now))
+
+    def _poll_models(self, _now: float) -> None:
+        loaded = self._engine.loaded_models()
+        if loaded is not None:
+            self.core.loaded = loaded
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         effects = self.core.receive(sender, call, body, time.monotonic())
--- a/pistachiopath/entry/core.py
+++ b/pistachiopath/entry/core.py
@@ -129,11 +129,24 @@
 
     def tick(self, now: float) -> list:
         """Run periodic work: resends, view requests and timers of flows."""
-        effects = self.leader.tick(now) + self._poll_view(now)
-        for number, flow in list(self._flows.items()):
-            effects += self._carry_out(number, flow.tick(now), now)
+        effects = self.follow_view(now)
+        for number in self.flow_numbers():
+            effects += self.tick_flow(number, now)
         return effects
 
+    def follow_view(self, now: float) -> list:
+        """Resend calls to the leader and request the view when it is due."""
+        return self.leader.tick(now) + self._poll_view(now)
+
+    def flow_numbers(self) -> list[int]:
+        """Return the numbers of the active flows."""
+        return list(self._flows)
+
+    def tick_flow(self, number: int, now: float) -> list:
+        """Run the timers of a flow, if it is still active."""
+        flow = self._flows.get(number)
+        return self._carry_out(number, flow.tick(now), now) if flow else []
+
     def _on_agent_message(self, body: Message, now: float) -> list:
         effects = []
         for number in list(self._flows_by_key.get(body.key, ())):
--- a/pistachiopath/entry/shell.py
+++ b/pistachiopath/entry/shell.py
@@ -22,6 +22,8 @@
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from ..util.loop_failures import LoopFailures
+from ..util.loop_part import LoopPart
+from ..util.periodic_loop import PeriodicLoop
 from .core import CallerEffect, ConfigurationInForce, EntryCore
 from .requests import ParsedRequest
 
@@ -80,6 +82,15 @@
             on_lost=self._on_lost,
             failures=self.failures,
         )
+        self._timers = PeriodicLoop(
+            name='entry_timers',
+            interval_s=TICK_S,
+            parts=[
+                LoopPart(name='view', run=self._follow_view),
+                LoopPart(name='flows', run=self._tick_flows),
+            ],
+            failures=self.failures,
+        )
 
     def render_metrics(self) -> str:
         """Return all metrics as text."""
@@ -90,7 +101,7 @@
 
     def start(self) -> None:
         """Start to follow the targets and the configuration."""
-        gevent.spawn(self._loop)
+        self._timers.start()
 
     def drain(self, timeout_s: float) -> None:
         """Refuse new requests, wait for the open calls and close the network.
@@ -102,6 +113,7 @@
         while self._calls and time.monotonic() < deadline:
             gevent.sleep(TICK_S)
         self.network.close()
+        self._timers.stop()
 
     def submit(self, parsed: ParsedRequest) -> Call:
         """Start the flow of a request."""
@@ -158,10 +170,16 @@
             },
         )
 
-    def _loop(self) -> None:
-        while True:
-            self._carry_out(self.core.tick(time.monotonic()))
-            gevent.sleep(TICK_S)
+    def _follow_view(self, now: float) -> None:
+        self._carry_out(self.core.follow_view(now))
+
+    def _tick_flows(self, now: float) -> None:
+        """Run the timers of each flow; one that fails does not hold up the others."""
+        for number in self.core.flow_numbers():
+            try:
+                self._carry_out(self.core.tick_flow(number, now))
+            except Exception as exc:
+                self.failures.record('entry_timers', 'flow', exc)
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         now = time.monotonic()
