A run that fails unexpectedly at an agent gives its place back

What callers saw: no outcome until their deadline, and one place less before that engine until the agent was started again.

Cause: an error other than ExchangeFailed ended the run's greenlet in EngineClient._run without an outcome.

Evidence: the test fails on (no outcome within 5 s), and passes now.

--- a/pistachiopath/agent/engine_client.py
+++ b/pistachiopath/agent/engine_client.py
@@ -124,6 +124,16 @@
             return None
 
     def _run(self, run: Run) -> None:
+        try:
+            self._run_on_engine(run)
+        except Exception:
+            # A run without an outcome would keep its place on the engine for ever.
+            logger.exception('engine_run_failed', extra={'request': run.key.hex()})
+            self._forget(run)
+            failed = OutcomeRecord(kind=OutcomeKind.FAILED, reason='agent_failed')
+            self._on_end(run, failed)
+
+    def _run_on_engine(self, run: Run) -> None:
         try:
             self._start_or_resume(run)
         except ConnectFailed:
--- a/tests/test_agent/test_engine_client.py
+++ b/tests/test_agent/test_engine_client.py
@@ -31,6 +31,7 @@
         self.outcomes = {}
         self.refused = []
         self.crashed = []
+        self.on_data_error = None
         self.client = EngineClient(
             address=target.address,
             on_data=self._on_data,
@@ -39,8 +40,9 @@
             on_crash=lambda run: self.crashed.append(run.key),
         )
 
-    @staticmethod
-    def _on_data(run, status, content_type, data):
+    def _on_data(self, run, status, content_type, data):
+        if self.on_data_error is not None:
+            raise self.on_data_error
         run.answer += data
 
     def run(self, key):
@@ -97,3 +99,12 @@
     assert client.refused == [b'a']
     assert client.run(b'b').answer == b'done'
     assert client.refused == [b'a']
+
+
+def test_a_run_that_fails_unexpectedly_gives_its_place_back(caplog):
+    # Regression: it never ended, and its place on the engine was lost.
+    client = Client(ScriptedTarget([WHOLE]))
+    client.on_data_error = RuntimeError()
+    client.run(b'a')
+    assert client.outcomes[b'a'].reason == 'agent_failed'
+    assert 'engine_run_failed' in [r.getMessage() for r in caplog.records]
