A reader of a caller's connection that fails counts as its end

Cause: an error other than OSError ended InboundBytes._read without `ended`, so a caller that left was never noticed and its request ran on.

Now it is logged (reader_failed) and the connection counts as ended. No cause of such an error is known; the rule is that no loop ends in silence.

--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -13,6 +15,8 @@
 
     from gevent.socket import socket
 
+logger = logging.getLogger(__name__)
+
 READ_BYTES = 64 * 1024
 MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -22,7 +26,7 @@
 
     Reading pauses once `MAX_BUFFERED_BYTES` are buffered, until they are
     taken.  `on_end` is called once when the peer has closed or reset the
-    connection.
+    connection, or when it can't be read any more.
     """
 
     def __init__(self, *, sock: socket, on_end: Callable[[], None]) -> None:
@@ -58,18 +62,24 @@
         self._reader.kill(block=False)
 
     def _read(self) -> None:
+        try:
+            with contextlib.suppress(OSError):
+                self._read_until_end()
+        except Exception:
+            # Without an end, a caller that leaves would never be noticed.
+            logger.exception('reader_failed')
+        self.ended = True
+        self._arrived.set()
+        self._on_end()
+
+    def _read_until_end(self) -> None:
+        """Buffer what arrives until the peer closes; raises `OSError`."""
         while True:
             self._has_room.wait()
-            try:
-                data = self._sock.recv(READ_BYTES)
-            except OSError:
-                data = b''
+            data = self._sock.recv(READ_BYTES)
             if not data:
-                break
+                return
             self._data += data
             if len(self._data) >= MAX_BUFFERED_BYTES:
                 self._has_room.clear()
             self._arrived.set()
-        self.ended = True
-        self._arrived.set()
-        self._on_end()
