The watch on the settings file goes on after an error

What operators saw: a program that never applied a change of its settings again (the addresses of the control nodes), and said nothing.

Cause: an error in reload() ended the greenlet of _watch_settings, after it had already noted the new settings as applied.

Now the watch is a class of its own, an error is logged and counted, and a change that could not be applied is tried again at the next poll.

--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import gevent
 import gevent.event
@@ -19,19 +18,16 @@
 from ..telemetry.bounded_stream import BoundedStream
 from ..telemetry.logs import configure_logging
 from ..telemetry.metrics import Metrics
+from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_USAGE, starting
 from .early import SETTINGS_VARIABLE
 from .metrics_page import metrics_server
 from .programs import PROGRAMS, program_class
 from .settings import PlatformSettings
-
-if TYPE_CHECKING:
-    from .program import Program
+from .settings_watch import SettingsWatch
 
 logger = logging.getLogger(__name__)
 
-SETTINGS_POLL_S = 0.5
-
 
 def main() -> None:
     """Run one program until it is stopped."""
@@ -45,12 +41,13 @@
     configure_logging(f'pistachiopath-{args.program}', cfg.name, cfg.log_level, stream)
     logger.info('starting', extra={'role': cfg.role, 'version': __version__})
     metrics = Metrics()
+    failures = LoopFailures(metrics=metrics)
     with starting():
         if args.metrics_port:
             metrics_server(f'{cfg.ip}:{args.metrics_port}', metrics).start()
         program = program_class(args.program)(cfg, metrics)
         program.start()
-    gevent.spawn(_watch_settings, path, cfg, program)
+    SettingsWatch(path=path, cfg=cfg, program=program, failures=failures).start()
     _wait_for_stop()
     logger.info('stopping', extra={'role': cfg.role})
     program.stop()
@@ -96,22 +93,3 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, stopped.set)
     stopped.wait()
-
-
-def _watch_settings(path: Path, cfg: PlatformSettings, program: Program) -> None:
-    """Poll the settings file, at once on SIGHUP, and apply changes."""
-    changed = gevent.event.Event()
-    gevent.signal_handler(signal.SIGHUP, changed.set)
-    current = cfg
-    while True:
-        changed.wait(SETTINGS_POLL_S)
-        changed.clear()
-        try:
-            loaded = load(path, PlatformSettings)
-        except InvalidFile as exc:
-            logger.warning('settings_unusable', extra={'reason': str(exc)})
-            continue
-        if loaded != current:
-            current = loaded
-            logger.info('settings_reloaded', extra={'seeds': ','.join(loaded.seeds)})
-            program.reload(loaded)
