What ends a greenlet is logged and counted, not only printed

gevent prints an error that ends a greenlet or a callback to the standard error, which no log of the platform holds. Programs now log it (loop_failed, loop=greenlet) and count it, whichever greenlet it was: short ones that no other part watches as well (Crashes._connect, TargetConnection._write, an order that is passed on). A stand-in whose engine loop fails ends its process.

That accepting goes on after an error is gevent's own doing, and has a test now.

--- a/pistachiopath/agent/main.py
+++ b/pistachiopath/agent/main.py
@@ -9,6 +9,7 @@
 import random
 
 from ..telemetry.traces import create_tracer
+from ..util.greenlet_errors import report_greenlet_errors
 from ..util.metrics_server import serve_metrics
 from ..util.program import parse_settings, run_until_stopped, starting
 from .settings import AgentSettings
@@ -24,6 +25,7 @@
     )
     tracer = create_tracer('pistachiopath-agent', cfg.name, cfg.trace_file)
     shell = AgentShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
+    report_greenlet_errors(shell.failures)
     with starting():
         serve_metrics(cfg.metrics, shell.metrics)
         shell.start()
--- a/pistachiopath/control/main.py
+++ b/pistachiopath/control/main.py
@@ -12,6 +12,7 @@
 
 from ..errors.storage import CorruptFile, StorageFailed
 from ..storage.data_folder import DataFolder
+from ..util.greenlet_errors import report_greenlet_errors
 from ..util.program import (
     EXIT_FAILED,
     parse_settings,
@@ -37,6 +38,7 @@
     except (StorageFailed, CorruptFile) as exc:
         logger.critical('data_folder_unusable', extra={'error': repr(exc)})
         raise SystemExit(EXIT_FAILED) from exc
+    report_greenlet_errors(shell.failures)
     with starting():
         shell.start()
     run_until_stopped(shell.stop)
--- a/pistachiopath/entry/main.py
+++ b/pistachiopath/entry/main.py
@@ -9,6 +9,7 @@
 import random
 
 from ..telemetry.traces import create_tracer
+from ..util.greenlet_errors import report_greenlet_errors
 from ..util.listen import make_server
 from ..util.program import parse_settings, run_until_stopped, starting
 from .http import CallerApp
@@ -26,6 +27,7 @@
     tracer = create_tracer('pistachiopath-entry', cfg.name, cfg.trace_file)
     shell = EntryShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
     caller_app = CallerApp(cfg=cfg, shell=shell)
+    report_greenlet_errors(shell.failures)
     with starting():
         server = make_server(cfg.http, caller_app.app)
         shell.start()
--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -18,6 +18,7 @@
 from ..telemetry.bounded_stream import BoundedStream
 from ..telemetry.logs import configure_logging
 from ..telemetry.metrics import Metrics
+from ..util.greenlet_errors import report_greenlet_errors
 from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_USAGE, starting
 from .early import SETTINGS_VARIABLE
@@ -42,6 +43,7 @@
     logger.info('starting', extra={'role': cfg.role, 'version': __version__})
     metrics = Metrics()
     failures = LoopFailures(metrics=metrics)
+    report_greenlet_errors(failures)
     with starting():
         if args.metrics_port:
             metrics_server(f'{cfg.ip}:{args.metrics_port}', metrics).start()
--- a/pistachiopath/standin/main.py
+++ b/pistachiopath/standin/main.py
@@ -6,8 +6,7 @@
 
 monkey.patch_all()
 
-import gevent
-
+from ..util.essential import spawn_essential
 from ..util.listen import make_server
 from ..util.program import parse_settings, run_until_stopped
 from .engine import StandinEngine
@@ -31,7 +30,7 @@
     standin = kinds[cfg.kind](cfg=cfg)
     server = make_server(cfg.listen, standin.app)
     server.start()
-    gevent.spawn(standin.run)
+    spawn_essential('standin', standin.run)
     run_until_stopped(server.stop)
 
 
--- a/tests/test_transport/test_network.py
+++ b/tests/test_transport/test_network.py
@@ -9,6 +9,7 @@
 from pistachiopath.transport.handshake import ROLE_NODE, Identity
 from pistachiopath.transport.network import Network
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.failing import FailingMethod
 from tests.harness.waiting import wait_until
 from tools.free_address import free_address
 
@@ -107,3 +108,12 @@
     sender.network.close(drain_s=0)
     wait_until(lambda: receiver.lost)
     assert 'part="lost"} 1' in receiver.metrics.render()
+
+
+def test_links_are_accepted_after_an_accept_has_failed(pair):
+    sender, receiver = pair
+    receiver.network._server.delay = 0.01
+    failing = FailingMethod(receiver.network._server, 'do_read')
+    sender.network.send(receiver.address, 1, ReadDocument())
+    receiver.wait_for(1)
+    assert failing.failed == 1
