--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -19,6 +19,7 @@
 from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
 from ..transport.frames import MAX_FRAME_BYTES
+from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_FAILED
 from .control_api import ControlApi
 from .decoded_accounts import DecodedAccounts
@@ -67,6 +68,7 @@
                 ),
                 rng=random.Random(os.urandom(8)),
                 secret=LINK_SECRET,
+                failures=LoopFailures(metrics=metrics),
             )
         except (StorageFailed, CorruptFile) as exc:
             logger.critical('data_folder_unusable', extra={'error': repr(exc)})
