Requests that arrived before a close is announced are answered

Callers saw: on a kept connection of an entry that stops, the response to the first of several pipelined requests announced the close, and the connection ended (by a reset, which discarded even that response if it was large) with no answer to the requests behind it.

Cause: `closes_after_response` alone put `Connection: close` into the next response, whatever had arrived behind its request; and a socket that is closed with unread input resets its connection.

Now the close is announced in the response to the last request that has arrived, and after an announced close input is discarded until the caller ends the connection or for `LINGER_S`.

--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -53,6 +53,21 @@
         self._has_room.set()
         return data
 
+    def poll(self) -> None:
+        """Buffer the bytes that have arrived but have not been read yet.
+
+        The reader notices an end or an error of the connection by itself.
+        """
+        if self.ended or not self._has_room.is_set():
+            return
+        self._sock.settimeout(0.0)
+        try:
+            self._data += self._sock.recv(READ_BYTES)
+        except OSError:
+            return
+        finally:
+            self._sock.settimeout(None)
+
     def stop(self) -> None:
         """Stop reading."""
         self._reader.kill(block=False)
--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -99,6 +99,8 @@
         try:
             while self._serve_request(conn):
                 pass
+            if conn.must_linger:
+                conn.linger()
         except (CallerLeft, OSError) as exc:
             logger.debug('caller_left', extra={'error': type(exc).__name__})
         except Exception:
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -110,6 +110,13 @@
         """End a response started by `begin`."""
         self._write_all([h11.EndOfMessage()])
 
+    @property
+    def must_linger(self) -> bool:
+        """Whether the caller may still have sent something before our close."""
+        if not self.closes_after_response or self._inbound.ended:
+            return False
+        return self._http.our_state is h11.MUST_CLOSE
+
     def next_cycle(self) -> bool:
         """Prepare for the next request; return False if none can follow."""
         if self._http.our_state is not h11.DONE:
@@ -139,10 +146,20 @@
         self._sock.close()
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self.closes_after_response:
+        if self.closes_after_response and not self._has_next_request():
             headers = [*headers, (b'connection', b'close')]
         return h11.Response(status_code=status, headers=headers)
 
+    def _has_next_request(self) -> bool:
+        """Return whether a part of the next request has arrived.
+
+        It is answered too, so the current response can't announce a close.
+        """
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._inbound.poll()
+        return self._inbound.has_data or bool(self._http.trailing_data[0])
+
     def _write_all(self, events: list) -> None:
         try:
             data = b''.join(self._http.send(event) or b'' for event in events)
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -7,7 +7,7 @@
 from pistachiopath.errors.exchange import CallerLeft
 from pistachiopath.exchange.limits import ExchangeLimits
 
-from .sockets import EchoServer
+from .sockets import EchoServer, read_all
 
 POST = b'POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello'
 POST_AND_CLOSE = POST.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
@@ -149,3 +149,35 @@
     server.server.wait_until_idle(10)
     assert server.server.connections == 0
     assert b'late' in sock.recv(65536)
+
+
+def test_requests_that_arrived_before_a_close_is_announced_are_answered():
+    # Regression: the first response of a server that stops announced the close,
+    # and a request that had been read behind it got no answer.
+    server = EchoServer()
+    sock = server.connect()
+    sock.sendall(POST)
+    assert b'hello' in sock.recv(65536)
+    server.server.announce_stop()
+    sock.sendall(POST + POST.replace(b'/a', b'/b') + POST.replace(b'/a', b'/c'))
+    response = read_all(sock)
+    assert response.count(b'HTTP/1.1 200') == 3
+    assert response.lower().count(b'connection: close') == 1
+    assert response.lower().index(b'connection: close') > response.index(b'/b')
+
+
+def test_a_last_response_is_not_discarded_by_the_input_behind_it():
+    # Regression: closing a socket with unread input reset the connection.
+    large = b'x' * 300_000
+
+    def handle(conn, req):
+        conn.respond(200, [], large)
+
+    server = EchoServer(handle=handle)
+    server.server.announce_stop()
+    sock = server.connect()
+    sock.sendall(POST)
+    gevent.sleep(0.05)
+    sock.sendall(POST)
+    gevent.sleep(0.05)
+    assert len(read_all(sock)) > len(large)
