What is unfinished at the end of a planned stop gets an answer

Callers saw: at the end of the grace of an entry that stops, connections ended without an answer: requests that still waited for a place (which had certainly not run), requests that had been sent to a target, and requests whose bodies were still arriving. With a grace shorter than 2.7 s the process was killed before it closed anything.

Cause: `RelayEntry.stop` returned when `wait_until_idle` did, and the process ended with whatever was open; the pause for the load balancer was not bounded by the grace; 0.15 s were left for the end.

Now `HttpServer.end_unfinished` raises `ServerStopping` in each connection that has no complete answer 0.4 s before the end of the grace. `RequestHandler` answers 503 if the request was not sent, 502 if it was; an answer that has begun ends incomplete after whole events. Requests that were read in part get 503, and so do whole ones behind them on the connection. A control node does the same after its drain.

Failed try: 0.15 s before the end with 0.2 s for the answers; a caller that keeps its side open then let the stop last longer than the grace.

--- a/pistachiopath/errors/exchange.py
+++ b/pistachiopath/errors/exchange.py
@@ -20,6 +20,11 @@
     """The caller closed its connection while its request was being served."""
 
 
+@dataclass(kw_only=True)
+class ServerStopping(PistachiopathError):
+    """The server stops, so the request in progress has to be answered now."""
+
+
 @dataclass(kw_only=True)
 class ExchangeFailed(PistachiopathError):
     """An exchange with a target failed.
--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -69,8 +69,10 @@
             self._sock.settimeout(None)
 
     def stop(self) -> None:
-        """Stop reading."""
+        """Stop reading, and end the wait of `take`."""
         self._reader.kill(block=False)
+        self.ended = True
+        self._arrived.set()
 
     def _read(self) -> None:
         while True:
--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -10,7 +10,7 @@
 import gevent.socket as gsocket
 from gevent.server import StreamServer
 
-from ..errors.exchange import BadHttp, CallerLeft
+from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
 from ..util.early_listener import take_listener
 from .server_connection import ServerConnection
 
@@ -23,6 +23,9 @@
 logger = logging.getLogger(__name__)
 
 IDLE_POLL_S = 0.05
+END_POLL_S = 0.01
+STATUS_UNKNOWN_OUTCOME = 502
+STATUS_NOT_RUN = 503
 
 
 class HttpServer:
@@ -30,6 +33,7 @@
 
     `handle` receives the connection and a complete request, and writes the
     response to the connection.  `limits` is called for each new connection.
+    `ServerStopping` is raised in a handler that has to answer at once.
     """
 
     def __init__(
@@ -44,8 +48,9 @@
         self._handle = handle
         self._limits = limits
         self._name = name
-        self._connections: set[ServerConnection] = set()
+        self._connections: dict[ServerConnection, gevent.Greenlet] = {}
         self._stopping = False
+        self._ending = False
         self._server: StreamServer | None = None
 
     @property
@@ -91,24 +96,47 @@
             gevent.sleep(IDLE_POLL_S)
             self.close_idle()
 
+    def end_unfinished(self, timeout_s: float) -> int:
+        """Have all requests in progress answered now; return their number.
+
+        Waits up to `timeout_s` until the answers are written.
+        """
+        self._ending = True
+        unfinished = [
+            greenlet
+            for conn, greenlet in self._connections.items()
+            if not conn.is_answered and not conn.is_idle
+        ]
+        if unfinished:
+            logger.warning(
+                'unfinished_ended',
+                extra={'server': self._name, 'number': len(unfinished)},
+            )
+        for greenlet in unfinished:
+            greenlet.kill(ServerStopping(), block=False)
+        deadline = time.monotonic() + timeout_s
+        while self._connections and time.monotonic() < deadline:
+            gevent.sleep(END_POLL_S)
+        return len(unfinished)
+
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         conn = ServerConnection(sock=sock, limits=self._limits())
         conn.closes_after_response = self._stopping
-        self._connections.add(conn)
+        self._connections[conn] = gevent.getcurrent()
         try:
             while self._serve_request(conn):
                 pass
             if conn.must_linger:
                 conn.linger()
-        except (CallerLeft, OSError) as exc:
+        except (CallerLeft, ServerStopping, OSError) as exc:
             logger.debug('caller_left', extra={'error': type(exc).__name__})
         except Exception:
             # The connection closes without a complete response, which leaves open
             # whether the request ran.  Other connections are not affected.
             logger.exception('handler_failed', extra={'server': self._name})
         finally:
-            self._connections.discard(conn)
+            self._connections.pop(conn, None)
             conn.close()
 
     def _serve_request(self, conn: ServerConnection) -> bool:
@@ -118,11 +146,22 @@
         except BadHttp as exc:
             self._reject(conn, exc)
             return False
+        except ServerStopping:
+            if conn.is_reading:
+                conn.reject(STATUS_NOT_RUN)
+            return False
         if req is None:
             return False
+        if self._ending:
+            conn.respond(STATUS_NOT_RUN, [], b'')
+            return conn.next_cycle()
         try:
             conn.start_serving(gevent.getcurrent())
             self._handle(conn, req)
+        except ServerStopping:
+            if conn.has_begun:
+                raise
+            conn.respond(STATUS_UNKNOWN_OUTCOME, [], b'')
         finally:
             conn.stop_serving()
         return conn.next_cycle()
@@ -132,6 +171,4 @@
             'bad_request',
             extra={'server': self._name, 'status': exc.status, 'reason': exc.reason},
         )
-        conn.closes_after_response = True
-        conn.respond(exc.status, [], b'')
-        conn.linger()
+        conn.reject(exc.status)
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -48,7 +48,20 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served."""
-        return self._http.their_state is h11.IDLE and not self._inbound.has_data
+        if self._inbound.has_data or self._has_partial_head():
+            return False
+        return self._http.their_state is h11.IDLE
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        state = self._http.their_state
+        return state is h11.SEND_BODY or (state is h11.IDLE and not self.is_idle)
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the response to the current request has been completed."""
+        return self._http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     @property
     def has_begun(self) -> bool:
@@ -126,6 +139,12 @@
         self._http.start_next_cycle()
         return True
 
+    def reject(self, status: int) -> None:
+        """Refuse a request that may be incomplete, as the last one."""
+        self.closes_after_response = True
+        self.respond(status, [], b'')
+        self.linger()
+
     def linger(self) -> None:
         """Discard input for up to `LINGER_S` so that the caller can read the response.
 
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -32,6 +32,7 @@
 SILENT_AFTER_PERIODS = 3
 # Every call is answered within 1 second, so a longer drain is not needed.
 DRAIN_TIMEOUT_S = 1.0
+END_TIMEOUT_S = 0.2
 HTTP_LIMITS = ExchangeLimits(max_body_bytes=8 * 1024 * 1024, idle_timeout_s=30.0)
 
 
@@ -83,6 +84,7 @@
         """Drain the calls in progress, then stop."""
         self._server.stop_accepting()
         self._server.wait_until_idle(DRAIN_TIMEOUT_S)
+        self._server.end_unfinished(END_TIMEOUT_S)
         self._shell.stop()
 
     def reload(self, cfg: PlatformSettings) -> None:
--- a/pistachiopath/relay/departure.py
+++ b/pistachiopath/relay/departure.py
@@ -13,9 +13,9 @@
 # The load balancer checks readiness once a second and removes an entry after
 # two failed checks.
 LEAVE_ROTATION_S = 2.7
-# Closing takes some time, and the process is killed at the end of the grace
-# period.
-STOP_MARGIN_S = 0.15
+# The answers to unfinished requests take some time, and the process is killed at
+# the end of the grace period.
+STOP_MARGIN_S = 0.4
 STOPPING_RETRY_AFTER_S = 0.05
 # Gates report average speeds.  Next to long prompts a stream takes several
 # times as long: 2,800 tokens took up to 14.6 s where 3 s were expected.
@@ -55,7 +55,7 @@
     def check_open(self) -> None:
         """Raise `TurnedAway` once the entry refuses all requests."""
         if self._is_closed:
-            raise _stopping_refusal()
+            raise stopping_refusal()
 
     def check(self, work: Work, now: float) -> None:
         """Raise `TurnedAway` for a stream that would be cut off."""
@@ -64,10 +64,11 @@
         token_ms = self._loads.slowest_output_ms(now) or DEFAULT_OUTPUT_TOKEN_MS
         stream_s = work.req.output_tokens * token_ms * STREAM_TIME_SAFETY_FACTOR / 1000
         if stream_s + WAIT_ALLOWANCE_S > self.remaining_s(now):
-            raise _stopping_refusal()
+            raise stopping_refusal()
 
 
-def _stopping_refusal() -> TurnedAway:
+def stopping_refusal() -> TurnedAway:
+    """Return the refusal of a request that has not run."""
     return TurnedAway(
         status=503, reason='stopping', retry_after_s=STOPPING_RETRY_AFTER_S
     )
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -54,6 +54,8 @@
 
 TICK_S = 0.05
 PRUNE_INTERVAL_S = 1.0
+# Time for the answers to the requests that a stop has ended.
+END_TIMEOUT_S = 0.2
 # A link without traffic for longer is reopened.
 LINK_SILENCE_S = 1.5
 
@@ -190,11 +192,13 @@
         """Leave the load balancer's rotation, finish open requests, then close."""
         self._departure.begin(time.monotonic())
         self._server.announce_stop()
-        gevent.sleep(LEAVE_ROTATION_S)
+        remaining_s = self._departure.remaining_s(time.monotonic())
+        gevent.sleep(min(LEAVE_ROTATION_S, remaining_s))
         self._departure.close()
         self._server.stop_accepting()
         self._server.wait_until_idle(self._departure.remaining_s(time.monotonic()))
-        logger.info('stopped', extra={'in_flight': self._handler.in_flight})
+        unfinished = self._server.end_unfinished(END_TIMEOUT_S)
+        logger.info('stopped', extra={'unfinished': unfinished})
         self._network.close(drain_s=0.1)
 
     def _handle_readiness(self, conn: ServerConnection, _req: HttpRequest) -> None:
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -5,9 +5,10 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..errors.exchange import BadHttp, CallerLeft
+from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
 from ..errors.relay import TurnedAway
 from .attempts import EarlierAttempts
+from .departure import stopping_refusal
 from .work import Work, make_work
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     from .routes_in_force import RoutesInForce
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+STATUS_UNKNOWN_OUTCOME = 502
 # A node that starts has its configuration within a few hundred ms.
 FIRST_CONFIGURATION_WAIT_S = 0.6
 
@@ -98,6 +100,11 @@
             self._log.done(work, self._routes.version)
         except TurnedAway as exc:
             self._refuse(conn, req, work, exc, started_at)
+        except ServerStopping:
+            if work is None or not work.may_have_run:
+                self._refuse(conn, req, work, stopping_refusal(), started_at)
+            else:
+                self._end_by_stop(conn, work)
         except CallerLeft:
             if work is not None:
                 work.outcome = 'caller_left'
@@ -106,6 +113,19 @@
         finally:
             span.end()
 
+    def _end_by_stop(self, conn: ServerConnection, work: Work) -> None:
+        """Answer a request that may have run, as the entry stops.
+
+        An answer that has begun is left incomplete.
+        """
+        if conn.has_begun:
+            work.outcome = 'stop_broken_off'
+        else:
+            work.outcome = 'stop_lost'
+            work.status = STATUS_UNKNOWN_OUTCOME
+            conn.respond(work.status, self._dialect.own_headers(work.req, None), b'')
+        self._log.done(work, self._routes.version)
+
     def _refuse(
         self,
         conn: ServerConnection,
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -181,3 +181,34 @@
     sock.sendall(POST)
     gevent.sleep(0.05)
     assert len(read_all(sock)) > len(large)
+
+
+def test_unfinished_requests_are_answered_when_a_server_ends():
+    # Regression: requests in progress at the end of a stop got no answer.
+    server = EchoServer(handle=lambda conn, req: gevent.sleep(30))
+    serving, reading, idle = server.connect(), server.connect(), server.connect()
+    serving.sendall(POST + POST)
+    reading.sendall(POST[:-1])
+    gevent.sleep(0.01)
+    server.server.stop_accepting()
+    assert server.server.end_unfinished(0.1) == 2
+    response = read_all(serving)
+    assert response.index(b'HTTP/1.1 502') < response.index(b'HTTP/1.1 503')
+    assert read_all(reading).startswith(b'HTTP/1.1 503')
+    assert read_all(idle) == b''
+
+
+def test_an_answer_that_has_begun_does_not_look_complete_when_a_server_ends():
+    def handle(conn, req):
+        conn.begin(200, [], b'first')
+        gevent.sleep(30)
+
+    server = EchoServer(handle=handle)
+    sock = server.connect()
+    sock.sendall(POST)
+    gevent.sleep(0.01)
+    server.server.stop_accepting()
+    assert server.server.end_unfinished(0.1) == 1
+    response = read_all(sock)
+    assert b'first' in response
+    assert not response.endswith(b'0\r\n\r\n')
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -37,7 +37,7 @@
 class Node:
     """An entry that receives scripted messages from a control node."""
 
-    def __init__(self):
+    def __init__(self, grace_s=2.0):
         self.callers, self.readiness = free_address(), free_address()
         self.entry = RelayEntry(
             cfg=RelaySettings(
@@ -49,7 +49,7 @@
                 seeds=(),
                 agent_port=1,
                 retry_budget=RetryBudgetLimits(ratio=0.2, slack=60, window_s=10),
-                grace_s=2.0,
+                grace_s=grace_s,
             ),
             dialect=PlatformDialect(),
             decode=decode_configuration,
