A stopping entry refuses every request that it can't finish

Callers saw: plain requests, those that run once among them, were taken for 2.7 s after SIGTERM whatever they take, and got no answer at the end of the grace; requests that waited for a place waited on until they were cut.

Cause: `Departure.check` looked at streams only, by their output tokens, and nothing looked at a waiting request again.

A request whose own deadline or timeout ends before the grace is always taken. One that may have run is not refused but goes on.

--- a/pistachiopath/relay/departure.py
+++ b/pistachiopath/relay/departure.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors.relay import TurnedAway
+from .run_durations import RunDurations
 
 if TYPE_CHECKING:
     from ..grants.watch import LoadWatch
@@ -20,22 +21,28 @@
 # Gates report average speeds.  Next to long prompts a stream takes several
 # times as long: 2,800 tokens took up to 14.6 s where 3 s were expected.
 STREAM_TIME_SAFETY_FACTOR = 4.0
-WAIT_ALLOWANCE_S = 1.0
+PROMPT_ALLOWANCE_S = 1.0
 DEFAULT_OUTPUT_TOKEN_MS = 1.5
+# Targets get slower while others are replaced.
+RUN_SAFETY_FACTOR = 1.5
+# Multiple of the objective that a run takes if none of its route is known.
+UNKNOWN_RUN_OBJECTIVE_FACTOR = 2.0
 
 
 class Departure:
     """The planned stop of an entry, within `grace_s` seconds.
 
-    Short requests are served while the load balancer still sends callers.  A
-    stream that would be cut off at the end is refused at once, so that its
-    caller retries at another entry.  `now` is a monotonic clock in seconds.
+    While the load balancer still sends callers, requests are served that are
+    expected to end within the grace period or by their own deadline.  Others are
+    refused at once, so that their callers retry at another entry.  `now` is a
+    monotonic clock in seconds.
     """
 
     def __init__(self, *, grace_s: float, loads: LoadWatch) -> None:
         self.is_stopping = False
         self._grace_s = grace_s
         self._loads = loads
+        self._durations = RunDurations()
         self._ends_at = 0.0
         self._is_closed = False
 
@@ -57,15 +64,49 @@
         if self._is_closed:
             raise stopping_refusal()
 
+    def record_run(self, work: Work, now: float) -> None:
+        """Record how long a request took that ends at `now`."""
+        if work.sent_at:
+            self._durations.record(
+                work.admitted.route.name,
+                waited_s=work.waited_s,
+                ran_s=now - work.sent_at,
+                now=now,
+            )
+
     def check(self, work: Work, now: float) -> None:
-        """Raise `TurnedAway` for a stream that would be cut off."""
-        if not self.is_stopping or not work.admitted.route.is_stream:
+        """Raise `TurnedAway` for a new request that would not end in time."""
+        if not self.is_stopping:
             return
-        token_ms = self._loads.slowest_output_ms(now) or DEFAULT_OUTPUT_TOKEN_MS
-        stream_s = work.req.output_tokens * token_ms * STREAM_TIME_SAFETY_FACTOR / 1000
-        if stream_s + WAIT_ALLOWANCE_S > self.remaining_s(now):
+        wait_s = self._durations.longest_wait_s(work.admitted.route.name, now)
+        self._check_fits(work, wait_s + self._run_s(work, now), now)
+
+    def check_unsent(self, work: Work, now: float) -> None:
+        """Raise `TurnedAway` for a waiting request that would not end in time.
+
+        One that may have run already is left to try another target.
+        """
+        if self.is_stopping and not work.may_have_run:
+            self._check_fits(work, self._run_s(work, now), now)
+
+    def _check_fits(self, work: Work, needed_s: float, now: float) -> None:
+        """Raise `TurnedAway` if the grace ends before `needed_s` and the deadline."""
+        if min(needed_s, work.remaining_s(now)) > self.remaining_s(now):
             raise stopping_refusal()
 
+    def _run_s(self, work: Work, now: float) -> float:
+        """Return the seconds that a request is expected to run at most."""
+        route = work.admitted.route
+        tokens = work.req.output_tokens
+        if route.is_stream and tokens:
+            token_ms = self._loads.slowest_output_ms(now) or DEFAULT_OUTPUT_TOKEN_MS
+            output_s = tokens * token_ms / 1000
+            return output_s * STREAM_TIME_SAFETY_FACTOR + PROMPT_ALLOWANCE_S
+        longest_s = self._durations.longest_run_s(route.name, now)
+        if longest_s is None:
+            return route.objective_s * UNKNOWN_RUN_OBJECTIVE_FACTOR
+        return longest_s * RUN_SAFETY_FACTOR
+
 
 def stopping_refusal() -> TurnedAway:
     """Return the refusal of a request that has not run."""
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -139,6 +139,7 @@
                 targets=self._targets,
                 is_quarantined=self._crashes.is_quarantined,
                 rng=rng,
+                check_wait=self._departure.check_unsent,
             ),
             budget_limits=cfg.retry_budget,
             known_entries=lambda: self._subscriber.entries,
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -56,7 +56,8 @@
     """Chooses a replica, waits for a place, and moves to a better replica.
 
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
-    `is_quarantined` while it waits for a place waits no longer.
+    `is_quarantined` while it waits for a place waits no longer.  `check_wait`
+    raises `TurnedAway` for one that must not wait any longer.
     """
 
     def __init__(
@@ -67,12 +68,14 @@
         targets: Targets,
         is_quarantined: Callable[[Work, float], bool],
         rng: random.Random,
+        check_wait: Callable[[Work, float], None] = lambda work, now: None,
     ) -> None:
         self._places = places
         self._placement = placement
         self._targets = targets
         self._is_quarantined = is_quarantined
         self._rng = rng
+        self._check_wait = check_wait
 
     def choose(self, work: Work) -> Candidate:
         """Return a replica; wait up to a share of the objective if there is none."""
@@ -80,6 +83,7 @@
         until = time.monotonic() + wait_s
         while True:
             now = time.monotonic()
+            self._check_wait(work, now)
             chosen = self._placement.choose(self._candidates(work, now), work.need, now)
             if chosen is not None:
                 return chosen
@@ -207,6 +211,7 @@
     def _should_move(self, work: Work, candidate: Candidate, asked_at: float) -> bool:
         """Return whether a waiting request should leave this gate."""
         now = time.monotonic()
+        self._check_wait(work, now)
         if self._is_quarantined(work, now):
             return True
         record = candidate.record
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -95,6 +95,7 @@
             self._departure.check(work, started_at)
             self._crashes.check(work, started_at)
             self._dispatcher.serve(conn, work)
+            self._departure.record_run(work, time.monotonic())
             if work.outcome != 'delivered':
                 self._attempts.failed(work.admitted.route)
             self._log.done(work, self._routes.version)
--- a/tests/test_relay/test_departure.py
+++ b/tests/test_relay/test_departure.py
@@ -30,8 +30,10 @@
     return watch
 
 
-def work(output_tokens, *, is_stream=True):
-    return stream_work(10.0, output_tokens=output_tokens, is_stream=is_stream)
+def work(output_tokens, *, is_stream=True, **overrides):
+    return stream_work(
+        10.0, output_tokens=output_tokens, is_stream=is_stream, **overrides
+    )
 
 
 def is_admitted(departure, work, now):
@@ -86,3 +88,74 @@
     departure.begin(10.0)
     assert 0 < GRACE_S - departure.remaining_s(10.0) < 0.5
     assert departure.remaining_s(30.0) == 0
+
+
+def plain_work(now=10.0, **overrides):
+    return stream_work(now, is_stream=False, **overrides)
+
+
+def observe(departure, now, *, run_s, waited_s=0.0):
+    """Record a plain request that ends at `now`."""
+    ended = plain_work()
+    ended.sent_at = now - run_s
+    ended.waited_s = waited_s
+    departure.record_run(ended, now)
+
+
+@pytest.mark.parametrize('stream', [False, True])
+def test_a_request_that_runs_longer_than_the_grace_is_refused(stream):
+    # Regression: plain requests were taken until 2.7 s after the signal, whatever
+    # they were known to take, and were cut at the end of the grace.
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    observe(departure, 9.0, run_s=4.5)
+    departure.begin(10.0)
+    request = work(0) if stream else plain_work()
+    assert is_admitted(departure, request, 10.1)
+    assert not is_admitted(departure, request, 12.0)
+
+
+def test_the_wait_for_a_place_counts_for_a_request_that_has_none_yet():
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    observe(departure, 9.0, run_s=2.0, waited_s=4.0)
+    departure.begin(10.0)
+    request = plain_work()
+    assert not is_admitted(departure, request, 12.0)
+    departure.check_unsent(request, 12.0)
+
+
+def test_a_request_that_waits_is_refused_once_too_little_time_is_left():
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    observe(departure, 9.0, run_s=2.0)
+    request = plain_work()
+    departure.check_unsent(request, 16.0)
+    departure.begin(10.0)
+    departure.check_unsent(request, 14.0)
+    with pytest.raises(TurnedAway) as caught:
+        departure.check_unsent(request, 16.0)
+    assert (caught.value.status, caught.value.reason) == (503, 'stopping')
+    request.may_have_run = True
+    departure.check_unsent(request, 16.0)
+
+
+def test_a_request_whose_time_ends_before_the_grace_is_admitted():
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    observe(departure, 9.0, run_s=30.0)
+    departure.begin(10.0)
+    assert is_admitted(departure, plain_work(deadline_s=3.0), 10.0)
+    assert is_admitted(departure, plain_work(timeout_s=3.0), 10.0)
+    assert is_admitted(departure, work(2800, deadline_s=3.0), 10.0)
+    assert not is_admitted(departure, plain_work(), 10.0)
+
+
+def test_a_route_without_known_durations_is_judged_by_its_objective():
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    departure.begin(10.0)
+    assert is_admitted(departure, plain_work(objective_s=3.0), 10.0)
+    assert not is_admitted(departure, plain_work(objective_s=3.0), 12.0)
+
+
+def test_old_durations_do_not_count():
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    observe(departure, 9.0, run_s=30.0)
+    departure.begin(100.0)
+    assert is_admitted(departure, plain_work(100.0), 100.0)
--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -31,6 +31,7 @@
     changed['routes'].append(
         {**pay, 'name': 'engine', 'path_prefix': '/engine/', 'backend': 'model'}
     )
+    changed['routes'][-1]['target_latency_ms'] = 200
     changed['limits'] = {'idle_timeout_ms': 9000}
     return changed
 
@@ -115,6 +116,18 @@
     assert len(target.requests) == 1
 
 
+def test_a_request_that_waits_for_a_place_is_refused_once_it_cannot_end(node):
+    target = ScriptedTarget([MUTE])
+    node.receive_news(document(), [record(address=target.address, slots=1)])
+    first = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.5)
+    second = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.1)
+    stop(node, first, second)
+    assert second.statuses == [503]
+    assert second.ended_at < first.ended_at - 0.1
+
+
 def test_pipelined_requests_are_all_answered_before_the_grace_ends(node):
     target = ScriptedTarget([MUTE])
     node.receive_news(document(), [plain(target)])
