A signal during a start does not end a program unplanned

Callers saw: nothing so far; found by looking at stops. A SIGHUP (a change of the settings) before the watch of the settings had begun ended the process. A SIGTERM between the start of the servers and the installation of its handler ended it without the planned stop, with whatever it had read.

Cause: both handlers were installed after `program.start()`, that of SIGHUP in a greenlet, and until then the default action ends the process.

Now SIGHUP is ignored from the first module on until `main` handles it (the settings are read after that and polled), and SIGTERM and SIGINT are handled before the program is constructed: a stop then follows the start. A SIGTERM while modules are imported still ends the process at once; nothing has been read by then.

--- a/pistachiopath/platform/__main__.py
+++ b/pistachiopath/platform/__main__.py
@@ -9,6 +9,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 # Modules are never freed, so collecting garbage during imports only costs time.
@@ -17,6 +18,9 @@
 from .early import listen_early  # noqa: E402
 
 if __name__ == '__main__':
+    # `main` handles SIGHUP, which ends the process until then.  The settings are
+    # read later than this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listen_early(sys.argv[1:], os.environ)
 
 from .main import main  # noqa: E402
--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -45,13 +45,14 @@
     configure_logging(f'pistachiopath-{args.program}', cfg.name, cfg.log_level, stream)
     logger.info('starting', extra={'role': cfg.role, 'version': __version__})
     metrics = Metrics()
+    stop_requested = _handle_stop_signals()
     with starting():
         if args.metrics_port:
             metrics_server(f'{cfg.ip}:{args.metrics_port}', metrics).start()
         program = program_class(args.program)(cfg, metrics)
         program.start()
     gevent.spawn(_watch_settings, path, cfg, program)
-    _wait_for_stop()
+    stop_requested.wait()
     logger.info('stopping', extra={'role': cfg.role})
     program.stop()
     logger.info('stopped', extra={'role': cfg.role})
@@ -91,11 +92,12 @@
         raise SystemExit(EXIT_USAGE) from exc
 
 
-def _wait_for_stop() -> None:
-    stopped = gevent.event.Event()
+def _handle_stop_signals() -> gevent.event.Event:
+    """Return an event that the first SIGTERM or SIGINT sets; later ones do nothing."""
+    requested = gevent.event.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, stopped.set)
-    stopped.wait()
+        gevent.signal_handler(signum, requested.set)
+    return requested
 
 
 def _watch_settings(path: Path, cfg: PlatformSettings, program: Program) -> None:
