No response follows in the middle of one that was cut

Callers saw: bytes of the next response within the body of the one before.

Cause: a timeout of the request (or another exception) while its response was written to a caller that reads slowly left the rest unwritten, but the parser had counted the response as complete, so the connection went on with the next request.

Now a connection on which a write was not completed carries no other response.

Evidence: `test_a_response_cut_short_is_never_followed_by_another`; before, the second response arrived within the 8 MiB of the first.

--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -35,6 +35,7 @@
     def __init__(self, *, sock: socket, limits: ExchangeLimits) -> None:
         self.limits = limits
         self.closes_after_response = False
+        self._is_cut = False
         self._sock = sock
         self._http = self._new_parser()
         self._worker: gevent.Greenlet | None = None
@@ -131,8 +132,11 @@
         return self._http.our_state is h11.MUST_CLOSE
 
     def next_cycle(self) -> bool:
-        """Prepare for the next request; return False if none can follow."""
-        if self._http.our_state is not h11.DONE:
+        """Prepare for the next request; return False if none can follow.
+
+        None can after a response of which a part was not written.
+        """
+        if self._is_cut or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
@@ -184,10 +188,12 @@
             data = b''.join(self._http.send(event) or b'' for event in events)
         except h11.LocalProtocolError as exc:
             raise BadHttp(status=502, reason=str(exc)) from exc
+        self._is_cut = True
         try:
             self._sock.sendall(data)
         except OSError as exc:
             raise CallerLeft from exc
+        self._is_cut = False
 
     def _read_head(self) -> h11.Request | None:
         deadline = time.monotonic() + self.limits.idle_timeout_s
--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -14,7 +14,7 @@
 class EchoServer:
     """Server that responds with method, target and body and records requests."""
 
-    def __init__(self, limits=None, handle=None):
+    def __init__(self, limits=None, handle=None, get_limits=None):
         listener = gsocket.socket()
         listener.bind((LOOPBACK, 0))
         self.port = listener.getsockname()[1]
@@ -23,7 +23,7 @@
         self.server = HttpServer(
             address=f'{LOOPBACK}:{self.port}',
             handle=handle or self.echo,
-            limits=lambda: limits or ExchangeLimits(),
+            limits=get_limits or (lambda: limits or ExchangeLimits()),
             name='echo',
         )
         self.server.start()
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -212,3 +212,22 @@
     response = read_all(sock)
     assert b'first' in response
     assert not response.endswith(b'0\r\n\r\n')
+
+
+def test_a_response_cut_short_is_never_followed_by_another():
+    # Regression: a timeout while a response was written left the connection open,
+    # and the next response followed in the middle of the first.
+    size = 8 * 1024 * 1024
+
+    def handle(conn, req):
+        if req.target != b'/large':
+            conn.respond(200, [], b'next')
+            return
+        with gevent.Timeout(0.1, False):
+            conn.respond(200, [], b'x' * size)
+
+    server = EchoServer(handle=handle)
+    sock = server.connect()
+    sock.sendall(POST.replace(b'/a?b=c', b'/large') + POST)
+    gevent.sleep(0.3)
+    assert b'next' not in read_all(sock)
