Limits in force hold for connections that are open

Callers saw: a whole request on a kept connection got neither an answer nor a refusal, beside a change of the configuration; or 431 and 413 by sizes that were no longer in force.

Cause: a connection took its limits when it was opened, those before the first configuration included, so one that raises `idle_timeout_ms` did not reach it. Callers reuse connections up to four fifths of the limit in force, and the entry closed them by the old one.

Now each request is read with the limits in force when its first bytes arrive, and an idle connection is closed after the longest idle timeout in force at the beginning or the end of its wait.

Evidence: `test_an_idle_timeout_that_changes_holds_for_open_connections` (the second request got no answer before), `test_changed_sizes_hold_for_open_connections` (431 for a head within the limit before; with a smaller limit 408 after 3 s).

--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -32,7 +32,7 @@
     """Accepts connections and serves the requests on each of them in order.
 
     `handle` receives the connection and a complete request, and writes the
-    response to the connection.  `limits` is called for each new connection.
+    response to the connection.  `limits` returns those in force.
     `ServerStopping` is raised in a handler that has to answer at once.
     """
 
@@ -121,7 +121,7 @@
 
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
-        conn = ServerConnection(sock=sock, limits=self._limits())
+        conn = ServerConnection(sock=sock, get_limits=self._limits)
         conn.closes_after_response = self._stopping
         self._connections[conn] = gevent.getcurrent()
         try:
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -13,6 +13,8 @@
 from .request import HttpRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import gevent
     from gevent.socket import socket
 
@@ -30,10 +32,15 @@
 
     If the caller closes its connection while a request is being served,
     `CallerLeft` is raised in the greenlet that serves it, wherever that waits.
+    `get_limits` returns the limits in force; each request is read with those that
+    are in force when it begins.
     """
 
-    def __init__(self, *, sock: socket, limits: ExchangeLimits) -> None:
-        self.limits = limits
+    def __init__(
+        self, *, sock: socket, get_limits: Callable[[], ExchangeLimits]
+    ) -> None:
+        self.limits = get_limits()
+        self._get_limits = get_limits
         self.closes_after_response = False
         self._is_cut = False
         self._sock = sock
@@ -196,24 +203,56 @@
         self._is_cut = False
 
     def _read_head(self) -> h11.Request | None:
-        deadline = time.monotonic() + self.limits.idle_timeout_s
-        started = False
+        if not self._has_partial_head():
+            data = self._await_request()
+            if not data:
+                return None
+        else:
+            data = b''
+        self._adopt_limits()
+        deadline = time.monotonic() + self.limits.header_timeout_s
         while True:
+            if data:
+                self._http.receive_data(data)
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self._check_head(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            if not started and self._has_partial_head():
-                started = True
-                deadline = time.monotonic() + self.limits.header_timeout_s
             data = self._inbound.take(max(0.0, deadline - time.monotonic()))
-            if data is None and started:
+            if data is None:
                 raise BadHttp(status=408, reason='header_timeout')
             if not data:
                 return None
-            self._http.receive_data(data)
+
+    def _await_request(self) -> bytes | None:
+        """Return the first bytes of the next request, or None if there are none.
+
+        The idle timeout is the longest that is in force at the beginning or at
+        the end of the wait, as the caller may know either.
+        """
+        idle_since = time.monotonic()
+        first_timeout_s = self._get_limits().idle_timeout_s
+        while True:
+            timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
+            remaining_s = idle_since + timeout_s - time.monotonic()
+            if remaining_s <= 0:
+                return None
+            data = self._inbound.take(remaining_s)
+            if data is not None:
+                return data
+
+    def _adopt_limits(self) -> None:
+        """Read the next request with the limits in force."""
+        limits = self._get_limits()
+        if limits == self.limits:
+            return
+        self.limits = limits
+        unread, _ = self._http.trailing_data
+        self._http = self._new_parser()
+        if unread:
+            self._http.receive_data(unread)
 
     def _has_partial_head(self) -> bool:
         """Return whether a part of a request head has arrived."""
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -231,3 +231,42 @@
     sock.sendall(POST.replace(b'/a?b=c', b'/large') + POST)
     gevent.sleep(0.3)
     assert b'next' not in read_all(sock)
+
+
+def test_an_idle_timeout_that_changes_holds_for_open_connections():
+    # Regression: the limits were those of the time when the connection was opened.
+    limits = [ExchangeLimits(idle_timeout_s=0.1)]
+    server = EchoServer(get_limits=lambda: limits[0])
+    sock = server.connect()
+    sock.sendall(POST)
+    assert b'hello' in sock.recv(65536)
+    limits[0] = ExchangeLimits(idle_timeout_s=30.0)
+    gevent.sleep(0.2)
+    sock.sendall(POST)
+    assert b'hello' in sock.recv(65536)
+    limits[0] = ExchangeLimits(idle_timeout_s=0.1)
+    gevent.sleep(0.2)
+    sock.sendall(POST)
+    assert b'hello' in sock.recv(65536)
+    assert sock.recv(65536) == b''
+
+
+@pytest.mark.parametrize('smaller_first', [True, False])
+def test_changed_sizes_hold_for_open_connections(smaller_first):
+    small = ExchangeLimits(max_header_bytes=200, max_body_bytes=4)
+    large = ExchangeLimits()
+    before, after = (small, large) if smaller_first else (large, small)
+    limits = [before]
+    server = EchoServer(get_limits=lambda: limits[0])
+    sock = server.connect()
+    sock.sendall(b'GET /first HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert b'/first' in sock.recv(65536)
+    limits[0] = after
+    long_head = POST.replace(b'Host: h', b'Host: h\r\nX: ' + b'y' * 500)
+    sock.sendall(long_head[:400])
+    gevent.sleep(0.05)
+    if not smaller_first:
+        assert sock.recv(65536).startswith(b'HTTP/1.1 431')
+        return
+    sock.sendall(long_head[400:])
+    assert b'hello' in sock.recv(65536)
