A request that is due together with a timeout is read

Callers saw: a whole request on a kept connection got no answer after the entry had been busy or paused, or crossed the closing of idle connections of an entry that stops, although its bytes had arrived before; a body that had arrived got 408.

Cause: in `InboundBytes.take` the timeout won over bytes that the reader had not yet been scheduled to read, and `close_idle` looked only at bytes that were read.

Now the socket is read without waiting before a timeout counts and before a connection is taken to be idle. A caller that is silent itself still gets 408 after `header_timeout_s`, or is closed after the idle timeout.

Evidence: `test_a_request_that_arrives_during_a_pause_is_answered_after_it` (no answer before), `test_a_body_that_arrives_during_a_pause_is_read_after_it` (408 before), `test_a_request_that_was_not_read_yet_is_answered_when_idle_connections_close` (no answer before).

--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -41,12 +41,18 @@
         return bool(self._data)
 
     def take(self, timeout_s: float) -> bytes | None:
-        """Return the buffered bytes, b'' at the end, None after the timeout."""
+        """Return the buffered bytes, b'' at the end, None after the timeout.
+
+        Bytes that arrive together with the timeout are returned.
+        """
         deadline = time.monotonic() + timeout_s
         while not self._data and not self.ended:
             self._arrived.clear()
             remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0 or not self._arrived.wait(remaining_s):
+            if remaining_s > 0 and self._arrived.wait(remaining_s):
+                continue
+            self.poll()
+            if not self._data and not self.ended:
                 return None
         data = bytes(self._data)
         self._data.clear()
--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -83,8 +83,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for conn in list(self._connections):
-            if conn.is_idle:
-                conn.close()
+            conn.close_if_idle()
 
     def wait_until_idle(self, timeout_s: float) -> None:
         """Wait for all connections to end, closing them as they become idle.
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -170,6 +170,12 @@
         while self._inbound.take(max(0.0, deadline - time.monotonic())):
             pass
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a part of a request has arrived."""
+        self._inbound.poll()
+        if self.is_idle:
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         self._inbound.stop()
@@ -237,10 +243,8 @@
         while True:
             timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
             remaining_s = idle_since + timeout_s - time.monotonic()
-            if remaining_s <= 0:
-                return None
-            data = self._inbound.take(remaining_s)
-            if data is not None:
+            data = self._inbound.take(max(0.0, remaining_s))
+            if data is not None or remaining_s <= 0:
                 return data
 
     def _adopt_limits(self) -> None:
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import gevent
 import gevent.event
 import pytest
@@ -270,3 +272,48 @@
         return
     sock.sendall(long_head[400:])
     assert b'hello' in sock.recv(65536)
+
+
+def block_loop(duration_s):
+    """Keep the event loop busy, as if the process had been paused."""
+    time.sleep(duration_s)
+
+
+def test_a_request_that_arrives_during_a_pause_is_answered_after_it():
+    # Regression: the idle timeout was due together with the bytes and won.
+    limits = ExchangeLimits(idle_timeout_s=0.3)
+    server = EchoServer(limits)
+    callers = [server.connect() for _ in range(20)]
+    for sock in callers:
+        sock.sendall(POST)
+        assert b'hello' in sock.recv(65536)
+    for sock in callers:
+        sock.sendall(POST)
+    block_loop(0.5)
+    for sock in callers:
+        assert b'hello' in sock.recv(65536)
+
+
+def test_a_body_that_arrives_during_a_pause_is_read_after_it():
+    limits = ExchangeLimits(header_timeout_s=0.3)
+    server = EchoServer(limits)
+    sock = server.connect()
+    sock.sendall(POST[:-2])
+    gevent.sleep(0.05)
+    sock.sendall(POST[-2:])
+    block_loop(0.5)
+    assert b'hello' in sock.recv(65536)
+
+
+def test_a_request_that_was_not_read_yet_is_answered_when_idle_connections_close():
+    # Regression: only bytes that had been read counted.
+    server = EchoServer()
+    sock = server.connect()
+    sock.sendall(POST)
+    assert b'hello' in sock.recv(65536)
+    gevent.sleep(0.01)
+    sock.sendall(POST)
+    server.server.stop_accepting()
+    response = read_all(sock)
+    assert b'hello' in response
+    assert b'connection: close' in response.lower()
