A request whose handling fails unexpectedly gets an answer

Callers saw: an exception that no code expects closed the connection of a whole request, and of those read behind it, without an answer; an `OSError` of a handler, such as a disk that fails, did so with a debug line only.

Cause: `HttpServer` caught what a handler let through and closed.

Now an entry answers 503 with a Retry-After if the request was certainly not sent and 502 if it may have run; an answer that has begun ends incomplete, a complete one is left alone. A request that can't be decoded because of such a fault gets 503. Other servers answer 500. The connection goes on, so that requests behind it are answered too.

--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -24,6 +24,7 @@
 
 IDLE_POLL_S = 0.05
 END_POLL_S = 0.01
+STATUS_FAILED = 500
 STATUS_UNKNOWN_OUTCOME = 502
 STATUS_NOT_RUN = 503
 
@@ -33,7 +34,8 @@
 
     `handle` receives the connection and a complete request, and writes the
     response to the connection.  `limits` returns those in force.
-    `ServerStopping` is raised in a handler that has to answer at once.
+    `ServerStopping` is raised in a handler that has to answer at once.  If a
+    handler fails without having begun a response, the caller gets 500.
     """
 
     def __init__(
@@ -131,9 +133,7 @@
         except (CallerLeft, ServerStopping, OSError) as exc:
             logger.debug('caller_left', extra={'error': type(exc).__name__})
         except Exception:
-            # The connection closes without a complete response, which leaves open
-            # whether the request ran.  Other connections are not affected.
-            logger.exception('handler_failed', extra={'server': self._name})
+            logger.exception('connection_failed', extra={'server': self._name})
         finally:
             self._connections.pop(conn, None)
             conn.close()
@@ -161,6 +161,12 @@
             if conn.has_begun:
                 raise
             conn.respond(STATUS_UNKNOWN_OUTCOME, [], b'')
+        except CallerLeft:
+            raise
+        except Exception:
+            logger.exception('handler_failed', extra={'server': self._name})
+            if not conn.has_begun:
+                conn.respond(STATUS_FAILED, [], b'')
         finally:
             conn.stop_serving()
         return conn.next_cycle()
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -24,7 +25,11 @@
     from .request_log import RequestLog
     from .routes_in_force import RoutesInForce
 
+logger = logging.getLogger(__name__)
+
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+FAILED_RETRY_AFTER_S = 0.5
+STATUS_NOT_RUN = 503
 STATUS_UNKNOWN_OUTCOME = 502
 # A node that starts has its configuration within a few hundred ms.
 FIRST_CONFIGURATION_WAIT_S = 0.6
@@ -63,8 +68,7 @@
         """Answer a request; raises `CallerLeft` if its caller has left."""
         self.in_flight += 1
         try:
-            req = self._dialect.read(http)
-            self._serve(conn, req)
+            self._serve(conn, self._read(http))
         except BadHttp as exc:
             if conn.has_begun:
                 raise CallerLeft from exc
@@ -86,6 +90,16 @@
         spent_s = self._attempts.spent_s(req, admitted.route)
         return make_work(req, admitted, now, spent_s=spent_s)
 
+    def _read(self, http: HttpRequest) -> CallerRequest:
+        """Return the decoded request; raises `BadHttp`."""
+        try:
+            return self._dialect.read(http)
+        except BadHttp:
+            raise
+        except Exception as exc:
+            logger.exception('request_unreadable')
+            raise BadHttp(status=STATUS_NOT_RUN, reason='unreadable') from exc
+
     def _serve(self, conn: ServerConnection, req: CallerRequest) -> None:
         started_at = time.monotonic()
         work: Work | None = None
@@ -105,24 +119,47 @@
             if work is None or not work.may_have_run:
                 self._refuse(conn, req, work, stopping_refusal(), started_at)
             else:
-                self._end_by_stop(conn, work)
+                self._respond_unknown(conn, work, 'stop')
+        except BadHttp:
+            raise
         except CallerLeft:
             if work is not None:
                 work.outcome = 'caller_left'
                 self._log.done(work, self._routes.version)
             raise
+        except Exception:
+            logger.exception('request_failed', extra={'request': req.request_id})
+            self._answer_failed(conn, req, work, started_at)
         finally:
             span.end()
 
-    def _end_by_stop(self, conn: ServerConnection, work: Work) -> None:
-        """Answer a request that may have run, as the entry stops.
+    def _answer_failed(
+        self,
+        conn: ServerConnection,
+        req: CallerRequest,
+        work: Work | None,
+        started_at: float,
+    ) -> None:
+        """Answer a request whose handling failed, unless it has its answer."""
+        if conn.is_answered:
+            return
+        if work is not None and work.may_have_run:
+            self._respond_unknown(conn, work, 'failure')
+            return
+        exc = TurnedAway(
+            status=STATUS_NOT_RUN, reason='failed', retry_after_s=FAILED_RETRY_AFTER_S
+        )
+        self._refuse(conn, req, work, exc, started_at)
+
+    def _respond_unknown(self, conn: ServerConnection, work: Work, cause: str) -> None:
+        """Answer a request that may have run, without saying whether it did.
 
         An answer that has begun is left incomplete.
         """
         if conn.has_begun:
-            work.outcome = 'stop_broken_off'
+            work.outcome = f'{cause}_broken_off'
         else:
-            work.outcome = 'stop_lost'
+            work.outcome = f'{cause}_lost'
             work.status = STATUS_UNKNOWN_OUTCOME
             conn.respond(work.status, self._dialect.own_headers(work.req, None), b'')
         self._log.done(work, self._routes.version)
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -18,6 +18,9 @@
 from pistachiopath.relay import request_handler
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.entry import RelayEntry
+from pistachiopath.relay.exchange_run import ExchangeRun
+from pistachiopath.relay.placer import Placer
+from pistachiopath.relay.request_log import RequestLog
 from pistachiopath.relay.settings import RelaySettings
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.telemetry.spans import NoSpans
@@ -180,3 +183,50 @@
     assert conn.recv(65536) == b''
     with pytest.raises(OSError):
         node.send_request()
+
+
+class Fault(Exception):
+    """An error that no code expects."""
+
+
+def raise_fault(*_args, **_kwargs):
+    raise Fault
+
+
+def test_a_request_that_fails_unexpectedly_before_it_is_sent_gets_503(
+    node, monkeypatch
+):
+    # Regression: its connection ended without an answer.
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(Placer, 'choose', raise_fault)
+    response = node.send_request()
+    assert response.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in response
+    assert b'abc' in response
+    assert target.requests == []
+
+
+def test_a_request_that_fails_unexpectedly_after_it_was_sent_gets_502(
+    node, monkeypatch
+):
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(ExchangeRun, '_relay_answer', raise_fault)
+    assert node.send_request().startswith(b'HTTP/1.1 502')
+    assert len(target.requests) == 1
+
+
+def test_an_unexpected_failure_before_the_admission_gets_503(node, monkeypatch):
+    node.receive_news()
+    monkeypatch.setattr(PlatformDialect, 'read', raise_fault)
+    assert node.send_request().startswith(b'HTTP/1.1 503')
+
+
+def test_an_unexpected_failure_after_the_answer_adds_nothing_to_it(node, monkeypatch):
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(RequestLog, 'done', raise_fault)
+    response = node.send_request()
+    assert response.startswith(b'HTTP/1.1 200')
+    assert response.endswith(b'done')
