A cut response without a length is reset

Callers saw: to a caller that speaks HTTP/1.0 a response of unknown length ends with its connection, so a stream that broke off (a lost target, a timeout, the end of a stop) looked complete.

Now `ServerConnection.close` resets the connection if such a response is incomplete. Responses to HTTP/1.1 are chunked and lack their last chunk.

Evidence: `test_a_cut_response_without_a_length_does_not_look_complete`, no reset before. `test_a_caller_that_expects_100_gets_its_answer` is new and passed before: no fault was found there.

--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,8 @@
 # The colon, space and line end of a header line.
 HEADER_OVERHEAD_BYTES = 4
 LINGER_S = 1.0
+# `struct linger` with a timeout of 0.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ServerConnection:
@@ -177,10 +180,20 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection.
+
+        It is reset if its end would complete a response that has been cut.
+        """
         self._inbound.stop()
+        if self._ends_with_connection and self._http.our_state is h11.SEND_BODY:
+            self._sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, RESET_ON_CLOSE)
         self._sock.close()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether a response of unknown length ends with the connection."""
+        return self._http.their_http_version == b'1.0'
+
     def _head(self, status: int, headers: Headers) -> h11.Response:
         if self.closes_after_response and not self._has_next_request():
             headers = [*headers, (b'connection', b'close')]
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -332,3 +332,30 @@
     sock.sendall(POST.replace(b'/a?b=c', b'/large') + POST)
     gevent.sleep(0.3)
     assert b'next' not in read_all(sock)
+
+
+def test_a_cut_response_without_a_length_does_not_look_complete():
+    # Regression: the end of the connection, which ends such a response, was the
+    # same for a whole one and for a part.
+    def handle(conn, req):
+        conn.begin(200, [], b'first')
+        gevent.sleep(0.05)
+        raise CallerLeft
+
+    sock = EchoServer(handle=handle).connect()
+    sock.sendall(b'GET / HTTP/1.0\r\nHost: h\r\n\r\n')
+    assert b'first' in sock.recv(65536)
+    with pytest.raises(ConnectionResetError):
+        sock.recv(65536)
+
+
+@pytest.mark.parametrize('waits', [True, False])
+def test_a_caller_that_expects_100_gets_its_answer(waits):
+    head, body = POST[:-5], POST[-5:]
+    head = head.replace(b'Host: h', b'Host: h\r\nExpect: 100-continue')
+    sock = EchoServer().connect()
+    sock.sendall(head if waits else head + body)
+    if waits:
+        assert sock.recv(65536).startswith(b'HTTP/1.1 100')
+        sock.sendall(body)
+    assert b'hello' in sock.recv(65536)
