Two requests of the same id at once each get an answer

Callers saw: a caller that sent its request id twice at once got no answer to one of them; the place of the other could stay taken at the gate.

Cause: `Places` keeps the waits by name. The second replaced the wait of the first, and whichever ended last failed with a KeyError before it released its place.

Evidence: `test_a_second_request_of_the_same_name_does_not_disturb_the_first`, GateLost and KeyError before.

--- a/pistachiopath/relay/places.py
+++ b/pistachiopath/relay/places.py
@@ -21,6 +21,7 @@
 MOVE_CHECK_INTERVAL_S = 0.15
 # A gate replies to every ask, and this leaves time for a repeated one.
 FIRST_REPLY_TIMEOUT_S = 0.5
+DUPLICATE_RETRY_AFTER_S = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -71,8 +72,11 @@
     ) -> Grant | None:
         """Wait for a place; return None once `should_move` returns true.
 
-        Raises `PlaceDenied` or `GateLost`.
+        Raises `PlaceDenied` or `GateLost`.  A second ask of the same name, from a
+        caller that uses its request id twice at once, is denied.
         """
+        if ask.request in self._waiting:
+            raise PlaceDenied(retry_after_s=DUPLICATE_RETRY_AFTER_S)
         wait = _Wait(gate=gate, asked_at=time.monotonic())
         self._waiting[ask.request] = wait
         granted = False
--- a/tests/test_relay/test_places.py
+++ b/tests/test_relay/test_places.py
@@ -96,3 +96,18 @@
     gate = Gate()
     assert gate.ask(lambda: len(gate.sent) == 2).get(timeout=10) is None
     assert gate.sent[:2] == [ASK, ASK]
+
+
+def test_a_second_request_of_the_same_name_does_not_disturb_the_first():
+    # Regression: both lost track of their wait, and the first one's place was
+    # never released.
+    gate = Gate()
+    first = gate.ask()
+    gevent.sleep(0)
+    second = gate.ask()
+    with pytest.raises(PlaceDenied):
+        second.get(timeout=5)
+    gate.places.handle_reply('g', Granted(request='a'))
+    grant = first.get(timeout=5)
+    gate.places.release(grant, 20, ok=True)
+    assert gate.sent == [ASK, ReleasePlace(request='a', first_ms=20, ok=True)]
