--- a/tests/test_exchange/test_mutations.py
+++ b/tests/test_exchange/test_mutations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiopath.exchange.inbound import InboundBytes
 from pistachiopath.exchange.server import HttpServer
 from pistachiopath.exchange.server_connection import ServerConnection
 
@@ -34,9 +35,27 @@
     return checks.test_a_stop_announces_close_and_ends_idle_connections
 
 
+def unread_bytes_do_not_count(patch):
+    """A connection is idle although a request has arrived."""
+    patch.setattr(InboundBytes, 'poll', lambda self: None)
+    return checks.test_a_request_that_was_not_read_yet_is_answered_at_a_stop
+
+
+def first_limits_only(patch):
+    """A connection keeps the limits of the time when it was opened."""
+    patch.setattr(ServerConnection, '_adopt_limits', lambda self: None)
+    return lambda: checks.test_changed_sizes_hold_for_open_connections(True)
+
+
 @pytest.mark.parametrize(
     'mutation',
-    [no_head_size_limit, no_body_read, no_stop_announcement],
+    [
+        no_head_size_limit,
+        no_body_read,
+        no_stop_announcement,
+        unread_bytes_do_not_count,
+        first_limits_only,
+    ],
     ids=lambda m: m.__name__,
 )
 def test_the_check_fails_without_the_mechanism(monkeypatch, mutation):
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -301,7 +301,7 @@
     assert b'hello' in sock.recv(65536)
 
 
-def test_a_request_that_was_not_read_yet_is_answered_when_idle_connections_close():
+def test_a_request_that_was_not_read_yet_is_answered_at_a_stop():
     # Regression: only bytes that had been read counted.
     server = EchoServer()
     sock = server.connect()
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -164,6 +164,13 @@
     )
 
 
+def waiting_requests_are_not_looked_at(patch):
+    """Lets a request wait for a place although its run would be cut off."""
+    patch.setattr(Departure, 'check_unsent', lambda self, work, now: None)
+    check = departure_checks
+    return check.test_a_request_that_waits_is_refused_once_too_little_time_is_left
+
+
 def more_grants_than_places(patch):
     """Lets a gate grant one place too many."""
     patch.setattr(
@@ -264,6 +271,7 @@
     each_break_is_a_crash,
     crashes_at_once_add_up,
     any_stream_while_stopping,
+    waiting_requests_are_not_looked_at,
     more_grants_than_places,
     look_only_at_the_choice,
     backoff_forgotten_on_a_success,
