--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -45,21 +45,44 @@
         return bool(self._data)
 
     def take(self, timeout_s: float) -> bytes | None:
-        """Return the buffered bytes, b'' at the end, None after the timeout."""
+        """Return the buffered bytes, b'' at the end, None after the timeout.
+
+        Bytes that arrive together with the timeout are returned.
+        """
         deadline = time.monotonic() + timeout_s
         while not self._data and not self.ended:
             self._arrived.clear()
             remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0 or not self._arrived.wait(remaining_s):
+            if remaining_s > 0 and self._arrived.wait(remaining_s):
+                continue
+            self.poll()
+            if not self._data and not self.ended:
                 return None
         data = bytes(self._data)
         self._data.clear()
         self._has_room.set()
         return data
 
+    def poll(self) -> None:
+        """Buffer the bytes that have arrived but have not been read yet.
+
+        The reader notices an end or an error of the connection by itself.
+        """
+        if self.ended or not self._has_room.is_set():
+            return
+        self._sock.settimeout(0.0)
+        try:
+            self._data += self._sock.recv(READ_BYTES)
+        except OSError:
+            return
+        finally:
+            self._sock.settimeout(None)
+
     def stop(self) -> None:
-        """Stop reading."""
+        """Stop reading, and end the wait of `take`."""
         self._reader.kill(block=False)
+        self.ended = True
+        self._arrived.set()
 
     def _read(self) -> None:
         try:
--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -44,13 +44,14 @@
     metrics = Metrics()
     failures = LoopFailures(metrics=metrics)
     report_greenlet_errors(failures)
+    stop_requested = _handle_stop_signals()
     with starting():
         if args.metrics_port:
             metrics_server(f'{cfg.ip}:{args.metrics_port}', metrics).start()
         program = program_class(args.program)(cfg, metrics)
         program.start()
     SettingsWatch(path=path, cfg=cfg, program=program, failures=failures).start()
-    _wait_for_stop()
+    stop_requested.wait()
     logger.info('stopping', extra={'role': cfg.role})
     program.stop()
     logger.info('stopped', extra={'role': cfg.role})
@@ -90,8 +91,9 @@
         raise SystemExit(EXIT_USAGE) from exc
 
 
-def _wait_for_stop() -> None:
-    stopped = gevent.event.Event()
+def _handle_stop_signals() -> gevent.event.Event:
+    """Return an event that the first SIGTERM or SIGINT sets; later ones do nothing."""
+    requested = gevent.event.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, stopped.set)
-    stopped.wait()
+        gevent.signal_handler(signum, requested.set)
+    return requested
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -7,6 +7,7 @@
 import gevent.socket as gsocket
 import pytest
 
+from pistachiopath.platform import control_program as control_module
 from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
 from pistachiopath.platform.decoded_accounts import DecodedAccounts
 from pistachiopath.platform.settings import PlatformSettings
@@ -98,3 +99,25 @@
         assert program._shell.core.version == 8
     finally:
         program.stop()
+
+
+def test_a_call_whose_body_is_incomplete_is_answered_before_a_stop_ends(monkeypatch):
+    # Regression: the connection ended without an answer.
+    monkeypatch.setattr(control_module, 'DRAIN_TIMEOUT_S', 0.05)
+    control = free_address()
+    cfg = PlatformSettings(
+        name='n',
+        role='control',
+        zone='a',
+        ip='127.0.0.1',
+        ports=(7600, 7615),
+        control=control,
+    )
+    program = ControlProgram(cfg, Metrics())
+    program._server.start()
+    host, _, port = control.rpartition(':')
+    sock = gsocket.create_connection((host, int(port)))
+    sock.sendall(b'PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{')
+    gevent.sleep(0.05)
+    program.stop()
+    assert sock.recv(65536).startswith(b'HTTP/1.1 503')
