--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -28,6 +28,7 @@
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
+from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
 if TYPE_CHECKING:
@@ -49,7 +50,6 @@
 TICK_INTERVAL_S = 0.05
 LINK_SILENCE_S = 1.0
 SPREAD_POLL_INTERVAL_S = 0.01
-SAVE_INTERVAL_S = 0.5
 # A committed put is acknowledged after this time even if an entry that follows
 # does not hold it yet.
 SPREAD_TIMEOUT_S = 0.3
@@ -113,10 +113,8 @@
             crashes=CrashWatch(),
             controls=lambda: self.announcer.controls(time.monotonic())[1:],
         )
-        self._replicas = replicas
-        self._saved_change = 0
-        self._save_at = now
-        self._load_replicas(now)
+        self._replicas = SavedReplicas(file=replicas, announcer=self.announcer)
+        self._replicas.load(now)
         self._peers = Subscriber(is_entry=False, own_address=cfg.node_address)
         self._peers.set_seeds(cfg.seeds, now)
         self._client = DocumentClient(leader=lambda: self.core.leader)
@@ -135,7 +133,7 @@
                 LoopPart(name='leases', run=self._send_leases),
                 LoopPart(name='reports', run=self._report_to_lenders),
                 LoopPart(name='marks', run=self._resend_marks),
-                LoopPart(name='replicas', run=self._save_replicas),
+                LoopPart(name='replicas', run=self._replicas.save),
             ],
             failures=failures,
         )
@@ -232,32 +230,6 @@
         """Mark a replica as departed and forward the change."""
         self._carry_out(self.announcer.depart(replica, time.monotonic()))
 
-    def _load_replicas(self, now: float) -> None:
-        """Load the replicas that were known before a restart.
-
-        Their next announcements correct what has changed since.
-        """
-        try:
-            records = tuple(self._replicas.load())
-        except OSError as exc:
-            logger.warning('replicas_not_loaded', extra={'error': exc.errno})
-            return
-        self.announcer.merge_announcements(Announcements(records=records), now)
-        self._saved_change = self.announcer.directory.change
-        logger.info('replicas_loaded', extra={'number': len(records)})
-
-    def _save_replicas(self, now: float) -> None:
-        change = self.announcer.directory.change
-        if change == self._saved_change or now < self._save_at:
-            return
-        self._save_at = now + SAVE_INTERVAL_S
-        try:
-            self._replicas.save(self.announcer.directory.records())
-        except OSError as exc:
-            logger.warning('replicas_not_saved', extra={'error': exc.errno})
-            return
-        self._saved_change = change
-
     # Messages and timers
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -33,7 +33,7 @@
     'leases': lambda shell: (shell._lending, 'send_leases'),
     'reports': lambda shell: (shell._lending, 'report'),
     'marks': lambda shell: (shell._lending, 'resend_marks'),
-    'replicas': lambda shell: (shell._replicas, 'save'),
+    'replicas': lambda shell: (shell._replicas._file, 'save'),
 }
 
 
