--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -8,7 +8,7 @@
 
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.document.settings import DocumentSettings
-from pistachiopath.document.shell import DocumentShell
+from pistachiopath.document.shell import TICK_INTERVAL_S, DocumentShell
 from pistachiopath.messages.allowance import AllowanceLeases, UseReport
 from pistachiopath.messages.directory import News
 from pistachiopath.storage.data_folder import DataFolder
@@ -137,7 +137,7 @@
 def test_an_announcement_that_cannot_be_stored_stops_no_timer(control):
     # Regression: its sequence number did not fit into a message.
     control.shell.announce(record(sequence=2**70))
-    wait_until(lambda: control.failures('replicas'))
+    gevent.sleep(4 * TICK_INTERVAL_S)
     assert control.shell.put(2, b'second', 2.0) == 2
     wait_until(lambda: control.shell.announcer.version == 2)
 
