A whole control node is tested with odd announcements

The table of odd fields is sent over HTTP to a control program with a data folder; what follows is saved and announced. An announcement of more than 256 KiB is refused before it is parsed.

--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -14,10 +14,13 @@
 # An announcement with any other state is refused.
 STATES = {'ready': ReplicaState.READY, 'draining': ReplicaState.DRAINING}
 WHERE = 'announcement'
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
     """Return the record of an announcement; raises `InvalidConfiguration`."""
+    if len(content) > MAX_ANNOUNCEMENT_BYTES:
+        raise InvalidConfiguration(where=WHERE, reason='too_long')
     try:
         data = json.loads(content)
     except (ValueError, RecursionError) as exc:
--- a/tests/test_platform/test_control_api.py
+++ b/tests/test_platform/test_control_api.py
@@ -138,6 +138,7 @@
     b'[' * 100_000,
     announcement()[:-3],
     b'[' + announcement() + b']',
+    announcement().ljust(1_000_000),
 ]
 ODD_IDS = [
     '',
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -2,18 +2,22 @@
 
 import errno
 import os
+import time
 
 import gevent
 import gevent.socket as gsocket
 import pytest
 
+from pistachiopath.document.shell import SAVE_INTERVAL_S
 from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
 from pistachiopath.platform.decoded_accounts import DecodedAccounts
 from pistachiopath.platform.settings import PlatformSettings
+from pistachiopath.storage.record_file import RecordFile
 from pistachiopath.telemetry.metrics import Metrics
 from tools.free_address import free_address
 
 from .test_configuration import VALID, encode
+from .test_control_api import ODD_FIELDS, announcement
 
 
 @pytest.fixture
@@ -59,16 +63,21 @@
     assert accounts.read(b'{') == known
 
 
+def call(address, method, path, content):
+    """Return the status of a call, 0 if the connection ended without one."""
+    host, port = address.split(':')
+    head = f'{method} /pistachiopath{path} HTTP/1.1\r\nHost: h\r\n'
+    head += f'Content-Length: {len(content)}\r\n\r\n'
+    with gsocket.create_connection((host, int(port)), 5.0) as conn:
+        conn.sendall(head.encode() + content)
+        line = conn.recv(100).split()
+    return int(line[1]) if line else 0
+
+
 def put_configuration(address, content):
     """Return the status of a PUT; repeat it while the node has no leader."""
-    host, port = address.split(':')
-    head = (
-        b'PUT /pistachiopath/config HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
-    )
     for _ in range(20):
-        with gsocket.create_connection((host, int(port)), 5.0) as conn:
-            conn.sendall(head % len(content) + content)
-            status = int(conn.recv(100).split()[1])
+        status = call(address, 'PUT', '/config', content)
         if status != 503:
             return status
         gevent.sleep(0.1)
@@ -98,3 +107,26 @@
         assert program._shell.core.version == 8
     finally:
         program.stop()
+
+
+def test_a_node_saves_and_forwards_the_others_after_odd_announcements(tmp_path):
+    # Regression: the timer ended while the node still answered.
+    address = free_address()
+    node = free_address()
+    port = int(node.split(':')[1])
+    program = control_program(
+        control=address, data_folder=str(tmp_path), ports=(port, port + 15)
+    )
+    program.start()
+    try:
+        for number, changes in enumerate(ODD_FIELDS):
+            odd = announcement(**changes)
+            assert call(address, 'PUT', f'/replicas/odd{number}', odd) == 400
+        assert call(address, 'DELETE', '/replicas/odd%00', b'') == 400
+        assert call(address, 'PUT', '/replicas/live', announcement()) == 200
+        gevent.sleep(2 * SAVE_INTERVAL_S)
+        (saved,) = RecordFile(path=tmp_path / 'replicas').load()
+        assert saved.replica == 'live'
+        assert program._shell.announcer.silent(time.monotonic()) == ()
+    finally:
+        program.stop()
