Label values with quotes leave the metrics readable

A route's name with a quote, a backslash or a line end broke the line of its counters. Test: tests/test_telemetry/test_metrics.py; on the code before the text is not escaped.

--- a/pistachiopath/telemetry/metrics.py
+++ b/pistachiopath/telemetry/metrics.py
@@ -66,4 +66,8 @@
 def _labels(labels: tuple[tuple[str, str], ...]) -> str:
     if not labels:
         return ''
-    return '{' + ','.join(f'{key}="{value}"' for key, value in labels) + '}'
+    return '{' + ','.join(f'{key}="{_escaped(value)}"' for key, value in labels) + '}'
+
+
+def _escaped(value: str) -> str:
+    return value.replace('\\', '\\\\').replace('"', '\\"').replace('\n', '\\n')
