Methods and names of any kind leave metrics and log lines bounded

Each method that a caller of a control node made up added a counter and a histogram; they are counted as `other`. A long name of a route cut the reason out of `configuration_refused`; the name is cut instead, in the error's own text.

--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -24,6 +24,8 @@
 
 # Clients try another control node after 1 second without an answer.
 ANSWER_TIMEOUT_S = 0.85
+METHODS = frozenset({b'GET', b'PUT', b'DELETE'})
+OTHER_METHOD = 'other'
 JSON_CONTENT_TYPE = (b'content-type', b'application/json')
 EMPTY_BODY = b'{}'
 UNCERTAIN_BODY = b'{"error":"uncertain"}'
@@ -41,7 +43,7 @@
         """Answer one request and record its metrics."""
         started_at = time.monotonic()
         status, body = self._answer(req)
-        method = req.method.decode('latin-1')
+        method = _known_method(req)
         self._metrics.count('calls_total', method=method, status=str(status))
         self._metrics.observe('call', time.monotonic() - started_at, method=method)
         conn.respond(status, [JSON_CONTENT_TYPE], body)
@@ -62,9 +64,7 @@
         try:
             routes = decode_configuration(req.body)
         except InvalidConfiguration as exc:
-            logger.warning(
-                'configuration_refused', extra={'reason': shortened(str(exc))}
-            )
+            logger.warning('configuration_refused', extra={'reason': str(exc)})
             return 400, INVALID_BODY
         held_version = self._shell.put(routes.version, req.body, ANSWER_TIMEOUT_S)
         logger.info(
@@ -111,13 +111,18 @@
             'announcement_refused',
             extra={
                 'replica': shortened(quoted_id),
-                'method': req.method.decode('latin-1'),
+                'method': _known_method(req),
                 'bytes': len(req.body),
-                'reason': shortened(str(exc)),
+                'reason': str(exc),
             },
         )
 
 
+def _known_method(req: HttpRequest) -> str:
+    """Return the method if it is one of `METHODS`, which bounds the metrics."""
+    return req.method.decode('latin-1') if req.method in METHODS else OTHER_METHOD
+
+
 def _unquoted(quoted_id: str) -> str:
     """Return the id of a replica from a path; raises `InvalidConfiguration`."""
     try:
--- a/pistachiopath/platform/decoded_accounts.py
+++ b/pistachiopath/platform/decoded_accounts.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from ..errors.configuration import InvalidConfiguration
-from ..util.plain_text import shortened
 from .configuration import decode_configuration
 
 if TYPE_CHECKING:
@@ -32,6 +31,6 @@
         except InvalidConfiguration as exc:
             logger.error(
                 'accounts_unusable',
-                extra={'bytes': len(content), 'reason': shortened(str(exc))},
+                extra={'bytes': len(content), 'reason': str(exc)},
             )
         return self._accounts
--- a/tests/test_platform/test_control_api.py
+++ b/tests/test_platform/test_control_api.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import copy
 import json
 import logging
 import time
@@ -20,6 +21,9 @@
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.transport.codec import encode
 
+from .test_configuration import VALID
+from .test_configuration import encode as encode_document
+
 NOW = 5.0
 HUGE = 10**400
 DIGITS_4000 = '9' * 4000
@@ -71,9 +75,9 @@
         self.metrics = Metrics()
         self._api = ControlApi(shell=self.shell, metrics=self.metrics)
 
-    def call(self, method, quoted_id, body=b''):
+    def call(self, method, quoted_id, body=b'', path=names.REPLICAS_PATH):
         conn = Answer()
-        path = names.REPLICAS_PATH + quoted_id
+        path += quoted_id
         self._api.handle(
             conn,
             HttpRequest(method=method, target=path.encode(), headers=[], body=body),
@@ -155,7 +159,7 @@
 
 
 @pytest.mark.parametrize('changes', ODD_FIELDS, ids=lambda c: str(c)[:40])
-def test_an_announcement_that_messages_cannot_carry_is_refused_and_the_others_hold(
+def test_an_odd_announcement_is_refused_and_the_others_hold(
     changes,
 ):
     node = Node()
@@ -193,7 +197,7 @@
 
 
 @pytest.mark.parametrize('ahead_ms', [10 * MINUTE_MS, 24 * 60 * MINUTE_MS])
-def test_a_start_in_the_future_does_not_end_the_live_replica_at_its_address(ahead_ms):
+def test_a_start_in_the_future_does_not_end_a_live_replica(ahead_ms):
     node = Node()
     assert node.put('live') == 200
     assert node.put('odd', born=now_ms() + ahead_ms) == 400
@@ -217,6 +221,24 @@
     assert 'announcements_refused_total{reason="surrogate"} 1' in text
 
 
+def test_unknown_methods_do_not_add_metrics():
+    node = Node()
+    for number in range(50):
+        assert node.call(b'X%d' % number, 'r') == 405
+    assert node.metrics.render().count('calls_total') == 1
+
+
+def test_a_refused_configuration_is_logged_in_a_short_line(caplog):
+    node = Node()
+    document = copy.deepcopy(VALID)
+    document['routes'][0].update(name='r' * 4000, timeout_ms=0)
+    path = names.CONFIGURATION_PATH
+    assert node.call(b'PUT', '', encode_document(document), path=path) == 400
+    (line,) = caplog.records
+    assert len(line.reason) < 200
+    assert line.reason.endswith(': no_timeout')
+
+
 JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
