An address that is none is a failed connection, not an exception

What callers saw: a record whose address a peer had passed on although it is none closed the connection without an answer (ValueError, UnicodeError from the resolver). A link to such an address ended its greenlet with ValueError, and messages to it were kept for ever.

--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -10,7 +10,7 @@
 import h11
 
 from ..errors.exchange import BrokenOff, ConnectFailed, Garbled, NumberTooLarge
-from ..transport.network import split_address
+from ..transport.network import CONNECT_ERRORS, split_address
 from .answer import AnswerHead
 from .decimal import parse_decimal
 
@@ -64,7 +64,7 @@
         """Open the connection; raises `ConnectFailed`."""
         try:
             sock = gsocket.create_connection(split_address(self.address), timeout_s)
-        except OSError as exc:
+        except CONNECT_ERRORS as exc:
             raise ConnectFailed(
                 address=self.address, reason=_reason(exc), sent=False
             ) from exc
--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -32,6 +32,8 @@
 HANDSHAKE_TIMEOUT_S = 3.0
 DIAL_TIMEOUT_S = 1.0
 REDIAL_INTERVAL_S = 0.1
+# Errors of opening a connection, also to an address that is none.
+CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 OPERATOR_MESSAGES = (StatusRequest, Accept, ConfigurationRequest)
 
 
@@ -125,7 +127,7 @@
             frames = FrameSocket(sock=_configured(sock), peer=to)
             with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
                 dial(frames, self._identity, to)
-        except (OSError, PistachiopathError) as exc:
+        except (*CONNECT_ERRORS, PistachiopathError) as exc:
             if to not in self._failed_at:
                 logger.warning(
                     'link_failed', extra={'peer': to, 'error': type(exc).__name__}
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -54,6 +54,19 @@
     assert read_response(conn)[1] == b'second'
 
 
+@pytest.mark.parametrize(
+    'address',
+    ['', 'nowhere', '10.0.0.9:', '10.0.0.9:x', '10.0.0.9:99999', 'fe80::1%aa:80']
+    + ['a' * 100 + ':80', '\ud800:80', '\0:80', '127.0.0.1:' + '9' * 5000],
+    ids=lambda a: repr(a[:20]),
+)
+def test_an_address_that_is_none_is_a_failed_connect(address):
+    # Regression: ValueError or OverflowError left the caller without an answer.
+    conn = TargetConnection(address=address, request_id_header=ID)
+    with pytest.raises(ConnectFailed):
+        conn.connect(0.2)
+
+
 KEEP_ALIVES = [
     ('5', 4.0),
     ('0', 0.3),
