--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -33,6 +33,8 @@
 HANDSHAKE_TIMEOUT_S = 3.0
 DIAL_TIMEOUT_S = 1.0
 REDIAL_INTERVAL_S = 0.1
+# Errors of opening a connection, also to an address that is none.
+CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 OPERATOR_MESSAGES = (StatusRequest, Accept, ConfigurationRequest)
 
 
@@ -131,7 +133,7 @@
     def _dial(self, to: str) -> None:
         try:
             frames = self._connect(to)
-        except (OSError, PistachiopathError) as exc:
+        except (*CONNECT_ERRORS, PistachiopathError) as exc:
             self._record_failed_dial(to, exc)
             return
         except Exception as exc:
--- a/tests/test_transport/test_network.py
+++ b/tests/test_transport/test_network.py
@@ -79,12 +79,16 @@
 
 
 def test_messages_are_not_queued_for_a_dial_that_failed_unexpectedly(pair, monkeypatch):
+    def fail(_address):
+        raise RuntimeError
+
     process, _ = pair
     monkeypatch.setattr(network_module, 'REDIAL_INTERVAL_S', 0.0)
+    monkeypatch.setattr(network_module, 'split_address', fail)
     for call in (1, 2):
-        process.network.send('host:not_a_port', call, ReadDocument())
+        process.network.send('127.0.0.1:1', call, ReadDocument())
         gevent.sleep(0.01)
-    assert process.lost == ['host:not_a_port'] * 2
+    assert process.lost == ['127.0.0.1:1'] * 2
     assert process.network._dialling == {}
     assert 'part="dial"} 2' in process.metrics.render()
 
