--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -8,7 +8,7 @@
 import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.document.shell import SAVE_INTERVAL_S
+from pistachiopath.document.saved_replicas import SAVE_INTERVAL_S
 from pistachiopath.platform import control_program as control_module
 from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
 from pistachiopath.platform.decoded_accounts import DecodedAccounts
--- a/tests/test_transport/test_outbound.py
+++ b/tests/test_transport/test_outbound.py
@@ -11,11 +11,13 @@
 from pistachiopath.messages.document import PutDocument
 from pistachiopath.messages.quarantine import CrashMarks
 from pistachiopath.messages.replication import Append, Entry
+from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.transport.codec import decode
 from pistachiopath.transport.frames import MAX_FRAME_BYTES
 from pistachiopath.transport.handshake import ROLE_NODE, Identity
 from pistachiopath.transport.network import Network
 from pistachiopath.transport.outbound import OutboundEncoder
+from pistachiopath.util.loop_failures import LoopFailures
 from tests.test_directory.records import record
 
 PEER = '10.0.0.2:1'
@@ -124,7 +126,10 @@
 def test_a_greenlet_that_sends_what_cannot_be_encoded_goes_on(odd):
     identity = Identity(name='10.0.0.1:1', role=ROLE_NODE, secrets={ROLE_NODE: b's'})
     network = Network(
-        identity=identity, on_message=lambda *_: None, on_lost=lambda _: None
+        identity=identity,
+        on_message=lambda *_: None,
+        on_lost=lambda _: None,
+        failures=LoopFailures(metrics=Metrics()),
     )
     network.send('not-linked', 0, Announcements(records=(odd,)))
     network.send('not-linked', 0, Borrow(customer='a', cost=2**63))
