--- /dev/null
+++ b/pistachiopath/streams/origin.py
@@ -0,0 +1,26 @@
+"""What is known of the replica that began a stream."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Origin:
+    """The software version that began a stream.
+
+    Before its first event a request may be tried at several replicas, so the
+    `attempt` of the highest number counts.  `is_confirmed` means that this attempt
+    brought an event, or continued the stream.  `noted_at` is in seconds of a
+    monotonic clock.
+    """
+
+    version: str
+    attempt: int
+    is_confirmed: bool
+    noted_at: float
+
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Order of two origins of one stream; the greater one counts."""
+        return (self.is_confirmed, self.attempt)
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -21,6 +21,7 @@
     'replication',
     'routes',
     'routing',
+    'streams',
 )
 PURE_FILES = (
     'effects.py',
