Records of replicas carry the software version, requests the stream they resume

The platform's replicas announce the version of their software, and a caller that takes a stream up names the attempt that brought its first event. Neither was read. Both are decoded in the adapter; a version that is no text, or longer than 200 characters, is a typed error. The record's field is appended to the schema: nodes of an older build leave it empty, which means unknown.

Where control nodes of both builds pass a record on, a later announcement without the version would have erased it (the new test of the directory failed with '' == 'v1' before); within a lifetime a known version stays.

--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -111,8 +111,14 @@
     if record.born_ms != current.born_ms:
         return record if record.born_ms > current.born_ms else current
     newer = record if record.sequence > current.sequence else current
+    older = current if newer is record else record
     states = (ReplicaState(current.state), ReplicaState(record.state))
-    return attrs.evolve(newer, state=max(states, key=lambda s: s.rank))
+    return attrs.evolve(
+        newer,
+        state=max(states, key=lambda s: s.rank),
+        # Nodes of an older build pass records on without it.
+        software_version=newer.software_version or older.software_version,
+    )
 
 
 def _is_refresh(old: ReplicaRecord, new: ReplicaRecord) -> bool:
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -11,6 +11,7 @@
 
     `born_ms` is the wall-clock time of its start.  `sequence` increases with
     each announcement of a lifetime.  `state` is a `ReplicaState` value.
+    `software_version` is empty if it is not known, as from older nodes.
     """
 
     replica: str
@@ -22,6 +23,7 @@
     slots: int
     state: str
     warmup_ms: int = 0
+    software_version: str = ''
 
 
 @message
--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -50,6 +50,7 @@
             model=http.header(names.MODEL),
             parts=_parse_prompt_parts(http.header(names.PROMPT_PARTS)),
             last_event=_parse_integer(http.header(names.LAST_EVENT)),
+            resumes=http.header(names.RESUMES).strip(),
         )
 
     def target_headers(
--- a/pistachiopath/platform/names.py
+++ b/pistachiopath/platform/names.py
@@ -14,6 +14,8 @@
 PROMPT_PARTS = b'prefix-hash'
 MODEL = b'model'
 LAST_EVENT = b'last-event-id'
+# The request id of the attempt that brought the first event of a stream.
+RESUMES = b'resumes'
 
 # Set by the entry on requests to a replica.
 REPLICA_EXPECTED = b'expect-replica'
--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -13,6 +13,8 @@
 # An announcement with any other state is refused.
 STATES = {'ready': ReplicaState.READY, 'draining': ReplicaState.DRAINING}
 
+MAX_VERSION_CHARS = 200
+
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
     """Return the record of an announcement; raises `InvalidConfiguration`."""
@@ -38,4 +40,13 @@
         slots=fields.integer('slots'),
         state=STATES[state],
         warmup_ms=int(fields.number('warmup_left_ms', 0)),
+        software_version=_software_version(fields),
     )
+
+
+def _software_version(fields: WireFields) -> str:
+    """Return the version of the replica's software, empty if it states none."""
+    version = fields.text('version', '')
+    if len(version) > MAX_VERSION_CHARS:
+        raise InvalidConfiguration(where=f'{fields.where}.version', reason='too_long')
+    return version
--- a/pistachiopath/relay/caller_request.py
+++ b/pistachiopath/relay/caller_request.py
@@ -17,7 +17,8 @@
 
     `request_id` identifies the attempt; `deadline_s` is how many seconds the
     caller waits, or None.  A stream resumes after the event `last_event`,
-    unless that is None.  Token counts are those that the caller states;
+    unless that is None; `resumes` is the id of the attempt that brought the first
+    event, if the caller names it.  Token counts are those that the caller states;
     `has_counts` tells whether it states any.
     """
 
@@ -32,6 +33,7 @@
     model: str = ''
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
+    resumes: str = ''
 
     @property
     def part_ids(self) -> str:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -395,6 +395,7 @@
   slots @6 :Int64;
   state @7 :Text;
   warmupMs @8 :Int64;
+  softwareVersion @9 :Text;
 }
 
 struct Follow {
--- a/tests/test_directory/test_directory.py
+++ b/tests/test_directory/test_directory.py
@@ -82,3 +82,13 @@
     assert len(directory) == 1
     directory.prune(GONE_RETENTION_S)
     assert len(directory) == 0
+
+
+def test_a_node_of_an_older_build_does_not_erase_the_version():
+    for first, second in (('v1', ''), ('', 'v1')):
+        directory = Directory()
+        directory.merge(record(sequence=1, software_version=first), 0.0)
+        directory.merge(record(sequence=2, software_version=second), 0.1)
+        assert directory.get('r1').software_version == 'v1'
+        directory.merge(record(born_ms=2000, software_version=''), 0.2)
+        assert directory.get('r1').software_version == ''
--- a/tests/test_platform/test_dialect.py
+++ b/tests/test_platform/test_dialect.py
@@ -48,7 +48,9 @@
     assert req.deadline_s == 5.0
     assert (req.prompt_tokens, req.output_tokens) == (1460, 80)
     assert [(p.part_id, p.tokens) for p in req.parts] == [('5c1e', 800), ('91bd', 410)]
-    assert req.last_event is None
+    assert (req.last_event, req.resumes) == (None, '')
+    resumed = read(last_event_id=b'7', resumes=b'9c41')
+    assert (resumed.last_event, resumed.resumes) == (7, '9c41')
 
 
 @pytest.mark.parametrize('text', [b'', b'x', b'12', b'1,', b',2', b'-1,2'])
--- a/tests/test_platform/test_registration.py
+++ b/tests/test_platform/test_registration.py
@@ -29,6 +29,8 @@
     assert record.service == 'model'
     assert record.state == 'draining'
     assert record.born_ms == 1700000000000
+    assert record.software_version == ''
+    assert decode(version='v1.2').software_version == 'v1.2'
 
 
 @pytest.mark.parametrize(
@@ -42,6 +44,8 @@
         {'slots': True},
         {'backend': None},
         {'zone': []},
+        {'version': 7},
+        {'version': 'v' * 201},
     ],
 )
 def test_announcement_with_an_invalid_field_raises(changes):
