Gates remember which software version began a stream

All entries may lose power at once and return with empty memory, while the agents beside the replicas go on. There is no extra message on the normal path. A release without a first event forgets the attempt, so that a stream that began elsewhere in a later attempt is not found here under another version.

The question for the origins of streams is a field of WatchLoad: a gate of an older build answers it with its load, whereas it would close the link on a message of a type that it does not know. Fields and the reply's type are appended to the schema. Nothing asks yet.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -11,6 +11,7 @@
     Granted,
     TierLoad,
 )
+from .begun_streams import BegunStreams
 from .denial_cause import DenialCause
 from .gate_log import GateLog
 from .place_queue import PlaceQueue
@@ -40,7 +41,8 @@
     gate grants no more places than the engine has slots and decides the order
     itself.  Requests and answers do not pass through the gate: running requests
     continue if its process dies.  An entry that asks for a place is also sent
-    the load.
+    the load.  The gate remembers which software version began a stream, also for
+    entries that have lost their memory since.
 
     Methods return effects; `now` is a monotonic clock in seconds.
     """
@@ -50,6 +52,7 @@
         self.speed = EngineSpeed()
         self._queue = PlaceQueue()
         self._watchers = Watchers()
+        self._streams = BegunStreams()
         self._recheck_at = 0.0
         self._load_version = 0
 
@@ -102,8 +105,16 @@
             self.speed.record_run(
                 ask.prompt_tokens, ask.output_tokens, body.first_ms, held_ms
             )
+        if place is not None:
+            self._streams.released(place.ask, body.first_ms, now)
         return self._grant_due(now) + self._notify_watchers(now)
 
+    def find_streams(
+        self, entry: str, call: int, streams: tuple[str, ...], now: float
+    ) -> list[Send]:
+        """Reply with what is known of streams."""
+        return [Send(to=entry, call=call, body=self._streams.find(streams, now))]
+
     def watch(self, entry: str, body: WatchLoad, now: float) -> list[Send]:
         """Send an entry the load now and whenever it changes."""
         self._queue.slots = body.slots or self.slots
@@ -199,6 +210,7 @@
             occupancy = queue.occupancy(place, now)
             self._log.granted(place, occupancy, now, by_turn=by_turn)
             queue.start(key, place, now)
+            self._streams.granted(place.ask, now)
             self._load_version += 1
             effects.append(_granted(place))
 
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -86,8 +86,10 @@
                 self._apply_effects(self.gate.ask(sender, body, now))
             case ReleasePlace():
                 self._apply_effects(self.gate.release(sender, body, now))
-            case WatchLoad():
+            case WatchLoad(streams=()):
                 self._apply_effects(self.gate.watch(sender, body, now))
+            case WatchLoad(streams=streams):
+                self._apply_effects(self.gate.find_streams(sender, call, streams, now))
 
     def _apply_effects(self, effects: list) -> None:
         for effect in effects:
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -14,6 +14,10 @@
     `patience_ms` (0 means that it does not).  `slots` is the number of places
     that the replica announces.  Within a tier, requests with smaller values of
     `customer_tier` go first.
+
+    A request for a stream that may be resumed names the `stream`, the
+    `software_version` of the replica, and the number of its `attempt`.
+    `is_resumed` means that the caller has events of the stream.
     """
 
     request: str
@@ -26,6 +30,10 @@
     slots: int
     customer_tier: int = 0
     patience_ms: int = 0
+    stream: str = ''
+    software_version: str = ''
+    attempt: int = 0
+    is_resumed: bool = False
 
 
 @message
@@ -61,10 +69,15 @@
     """Subscribes to the load of an engine.
 
     The load is sent again when it changes, but at most once every `period_ms`.
+
+    With `streams` it asks for the origins of these streams instead.  A gate of an
+    older build replies with its load to that, whereas it would close the link on a
+    message of a type that it does not know.
     """
 
     slots: int
     period_ms: int = 0
+    streams: tuple[str, ...] = ()
 
 
 @message
--- a/pistachiopath/messages/registry.py
+++ b/pistachiopath/messages/registry.py
@@ -86,6 +86,7 @@
     'messages.allowance.AllowanceLeases',
     'messages.allowance.Borrow',
     'messages.allowance.Borrowed',
+    'messages.streams.StreamOrigins',
 )
 
 
--- /dev/null
+++ b/pistachiopath/messages/streams.py
@@ -0,0 +1,29 @@
+"""Messages about the software versions that began streams."""
+
+from __future__ import annotations
+
+from .base import Message, message
+
+
+@message
+class StreamOrigin(Message):
+    """The software version that began a stream, as known for `age_ms`.
+
+    `attempt` and `is_confirmed` tell which of two origins counts.
+    """
+
+    stream: str
+    software_version: str
+    attempt: int
+    is_confirmed: bool
+    age_ms: int
+
+
+@message
+class StreamOrigins(Message):
+    """The origins that a gate knows of the streams that a `WatchLoad` names.
+
+    It is sent with the call of the question, also if it holds nothing.
+    """
+
+    origins: tuple[StreamOrigin, ...]
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -449,6 +449,10 @@
   slots @7 :Int64;
   customerTier @8 :Int64;
   patienceMs @9 :Int64;
+  stream @10 :Text;
+  softwareVersion @11 :Text;
+  attempt @12 :Int64;
+  isResumed @13 :Bool;
 }
 
 struct Granted {
@@ -469,6 +473,7 @@
 struct WatchLoad {
   slots @0 :Int64;
   periodMs @1 :Int64;
+  streams @2 :List(Text);
 }
 
 struct GateLoad {
@@ -511,6 +516,10 @@
   retryAfterMs @1 :Int64;
 }
 
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -603,6 +612,14 @@
   level @3 :Int64;
 }
 
+struct StreamOrigin {
+  stream @0 :Text;
+  softwareVersion @1 :Text;
+  attempt @2 :Int64;
+  isConfirmed @3 :Bool;
+  ageMs @4 :Int64;
+}
+
 struct Envelope {
   call @0 :Int64;
   union {
@@ -681,5 +698,6 @@
     allowanceLeases @73 :AllowanceLeases;
     borrow @74 :Borrow;
     borrowed @75 :Borrowed;
+    streamOrigins @76 :StreamOrigins;
   }
 }
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -33,6 +33,7 @@
     'document/client.py',
     'document/core.py',
     'entry/core.py',
+    'grants/begun_streams.py',
     'grants/gate.py',
     'grants/kept_places.py',
     'grants/place.py',
