A stream belongs to a version of one service

A route may be split between services, and each return of a caller was given a service anew by weight. What is remembered of a stream therefore names the service too.

--- a/pistachiopath/grants/begun_streams.py
+++ b/pistachiopath/grants/begun_streams.py
@@ -6,6 +6,7 @@
 
 from ..messages.streams import StreamOrigin, StreamOrigins
 from ..streams.memory import StreamMemory
+from ..streams.service_version import ServiceVersion
 
 if TYPE_CHECKING:
     from ..messages.grants import Ask
@@ -46,7 +47,8 @@
             found.append(
                 StreamOrigin(
                     stream=stream,
-                    software_version=origin.version,
+                    service=origin.version.service,
+                    software_version=origin.version.version,
                     attempt=origin.attempt,
                     is_confirmed=origin.is_confirmed,
                     age_ms=int((now - origin.noted_at) * 1000),
@@ -57,7 +59,7 @@
     def _note(self, ask: Ask, now: float, *, is_confirmed: bool) -> None:
         self._memory.note(
             ask.stream,
-            ask.software_version,
+            ServiceVersion(service=ask.service, version=ask.software_version),
             attempt=ask.attempt,
             is_confirmed=is_confirmed,
             now=now,
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -15,7 +15,7 @@
     that the replica announces.  Within a tier, requests with smaller values of
     `customer_tier` go first.
 
-    A request for a stream that may be resumed names the `stream`, the
+    A request for a stream that may be resumed names the `stream`, the `service` and
     `software_version` of the replica, and the number of its `attempt`.
     `is_resumed` means that the caller has events of the stream.
     """
@@ -31,6 +31,7 @@
     customer_tier: int = 0
     patience_ms: int = 0
     stream: str = ''
+    service: str = ''
     software_version: str = ''
     attempt: int = 0
     is_resumed: bool = False
--- a/pistachiopath/messages/streams.py
+++ b/pistachiopath/messages/streams.py
@@ -7,12 +7,13 @@
 
 @message
 class StreamOrigin(Message):
-    """The software version that began a stream, as known for `age_ms`.
+    """The version of a service that began a stream, as known for `age_ms`.
 
     `attempt` and `is_confirmed` tell which of two origins counts.
     """
 
     stream: str
+    service: str
     software_version: str
     attempt: int
     is_confirmed: bool
--- a/pistachiopath/streams/memory.py
+++ b/pistachiopath/streams/memory.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from .origin import Origin
 
+if TYPE_CHECKING:
+    from .service_version import ServiceVersion
+
 # A caller that lost its answer comes back within its deadline.
 STREAM_RETENTION_S = 60.0
 MAX_STREAMS = 20_000
@@ -16,9 +21,11 @@
 
     `now` is a monotonic clock in seconds.
 
+    >>> from .service_version import ServiceVersion
     >>> memory = StreamMemory()
-    >>> memory.note('c/1', 'v1', attempt=1, is_confirmed=False, now=0.0)
-    >>> memory.find('c/1', 1.0).version
+    >>> v1 = ServiceVersion(service='s', version='v1')
+    >>> memory.note('c/1', v1, attempt=1, is_confirmed=False, now=0.0)
+    >>> memory.find('c/1', 1.0).version.version
     'v1'
     >>> memory.find('c/1', 99.0) is None
     True
@@ -36,7 +43,13 @@
         return len(self._origins)
 
     def note(
-        self, stream: str, version: str, *, attempt: int, is_confirmed: bool, now: float
+        self,
+        stream: str,
+        version: ServiceVersion,
+        *,
+        attempt: int,
+        is_confirmed: bool,
+        now: float,
     ) -> None:
         """Remember an origin unless a greater one is known."""
         origin = Origin(
--- a/pistachiopath/streams/origin.py
+++ b/pistachiopath/streams/origin.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .service_version import ServiceVersion
+
 
 @attrs.define(kw_only=True, frozen=True)
 class Origin:
@@ -15,7 +17,7 @@
     monotonic clock.
     """
 
-    version: str
+    version: ServiceVersion
     attempt: int
     is_confirmed: bool
     noted_at: float
--- a/pistachiopath/streams/version.py
+++ b/pistachiopath/streams/service_version.py
@@ -4,14 +4,24 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
     from ..messages.directory import ReplicaRecord
 
 UNKNOWN_PREFIX = '?'
 
 
-def version_of(record: ReplicaRecord) -> str:
-    """Return the version of a replica's software.
+@attrs.define(kw_only=True, frozen=True)
+class ServiceVersion:
+    """The version of the software that the replicas of a service run."""
+
+    service: str
+    version: str
+
+
+def version_of(record: ReplicaRecord) -> ServiceVersion:
+    """Return the version of a replica.
 
     A version that is not known equals no other, so such a replica has one of its
     own for each lifetime:
@@ -19,9 +29,10 @@
     >>> from ..messages.directory import ReplicaRecord
     >>> version_of(ReplicaRecord(
     ...     replica='r1', born_ms=7, sequence=1, service='s', address='a:1',
-    ...     zone='z', slots=1, state='ready'))
+    ...     zone='z', slots=1, state='ready')).version
     '?r1.7'
     """
-    return (
-        record.software_version or f'{UNKNOWN_PREFIX}{record.replica}.{record.born_ms}'
+    unknown = f'{UNKNOWN_PREFIX}{record.replica}.{record.born_ms}'
+    return ServiceVersion(
+        service=record.service, version=record.software_version or unknown
     )
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -450,9 +450,10 @@
   customerTier @8 :Int64;
   patienceMs @9 :Int64;
   stream @10 :Text;
-  softwareVersion @11 :Text;
-  attempt @12 :Int64;
-  isResumed @13 :Bool;
+  service @11 :Text;
+  softwareVersion @12 :Text;
+  attempt @13 :Int64;
+  isResumed @14 :Bool;
 }
 
 struct Granted {
@@ -614,10 +615,11 @@
 
 struct StreamOrigin {
   stream @0 :Text;
-  softwareVersion @1 :Text;
-  attempt @2 :Int64;
-  isConfirmed @3 :Bool;
-  ageMs @4 :Int64;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  attempt @3 :Int64;
+  isConfirmed @4 :Bool;
+  ageMs @5 :Int64;
 }
 
 struct Envelope {
--- a/tests/test_streams/test_memory.py
+++ b/tests/test_streams/test_memory.py
@@ -2,21 +2,32 @@
 
 from pistachiopath.streams.memory import STREAM_RETENTION_S, StreamMemory
 from pistachiopath.streams.name import MAX_ID_CHARS, stream_name
+from pistachiopath.streams.service_version import ServiceVersion
 
 
 def note(memory, stream, version, attempt=1, is_confirmed=False, now=0.0):
-    memory.note(stream, version, attempt=attempt, is_confirmed=is_confirmed, now=now)
+    memory.note(
+        stream,
+        ServiceVersion(service='s', version=version),
+        attempt=attempt,
+        is_confirmed=is_confirmed,
+        now=now,
+    )
+
+
+def version(memory, stream):
+    return memory.find(stream, 0.0).version.version
 
 
 def test_an_earlier_attempt_does_not_hide_the_one_that_began_the_stream():
     memory = StreamMemory()
     note(memory, 's', 'v2', attempt=2)
     note(memory, 's', 'v1', attempt=1)
-    assert memory.find('s', 0.0).version == 'v2'
+    assert version(memory, 's') == 'v2'
     note(memory, 's', 'v3', attempt=1, is_confirmed=True)
-    assert memory.find('s', 0.0).version == 'v3'
+    assert version(memory, 's') == 'v3'
     note(memory, 's', 'v2', attempt=3)
-    assert memory.find('s', 0.0).version == 'v3'
+    assert version(memory, 's') == 'v3'
 
 
 def test_an_attempt_that_ended_without_an_event_is_forgotten_and_no_other_is():
