The directory keeps the software versions of lifetimes that were replaced

A replica that starts again under its name with other software replaces its record, so a node that counts the versions of a service from its directory would not see the one that began streams a moment ago. The earlier lifetime is kept, and passed on, as a gone replica with a name of its own, for the retention of gone replicas. Its test failed before (['v2'] instead of ['v1', 'v2']). Nodes of an older build take it for a gone replica.

--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -6,12 +6,14 @@
 
 import attrs
 
+from ..streams.service_version import version_of
 from .replica_state import ReplicaState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..messages.directory import ReplicaRecord
+    from ..streams.service_version import ServiceVersion
 
 GONE_RETENTION_S = 120.0
 
@@ -21,8 +23,9 @@
 
     Merging is commutative and idempotent.  A later lifetime replaces an earlier
     one, and the state within a lifetime only moves forward.  Of two lifetimes at
-    one address only the later one is in use.  `now` is a monotonic clock in
-    seconds.
+    one address only the later one is in use.  An earlier lifetime of a replica
+    that ran another software version is kept as a gone replica with a name of its
+    own.  `now` is a monotonic clock in seconds.
     """
 
     def __init__(self) -> None:
@@ -30,6 +33,8 @@
         self._records: dict[str, ReplicaRecord] = {}
         self._changes: dict[str, int] = {}
         self._gone_at: dict[str, float] = {}
+        self._draining_since: dict[str, float] = {}
+        self._versions: dict[str, set[ServiceVersion]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -42,6 +47,18 @@
         """Return all records, including those of replicas that are gone."""
         return self._records.values()
 
+    def versions(self, service: str) -> frozenset[ServiceVersion]:
+        """Return the versions of a service's replicas, gone ones included."""
+        if not self._versions:
+            for record in self._records.values():
+                version = version_of(record)
+                self._versions.setdefault(version.service, set()).add(version)
+        return frozenset(self._versions.get(service, ()))
+
+    def draining_since(self, replica: str) -> float | None:
+        """Return when a replica that was ready was first heard to be draining."""
+        return self._draining_since.get(replica)
+
     def since(self, change: int) -> tuple[ReplicaRecord, ...]:
         """Return the records that changed after the change of this number."""
         if change >= self.change:
@@ -54,20 +71,13 @@
         They do not need a new sequence number or warm-up time alone.
         """
         current = self._records.get(record.replica)
-        if current is not None:
-            merged = _merged(current, record)
-        elif self._is_superseded(record):
-            merged = attrs.evolve(record, state=ReplicaState.GONE)
-        else:
-            merged = record
-        if merged == current:
-            return False
-        self._records[record.replica] = merged
-        if current is not None and _is_refresh(current, merged):
-            return False
-        self._note_change(record.replica, now)
-        self._end_earlier_at_address(merged, now)
-        return True
+        if current is None:
+            if self._is_superseded(record):
+                record = attrs.evolve(record, state=ReplicaState.GONE)
+            self._put(record, now)
+            return True
+        has_kept = self._keep_earlier_lifetime(current, record, now)
+        return self._update(current, _merged(current, record), now) or has_kept
 
     def depart(self, replica: str, now: float) -> ReplicaRecord | None:
         """Mark a replica as gone; return its record, or None if it is unknown."""
@@ -84,15 +94,55 @@
                 del self._gone_at[replica]
                 del self._records[replica]
                 del self._changes[replica]
+                self._draining_since.pop(replica, None)
+                self._versions.clear()
+
+    def _update(
+        self, current: ReplicaRecord, merged: ReplicaRecord, now: float
+    ) -> bool:
+        if merged == current:
+            return False
+        if _is_refresh(current, merged):
+            self._records[merged.replica] = merged
+            return False
+        self._note_drain(current, merged, now)
+        self._put(merged, now)
+        return True
+
+    def _put(self, record: ReplicaRecord, now: float) -> None:
+        self._records[record.replica] = record
+        self._note_change(record.replica, now)
+        self._end_earlier_at_address(record, now)
+
+    def _keep_earlier_lifetime(
+        self, current: ReplicaRecord, record: ReplicaRecord, now: float
+    ) -> bool:
+        """Keep the earlier of two lifetimes of a replica if it ran other software."""
+        earlier, later = sorted((current, record), key=lambda r: r.born_ms)
+        if earlier.born_ms == later.born_ms or version_of(earlier) == version_of(later):
+            return False
+        name = f'{earlier.replica}@{earlier.born_ms}'
+        ended = attrs.evolve(earlier, replica=name, state=ReplicaState.GONE)
+        return name not in self._records and self.merge(ended, now)
 
     def _note_change(self, replica: str, now: float) -> None:
         self.change += 1
         self._changes[replica] = self.change
+        self._versions.clear()
         if self._records[replica].state == ReplicaState.GONE:
             self._gone_at.setdefault(replica, now)
         else:
             self._gone_at.pop(replica, None)
 
+    def _note_drain(
+        self, current: ReplicaRecord, merged: ReplicaRecord, now: float
+    ) -> None:
+        is_same_lifetime = current.born_ms == merged.born_ms
+        if not is_same_lifetime or merged.state != ReplicaState.DRAINING:
+            self._draining_since.pop(merged.replica, None)
+        elif current.state == ReplicaState.READY:
+            self._draining_since[merged.replica] = now
+
     def _is_superseded(self, record: ReplicaRecord) -> bool:
         """Return whether a later lifetime at the record's address is known."""
         return any(
--- a/tests/test_directory/test_directory.py
+++ b/tests/test_directory/test_directory.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -92,3 +93,45 @@
         assert directory.get('r1').software_version == 'v1'
         directory.merge(record(born_ms=2000, software_version=''), 0.2)
         assert directory.get('r1').software_version == ''
+
+
+def versions(directory):
+    return sorted(v.version for v in directory.versions('model'))
+
+
+@pytest.mark.parametrize('order', [(0, 1), (1, 0)])
+def test_the_version_of_a_replica_that_restarted_under_its_name_is_not_forgotten(
+    order,
+):
+    lifetimes = [
+        record(software_version='v1'),
+        record(software_version='v2', born_ms=2000),
+    ]
+    directory = Directory()
+    for position in order:
+        directory.merge(lifetimes[position], 0.0)
+    assert versions(directory) == ['v1', 'v2']
+    follower = Directory()
+    for change in directory.since(0):
+        follower.merge(change, 5.0)
+    assert versions(follower) == ['v1', 'v2']
+    assert follower.get('r1').born_ms == 2000
+    directory.prune(GONE_RETENTION_S)
+    assert versions(directory) == ['v2']
+
+
+def test_replicas_whose_version_is_not_known_share_none():
+    directory = Directory()
+    directory.merge(record(), 0.0)
+    directory.merge(record(replica='r2', address='10.0.0.2:80'), 0.0)
+    assert len(versions(directory)) == 2
+
+
+def test_a_drain_counts_from_when_it_was_heard_of_a_ready_replica():
+    directory = Directory()
+    directory.merge(record(), 1.0)
+    directory.merge(record(sequence=2, state='draining'), 2.0)
+    directory.merge(record(sequence=3, state='draining', slots=5), 3.0)
+    assert directory.draining_since('r1') == 2.0
+    directory.merge(record(born_ms=2000, state='draining'), 4.0)
+    assert directory.draining_since('r1') is None
