Entries know for how long their directory goes back

If a service has run one software version for as long as a stream and its caller's return may last, each stream is of that version, without any memory. That holds only if all announcements of that time are known: control nodes tell the age of their directory in News (0 from an older build, which means unknown), an entry's own begins anew after 60 s without news, and a control node that is not heard may know of other replicas. Nothing uses it yet.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -207,6 +207,7 @@
             controls=self.controls(now),
             entries=self.entries(now),
             silent=self.silent(now),
+            directory_age_ms=int((now - self._started_at) * 1000),
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -31,6 +31,9 @@
 CONTROL_TIMEOUT_S = 3.0
 MAIN_CONTROL_TIMEOUT_S = 1.2
 CONTROL_RETENTION_S = 30.0
+# Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
+# this length.
+MAX_NEWS_GAP_S = 60.0
 
 
 @attrs.define(kw_only=True)
@@ -39,7 +42,7 @@
 
     `newer_version_since` is when it offered a newer configuration without the
     content, or when that was last requested.  `silent` holds the replicas that
-    it reported as silent.
+    it reported as silent, and `directory_since` is when its directory begins.
     """
 
     last_listed_at: float
@@ -49,6 +52,7 @@
     feed: int = 0
     change: int = 0
     silent: frozenset[str] = frozenset()
+    directory_since: float = math.inf
 
 
 class Subscriber:
@@ -70,6 +74,8 @@
         self._seeds: tuple[str, ...] = ()
         self._sources: dict[str, _Source] = {}
         self._main = ''
+        self._directory_since = math.inf
+        self._news_at = -math.inf
 
     def set_seeds(self, seeds: tuple[str, ...], now: float) -> None:
         """Follow the control nodes at these addresses in addition to others."""
@@ -87,6 +93,36 @@
             now - s.last_message_at < CONTROL_TIMEOUT_S for s in self._sources.values()
         )
 
+    def hears_all_controls(self, now: float) -> bool:
+        """Return whether all control nodes sent a message recently.
+
+        Those that no control node has listed for a while do not count.
+        """
+        listed = [
+            s
+            for s in self._sources.values()
+            if now - s.last_listed_at < CONTROL_RETENTION_S
+        ]
+        return bool(listed) and all(
+            now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed
+        )
+
+    def directory_age_s(self, now: float) -> float:
+        """Return for how many seconds all replicas that announced themselves are known.
+
+        A control node that is alive may know them for longer than this node.
+        """
+        begins = [
+            s.directory_since
+            for s in self._sources.values()
+            if now - s.last_message_at < CONTROL_TIMEOUT_S
+        ]
+        return max(0.0, now - min([self._directory_since, *begins]))
+
+    def contact_s(self, now: float) -> float:
+        """Return for how many seconds this node has heard of control nodes."""
+        return max(0.0, now - self._directory_since)
+
     def main(self, now: float) -> str:
         """Return the main control node, or an empty string if none is alive.
 
@@ -156,6 +192,10 @@
             return []
         source.last_message_at = now
         source.silent = frozenset(body.silent)
+        source.directory_since = now - body.directory_age_ms / 1000
+        if now - self._news_at >= MAX_NEWS_GAP_S:
+            self._directory_since = now
+        self._news_at = now
         source.feed = body.feed
         source.change = body.change
         for record in body.records:
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -52,7 +52,7 @@
     follower has it or did not ask for it.  `controls` holds the addresses of the
     control nodes, and `entries` the number of entries, from which messages
     arrived recently.  `silent` names the replicas that have not sent an
-    announcement recently.
+    announcement recently.  The sender's directory goes back for `directory_age_ms`.
     """
 
     feed: int
@@ -63,6 +63,7 @@
     controls: tuple[str, ...]
     entries: int
     silent: tuple[str, ...]
+    directory_age_ms: int = 0
 
 
 @message
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -415,6 +415,7 @@
   controls @5 :List(Text);
   entries @6 :Int64;
   silent @7 :List(Text);
+  directoryAgeMs @8 :Int64;
 }
 
 struct Announcements {
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 from pistachiopath.directory.subscriber import (
+    CONTROL_RETENTION_S,
     FOLLOW_INTERVAL_S,
     INITIAL_FOLLOW_INTERVAL_S,
+    MAX_NEWS_GAP_S,
     Subscriber,
 )
 from pistachiopath.messages.directory import News
@@ -25,7 +27,7 @@
     return polled_at
 
 
-def news_message(version):
+def news_message(version, **fields):
     return News(
         feed=1,
         change=0,
@@ -35,6 +37,7 @@
         controls=(CONTROL,),
         entries=0,
         silent=(),
+        **fields,
     )
 
 
@@ -65,3 +68,34 @@
     subscriber.on_news(CONTROL, news_message(3), 0.01)
     subscriber.on_news(CONTROL, news_message(2), 0.02)
     assert subscriber.version == 3
+
+
+def test_the_directory_goes_back_as_far_as_that_of_a_control_node_that_is_heard():
+    subscriber = subscriber_with_seed()
+    assert subscriber.directory_age_s(5.0) == 0.0
+    subscriber.on_news(CONTROL, news_message(1, directory_age_ms=40_000), 5.0)
+    assert subscriber.directory_age_s(6.0) == 41.0
+    assert subscriber.contact_s(6.0) == 1.0
+    subscriber.link_lost(CONTROL)
+    assert subscriber.directory_age_s(7.0) == 2.0
+
+
+def test_the_directory_begins_anew_after_a_long_time_without_news():
+    subscriber = subscriber_with_seed()
+    subscriber.on_news(CONTROL, news_message(1), 0.0)
+    subscriber.on_news(CONTROL, news_message(1), MAX_NEWS_GAP_S - 1)
+    assert subscriber.directory_age_s(MAX_NEWS_GAP_S) == MAX_NEWS_GAP_S
+    subscriber.on_news(CONTROL, news_message(1), 3 * MAX_NEWS_GAP_S)
+    assert subscriber.directory_age_s(3 * MAX_NEWS_GAP_S) == 0.0
+
+
+def test_a_control_node_that_is_not_heard_may_know_of_other_replicas():
+    subscriber = subscriber_with_seed()
+    assert not subscriber.hears_all_controls(0.0)
+    subscriber.on_news(CONTROL, news_message(1), 0.1)
+    assert subscriber.hears_all_controls(0.2)
+    subscriber.set_seeds((CONTROL, 'c2:1'), 0.2)
+    assert not subscriber.hears_all_controls(0.3)
+    late = CONTROL_RETENTION_S + 1
+    subscriber.on_news(CONTROL, news_message(1), late)
+    assert subscriber.hears_all_controls(late)
