A stream goes on only at the software version that began it

Cause: nothing asked which version wrote the events.

From its first event on a request holds the version of the replica that brought it. Only replicas of that version are candidates, in the first choice, in the fallback, for moves between gates, right before the send, and once more before an event is delivered. A replica whose connection broke takes no resumed stream for three announcements while more than one version is known, as it may start again under its name with another one. A draining replica may go on with a stream for half of the time for which it serves, if no ready one is left, unless it said in an answer that it leaves.

A caller that comes back with half of a stream has it go on at the version that this entry remembers; or at the only one that the service has had for twice the route's timeout, if all control nodes are heard; or at the one that a gate remembers. An entry that has just started waits for the gates of which it learns meanwhile, for 0.4 of the caller's patience and 1.5 s at most. If nobody knows: 503 with a Retry-After, not run. If no replica of the version is left: 503 at once. One log line for each return, allowed or refused, with the source.

Records of tests state a version now, since an unknown one equals no other; tests that return sockets keep them open, as a closed one ends the stream.

Failed tries: a message type of its own for the question closes the link to a gate of an older build; notes by the age of the control nodes' files would not hold, as those are not synced.

--- a/pistachiopath/platform/entry_program.py
+++ b/pistachiopath/platform/entry_program.py
@@ -33,6 +33,8 @@
                 agent_port=cfg.agent_port,
                 retry_budget=cfg.retry_budget,
                 grace_s=cfg.grace_s,
+                drain_s=cfg.drain_ms / 1000,
+                announce_s=cfg.announce_ms / 1000,
             ),
             dialect=PlatformDialect(),
             decode=decode_configuration,
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -13,8 +13,9 @@
     """One VM's settings; `deploy/settings.toml` is the template.
 
     `ports` holds the first and last port for messages between nodes.
-    `announce_ms` is the period of replicas' announcements.  Spans are appended
-    to `traces_file`; if it is empty, none are recorded.  `allowance_overage` is
+    `announce_ms` is the period of replicas' announcements, and a draining replica
+    serves for `drain_ms`.  Spans are appended to `traces_file`; if it is empty,
+    none are recorded.  `allowance_overage` is
     the fraction by which all entries together may exceed a customer's
     allowance, and `allowance_slack_tokens` is what they may admit beyond that.
     """
@@ -34,6 +35,7 @@
     tolerated_losses: int = 1
     announce_ms: float = 1200.0
     grace_s: float = 8.0
+    drain_ms: float = 2000.0
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -26,6 +26,7 @@
     from .notices import Notices
     from .placer import Placer
     from .places import Grant, Places
+    from .stream_versions import StreamVersions
     from .work import Work
 
 logger = logging.getLogger(__name__)
@@ -53,6 +54,7 @@
         known_entries: Callable[[], int],
         crashes: Crashes,
         notices: Notices,
+        versions: StreamVersions,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
@@ -63,6 +65,7 @@
         self._known_entries = known_entries
         self._crashes = crashes
         self._notices = notices
+        self._versions = versions
         self._budgets: dict[str, RetryBudget] = {}
 
     def serve(self, conn: ServerConnection, work: Work) -> None:
@@ -113,7 +116,7 @@
                     # Gates in this process reply without a wait.
                     gevent.sleep(RECHOOSE_PAUSE_S)
                     return NotRun(reason=MOVED, arrived=False)
-            if not self._placer.may_send(record):
+            if not self._placer.may_send(work, record):
                 gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
             self._crashes.check_send(work, time.monotonic())
@@ -126,6 +129,7 @@
                 pool=self._pool,
                 notices=self._notices,
                 on_lived=self._crashes.run_lived,
+                on_begun=self._versions.begun,
             )
             # If the caller disconnects or the timeout expires during the
             # exchange, the request may or may not have run.
@@ -162,6 +166,8 @@
                 self._placer.mark_superseded(candidate.record, now)
             case TargetFailed() | Lost():
                 health.failed(replica, now)
+        if _is_break(result):
+            self._placer.doubt(candidate.record, now)
         if not isinstance(result, Delivered):
             logger.info(
                 'try_ended',
@@ -252,3 +258,10 @@
             budget = RetryBudget(limits=self._budget_limits)
             self._budgets[service] = budget
         return budget
+
+
+def _is_break(result: ExchangeResult) -> bool:
+    """Return whether a connection broke or was refused."""
+    if isinstance(result, NotRun):
+        return not result.arrived and result.reason != MOVED
+    return isinstance(result, Lost) and result.broken_off
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -19,6 +19,7 @@
 from ..messages.directory import News
 from ..messages.grants import Denied, GateLoad, Granted
 from ..messages.quarantine import CrashMarks
+from ..messages.streams import StreamOrigins
 from ..quarantine.crash_watch import CrashWatch
 from ..routing.placement import Placement
 from ..transport.handshake import ROLE_NODE, Identity
@@ -35,6 +36,8 @@
 from .request_log import RequestLog
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
+from .stream_finder import StreamFinder
+from .stream_versions import StreamVersions
 from .targets import Targets
 
 if TYPE_CHECKING:
@@ -56,6 +59,8 @@
 PRUNE_INTERVAL_S = 1.0
 # A link without traffic for longer is reopened.
 LINK_SILENCE_S = 1.5
+# A replica that starts again has announced itself within this many periods.
+DOUBT_PERIODS = 3
 
 
 class RelayEntry:
@@ -107,6 +112,15 @@
             agent_port=cfg.agent_port,
             routes=lambda: self._routes.current,
             health=self._placement.health,
+            drain_s=cfg.drain_s,
+            doubt_s=DOUBT_PERIODS * cfg.announce_s,
+        )
+        self._finder = StreamFinder(send=self._network.send)
+        self._versions = StreamVersions(
+            subscriber=self._subscriber,
+            targets=self._targets,
+            finder=self._finder,
+            metrics=metrics,
         )
         self._notices = Notices(
             dialect=dialect,
@@ -142,6 +156,7 @@
             known_entries=lambda: self._subscriber.entries,
             crashes=self._crashes,
             notices=self._notices,
+            versions=self._versions,
         )
         self._handler = RequestHandler(
             dialect=dialect,
@@ -151,6 +166,7 @@
             ),
             departure=self._departure,
             crashes=self._crashes,
+            versions=self._versions,
             dispatcher=dispatcher,
             log=RequestLog(metrics=metrics),
             spans=spans,
@@ -237,6 +253,8 @@
                 self._on_news(sender, body, now)
             case Granted() | Denied() | GateLoad():
                 self._gates.receive(sender, body, now)
+            case StreamOrigins():
+                self._finder.receive(sender, call, body)
             case AllowanceLeases():
                 self._lender.handle_leases(sender, body, now)
             case Borrowed():
@@ -260,6 +278,7 @@
         self._subscriber.link_lost(peer)
         self._lender.handle_lost(peer)
         self._gates.link_lost(peer)
+        self._finder.handle_lost(peer)
 
     def _apply_effects(self, effects: list) -> None:
         for effect in effects:
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -57,6 +57,7 @@
         pool: ConnectionPool,
         notices: Notices,
         on_lived: Callable[[Work, float], None],
+        on_begun: Callable[[Work, ReplicaRecord], None],
     ) -> None:
         self.first_event_ms = 0
         self._conn = conn
@@ -66,6 +67,7 @@
         self._pool = pool
         self._notices = notices
         self._on_lived = on_lived
+        self._on_begun = on_begun
         self._sent_at = 0.0
         self._first_event_at = 0.0
 
@@ -194,7 +196,9 @@
         return Delivered()
 
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Write whole events; raises `Garbled` if they are out of order."""
+        """Write whole events; raises `Garbled` if they can't follow earlier ones."""
+        if events:
+            self._check_version()
         for event in events:
             self._check_order(event)
         data = b''.join(event.data for event in events)
@@ -206,6 +210,15 @@
         headers = self._dialect.caller_headers(head)
         self._conn.begin(head.status, headers, data)
 
+    def _check_version(self) -> None:
+        """Record who began the stream; raise `Garbled` if another version did."""
+        if self._work.stream_version is None:
+            self._on_begun(self._work, self._record)
+        elif not self._work.may_run_at(self._record):
+            raise Garbled(
+                address=self._record.address, reason='other_version', sent=True
+            )
+
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
         if event.number < 0:
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -10,7 +10,9 @@
 
 from ..errors.relay import GateLost, PlaceDenied, TurnedAway
 from ..messages.grants import Ask
+from ..streams.service_version import version_of
 from .own_gates import OwnGates
+from .patience import patience_s
 
 if TYPE_CHECKING:
     import random
@@ -32,13 +34,6 @@
 # asked to retry before that.
 RETRY_AFTER_DIVISOR = 3.1
 RETRY_AFTER_MAX_FACTOR = 1.6
-# Callers abandon a stream after a gap without events.  The gap is the longest of
-# `GAP_MIN_S` and these multiples of the route's objective and pause.
-GAP_MIN_S = 2.0
-GAP_OBJECTIVE_FACTOR = 4.0
-GAP_PAUSE_FACTOR = 8.0
-# Share of that gap within which the first event has to arrive.
-FIRST_EVENT_GAP_SHARE = 0.9
 # A request that moves to another gate loses its position in the queue.  It has to
 # save more than `MOVE_GAIN_MS` to move to a gate where it would not wait, and
 # more than `MOVE_TO_QUEUE_GAIN_MS` to move to a gate where it would.
@@ -83,6 +78,7 @@
             chosen = self._placement.choose(self._candidates(work, now), work.need, now)
             if chosen is not None:
                 return chosen
+            self._check_version(work, now)
             back_at = self._targets.first_backoff_end(work.admitted.service, now)
             if back_at is not None and back_at > until:
                 raise self._all_back_off(back_at - now)
@@ -94,6 +90,12 @@
                 )
             gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
 
+    def _check_version(self, work: Work, now: float) -> None:
+        """Raise `TurnedAway` if no replica can go on with the stream."""
+        version = work.stream_version
+        if version is not None and self._targets.is_version_gone(version, now):
+            raise TurnedAway(status=503, reason='version_gone')
+
     def _all_back_off(self, wait_s: float) -> TurnedAway:
         """Return the refusal for a service whose replicas all ask for a backoff.
 
@@ -105,21 +107,52 @@
             retry_after_s=wait_s * self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR),
         )
 
-    def may_send(self, record: ReplicaRecord) -> bool:
-        """Return whether a chosen replica still accepts new requests."""
-        return self._targets.may_send(record, time.monotonic())
+    def may_send(self, work: Work, record: ReplicaRecord) -> bool:
+        """Return whether a chosen replica still accepts the request."""
+        now = time.monotonic()
+        if work.stream_version is None:
+            return self._targets.may_send(record, now)
+        return work.may_run_at(record) and self._targets.may_resume(record, now)
+
+    def doubt(self, record: ReplicaRecord, now: float) -> None:
+        """Record that a replica's connection broke or was refused."""
+        self._targets.doubt(record, now)
 
     def _candidates(self, work: Work, now: float) -> list[Candidate]:
         """Return the replicas that have neither failed nor denied a place.
 
         Without any, return those that have not failed, or else all.
         """
-        service = work.admitted.service
-        preferred = self._targets.candidates(service, work.excluded | work.denied, now)
+        preferred = self._usable(work, work.excluded | work.denied, now)
         if preferred:
             return preferred
-        not_failed = self._targets.candidates(service, work.excluded, now)
-        return not_failed or self._targets.candidates(service, set(), now)
+        not_failed = self._usable(work, work.excluded, now)
+        return not_failed or self._usable(work, set(), now)
+
+    def _usable(self, work: Work, excluded: set[str], now: float) -> list[Candidate]:
+        """Return the replicas that the request may be sent to.
+
+        A stream goes on only at the version that began it, at a replica that drains
+        if there is no other.
+        """
+        service = work.admitted.service
+        found = self._targets.candidates(service, excluded, now)
+        if work.stream_version is None:
+            return found
+        same = self._of_same_version(work, found, now)
+        if same:
+            return same
+        draining = self._targets.draining(service, excluded, now)
+        return self._of_same_version(work, draining, now)
+
+    def _of_same_version(
+        self, work: Work, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        return [
+            c
+            for c in candidates
+            if work.may_run_at(c.record) and self._targets.may_resume(c.record, now)
+        ]
 
     def mark_superseded(self, record: ReplicaRecord, now: float) -> None:
         """Mark the lifetime of a replica as ended."""
@@ -132,6 +165,7 @@
         customer = work.admitted.customer
         objective_s = route.objective_s - (started_at - work.first_attempt_at)
         gate, slots = self._gate(candidate)
+        version = version_of(candidate.record)
         ask = Ask(
             request=f'{work.req.request_id}.{work.tries}',
             tier=work.admitted.tier,
@@ -140,9 +174,14 @@
             output_tokens=work.req.output_tokens,
             objective_ms=max(0, int(objective_s * 1000)),
             deadline_ms=int(work.remaining_s(started_at) * 1000),
-            patience_ms=max(1, int(self._patience_s(work, started_at) * 1000)),
+            patience_ms=max(1, int(patience_s(work, started_at) * 1000)),
             slots=slots,
             customer_tier=work.admitted.customer_tier,
+            stream=work.stream if candidate.is_gated else '',
+            service=version.service,
+            software_version=version.version,
+            attempt=work.tries,
+            is_resumed=work.stream_version is not None,
         )
         try:
             return self._places.acquire(
@@ -184,33 +223,13 @@
         max_s = work.remaining_s(time.monotonic()) / RETRY_AFTER_DIVISOR
         return min(max_s, wait_s * self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR))
 
-    @staticmethod
-    def _patience_s(work: Work, now: float) -> float:
-        """Return how many seconds a caller waits for the start of its answer.
-
-        Callers of streams leave after a gap whose length depends on the route.
-        """
-        route = work.admitted.route
-        remaining_s = work.remaining_s(now)
-        if not route.is_stream:
-            return remaining_s
-        gap_s = max(
-            GAP_MIN_S,
-            GAP_OBJECTIVE_FACTOR * route.objective_s,
-            GAP_PAUSE_FACTOR * route.pause_s,
-        )
-        return min(
-            remaining_s,
-            max(0.0, work.started_at + FIRST_EVENT_GAP_SHARE * gap_s - now),
-        )
-
     def _should_move(self, work: Work, candidate: Candidate, asked_at: float) -> bool:
         """Return whether a waiting request should leave this gate."""
         now = time.monotonic()
         if self._is_quarantined(work, now):
             return True
         record = candidate.record
-        known = self._targets.candidates(work.admitted.service, set(), now)
+        known = self._usable(work, set(), now)
         current = [c for c in known if c.record.replica == record.replica]
         if not current or current[0].is_gated != candidate.is_gated:
             return True
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -22,6 +22,7 @@
     from .dispatcher import Dispatcher
     from .request_log import RequestLog
     from .routes_in_force import RoutesInForce
+    from .stream_versions import StreamVersions
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 # A node that starts has its configuration within a few hundred ms.
@@ -42,6 +43,7 @@
         admitter: Admitter,
         departure: Departure,
         crashes: Crashes,
+        versions: StreamVersions,
         dispatcher: Dispatcher,
         log: RequestLog,
         spans: Spans,
@@ -52,6 +54,7 @@
         self._admitter = admitter
         self._departure = departure
         self._crashes = crashes
+        self._versions = versions
         self._dispatcher = dispatcher
         self._log = log
         self._spans = spans
@@ -92,6 +95,7 @@
             work = self.admit(req, started_at)
             self._departure.check(work, started_at)
             self._crashes.check(work, started_at)
+            self._versions.resolve(work)
             self._dispatcher.serve(conn, work)
             if work.outcome != 'delivered':
                 self._attempts.failed(work.admitted.route)
@@ -104,6 +108,8 @@
                 self._log.done(work, self._routes.version)
             raise
         finally:
+            if work is not None:
+                self._versions.ended(work)
             span.end()
 
     def _refuse(
--- a/pistachiopath/relay/request_log.py
+++ b/pistachiopath/relay/request_log.py
@@ -44,6 +44,9 @@
                 'outcome': work.outcome,
                 'status': work.status,
                 'replica': work.replica,
+                'software_version': work.stream_version.version
+                if work.stream_version
+                else '',
                 'sends': work.sends,
                 'tries': work.tries,
                 'waited_ms': int(work.waited_s * 1000),
--- a/pistachiopath/relay/settings.py
+++ b/pistachiopath/relay/settings.py
@@ -15,7 +15,8 @@
 
     `node_address` receives messages from other nodes, and `agent_port` is the
     port of the agents for such messages.  A stop takes at most `grace_s`
-    seconds.
+    seconds.  A draining replica serves for `drain_s`, and replicas announce
+    themselves every `announce_s`.
     """
 
     name: str
@@ -27,3 +28,5 @@
     agent_port: int
     retry_budget: RetryBudgetLimits
     grace_s: float
+    drain_s: float = 2.0
+    announce_s: float = 1.2
--- /dev/null
+++ b/pistachiopath/relay/stream_finder.py
@@ -0,0 +1,183 @@
+"""Asks the gates which software version began a stream."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import gevent
+import gevent.event
+
+from ..messages.grants import WatchLoad
+from ..streams.origin import Origin
+from ..streams.service_version import ServiceVersion
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..messages.base import Message
+    from ..messages.streams import StreamOrigin, StreamOrigins
+
+# Questions for the same gate within this time share a message; with many gates
+# the time is longer, so that the messages per second stay bounded.
+BATCH_S = 0.004
+BATCH_S_PER_GATE = 0.0001
+MAX_STREAMS_PER_MESSAGE = 500
+CHECK_INTERVAL_S = 0.05
+REPEAT_INTERVAL_S = 0.4
+# An unconfirmed origin may be that of an earlier attempt, so the other gates have
+# this much longer to reply.
+SETTLE_S = 0.1
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Search:
+    """A stream whose origin is wanted.
+
+    `asked_at` holds the gates that have not replied yet, and `heard` those that
+    have, or that can't be reached.
+    """
+
+    stream: str
+    origin: Origin | None = None
+    found_at: float = 0.0
+    asked_at: dict[str, float] = attrs.field(factory=dict)
+    heard: set[str] = attrs.field(factory=set)
+    signal: gevent.event.Event = attrs.field(factory=gevent.event.Event)
+
+    def take(self, origin: Origin, now: float) -> None:
+        """Use an origin if it counts more than the one known so far."""
+        if self.origin is None:
+            self.found_at = now
+        if self.origin is None or origin.rank > self.origin.rank:
+            self.origin = origin
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether no other origin is expected to count more."""
+        if self.origin is None:
+            return False
+        is_late = now - self.found_at >= SETTLE_S
+        return self.origin.is_confirmed or not self.asked_at or is_late
+
+
+@attrs.define(kw_only=True)
+class _Call:
+    """A message to a gate that has not been answered."""
+
+    gate: str
+    searches: list[_Search]
+    sent_at: float
+
+
+class StreamFinder:
+    """Finds the origins of streams in the memories of gates.
+
+    `send` sends a message to a gate without a delivery guarantee.
+    """
+
+    def __init__(self, *, send: Callable[[str, int, Message], None]) -> None:
+        self._send = send
+        self._searches: set[_Search] = set()
+        self._unsent: dict[str, list[_Search]] = {}
+        self._calls: dict[int, _Call] = {}
+        self._last_call = 0
+        self._flush: gevent.Greenlet | None = None
+
+    def find(
+        self,
+        stream: str,
+        gates: Callable[[], frozenset[str]],
+        *,
+        is_complete: Callable[[], bool],
+        until: float,
+    ) -> Origin | None:
+        """Return the origin of a stream; wait until `until` at the latest.
+
+        `gates` is asked again while it waits, as an entry that has just started
+        learns of more.  If all have replied and `is_complete` tells that there are
+        no others, nobody knows.
+        """
+        search = _Search(stream=stream)
+        self._searches.add(search)
+        try:
+            while True:
+                now = time.monotonic()
+                self._ask(search, gates(), now)
+                nobody_knows = not search.asked_at and is_complete()
+                if search.is_settled(now) or nobody_knows or now >= until:
+                    return search.origin
+                search.signal.wait(min(CHECK_INTERVAL_S, until - now))
+                search.signal.clear()
+        finally:
+            self._searches.discard(search)
+
+    def receive(self, gate: str, call: int, body: StreamOrigins) -> None:
+        """Handle the reply of a gate."""
+        sent = self._calls.get(call)
+        if sent is None or sent.gate != gate:
+            return
+        del self._calls[call]
+        now = time.monotonic()
+        found = {origin.stream: origin for origin in body.origins}
+        for search in sent.searches:
+            origin = found.get(search.stream)
+            if origin is not None:
+                search.take(_decoded(origin, now), now)
+            _heard(search, gate)
+
+    def handle_lost(self, gate: str) -> None:
+        """Expect no replies of a gate whose connection was lost."""
+        for search in self._searches:
+            if gate in search.asked_at:
+                _heard(search, gate)
+
+    def _ask(self, search: _Search, gates: frozenset[str], now: float) -> None:
+        for gate in gates - search.heard:
+            asked_at = search.asked_at.get(gate)
+            if asked_at is None or now - asked_at >= REPEAT_INTERVAL_S:
+                search.asked_at[gate] = now
+                self._unsent.setdefault(gate, []).append(search)
+        if self._unsent and not self._flush:
+            pause_s = max(BATCH_S, BATCH_S_PER_GATE * len(self._unsent))
+            self._flush = gevent.spawn_later(pause_s, self._send_all)
+
+    def _send_all(self) -> None:
+        self._flush = None
+        unsent, self._unsent = self._unsent, {}
+        now = time.monotonic()
+        self._drop_unanswered(now)
+        for gate, searches in unsent.items():
+            for start in range(0, len(searches), MAX_STREAMS_PER_MESSAGE):
+                part = searches[start : start + MAX_STREAMS_PER_MESSAGE]
+                self._last_call += 1
+                self._calls[self._last_call] = _Call(
+                    gate=gate, searches=part, sent_at=now
+                )
+                streams = tuple(search.stream for search in part)
+                body = WatchLoad(slots=0, streams=streams)
+                self._send(gate, self._last_call, body)
+
+    def _drop_unanswered(self, now: float) -> None:
+        """Drop the oldest calls, whose questions have been repeated since."""
+        while self._calls:
+            call = next(iter(self._calls))
+            if now - self._calls[call].sent_at < REPEAT_INTERVAL_S:
+                return
+            del self._calls[call]
+
+
+def _heard(search: _Search, gate: str) -> None:
+    search.asked_at.pop(gate, None)
+    search.heard.add(gate)
+    if not search.asked_at or (search.origin and search.origin.is_confirmed):
+        search.signal.set()
+
+
+def _decoded(origin: StreamOrigin, now: float) -> Origin:
+    return Origin(
+        version=ServiceVersion(service=origin.service, version=origin.software_version),
+        attempt=origin.attempt,
+        is_confirmed=origin.is_confirmed,
+        noted_at=now - origin.age_ms / 1000,
+    )
--- /dev/null
+++ b/pistachiopath/relay/stream_versions.py
@@ -0,0 +1,173 @@
+"""Decides which software version a resumed stream goes on at."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from ..directory.directory import GONE_RETENTION_S
+from ..errors.relay import TurnedAway
+from ..streams.memory import StreamMemory
+from ..streams.origin import Origin
+from ..streams.service_version import version_of
+from .origin_source import OriginSource
+from .patience import patience_s
+from .targets import DIRECTORY_FILL_S
+
+if TYPE_CHECKING:
+    from ..directory.subscriber import Subscriber
+    from ..messages.directory import ReplicaRecord
+    from ..telemetry.metrics import Metrics
+    from .stream_finder import StreamFinder
+    from .targets import Targets
+    from .work import Work
+
+logger = logging.getLogger(__name__)
+
+# A stream that is resumed began at most this many times the route's timeout ago:
+# a caller comes back within its deadline.
+HORIZON_TIMEOUTS = 2.0
+MAX_SEARCH_S = 1.5
+# Share of the time for which a caller waits for its first event.
+SEARCH_PATIENCE_SHARE = 0.4
+RETRY_AFTER_S = 0.5
+RETRY_AFTER_DIVISOR = 3.1
+
+
+class StreamVersions:
+    """Finds the version that began a stream before the stream is resumed.
+
+    What this entry delivered itself is known.  If a service has had one version
+    for long enough, each of its streams is of that version.  Otherwise the gates
+    are asked.  A stream whose version nobody knows is refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        subscriber: Subscriber,
+        targets: Targets,
+        finder: StreamFinder,
+        metrics: Metrics,
+    ) -> None:
+        self._subscriber = subscriber
+        self._targets = targets
+        self._finder = finder
+        self._metrics = metrics
+        self._memory = StreamMemory()
+
+    def resolve(self, work: Work) -> None:
+        """Set the version of a resumed stream; raises `TurnedAway`."""
+        if not work.is_return:
+            return
+        origin, source = self._find(work)
+        if origin is None:
+            self._log(work, None, source, refused='version_unknown')
+            raise _refusal(work, 'version_unknown')
+        if not work.go_on_at(origin.version):
+            self._log(work, origin, source, refused='service_gone')
+            raise _refusal(work, 'service_gone')
+        self._log(work, origin, source)
+
+    def begun(self, work: Work, record: ReplicaRecord) -> None:
+        """Record the replica that brought the first event of a stream."""
+        work.stream_version = version_of(record)
+        if work.stream:
+            self._note(work)
+
+    def ended(self, work: Work) -> None:
+        """Remember a stream from its end on, as its caller may come back."""
+        if work.stream and work.stream_version is not None:
+            self._note(work)
+
+    def _note(self, work: Work) -> None:
+        self._memory.note(
+            work.stream,
+            work.stream_version,
+            attempt=work.tries,
+            is_confirmed=True,
+            now=time.monotonic(),
+        )
+
+    def _find(self, work: Work) -> tuple[Origin | None, OriginSource]:
+        now = time.monotonic()
+        origin = self._memory.find(work.stream, now)
+        if origin is not None:
+            return origin, OriginSource.OWN
+        # Of several services, it is not known which one began the stream.
+        has_one_service = len(work.admitted.route.shares) == 1
+        deduced = self._deduce(work, now)
+        if deduced is not None and has_one_service:
+            return deduced, OriginSource.DEDUCED
+        origin = self._ask_gates(work, now)
+        if origin is not None:
+            return origin, OriginSource.GATE
+        if deduced is not None:
+            return deduced, OriginSource.DEDUCED
+        return None, OriginSource.NONE
+
+    def _deduce(self, work: Work, now: float) -> Origin | None:
+        """Return the only version that can have begun the stream, or None."""
+        horizon_s = HORIZON_TIMEOUTS * work.admitted.route.timeout_s
+        age_s = self._subscriber.directory_age_s(now)
+        is_covered = horizon_s <= min(age_s, GONE_RETENTION_S)
+        if not is_covered or not self._subscriber.hears_all_controls(now):
+            return None
+        versions = self._subscriber.directory.versions(work.admitted.service)
+        if len(versions) != 1:
+            return None
+        return Origin(
+            version=next(iter(versions)),
+            attempt=0,
+            is_confirmed=True,
+            noted_at=now - age_s,
+        )
+
+    def _ask_gates(self, work: Work, now: float) -> Origin | None:
+        services = frozenset(share.service for share in work.admitted.route.shares)
+        wait_s = SEARCH_PATIENCE_SHARE * patience_s(work, now)
+        return self._finder.find(
+            work.stream,
+            lambda: self._targets.all_gates(services),
+            is_complete=lambda: (
+                self._subscriber.contact_s(time.monotonic()) >= DIRECTORY_FILL_S
+            ),
+            until=now + min(MAX_SEARCH_S, wait_s),
+        )
+
+    def _log(
+        self,
+        work: Work,
+        origin: Origin | None,
+        source: OriginSource,
+        *,
+        refused: str = '',
+    ) -> None:
+        """Log a caller's return with half of a stream, allowed or refused."""
+        now = time.monotonic()
+        self._metrics.count(
+            'stream_returns_total', source=source.value, refused=refused
+        )
+        logger.info(
+            'stream_return',
+            extra={
+                'request': work.req.request_id,
+                'stream': work.stream,
+                'service': origin.version.service if origin else '',
+                'software_version': origin.version.version if origin else '',
+                'source': source.value,
+                'age_ms': int((now - origin.noted_at) * 1000) if origin else -1,
+                'searched_ms': int((now - work.started_at) * 1000),
+                'refused': refused,
+            },
+        )
+
+
+def _refusal(work: Work, reason: str) -> TurnedAway:
+    remaining_s = work.remaining_s(time.monotonic())
+    return TurnedAway(
+        status=503,
+        reason=reason,
+        retry_after_s=min(RETRY_AFTER_S, remaining_s / RETRY_AFTER_DIVISOR),
+    )
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -10,9 +10,11 @@
 
 from ..directory.replica_state import ReplicaState
 from ..routing.placement import Candidate
+from ..streams.service_version import version_of
+from .lifetime_doubts import LifetimeDoubts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..directory.subscriber import Subscriber
     from ..grants.watch import LoadWatch
@@ -20,14 +22,27 @@
     from ..routes.route_set import RouteSet
     from ..routes.service import Service
     from ..routing.replica_health import ReplicaHealth
+    from ..streams.service_version import ServiceVersion
 
 logger = logging.getLogger(__name__)
 
 
+# An entry that has heard of control nodes for this long knows the replicas that
+# announce themselves.
+DIRECTORY_FILL_S = 3.0
+# Share of the time for which a draining replica serves, after this entry heard of
+# it, in which streams may go on there.
+DRAIN_SHARE = 0.5
+DRAIN_S = 2.0
+DOUBT_S = 3.6
+
+
 class Targets:
     """Combines the directory of replicas, the gates' loads and the configuration.
 
-    The agent beside a replica listens at the replica's own IP address.
+    The agent beside a replica listens at the replica's own IP address.  A replica
+    that drains serves for `drain_s` after it was heard, and one whose connection
+    broke takes no resumed stream for `doubt_s`.
     """
 
     def __init__(
@@ -38,12 +53,19 @@
         agent_port: int,
         routes: Callable[[], RouteSet | None],
         health: ReplicaHealth,
+        drain_s: float = DRAIN_S,
+        doubt_s: float = DOUBT_S,
     ) -> None:
         self._subscriber = subscriber
         self._loads = loads
         self._agent_port = agent_port
         self._routes = routes
         self._health = health
+        self._drain_s = drain_s
+        self._doubts = LifetimeDoubts(doubt_s=doubt_s)
+        self._left: set[tuple[str, int]] = set()
+        self._all_gates: dict[frozenset[str], frozenset[str]] = {}
+        self._all_gates_change = 0
 
     def ready(self) -> list[ReplicaRecord]:
         """Return the records of all replicas that accept new requests."""
@@ -57,6 +79,36 @@
         self, service: str, excluded: set[str], now: float
     ) -> list[Candidate]:
         """Return the replicas of a service that accept new requests."""
+        return self._candidates(self.ready(), service, excluded, now)
+
+    def draining(self, service: str, excluded: set[str], now: float) -> list[Candidate]:
+        """Return the replicas of a service that drain and may still go on with streams.
+
+        Those that said so in an answer are left out: it is not known since when.
+        """
+        records = [
+            record
+            for record in self._subscriber.directory.records()
+            if self._is_draining_lately(record, now)
+        ]
+        return self._candidates(records, service, excluded, now)
+
+    def _is_draining_lately(self, record: ReplicaRecord, now: float) -> bool:
+        if record.state != ReplicaState.DRAINING:
+            return False
+        since = self._subscriber.directory.draining_since(record.replica)
+        has_said_so = (record.replica, record.born_ms) in self._left
+        if since is None or has_said_so:
+            return False
+        return now - since < DRAIN_SHARE * self._drain_s
+
+    def _candidates(
+        self,
+        records: Iterable[ReplicaRecord],
+        service: str,
+        excluded: set[str],
+        now: float,
+    ) -> list[Candidate]:
         found = [
             Candidate(
                 record=record,
@@ -66,7 +118,7 @@
                 awaits_gate=self._awaits_gate(record, now),
                 last_load=self._loads.last(self.gate(record)),
             )
-            for record in self.ready()
+            for record in records
             if record.service == service
             and record.replica not in excluded
             and not self._is_backing_off(record, now)
@@ -96,6 +148,56 @@
             record, now
         )
 
+    def may_resume(self, record: ReplicaRecord, now: float) -> bool:
+        """Return whether a stream may go on at a chosen replica.
+
+        It may not while the replica may have started again with another version.
+        """
+        versions = self._subscriber.directory.versions(record.service)
+        if len(versions) > 1 and self._doubts.holds(record, now):
+            return False
+        current = self._subscriber.directory.get(record.replica)
+        if current is None or current.born_ms != record.born_ms:
+            return False
+        if current.state == ReplicaState.READY:
+            return not self._is_backing_off(record, now)
+        return self._is_draining_lately(current, now)
+
+    def doubt(self, record: ReplicaRecord, now: float) -> None:
+        """Record that a replica's connection broke or was refused."""
+        self._doubts.note(record, now)
+
+    def is_version_gone(self, version: ServiceVersion, now: float) -> bool:
+        """Return whether no replica of a version is left to go on with streams.
+
+        An entry that has just started can't tell.
+        """
+        if self._subscriber.contact_s(now) < DIRECTORY_FILL_S:
+            return False
+        return not any(
+            version_of(record) == version
+            for record in self._subscriber.directory.records()
+            if record.state == ReplicaState.READY
+            or self._is_draining_lately(record, now)
+        )
+
+    def all_gates(self, services: frozenset[str]) -> frozenset[str]:
+        """Return the gates of all replicas of services, gone ones included."""
+        change = self._subscriber.directory.change
+        if change != self._all_gates_change:
+            self._all_gates_change = change
+            self._all_gates.clear()
+        gates = self._all_gates.get(services)
+        if gates is None:
+            gates = frozenset(
+                self.gate(record)
+                for record in self._subscriber.directory.records()
+                if record.service in services
+                and self._engine_service(record) is not None
+            )
+            self._all_gates[services] = gates
+        return gates
+
     def first_backoff_end(self, service: str, now: float) -> float | None:
         """Return when the first backoff of a service's replicas ends.
 
@@ -122,6 +224,7 @@
             return False
         if current.state != ReplicaState.READY:
             return False
+        self._left.add((record.replica, record.born_ms))
         return directory.merge(attrs.evolve(current, state=ReplicaState.DRAINING), now)
 
     def _with_shared_places(self, candidates: list[Candidate]) -> list[Candidate]:
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from ..claims.identity import fingerprint
 from ..quarantine.content import Content, shared_parts
+from ..routes.repetition import Repetition
 from ..routing.placement import Need
+from ..streams.name import stream_name
+from ..streams.service_version import ServiceVersion, version_of
 from .admitter import Admitted
 from .caller_request import CallerRequest
 
+if TYPE_CHECKING:
+    from ..messages.directory import ReplicaRecord
+
 
 @attrs.define(kw_only=True)
 class Work:
@@ -22,6 +30,8 @@
     before; `sent_at` is the last send to a replica, and `has_lived` tells whether
     that run has been writing its answer for a while.  `unknown_load_moves` counts
     the moves of a new request to gates whose load was not known.
+    `stream_version` is the version that began the stream, from its first event on;
+    only replicas of that version may go on with it.
     """
 
     req: CallerRequest
@@ -34,6 +44,7 @@
     failures: int = 0
     may_have_run: bool = False
     last_event: int | None = None
+    stream_version: ServiceVersion | None = None
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
     sent_at: float = 0.0
@@ -60,6 +71,39 @@
             )
         return self._fingerprint
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller comes back with a part of a stream."""
+        return self.admitted.route.is_stream and self.req.last_event is not None
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream in all attempts, empty if it can't be resumed."""
+        route = self.admitted.route
+        if not self.is_return and route.repetition is not Repetition.RESUMABLE:
+            return ''
+        customer = self.admitted.customer
+        resumed = self.req.resumes if self.is_return else ''
+        return stream_name(
+            customer.name if customer else '', resumed or self.req.request_id
+        )
+
+    def go_on_at(self, version: ServiceVersion) -> bool:
+        """Set the version of a resumed stream; return False if it isn't allowed.
+
+        The route may have been split, or moved to other services since.
+        """
+        shares = self.admitted.route.shares
+        if not any(s.service == version.service and s.weight for s in shares):
+            return False
+        self.admitted = attrs.evolve(self.admitted, service=version.service)
+        self.stream_version = version
+        return True
+
+    def may_run_at(self, record: ReplicaRecord) -> bool:
+        """Return whether a replica's events may follow those that the caller has."""
+        return self.stream_version in (None, version_of(record))
+
     @property
     def need(self) -> Need:
         """What the request needs of a replica."""
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -19,6 +19,7 @@
 )
 from pistachiopath.relay import placer as placer_module
 from pistachiopath.relay.attempts import EarlierAttempts
+from pistachiopath.relay.patience import patience_s
 from pistachiopath.relay.placer import MAX_DENIALS, Placer
 from pistachiopath.routing.placement import Candidate, Placement
 from tests.test_directory.records import record
@@ -247,7 +248,7 @@
             output_tokens=job.output,
             objective_ms=max(0, int(1000 * objective_s)),
             deadline_ms=int(1000 * work.remaining_s(now)),
-            patience_ms=int(1000 * Placer._patience_s(work, now)),
+            patience_ms=int(1000 * patience_s(work, now)),
             slots=self.slots,
         )
         self.send_to_gate(entry, job.candidate.record.replica, body)
--- a/tests/test_directory/records.py
+++ b/tests/test_directory/records.py
@@ -13,5 +13,6 @@
         'zone': 'a',
         'slots': 4,
         'state': 'ready',
+        'software_version': 'v1',
     }
     return ReplicaRecord(**fields | overrides)
--- a/tests/test_directory/test_directory.py
+++ b/tests/test_directory/test_directory.py
@@ -122,8 +122,10 @@
 
 def test_replicas_whose_version_is_not_known_share_none():
     directory = Directory()
-    directory.merge(record(), 0.0)
-    directory.merge(record(replica='r2', address='10.0.0.2:80'), 0.0)
+    for name in ('r1', 'r2'):
+        address = f'10.0.0.{name[-1]}:80'
+        unknown = record(replica=name, address=address, software_version='')
+        directory.merge(unknown, 0.0)
     assert len(versions(directory)) == 2
 
 
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -19,6 +19,7 @@
 from pistachiopath.relay.notices import Notices
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.places import Places
+from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
@@ -95,6 +96,7 @@
         self._prefix = prefix
         self._calls = 0
         self.superseded = []
+        self.doubted = []
         self.accept = True
 
     def mark_superseded(self, replica_record, now):
@@ -127,6 +129,18 @@
     def first_backoff_end(self, service, now):
         return None
 
+    def draining(self, service, excluded, now):
+        return []
+
+    def may_resume(self, replica_record, now):
+        return True
+
+    def doubt(self, replica_record, now):
+        self.doubted.append(replica_record.replica)
+
+    def is_version_gone(self, version, now):
+        return False
+
 
 class GrantingGate:
     """Grants every place, and records the types of the messages it receives."""
@@ -244,6 +258,9 @@
             health=placement.health,
             metrics=Metrics(),
         ),
+        versions=StreamVersions(
+            subscriber=None, targets=fake_targets, finder=None, metrics=Metrics()
+        ),
     )
     caller = caller or FakeCaller()
     dispatcher.serve(caller, work)
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+import attrs
 import gevent
 import gevent.socket as gsocket
 import pytest
@@ -19,6 +20,8 @@
 from pistachiopath.relay.settings import LINK_SECRET, RelaySettings
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.telemetry.spans import NoSpans
+from pistachiopath.transport.handshake import ROLE_NODE, Identity
+from pistachiopath.transport.network import Network
 from tests.test_exchange.sockets import MUTE, RESET, ScriptedTarget
 from tools.free_address import free_address
 
@@ -53,7 +56,7 @@
     """Return the head of an answer and some events."""
     head = (
         f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nReplica-Signature: s\r\n'
-        'Transfer-Encoding: chunked\r\n\r\n'
+        'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n'
     )
     return head.encode() + chunk(events(first, last))
 
@@ -83,6 +86,11 @@
     return decode_announcement(replica, json.dumps(content | changes).encode())
 
 
+def newer(target):
+    """Return announcements of many replicas of another version at one address."""
+    return [announced(f'new{number}', target, 'v2') for number in range(8)]
+
+
 class Entry:
     """An entry that begins with empty memory."""
 
@@ -108,7 +116,7 @@
         )
         self._entry.start()
 
-    def hear(self, *records, silent=()):
+    def hear(self, *records, control=CONTROL, directory_age_ms=0):
         """Receive the records from a control node."""
         news = News(
             feed=1,
@@ -118,9 +126,10 @@
             records=records,
             controls=(),
             entries=1,
-            silent=silent,
+            silent=(),
+            directory_age_ms=directory_age_ms,
         )
-        self._entry._on_message(CONTROL, 0, news)
+        self._entry._on_message(control, 0, news)
 
     def open_stream(self, request_id, *, last_event=None, resumes=''):
         """Send a request; return the connection."""
@@ -133,13 +142,24 @@
         sock.sendall('\r\n'.join([*lines, '', '']).encode())
         return sock
 
-    def resume(self, request_id='second', *, resumes='abc'):
+    def resume(self, request_id='second', *, last_event=2, resumes='abc'):
         """Come back for a stream; return the first bytes of the answer."""
-        sock = self.open_stream(request_id, last_event=2, resumes=resumes)
+        sock = self.open_stream(request_id, last_event=last_event, resumes=resumes)
         with gevent.Timeout(4.5):
             return sock.recv(65536)
 
 
+@pytest.fixture
+def control():
+    """Address of a control node that is alive."""
+    address = free_address()
+    identity = Identity(name=address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET})
+    Network(
+        identity=identity, on_message=lambda *_: None, on_lost=lambda _: None
+    ).listen(address)
+    return address
+
+
 @pytest.fixture
 def gate_address():
     """Address of the agent beside the replicas, which outlives the entries."""
@@ -183,13 +203,14 @@
     old = ScriptedTarget(*([half(i), MUTE] for i in ids), *([rest(i * 2)] for i in ids))
     new = ScriptedTarget(*([rest(i * 2)] for i in ids))
     begun = Entry(gate_address)
-    for request_id in ids:
-        begin_stream(begun, old, request_id)
+    open_streams = [begin_stream(begun, old, i) for i in ids]
     entry = Entry(gate_address)
-    entry.hear(announced('old', old), announced('new', new, 'v2'))
+    entry.hear(announced('old', old), *newer(new))
     answers = [entry.resume(i * 2, resumes=i) for i in ids]
     assert new.requests == []
     assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
+    for sock in open_streams:
+        sock.close()
 
 
 def test_a_return_goes_on_at_another_version_when_the_old_one_has_just_left(
@@ -197,7 +218,7 @@
 ):
     old = ScriptedTarget([half(), MUTE])
     new = ScriptedTarget([rest()])
-    begin_stream(Entry(gate_address), old)
+    sock = begin_stream(Entry(gate_address), old)
     entry = Entry(gate_address)
     entry.hear(
         announced('old', old, state='draining'),
@@ -205,3 +226,116 @@
     )
     assert entry.resume().startswith(b'HTTP/1.1 503')
     assert new.requests == []
+    sock.close()
+
+
+def test_a_chain_of_returns_goes_on_at_the_version_of_the_first_event(gate_address):
+    old = ScriptedTarget(
+        [half(), MUTE],
+        [part('second', 3, 4), MUTE],
+        [part('third', 5, 6) + LAST_CHUNK],
+    )
+    new = ScriptedTarget([rest('second')], [part('third', 5, 6) + LAST_CHUNK])
+    records = announced('old', old), *newer(new)
+    sock = begin_stream(Entry(gate_address), old)
+    for request_id, last_event in (('second', 2), ('third', 4)):
+        entry = Entry(gate_address)
+        entry.hear(*records)
+        answer = entry.resume(request_id, last_event=last_event)
+        assert answer.startswith(b'HTTP/1.1 200')
+    assert b'last-event-id: 4' in old.requests[-1][0]
+    assert new.requests == []
+    sock.close()
+
+
+def test_a_return_to_the_same_entry_needs_no_gate():
+    old, new = ScriptedTarget([half(), MUTE], [rest()]), ScriptedTarget([rest()])
+    entry = Entry(free_address())
+    sock = begin_stream(entry, old)
+    entry.hear(announced('old', old), *newer(new))
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+    assert new.requests == []
+    sock.close()
+
+
+def test_a_return_that_nobody_knows_is_refused_while_two_versions_serve(gate_address):
+    targets = ScriptedTarget([rest()]), ScriptedTarget([rest()])
+    entry = Entry(gate_address)
+    entry.hear(announced('old', targets[0]), announced('new', targets[1], 'v2'))
+    answer = entry.resume()
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in answer
+    assert [target.requests for target in targets] == [[], []]
+
+
+def test_without_agents_a_return_goes_on_if_there_has_been_one_version(control):
+    target = ScriptedTarget([rest()])
+    entry = Entry(free_address())
+    entry.hear(announced('old', target), control=control, directory_age_ms=60_000)
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    ('other', 'directory_age_ms'),
+    [({'version': 'v2'}, 60_000), ({'version': ''}, 60_000), ({}, 1_000)],
+    ids=['another version', 'an unknown version', 'a young directory'],
+)
+def test_without_agents_a_return_is_refused_if_another_version_may_have_begun_it(
+    control, other, directory_age_ms
+):
+    targets = ScriptedTarget([rest()]), ScriptedTarget([rest()])
+    entry = Entry(free_address())
+    gone = announced('gone', targets[1], **other)
+    entry.hear(
+        announced('old', targets[0]),
+        attrs.evolve(gone, state='gone'),
+        control=control,
+        directory_age_ms=directory_age_ms,
+    )
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert [target.requests for target in targets] == [[], []]
+
+
+def test_a_return_waits_until_an_entry_that_starts_knows_the_gates(gate_address):
+    old, new = ScriptedTarget([half(), MUTE], [rest()]), ScriptedTarget([rest()])
+    sock = begin_stream(Entry(gate_address), old)
+    entry = Entry(gate_address)
+    entry.hear()
+    gevent.spawn_later(0.2, entry.hear, announced('old', old), *newer(new))
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+    assert new.requests == []
+    sock.close()
+
+
+def test_a_replica_that_restarts_with_another_version_takes_no_stream_of_before(
+    gate_address,
+):
+    first = ScriptedTarget([half(), MUTE], [rest()])
+    entry = Entry(gate_address)
+    sock = begin_stream(entry, first)
+    entry.hear(announced('old', first, 'v2', born=2000))
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert len(first.requests) == 1
+    sock.close()
+
+
+def test_replicas_whose_version_is_not_known_do_not_continue_each_others_streams(
+    gate_address,
+):
+    scripts = [half(), RESET], [rest('abc')]
+    targets = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
+    entry = Entry(gate_address)
+    entry.hear(announced('r1', targets[0], ''), announced('r2', targets[1], ''))
+    read_to_end(entry.open_stream('abc'))
+    assert not (targets[0].requests and targets[1].requests)
+
+
+def test_a_stream_goes_on_at_another_replica_of_its_version(gate_address):
+    scripts = [half(), RESET], [rest('abc')]
+    targets = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
+    entry = Entry(gate_address)
+    entry.hear(announced('r1', targets[0]), announced('r2', targets[1]))
+    answer = read_to_end(entry.open_stream('abc'))
+    assert b'id: 5' in answer
+    assert targets[0].requests
+    assert targets[1].requests
