--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -21,9 +21,10 @@
 # Larger requests are written by a separate greenlet, because a target may respond
 # before it has read the whole request.
 MAX_INLINE_WRITE_BYTES = 8 * 1024
-# A VM without power or behind a network partition acknowledges nothing.  TCP
-# retransmits two consecutive lost packets within 0.6 s, so 1 s tolerates them.
-UNACKNOWLEDGED_TIMEOUT_MS = 1000
+# A VM without power or behind a network partition acknowledges nothing, and one
+# that stands still does not for some seconds.  After 2.6 s of that TCP sends again
+# at 3.0 s; the next time would be at 6.2 s.
+UNACKNOWLEDGED_TIMEOUT_MS = 5000
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_TIMEOUT_S = 0.3
@@ -53,6 +54,7 @@
         )
         self._writer: gevent.Greenlet | None = None
         self._ended = False
+        self._is_discarding = False
 
     @staticmethod
     def _new_parser() -> h11.Connection:
@@ -131,7 +133,12 @@
             self._ended = True
 
     def read_head(self) -> AnswerHead:
-        """Return the head of the response; raises `BrokenOff` or `Garbled`."""
+        """Return the head of the response; raises `BrokenOff` or `Garbled`.
+
+        It can be called again after a `gevent.Timeout` has interrupted it.
+        """
+        if self._is_discarding:
+            self._discard_response()
         while True:
             event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -181,8 +188,10 @@
 
     def _discard_response(self) -> None:
         """Discard the response to another request and expect the right one."""
+        self._is_discarding = True
         while self.read_part():
             pass
+        self._is_discarding = False
         trailing = self._http.trailing_data[0]
         self._http = self._new_parser()
         for event in self._sent_events:
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -34,6 +34,7 @@
 from .placer import Placer
 from .request_handler import RequestHandler
 from .request_log import RequestLog
+from .retries import Retries
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
 from .stream_finder import StreamFinder
@@ -152,8 +153,11 @@
                 is_quarantined=self._crashes.is_quarantined,
                 rng=rng,
             ),
-            budget_limits=cfg.retry_budget,
-            known_entries=lambda: self._subscriber.entries,
+            retries=Retries(
+                limits=cfg.retry_budget,
+                known_entries=lambda: self._subscriber.entries,
+                crashes=self._crashes,
+            ),
             crashes=self._crashes,
             notices=self._notices,
             versions=self._versions,
--- a/pistachiopath/relay/patience.py
+++ b/pistachiopath/relay/patience.py
@@ -1,4 +1,4 @@
-"""How long callers wait for the start of an answer."""
+"""How long callers wait for the next event of an answer."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 GAP_MIN_S = 2.0
 GAP_OBJECTIVE_FACTOR = 4.0
 GAP_PAUSE_FACTOR = 8.0
-# Share of that gap within which the first event has to arrive.
-FIRST_EVENT_GAP_SHARE = 0.9
+# Share of that gap within which the next event has to arrive.
+NEXT_EVENT_GAP_SHARE = 0.9
 
 
 def patience_s(work: Work, now: float) -> float:
-    """Return how many seconds a caller waits for the start of its answer.
+    """Return how many seconds a caller waits for its next event.
 
     Callers of streams leave after a gap whose length depends on the route.
     """
@@ -30,7 +30,6 @@
         GAP_OBJECTIVE_FACTOR * route.objective_s,
         GAP_PAUSE_FACTOR * route.pause_s,
     )
-    return min(
-        remaining_s,
-        max(0.0, work.started_at + FIRST_EVENT_GAP_SHARE * gap_s - now),
-    )
+    gap_began_at = max(work.started_at, work.last_event_at)
+    gap_ends_at = gap_began_at + NEXT_EVENT_GAP_SHARE * gap_s
+    return min(remaining_s, max(0.0, gap_ends_at - now))
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -96,6 +96,16 @@
         if version is not None and self._targets.is_version_gone(version, now):
             raise TurnedAway(status=503, reason='version_gone')
 
+    def choose_other(self, work: Work) -> Candidate | None:
+        """Return a replica that the request is not excluded from, or None.
+
+        Unlike `choose` it neither waits nor falls back to excluded replicas.
+        """
+        now = time.monotonic()
+        excluded = work.excluded | work.denied
+        candidates = self._usable(work, excluded, now)
+        return self._placement.choose(candidates, work.need, now)
+
     def _all_back_off(self, wait_s: float) -> TurnedAway:
         """Return the refusal for a service whose replicas all ask for a backoff.
 
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -14,6 +14,7 @@
 from ..streams.service_version import ServiceVersion, version_of
 from .admitter import Admitted
 from .caller_request import CallerRequest
+from .reservation import Reservation
 
 if TYPE_CHECKING:
     from ..messages.directory import ReplicaRecord
@@ -23,13 +24,15 @@
 class Work:
     """A request, the attempts to serve it and what the caller has received.
 
-    Times are seconds of a monotonic clock.  `may_have_run` is true once a
-    target may have started the request.  `last_event` is the last event that
-    the caller has, or the one after which it asked to resume.
-    `first_attempt_at` is the caller's first attempt, if it was turned away
-    before; `sent_at` is the last send to a replica, and `has_lived` tells whether
-    that run has been writing its answer for a while.  `unknown_load_moves` counts
-    the moves of a new request to gates whose load was not known.
+        Times are seconds of a monotonic clock.  `may_have_run` is true once a
+        target may have started the request.  `last_event` is the last event that
+        the caller has, or the one after which it asked to resume, and `last_event_at`
+        when it was last sent one.
+        `first_attempt_at` is the caller's first attempt, if it was turned away
+        before; `sent_at` is the last send to a replica, and `has_lived` tells whether
+        that run has been writing its answer for a while.  `unknown_load_moves` counts
+        the moves of a new request to gates whose load was not known.  `reservation`
+    is the place to which it moves from a replica that has fallen silent.
     `stream_version` is the version that began the stream, from its first event on;
     only replicas of that version may go on with it.
     """
@@ -47,11 +50,13 @@
     stream_version: ServiceVersion | None = None
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
+    last_event_at: float = 0.0
     sent_at: float = 0.0
     has_lived: bool = False
     waited_s: float = 0.0
     unknown_load_moves: int = 0
     replica: str = ''
+    reservation: Reservation | None = None
     shared_parts: tuple[Content, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -11,7 +11,7 @@
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.exchange.target_connection import TargetConnection
 
-from .sockets import CLOSE, LOOPBACK, RESET, ScriptedTarget
+from .sockets import CLOSE, LOOPBACK, RESET, Paused, ScriptedTarget, read_request
 
 ID = b'x-id'
 
@@ -61,6 +61,21 @@
     assert read_response(conn)[1] == b'yes'
 
 
+def test_a_wait_for_a_response_goes_on_after_it_was_interrupted():
+    late = response(b'1', b'late answer')
+    pause = Paused(late[:-4], 0.2, late[-4:], 0.2, response(b'2', b'right'))
+    conn = connect(ScriptedTarget([response(b'1'), pause]))
+    send_request(conn)
+    head, _ = read_response(conn)
+    assert conn.finish(head, time.monotonic())
+    send_request(conn, b'2')
+    for _ in range(9):
+        with gevent.Timeout(0.1, exception=False):
+            conn.read_head()
+            break
+    assert conn.read_part() == b'right'
+
+
 def test_bytes_after_a_response_end_the_connection():
     target = ScriptedTarget([response(b'1') + response(b'1', b'again')])
     conn = connect(target)
@@ -172,6 +187,27 @@
     conn.close()
 
 
+def test_a_target_that_acknowledges_nothing_for_some_seconds_may_go_on():
+    listener = gsocket.socket()
+    listener.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_RCVBUF, 4096)
+    listener.bind((LOOPBACK, 0))
+    listener.listen(1)
+    conn = TargetConnection(
+        address=f'{LOOPBACK}:{listener.getsockname()[1]}', request_id_header=ID
+    )
+    conn.connect(1.0)
+    body = b'x' * 8_000_000
+    send_request(conn, body=body)
+    accepted, _ = listener.accept()
+    gevent.sleep(2.6)
+    reader = gevent.spawn(read_request, accepted)
+    with gevent.Timeout(20):
+        assert reader.get()[1] == body
+        accepted.sendall(response(b'1'))
+        assert read_response(conn)[1] == b'yes'
+    conn.close()
+
+
 REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 
 
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -19,6 +19,7 @@
 from pistachiopath.relay.notices import Notices
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.places import Places
+from pistachiopath.relay.retries import Retries
 from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
@@ -190,6 +191,7 @@
     attempts=2,
     budget=100.0,
     wait_s=5.0,
+    objective_s=1.0,
     vanish=False,
     crashes=None,
     prefix='r',
@@ -218,7 +220,7 @@
         repetition=repetition,
         is_stream=stream,
         timeout_s=wait_s,
-        objective_s=1.0,
+        objective_s=objective_s,
         max_targets=attempts,
     )
     req = CallerRequest(
@@ -249,8 +251,11 @@
             is_quarantined=crashes.is_quarantined,
             rng=random.Random(2),
         ),
-        budget_limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
-        known_entries=lambda: 1,
+        retries=Retries(
+            limits=RetryBudgetLimits(ratio=0.0, slack=budget, window_s=10.0),
+            known_entries=lambda: 1,
+            crashes=crashes,
+        ),
         crashes=crashes,
         notices=Notices(
             dialect=PlatformDialect(),
