A caller that comes back with half of its stream is no longer refused as readily as a new one

Cause: a gate ranked and denied a resumed stream as new work, though it can go on at few replicas and new work at any.

At a gate a resumed stream goes before new requests of all tiers, may use the places that less urgent tiers leave free, and is denied only when its caller's patience or deadline has passed, not for an estimate. What is resumed was admitted before, which bounds it.

The harness let a request ask a single gate again and again after it had denied a place; it now turns it away at the second denial, as the product does.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -188,8 +188,11 @@
     ) -> DenialCause | None:
         """Return the time that a request is expected to exceed, or None.
 
-        An early denial costs a caller less than one after a long wait.
+        An early denial costs a caller less than one after a long wait, but a caller
+        with half of a stream has few other places to ask for.
         """
+        if place.ask.is_resumed:
+            return None
         first_ms = estimate.wait_ms + self.speed.first_ms(place.ask.prompt_tokens)
         if now + first_ms / 1000 > place.patience_at:
             return DenialCause.PATIENCE
--- a/pistachiopath/grants/place_queue.py
+++ b/pistachiopath/grants/place_queue.py
@@ -14,6 +14,8 @@
     from ..messages.grants import Ask
 
 DEFAULT_SLOTS = 4
+TURN_RANK = -1
+RESUMED_RANK = -2
 
 
 class PlaceQueue:
@@ -70,8 +72,10 @@
 
         Runs of less urgent tiers are the longest.  If they held all places,
         urgent requests would wait for them, whereas a free place slows nothing
-        down.
+        down.  A resumed stream may use them: it can go on at few replicas.
         """
+        if place.ask.is_resumed:
+            return len(self.running) < self.slots
         index = self.tiers.index(place.ask.tier)
         return len(self.running) < self.slots - kept_places(index, self.slots)
 
@@ -90,10 +94,16 @@
         )
 
     def _priority(self, place: Place, now: float) -> tuple[int, int, float, int]:
-        """Order of grants: by tier and lateness, then fairly by customer."""
+        """Order of grants: by tier and lateness, then fairly by customer.
+
+        A resumed stream goes first: it was admitted before, and can go on at few
+        replicas, whereas a new one can begin at any.
+        """
         tier = place.ask.tier
         tie_break = (place.ask.customer_tier, place.fair_tag, place.order)
+        if place.ask.is_resumed:
+            return (RESUMED_RANK, *tie_break)
         if self.tiers.has_turn(tier):
-            return (-1, *tie_break)
+            return (TURN_RANK, *tie_break)
         rank = self.tiers.rank(tier, late=place.is_late(now))
         return (rank, *tie_break)
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -22,6 +22,7 @@
 from pistachiopath.relay.patience import patience_s
 from pistachiopath.relay.placer import MAX_DENIALS, Placer
 from pistachiopath.routing.placement import Candidate, Placement
+from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
 from tests.test_relay.streams import stream_work
 
@@ -85,6 +86,7 @@
     attempts: int = 0
     first_token_at: float | None = None
     engine_s: float = 0.0
+    is_resumed: bool = False
 
     @property
     def is_in_time(self):
@@ -117,6 +119,15 @@
     def first_backoff_end(self, service, now):
         return None
 
+    def draining(self, service, excluded, now):
+        return []
+
+    def may_resume(self, replica_record, now):
+        return True
+
+    def is_version_gone(self, version, now):
+        return False
+
     def candidates(self, service, excluded, now):
         return [
             self._candidate(item, now)
@@ -166,8 +177,9 @@
                 self.world.run(self, job, body.request)
             elif isinstance(body, Denied):
                 self.release(job, body.request)
+                is_new = gate not in job.work.denied
                 job.work.denied.add(gate)
-                if len(job.work.denied) < MAX_DENIALS:
+                if is_new and len(job.work.denied) < MAX_DENIALS:
                     self.place(job)
                 else:
                     self.attempts.failed(job.work.admitted.route)
@@ -188,6 +200,8 @@
 
     With `all_loads_known` entries know the current load of every gate, and
     with `callers_return` a refused caller comes back once, when it is told to.
+    The share `resumed_share` of the requests go on with streams, at one of the
+    `old_gates` first replicas, which run the version that began them.
     """
 
     def __init__(
@@ -201,16 +215,24 @@
         kinds=USUAL_KINDS,
         slots=SLOTS,
         callers_return=False,
+        resumed_share=0.0,
+        old_gates=0,
     ):
         self.kinds = kinds
         self.slots = slots
         self.callers_return = callers_return
+        self.resumed_share = resumed_share
         self.net = VirtualNetwork(seed=seed)
         self.rng = random.Random(seed)
         self.all_loads_known = all_loads_known
         self.gates = {f'g{n}:1': GrantGate() for n in range(gates)}
         self.records = [
-            record(replica=name, address=f'10.0.{n // 200}.{n % 200}:80', slots=slots)
+            record(
+                replica=name,
+                address=f'10.0.{n // 200}.{n % 200}:80',
+                slots=slots,
+                software_version='v1' if n < old_gates else 'v2',
+            )
             for n, name in enumerate(self.gates)
         ]
         self.slowness = {
@@ -250,6 +272,7 @@
             deadline_ms=int(1000 * work.remaining_s(now)),
             patience_ms=int(1000 * patience_s(work, now)),
             slots=self.slots,
+            is_resumed=work.stream_version is not None,
         )
         self.send_to_gate(entry, job.candidate.record.replica, body)
 
@@ -308,10 +331,14 @@
             output=self.rng.choice(kind.outputs),
             arrived_at=self.net.now,
             deadline_at=self.net.now + kind.timeout_s * (1 - early_share),
+            is_resumed=self._is_resumed(),
         )
         self.jobs.append(job)
         self._begin(job)
 
+    def _is_resumed(self):
+        return bool(self.resumed_share) and self.rng.random() < self.resumed_share
+
     def _begin(self, job):
         """Begin an attempt at a random entry."""
         now, kind = self.net.now, job.kind
@@ -325,6 +352,8 @@
             deadline_s=job.deadline_at - now,
             attempts=entry.attempts,
         )
+        if job.is_resumed:
+            job.work.stream_version = version_of(self.records[0])
         try:
             entry.place(job)
         except TurnedAway:
--- a/tests/test_relay/test_overload.py
+++ b/tests/test_relay/test_overload.py
@@ -42,3 +42,26 @@
     world.play(SECONDS, 1.0)
     third = [job for job in world.jobs if job.kind.tier == 2]
     assert sum(job.is_in_time for job in third) >= CALM_FLOOR * len(third)
+
+
+def begun_share(jobs):
+    return sum(job.first_token_at is not None for job in jobs) / len(jobs)
+
+
+def test_callers_with_half_of_a_stream_are_refused_no_more_often_than_new_ones(
+    monkeypatch,
+):
+    world = GatesWorld(
+        monkeypatch,
+        entries=3,
+        gates=4,
+        seed=1,
+        kinds=LONG_THIRD_TIER,
+        resumed_share=0.08,
+        old_gates=1,
+    )
+    world.play(6.0, 2.0)
+    resumed = [job for job in world.jobs if job.is_resumed]
+    new = [job for job in world.jobs if not job.is_resumed]
+    assert len(resumed) >= 12
+    assert begun_share(resumed) >= begun_share(new)
