Returns with a part of a stream are no samples of first deadlines

A return states what is left of its caller's time. With half of the samples such, the median and the spread were those of neither kind, and a caller that came back after a refusal got no credit for its wait. A return that names its last event is known to be one, so it is left out.

--- a/pistachiopath/relay/attempts.py
+++ b/pistachiopath/relay/attempts.py
@@ -20,8 +20,11 @@
         self._usual: dict[str, UsualDeadline] = {}
 
     def spent_s(self, req: CallerRequest, route: Route) -> float:
-        """Return the seconds spent, 0 for a first attempt or if it is not known."""
-        if req.deadline_s is None:
+        """Return the seconds spent, 0 for a first attempt or if it is not known.
+
+        A caller that has a part of a stream was not sent away without an answer.
+        """
+        if req.deadline_s is None or req.last_event is not None:
             return 0.0
         if route.name not in self._usual and len(self._usual) >= MAX_ROUTES:
             self._usual.clear()
