Tests of resumed streams: finder, targets, silent replicas, mutations

Six mutations are noticed: versions not looked at, not after a break, not in the fallback; a guess when nobody knows; gates that do not remember; resumed streams that wait as new requests do. With a hedge that takes any replica the test of the silent replica fails.

--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -86,6 +86,9 @@
     def is_silent(self, replica, now):
         return replica in self.silent
 
+    def contact_s(self, now):
+        return now
+
 
 class FakeTargets:
     """Targets, of which the first that is not excluded is the only candidate."""
--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from pistachiopath.admission import heard_nodes
@@ -11,6 +12,8 @@
 from pistachiopath.errors.exchange import ExchangeFailed
 from pistachiopath.errors.relay import TurnedAway
 from pistachiopath.exchange import target_connection
+from pistachiopath.grants.begun_streams import BegunStreams
+from pistachiopath.grants.gate import GrantGate
 from pistachiopath.grants.place_queue import PlaceQueue
 from pistachiopath.quarantine import blame, unexplained_runs
 from pistachiopath.quarantine.crash_watch import CrashWatch
@@ -23,7 +26,9 @@
 from pistachiopath.relay.exchange_run import ExchangeRun
 from pistachiopath.relay.hedge import Hedge
 from pistachiopath.relay.placer import Placer
+from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.targets import Targets
+from pistachiopath.relay.work import Work
 from pistachiopath.routing.replica_health import ReplicaHealth
 from tests.harness import crash_world
 from tests.test_admission import test_leased_allowance as allowance_checks
@@ -41,6 +46,7 @@
 from . import test_notices as notice_checks
 from . import test_overload as overload_checks
 from . import test_silent_targets as silence_checks
+from . import test_stream_versions as version_checks
 from . import test_targets as targets_checks
 from .parts import events
 
@@ -260,6 +266,81 @@
     return check.test_a_node_answers_the_first_mark_of_a_part_that_it_has_seen_run_well
 
 
+def versions_are_not_looked_at(patch):
+    """Sends a return to replicas of all versions, and delivers their events."""
+    patch.setattr(Work, 'may_run_at', lambda self, record: True)
+    return with_a_gate(
+        version_checks.test_returns_go_on_at_another_version_after_all_entries_lost_power
+    )
+
+
+def versions_are_not_looked_at_in_a_retry(patch):
+    """Forgets who began a stream when it breaks."""
+    patch.setattr(StreamVersions, 'begun', lambda self, work, record: None)
+    return with_a_gate(
+        version_checks.test_a_broken_stream_goes_on_at_another_version_within_one_answer
+    )
+
+
+def the_fallback_takes_all_versions(patch):
+    """Takes any replica if all of the stream's version are excluded."""
+    of_same_version = Placer._of_same_version
+
+    def or_all(self, work, candidates, now):
+        return of_same_version(self, work, candidates, now) or candidates
+
+    patch.setattr(Placer, '_of_same_version', or_all)
+    patch.setattr(Placer, 'may_send', lambda *_: True)
+    return with_a_gate(
+        version_checks.test_a_return_goes_on_at_another_version_when_the_old_one_has_just_left
+    )
+
+
+def a_guess_when_nobody_knows(patch):
+    """Goes on with a stream at any version if nobody knows its own."""
+
+    def resolve(self, work):
+        origin, _ = self._find(work)
+        if origin is not None:
+            work.go_on_at(origin.version)
+
+    patch.setattr(StreamVersions, 'resolve', resolve)
+    return with_a_gate(
+        version_checks.test_a_return_that_nobody_knows_is_refused_while_two_versions_serve
+    )
+
+
+def gates_do_not_remember(patch):
+    """Keeps no streams where they survive the entries."""
+    patch.setattr(BegunStreams, 'granted', lambda *_: None)
+    return with_a_gate(
+        version_checks.test_returns_go_on_at_another_version_after_all_entries_lost_power
+    )
+
+
+def resumed_streams_wait_as_new_requests_do(patch):
+    """Ranks and denies resumed streams as new requests."""
+    patch.setattr(GrantGate, 'ask', _ask_as_new(GrantGate.ask))
+    check = overload_checks
+    return lambda: (
+        check.test_callers_with_half_of_a_stream_are_refused_no_more_often_than_new_ones(
+            patch
+        )
+    )
+
+
+def _ask_as_new(ask):
+    def ask_as_new(self, entry, body, now):
+        return ask(self, entry, attrs.evolve(body, is_resumed=False), now)
+
+    return ask_as_new
+
+
+def with_a_gate(check):
+    """Return a check that is given the address of a gate of its own."""
+    return lambda: check(version_checks.start_gate())
+
+
 FAILURES = (AssertionError, ExchangeFailed, TurnedAway, pytest.fail.Exception)
 
 MUTATIONS = [
@@ -287,6 +368,12 @@
     no_look_at_quarantine_before_the_send,
     trials_are_not_deferred,
     proofs_are_forgotten,
+    versions_are_not_looked_at,
+    versions_are_not_looked_at_in_a_retry,
+    the_fallback_takes_all_versions,
+    a_guess_when_nobody_knows,
+    gates_do_not_remember,
+    resumed_streams_wait_as_new_requests_do,
 ]
 
 
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -16,6 +16,7 @@
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.platform.registration import decode_announcement
+from pistachiopath.relay import exchange_run
 from pistachiopath.relay.entry import RelayEntry
 from pistachiopath.relay.settings import LINK_SECRET, RelaySettings
 from pistachiopath.telemetry.metrics import Metrics
@@ -160,14 +161,18 @@
     return address
 
 
-@pytest.fixture
-def gate_address():
-    """Address of the agent beside the replicas, which outlives the entries."""
+def start_gate():
+    """Start the agent beside the replicas, which outlives the entries."""
     address = free_address()
     GateShell(address=address, secret=LINK_SECRET, metrics=Metrics()).start()
     return address
 
 
+@pytest.fixture
+def gate_address():
+    return start_gate()
+
+
 def read_to_end(sock):
     """Read an answer until it is complete or the connection is closed."""
     data = b''
@@ -339,3 +344,15 @@
     assert b'id: 5' in answer
     assert targets[0].requests
     assert targets[1].requests
+
+
+def test_a_stream_leaves_a_silent_replica_only_for_one_of_its_version(gate_address):
+    old, new = ScriptedTarget([half(), MUTE]), ScriptedTarget([rest('abc')])
+    entry = Entry(gate_address)
+    sock = begin_stream(entry, old)
+    entry.hear(announced('old', old), *newer(new))
+    gevent.sleep(exchange_run.STALL_MIN_S + 0.5)
+    assert new.requests == []
+    same = ScriptedTarget([rest('abc')])
+    entry.hear(announced('same', same))
+    assert b'id: 5' in read_to_end(sock)
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -1,20 +1,25 @@
 from __future__ import annotations
 
+import json
+
 from pistachiopath.grants.watch import LoadWatch
-from pistachiopath.relay.targets import Targets
+from pistachiopath.platform.configuration import decode_configuration
+from pistachiopath.relay.targets import DOUBT_S, DRAIN_S, DRAIN_SHARE, Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
+from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
+from tests.test_platform.test_configuration import VALID
 
 from .parts import FakeEntry
 
 
-def make_targets(*replicas):
+def make_targets(*replicas, routes=None):
     entry = FakeEntry(replicas)
     return entry, Targets(
         subscriber=entry,
         loads=LoadWatch(),
         agent_port=7002,
-        routes=lambda: None,
+        routes=lambda: routes,
         health=ReplicaHealth(),
     )
 
@@ -40,3 +45,70 @@
     # A late report about the earlier lifetime has no effect.
     targets.mark_superseded(record(replica='r1'), 6.1)
     assert names(targets) == ['r1']
+
+
+V1 = version_of(record())
+
+
+def draining(replica='r1', **changes):
+    return record(replica=replica, state='draining', sequence=2, **changes)
+
+
+def names_of_draining(targets, now):
+    return [c.record.replica for c in targets.draining('model', set(), now)]
+
+
+def test_a_stream_may_go_on_at_a_replica_that_has_just_begun_to_drain():
+    entry, targets = make_targets('r1')
+    entry.directory.merge(draining(), 10.0)
+    in_time = 10.0 + DRAIN_SHARE * DRAIN_S - 0.1
+    assert names_of_draining(targets, in_time) == ['r1']
+    assert targets.may_resume(record(), in_time)
+    assert not targets.is_version_gone(V1, in_time)
+    late = 10.0 + DRAIN_SHARE * DRAIN_S
+    assert names_of_draining(targets, late) == []
+    assert not targets.may_resume(record(), late)
+    assert targets.is_version_gone(V1, late)
+
+
+def test_no_stream_goes_on_at_a_replica_that_has_been_draining_for_an_unknown_time():
+    entry, targets = make_targets('r1', 'r2')
+    targets.mark_leaving(record(replica='r1'), 10.0)
+    entry.directory.merge(draining('r3'), 10.0)
+    entry.directory.depart('r2', 10.0)
+    assert names_of_draining(targets, 10.1) == []
+
+
+def test_a_replica_whose_connection_broke_may_have_restarted_with_another_version():
+    entry, targets = make_targets('r1')
+    entry.directory.merge(record(replica='r2', software_version='v2'), 0.0)
+    targets.doubt(record(), 10.0)
+    assert not targets.may_resume(record(), 10.0 + DOUBT_S - 0.1)
+    assert targets.may_send(record(), 10.1)
+    assert targets.may_resume(record(), 10.1 + DOUBT_S)
+    renewed = record(born_ms=5000)
+    entry.directory.merge(renewed, 10.2)
+    assert targets.may_resume(renewed, 10.2)
+
+
+def test_while_one_version_serves_a_broken_connection_stops_no_stream():
+    _, targets = make_targets('r1', 'r2')
+    targets.doubt(record(), 10.0)
+    assert targets.may_resume(record(), 10.1)
+
+
+def test_an_entry_that_has_just_started_cannot_tell_that_a_version_is_gone():
+    _, targets = make_targets()
+    assert not targets.is_version_gone(V1, 1.0)
+    assert targets.is_version_gone(V1, 10.0)
+
+
+def test_the_gates_of_replicas_that_are_gone_are_asked_too():
+    routes = decode_configuration(json.dumps(VALID).encode())
+    entry, targets = make_targets('r1', routes=routes)
+    services = frozenset({'model'})
+    assert targets.all_gates(services) == {'10.0.0.1:7002'}
+    entry.directory.merge(record(replica='r2', address='10.0.0.2:80'), 1.0)
+    entry.directory.depart('r1', 1.0)
+    assert targets.all_gates(services) == {'10.0.0.1:7002', '10.0.0.2:7002'}
+    assert targets.all_gates(frozenset({'plain'})) == frozenset()
