A version is also deduced with some control nodes unheard, and after a restart

Where no agents run, a return at an entry that did not begin the stream can only be deduced. While any control node was unheard, and for twice the route's timeout after all nodes lost power, each was refused, also with one version in service: that would break the rule on streams that go on. Now, if most control nodes are heard, the gates are asked first and then the only version known is taken; and a control node that has loaded its stored records goes back beyond its restart, once replicas that appeared just before have announced themselves again.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -8,7 +8,7 @@
 
 from ..effects import Send
 from ..messages.directory import Announcements, News
-from .directory import Directory
+from .directory import GONE_RETENTION_S, Directory
 
 if TYPE_CHECKING:
     from ..messages.directory import Follow, ReplicaRecord
@@ -66,6 +66,7 @@
         self._feed = feed
         self._silent_after_s = silent_after_s
         self._started_at = now
+        self._has_stored_records = False
         self._followers: dict[str, _Follower] = {}
         self._controls: dict[str, float] = {}
         self._last_announced_at: dict[str, float] = {}
@@ -107,6 +108,23 @@
         """Merge announcements made at another control node, without forwarding."""
         return self._merge(body.records, now, forward=False)
 
+    def load(self, records: tuple[ReplicaRecord, ...], now: float) -> None:
+        """Merge the records that were stored before a restart."""
+        self._has_stored_records = bool(records)
+        self._merge(records, now, forward=False)
+
+    def _directory_age_s(self, now: float) -> float:
+        """Return for how long all replicas that announced themselves are known.
+
+        What was stored before a restart goes back for the retention of gone
+        replicas.  Replicas that appeared just before it have announced themselves
+        again once silent ones are known.
+        """
+        up_s = now - self._started_at
+        if self._has_stored_records and up_s >= self._silent_after_s:
+            return up_s + GONE_RETENTION_S
+        return up_s
+
     def publish(self, version: int, content: bytes, now: float) -> list[Send]:
         """Send a committed configuration to the followers if it is newer."""
         if version <= self.version:
@@ -207,7 +225,7 @@
             controls=self.controls(now),
             entries=self.entries(now),
             silent=self.silent(now),
-            directory_age_ms=int((now - self._started_at) * 1000),
+            directory_age_ms=int(self._directory_age_s(now) * 1000),
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -93,8 +93,8 @@
             now - s.last_message_at < CONTROL_TIMEOUT_S for s in self._sources.values()
         )
 
-    def hears_all_controls(self, now: float) -> bool:
-        """Return whether all control nodes sent a message recently.
+    def heard_controls(self, now: float) -> float:
+        """Return the share of the control nodes that sent a message recently.
 
         Those that no control node has listed for a while do not count.
         """
@@ -103,9 +103,8 @@
             for s in self._sources.values()
             if now - s.last_listed_at < CONTROL_RETENTION_S
         ]
-        return bool(listed) and all(
-            now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed
-        )
+        heard = sum(now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed)
+        return heard / max(1, len(listed))
 
     def directory_age_s(self, now: float) -> float:
         """Return for how many seconds all replicas that announced themselves are known.
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -217,7 +217,7 @@
         except OSError as exc:
             logger.warning('replicas_not_loaded', extra={'error': exc.errno})
             return
-        self.announcer.merge_announcements(Announcements(records=records), now)
+        self.announcer.load(records, now)
         self._saved_change = self.announcer.directory.change
         logger.info('replicas_loaded', extra={'number': len(records)})
 
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -28,6 +28,9 @@
 # A stream that is resumed began at most this many times the route's timeout ago:
 # a caller comes back within its deadline.
 HORIZON_TIMEOUTS = 2.0
+# A control node that is not heard may know of a version that has just appeared, so
+# gates are asked first, and without most control nodes nothing is deduced.
+MIN_HEARD_CONTROLS = 0.5
 MAX_SEARCH_S = 1.5
 # Share of the time for which a caller waits for its first event.
 SEARCH_PATIENCE_SHARE = 0.4
@@ -97,8 +100,9 @@
             return origin, OriginSource.OWN
         # Of several services, it is not known which one began the stream.
         has_one_service = len(work.admitted.route.shares) == 1
-        deduced = self._deduce(work, now)
-        if deduced is not None and has_one_service:
+        heard = self._subscriber.heard_controls(now)
+        deduced = self._deduce(work, now) if heard > MIN_HEARD_CONTROLS else None
+        if deduced is not None and has_one_service and heard == 1.0:
             return deduced, OriginSource.DEDUCED
         origin = self._ask_gates(work, now)
         if origin is not None:
@@ -112,7 +116,7 @@
         horizon_s = HORIZON_TIMEOUTS * work.admitted.route.timeout_s
         age_s = self._subscriber.directory_age_s(now)
         is_covered = horizon_s <= min(age_s, GONE_RETENTION_S)
-        if not is_covered or not self._subscriber.hears_all_controls(now):
+        if not is_covered:
             return None
         versions = self._subscriber.directory.versions(work.admitted.service)
         if len(versions) != 1:
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -224,6 +224,7 @@
             return False
         if current.state != ReplicaState.READY:
             return False
+        self._left = {key for key in self._left if directory.get(key[0])}
         self._left.add((record.replica, record.born_ms))
         return directory.merge(attrs.evolve(current, state=ReplicaState.DRAINING), now)
 
--- a/tests/test_directory/test_announcer.py
+++ b/tests/test_directory/test_announcer.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.directory import GONE_RETENTION_S
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.messages.directory import Announcements, Follow, News
 
@@ -189,3 +190,19 @@
         Announcements(records=nodes.announcers['c2'].directory.since(0)), nodes.now
     )
     assert nodes.announcers['c1'].directory.get('r1') == entry_record
+
+
+def directory_age_s(announcer, now):
+    follow = Follow(version=0, feed=0, since=0, is_entry=True)
+    (effect,) = announcer.follow('e1', follow, now)
+    return effect.body.directory_age_ms / 1000
+
+
+def test_a_directory_goes_back_beyond_a_restart_once_silent_replicas_are_known():
+    announcer = Announcer(address='c1', feed=1, silent_after_s=3.6, now=10.0)
+    announcer.load((record(),), 10.0)
+    assert directory_age_s(announcer, 12.0) == 2.0
+    assert directory_age_s(announcer, 14.0) == 4.0 + GONE_RETENTION_S
+    empty = Announcer(address='c2', feed=1, silent_after_s=3.6, now=10.0)
+    empty.load((), 10.0)
+    assert directory_age_s(empty, 14.0) == 4.0
