--- a/tools/capacity_platform.py
+++ b/tools/capacity_platform.py
@@ -10,6 +10,7 @@
 import json
 import sys
 import time
+import tracemalloc
 from pathlib import Path
 
 from pistachiopath.admission.allowance_lender import AllowanceLender
@@ -39,7 +40,11 @@
     WatchLoad,
 )
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
+from pistachiopath.messages.streams import StreamOrigin, StreamOrigins
 from pistachiopath.routes.customer_account import CustomerAccount
+from pistachiopath.streams.memory import MAX_STREAMS, StreamMemory
+from pistachiopath.streams.name import stream_name
+from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.transport.codec import encode
 from pistachiopath.transport.frames import pack
 from tools.capacity import fit
@@ -89,6 +94,7 @@
         zone='zone-a',
         slots=8,
         state='ready',
+        software_version='v1.2',
     )
 
 
@@ -106,6 +112,28 @@
     )
 
 
+def stream(number):
+    """Return the name of a stream."""
+    return stream_name('cu00001', f'{number:016x}')
+
+
+def origins(streams):
+    """Return a reply about that many streams."""
+    return StreamOrigins(
+        origins=tuple(
+            StreamOrigin(
+                stream=stream(n),
+                service='service',
+                software_version='v1.2',
+                attempt=1,
+                is_confirmed=False,
+                age_ms=500,
+            )
+            for n in range(streams)
+        )
+    )
+
+
 def ask(number):
     """Return a request for a place."""
     return Ask(
@@ -117,6 +145,10 @@
         objective_ms=500,
         deadline_ms=5000,
         slots=8,
+        stream=stream(number),
+        service='service',
+        software_version='v1.2',
+        attempt=1,
     )
 
 
@@ -149,6 +181,11 @@
         'WatchLoad': size(WatchLoad(slots=8, period_ms=500)),
         'GateLoad, three tiers wait': size(load),
         'CrashMarks, one mark': size(CrashMarks(marks=(mark,))),
+        'WatchLoad, ten streams': size(
+            WatchLoad(slots=0, streams=tuple(stream(n) for n in range(10)))
+        ),
+        'StreamOrigins, none': size(origins(0)),
+        'StreamOrigins, one stream': size(origins(1)),
     }
 
 
@@ -191,13 +228,39 @@
     }
 
 
+def memory_bytes():
+    """Return the bytes that each item of a memory takes."""
+    memory = StreamMemory()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(MAX_STREAMS):
+        version = ServiceVersion(service='service', version='v1.2')
+        memory.note(
+            stream(number),
+            version,
+            attempt=1,
+            is_confirmed=False,
+            now=number / MAX_STREAMS,
+        )
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {'remembered stream': round((after - before) / len(memory))}
+
+
 def main():
     """Measure, and write the raw figures and the page."""
     if '--sizes' in sys.argv:
-        raw = json.loads(RAW_PATH.read_text()) | {'bytes': message_bytes()}
+        raw = json.loads(RAW_PATH.read_text()) | {
+            'bytes': message_bytes(),
+            'memory bytes': memory_bytes(),
+        }
         RAW_PATH.write_text(json.dumps(raw, indent=1) + '\n')
     elif '--render' not in sys.argv:
-        raw = {'bytes': message_bytes(), 'processor us': processor_us()}
+        raw = {
+            'bytes': message_bytes(),
+            'processor us': processor_us(),
+            'memory bytes': memory_bytes(),
+        }
         RAW_PATH.write_text(json.dumps(raw, indent=1) + '\n')
     PAGE_PATH.write_text(render(json.loads(RAW_PATH.read_text()), fit))
 
--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from tools.capacity_page import BYTES_BUDGET, CUSTOMERS, NODES, TARGETS, ZONES
+from pistachiopath.relay.stream_finder import BATCH_S_PER_GATE
+from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
+from tools.capacity_page import (
+    BYTES_BUDGET,
+    CUSTOMERS,
+    MODELS,
+    NODES,
+    TARGETS,
+    ZONES,
+)
 
 DATA_PATH = 'with each request'
 
@@ -120,6 +129,35 @@
     }
 
 
+def stream_rows(raw):
+    """Return the rows on remembered streams, and on questions for them."""
+    stream_bytes = raw['memory bytes']['remembered stream']
+    per_entry = REQUESTS_PER_S / NODES * STREAM_RETENTION_S
+    per_gate = REQUESTS_PER_S / TARGETS * STREAM_RETENTION_S
+    gates = TARGETS / MODELS
+    messages_per_s = 1 / BATCH_S_PER_GATE
+    sizes = raw['bytes']
+    question_bytes = sizes['WatchLoad, ten streams'] + sizes['StreamOrigins, none']
+    rows = (
+        ('entry: streams remembered', f'{per_entry:,.0f}'),
+        ('entry: memory for them', f'{per_entry * stream_bytes / 1e6:.2f} MB'),
+        ('gate: streams remembered', f'{per_gate:,.0f}'),
+        ('gate: memory for them', f'{per_gate * stream_bytes / 1e3:.0f} KB'),
+        ('memory at the bound', f'{MAX_STREAMS * stream_bytes / 1e6:.1f} MB'),
+        ('gates of one model, all asked for a stream', f'{gates:,.0f}'),
+        ('entry: questions a second, at most', f'{messages_per_s:,.0f}'),
+        (
+            'entry: bytes for them and the replies, ten streams each',
+            f'{messages_per_s * question_bytes / 1e6:.1f} MB/s',
+        ),
+        (
+            'gate: questions a second, if all entries ask',
+            f'{messages_per_s * NODES / gates:,.0f}',
+        ),
+    )
+    return '\n'.join(f'| {label} | {value} |' for label, value in rows)
+
+
 def render(raw, fit):
     """Return the page."""
     parts = figures(raw, fit)
@@ -166,6 +204,18 @@
 their answers. Beyond the budget are the gates that it watches, and control
 nodes, which hear every entry and tell every announcement to all others.
 
+## Streams that are resumed, at the size to design for
+
+| what | figure |
+|---|---|
+{stream_rows(raw)}
+
+A remembered stream takes {raw['memory bytes']['remembered stream']} bytes, measured
+over {MAX_STREAMS:,}. Gates are asked only about returns whose version an entry can
+neither remember nor deduce, so while a service runs two versions; the figures of
+questions hold while all callers come back at once, for seconds after all entries
+lost power. There the bytes are far beyond the budget: that does not reach the size.
+
 ## What has to carry the size (not built)
 
 | who tells what | bytes | budget of 3,000 B/s |
