--- a/pistachiopath/document/saved_replicas.py
+++ b/pistachiopath/document/saved_replicas.py
@@ -5,8 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from ..messages.directory import Announcements
-
 if TYPE_CHECKING:
     from ..directory.announcer import Announcer
     from ..storage.no_record_file import NoRecordFile
@@ -41,7 +39,7 @@
         except OSError as exc:
             logger.warning('replicas_not_loaded', extra={'error': exc.errno})
             return
-        self._announcer.merge_announcements(Announcements(records=records), now)
+        self._announcer.load(records, now)
         self._saved_change = self._announcer.directory.change
         logger.info('replicas_loaded', extra={'number': len(records)})
 
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -11,6 +11,7 @@
 
     `born_ms` is the wall-clock time of its start.  `sequence` increases with
     each announcement of a lifetime.  `state` is a `ReplicaState` value.
+    `software_version` is empty if it is not known, as from older nodes.
     """
 
     replica: str
@@ -22,6 +23,7 @@
     slots: int
     state: str
     warmup_ms: int = 0
+    software_version: str = ''
 
 
 @message
@@ -50,7 +52,7 @@
     follower has it or did not ask for it.  `controls` holds the addresses of the
     control nodes, and `entries` the number of entries, from which messages
     arrived recently.  `silent` names the replicas that have not sent an
-    announcement recently.
+    announcement recently.  The sender's directory goes back for `directory_age_ms`.
     """
 
     feed: int
@@ -61,6 +63,7 @@
     controls: tuple[str, ...]
     entries: int
     silent: tuple[str, ...] = independent_items()
+    directory_age_ms: int = 0
 
 
 @message
--- a/pistachiopath/platform/dialect.py
+++ b/pistachiopath/platform/dialect.py
@@ -54,6 +54,7 @@
             model=http.header(names.MODEL),
             parts=_parse_prompt_parts(http.header(names.PROMPT_PARTS)),
             last_event=_parse_stated(http.header(names.LAST_EVENT), MAX_INTEGER),
+            resumes=http.header(names.RESUMES).strip(),
         )
 
     def target_headers(
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -25,6 +25,7 @@
     from .placer import Placer
     from .places import Places
     from .retries import Retries
+    from .stream_versions import StreamVersions
     from .work import Work
 
 logger = logging.getLogger(__name__)
@@ -51,6 +52,7 @@
         retries: Retries,
         crashes: Crashes,
         notices: Notices,
+        versions: StreamVersions,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
@@ -60,6 +62,7 @@
         self._retries = retries
         self._crashes = crashes
         self._notices = notices
+        self._versions = versions
         self._hedges = Hedges(
             placer=placer,
             places=places,
@@ -120,7 +123,7 @@
                     # Gates in this process reply without a wait.
                     gevent.sleep(RECHOOSE_PAUSE_S)
                     return NotRun(reason=MOVED, arrived=False)
-            if not self._placer.may_send(record):
+            if not self._placer.may_send(work, record):
                 gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
             self._crashes.check_send(work, time.monotonic())
@@ -158,6 +161,7 @@
             notices=self._notices,
             hedges=self._hedges,
             on_lived=self._crashes.run_lived,
+            on_begun=self._versions.begun,
         )
 
     def _record_result(
@@ -182,6 +186,8 @@
                 pass
             case TargetFailed() | Lost():
                 health.failed(replica, now)
+        if _is_break(result):
+            self._placer.doubt(candidate.record, now)
         if not isinstance(result, Delivered):
             logger.info(
                 'try_ended',
@@ -262,3 +268,10 @@
         work.outcome = 'timeout'
         work.status = 504
         conn.respond(504, self._dialect.own_headers(work.req, None), b'')
+
+
+def _is_break(result: ExchangeResult) -> bool:
+    """Return whether a connection broke or was refused."""
+    if isinstance(result, NotRun):
+        return not result.arrived and result.reason != MOVED
+    return isinstance(result, Lost) and result.broken_off
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -69,6 +69,7 @@
         notices: Notices,
         hedges: Hedges,
         on_lived: Callable[[Work, float], None],
+        on_begun: Callable[[Work, ReplicaRecord], None],
     ) -> None:
         self.first_event_ms = 0
         self._conn = conn
@@ -79,6 +80,7 @@
         self._notices = notices
         self._hedges = hedges
         self._on_lived = on_lived
+        self._on_begun = on_begun
         self._sent_at = 0.0
         self._first_event_at = 0.0
 
@@ -219,8 +221,11 @@
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         """Write whole events up to the first with an id out of order or range.
 
-        Raises `Garbled` for that one, behind which another target may resume.
+        Raises `Garbled` for that one, behind which another target may resume,
+        and for events that can't follow earlier ones.
         """
+        if events:
+            self._check_version()
         valid: list[StreamEvent] = []
         try:
             for event in events:
@@ -240,6 +245,15 @@
         headers = self._dialect.caller_headers(head)
         self._conn.begin(head.status, headers, data)
 
+    def _check_version(self) -> None:
+        """Record who began the stream; raise `Garbled` if another version did."""
+        if self._work.stream_version is None:
+            self._on_begun(self._work, self._record)
+        elif not self._work.may_run_at(self._record):
+            raise Garbled(
+                address=self._record.address, reason='other_version', sent=True
+            )
+
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
         if event.number == UNUSABLE_NUMBER:
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -25,6 +25,7 @@
     from .dispatcher import Dispatcher
     from .request_log import RequestLog
     from .routes_in_force import RoutesInForce
+    from .stream_versions import StreamVersions
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +51,7 @@
         admitter: Admitter,
         departure: Departure,
         crashes: Crashes,
+        versions: StreamVersions,
         dispatcher: Dispatcher,
         log: RequestLog,
         spans: Spans,
@@ -60,6 +62,7 @@
         self._admitter = admitter
         self._departure = departure
         self._crashes = crashes
+        self._versions = versions
         self._dispatcher = dispatcher
         self._log = log
         self._spans = spans
@@ -117,6 +120,7 @@
             work = self.admit(req, started_at)
             self._departure.check(work, started_at)
             self._crashes.check(work, started_at)
+            self._versions.resolve(work)
             self._dispatcher.serve(conn, work)
             self._departure.record_run(work, time.monotonic())
             if work.outcome != 'delivered':
@@ -140,6 +144,8 @@
             logger.exception('request_failed', extra={'request': req.request_id})
             self._answer_failed(conn, req, work, started_at)
         finally:
+            if work is not None:
+                self._versions.ended(work)
             span.end()
 
     def _answer_failed(
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -395,6 +395,7 @@
   slots @6 :Int64;
   state @7 :Text;
   warmupMs @8 :Int64;
+  softwareVersion @9 :Text;
 }
 
 struct Follow {
@@ -414,6 +415,7 @@
   controls @5 :List(Text);
   entries @6 :Int64;
   silent @7 :List(Text);
+  directoryAgeMs @8 :Int64;
 }
 
 struct Announcements {
@@ -448,6 +450,11 @@
   slots @7 :Int64;
   customerTier @8 :Int64;
   patienceMs @9 :Int64;
+  stream @10 :Text;
+  service @11 :Text;
+  softwareVersion @12 :Text;
+  attempt @13 :Int64;
+  isResumed @14 :Bool;
 }
 
 struct Granted {
@@ -468,6 +475,7 @@
 struct WatchLoad {
   slots @0 :Int64;
   periodMs @1 :Int64;
+  streams @2 :List(Text);
 }
 
 struct GateLoad {
@@ -510,6 +518,10 @@
   retryAfterMs @1 :Int64;
 }
 
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -602,6 +614,15 @@
   level @3 :Int64;
 }
 
+struct StreamOrigin {
+  stream @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  attempt @3 :Int64;
+  isConfirmed @4 :Bool;
+  ageMs @5 :Int64;
+}
+
 struct Envelope {
   call @0 :Int64;
   union {
@@ -680,5 +701,6 @@
     allowanceLeases @73 :AllowanceLeases;
     borrow @74 :Borrow;
     borrowed @75 :Borrowed;
+    streamOrigins @76 :StreamOrigins;
   }
 }
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -20,6 +20,7 @@
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.places import Places
 from pistachiopath.relay.retries import Retries
+from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
@@ -85,6 +86,9 @@
     def is_silent(self, replica, now):
         return replica in self.silent
 
+    def contact_s(self, now):
+        return now
+
 
 class FakeTargets:
     """Targets, of which the first that is not excluded is the only candidate."""
@@ -96,6 +100,7 @@
         self._prefix = prefix
         self._calls = 0
         self.superseded = []
+        self.doubted = []
         self.accept = True
 
     def mark_superseded(self, replica_record, now):
@@ -128,6 +133,18 @@
     def first_backoff_end(self, service, now):
         return None
 
+    def draining(self, service, excluded, now):
+        return []
+
+    def may_resume(self, replica_record, now):
+        return True
+
+    def doubt(self, replica_record, now):
+        self.doubted.append(replica_record.replica)
+
+    def is_version_gone(self, version, now):
+        return False
+
 
 class GrantingGate:
     """Grants every place, and records the types of the messages it receives."""
@@ -249,6 +266,9 @@
             health=placement.health,
             metrics=Metrics(),
         ),
+        versions=StreamVersions(
+            subscriber=None, targets=fake_targets, finder=None, metrics=Metrics()
+        ),
     )
     caller = caller or FakeCaller()
     dispatcher.serve(caller, work)
