The end of a stop leaves time for the answers of many requests

Callers saw: in a trial with 400 connections on a process of its own (grace 8 s, load of the machine 15 to 29), 50 to 100 of 300 unfinished requests got no answer before the process ended or was killed.

Cause: the answers took 2 ms each on that machine, and the time for them was fixed: they began 0.4 s before the end of the grace and were given 0.15 to 0.2 s.

Now they begin 2 ms earlier for each open connection, and the process waits for them until 0.2 s before the end of the grace.

`test_many_unfinished_requests_are_ended_earlier`.

--- a/pistachiopath/relay/departure.py
+++ b/pistachiopath/relay/departure.py
@@ -17,6 +17,8 @@
 # The answers to unfinished requests take some time, and the process is killed at
 # the end of the grace period.
 STOP_MARGIN_S = 0.4
+STOP_MARGIN_PER_REQUEST_S = 0.002
+EXIT_MARGIN_S = 0.2
 STOPPING_RETRY_AFTER_S = 0.05
 # Gates report average speeds.  Next to long prompts a stream takes several
 # times as long: 2,800 tokens took up to 14.6 s where 3 s were expected.
@@ -49,15 +51,20 @@
     def begin(self, now: float) -> None:
         """Begin the planned stop."""
         self.is_stopping = True
-        self._ends_at = now + self._grace_s - STOP_MARGIN_S
+        self._ends_at = now + self._grace_s
 
     def close(self) -> None:
         """Refuse all further requests."""
         self._is_closed = True
 
-    def remaining_s(self, now: float) -> float:
-        """Return the seconds until unfinished requests are cut off."""
-        return max(0.0, self._ends_at - now)
+    def remaining_s(self, now: float, *, unfinished: int = 0) -> float:
+        """Return the seconds until `unfinished` requests have to be answered."""
+        margin_s = STOP_MARGIN_S + unfinished * STOP_MARGIN_PER_REQUEST_S
+        return max(0.0, self._ends_at - margin_s - now)
+
+    def answering_s(self, now: float) -> float:
+        """Return the seconds until the answers have to be written."""
+        return max(0.0, self._ends_at - EXIT_MARGIN_S - now)
 
     def check_open(self) -> None:
         """Raise `TurnedAway` once the entry refuses all requests."""
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -54,8 +54,6 @@
 
 TICK_S = 0.05
 PRUNE_INTERVAL_S = 1.0
-# Time for the answers to the requests that a stop has ended.
-END_TIMEOUT_S = 0.2
 # A link without traffic for longer is reopened.
 LINK_SILENCE_S = 1.5
 
@@ -193,15 +191,30 @@
         """Leave the load balancer's rotation, finish open requests, then close."""
         self._departure.begin(time.monotonic())
         self._server.announce_stop()
-        remaining_s = self._departure.remaining_s(time.monotonic())
-        gevent.sleep(min(LEAVE_ROTATION_S, remaining_s))
+        gevent.sleep(min(LEAVE_ROTATION_S, self._remaining_s()))
         self._departure.close()
         self._server.stop_accepting()
-        self._server.wait_until_idle(self._departure.remaining_s(time.monotonic()))
-        unfinished = self._server.end_unfinished(END_TIMEOUT_S)
+        self._wait_until_idle()
+        unfinished = self._server.end_unfinished(
+            self._departure.answering_s(time.monotonic())
+        )
         logger.info('stopped', extra={'unfinished': unfinished})
         self._network.close(drain_s=0.1)
 
+    def _wait_until_idle(self) -> None:
+        """Wait until no request is left, or what is left has to be answered."""
+        while self._server.connections:
+            remaining_s = self._remaining_s()
+            if remaining_s <= 0:
+                return
+            self._server.wait_until_idle(min(TICK_S, remaining_s))
+
+    def _remaining_s(self) -> float:
+        """Return the seconds until the requests of all connections are ended."""
+        return self._departure.remaining_s(
+            time.monotonic(), unfinished=self._server.connections
+        )
+
     def _handle_readiness(self, conn: ServerConnection, _req: HttpRequest) -> None:
         conn.respond(200 if self.is_ready else 503, [], b'')
 
--- a/tests/test_relay/test_departure.py
+++ b/tests/test_relay/test_departure.py
@@ -90,6 +90,17 @@
     assert departure.remaining_s(30.0) == 0
 
 
+def test_many_unfinished_requests_are_ended_earlier():
+    # Regression: the answers to 200 requests took 0.4 s, so that 50 callers got
+    # none before the process was killed.
+    departure = Departure(grace_s=GRACE_S, loads=loads())
+    departure.begin(10.0)
+    few_s, many_s = (departure.remaining_s(10.0, unfinished=n) for n in (0, 200))
+    assert 0.39 < few_s - many_s < 1.0
+    assert departure.remaining_s(17.0, unfinished=10_000) == 0
+    assert few_s < departure.answering_s(10.0) < GRACE_S
+
+
 def plain_work(now=10.0, **overrides):
     return stream_work(now, is_stream=False, **overrides)
 
