Stuck links delay a stop once, not each

Seen by reading: `Network.close` gave each link its own drain time, one after the other, so that a stop of an entry with many peers out of reach outlasted its grace by 0.1 s for each.

Now all links share one deadline; they write at the same time anyway.

--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -97,12 +97,13 @@
     def close(self, drain_s: float = 1.0) -> None:
         """Stop accepting links, write queued messages and close all links.
 
-        Each link gets up to `drain_s` to write its queue.
+        The links get up to `drain_s` in all to write their queues.
         """
+        deadline = time.monotonic() + drain_s
         if self._server is not None:
             self._server.stop(timeout=0)
         for link in list(self._links.values()):
-            link.drain(drain_s)
+            link.drain(max(0.0, deadline - time.monotonic()))
             link.close()
 
     def _start_dial(self, to: str, payload: bytes) -> None:
--- /dev/null
+++ b/tests/test_transport/test_network.py
@@ -0,0 +1,38 @@
+from __future__ import annotations
+
+import time
+
+from pistachiopath.transport.handshake import ROLE_NODE, Identity
+from pistachiopath.transport.network import Network
+
+DRAIN_S = 0.1
+
+
+class StuckLink:
+    """A link whose peer reads nothing."""
+
+    def __init__(self):
+        self.closed = False
+
+    def drain(self, timeout_s):
+        time.sleep(timeout_s)
+
+    def close(self):
+        self.closed = True
+
+
+def test_links_that_are_stuck_delay_a_stop_once():
+    # Regression: each stuck link took the whole drain time, one after the other,
+    # so that a stop with many of them outlasted its grace period.
+    network = Network(
+        identity=Identity(name='n', role=ROLE_NODE, secrets={ROLE_NODE: b''}),
+        on_message=lambda *_: None,
+        on_lost=lambda peer: None,
+        silence_s=1.0,
+    )
+    links = [StuckLink() for _ in range(5)]
+    network._links = {str(number): link for number, link in enumerate(links)}
+    began_at = time.monotonic()
+    network.close(drain_s=DRAIN_S)
+    assert time.monotonic() - began_at < 2 * DRAIN_S
+    assert all(link.closed for link in links)
