--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -185,15 +185,11 @@
         It is reset if its end would complete a response that has been cut.
         """
         self._inbound.stop()
-        if self._ends_with_connection and self._http.our_state is h11.SEND_BODY:
+        is_unfinished = self._http.our_state is h11.SEND_BODY
+        if is_unfinished and self._http.their_http_version == b'1.0':
             self._sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, RESET_ON_CLOSE)
         self._sock.close()
 
-    @property
-    def _ends_with_connection(self) -> bool:
-        """Whether a response of unknown length ends with the connection."""
-        return self._http.their_http_version == b'1.0'
-
     def _head(self, status: int, headers: Headers) -> h11.Response:
         if self.closes_after_response and not self._has_next_request():
             headers = [*headers, (b'connection', b'close')]
@@ -222,12 +218,11 @@
         self._is_cut = False
 
     def _read_head(self) -> h11.Request | None:
+        data = b''
         if not self._has_partial_head():
             data = self._await_request()
             if not data:
                 return None
-        else:
-            data = b''
         self._adopt_limits()
         deadline = time.monotonic() + self.limits.header_timeout_s
         while True:
@@ -246,7 +241,9 @@
                 return None
 
     def _await_request(self) -> bytes | None:
-        """Return the first bytes of the next request, or None if there are none.
+        """Return the first bytes of the next request.
+
+        Returns b'' if the connection ends, and None after the idle timeout.
 
         The idle timeout is the longest that is in force at the beginning or at
         the end of the wait, as the caller may know either.
