--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -169,8 +169,7 @@
 
 
 def test_requests_that_arrived_before_a_close_is_announced_are_answered():
-    # Regression: the first response of a server that stops announced the close,
-    # and a request that had been read behind it got no answer.
+    # Regression: the first response announced the close, and the others were lost.
     server = EchoServer()
     sock = server.connect()
     sock.sendall(POST)
@@ -316,8 +315,7 @@
 
 
 def test_a_response_cut_short_is_never_followed_by_another():
-    # Regression: a timeout while a response was written left the connection open,
-    # and the next response followed in the middle of the first.
+    # Regression: a timeout during a write left the connection open for the next.
     size = 8 * 1024 * 1024
 
     def handle(conn, req):
@@ -335,8 +333,7 @@
 
 
 def test_a_cut_response_without_a_length_does_not_look_complete():
-    # Regression: the end of the connection, which ends such a response, was the
-    # same for a whole one and for a part.
+    # Regression: the connection ended in the same way as after a whole response.
     def handle(conn, req):
         conn.begin(200, [], b'first')
         gevent.sleep(0.05)
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -56,8 +56,7 @@
     [('SIGHUP', ''), ('SIGTERM', ''), ('', 'SIGTERM,SIGINT'), ('', 'SIGHUP')],
 )
 def test_signals_during_a_start_or_a_stop_do_no_harm(tmp_path, at_start, at_stop):
-    # Regression: SIGHUP ended a program that was starting, and SIGTERM ended one
-    # that had started to serve without a planned stop.
+    # Regression: either signal ended a program that was starting at once.
     path = tmp_path / 's.toml'
     path.write_text(SETTINGS)
     result = subprocess.run(
--- a/tests/test_relay/test_departure.py
+++ b/tests/test_relay/test_departure.py
@@ -91,8 +91,7 @@
 
 
 def test_many_unfinished_requests_are_ended_earlier():
-    # Regression: the answers to 200 requests took 0.4 s, so that 50 callers got
-    # none before the process was killed.
+    # Regression: of 200 callers 50 got no answer before the process was killed.
     departure = Departure(grace_s=GRACE_S, loads=loads())
     departure.begin(10.0)
     few_s, many_s = (departure.remaining_s(10.0, unfinished=n) for n in (0, 200))
@@ -115,8 +114,7 @@
 
 @pytest.mark.parametrize('stream', [False, True])
 def test_a_request_that_runs_longer_than_the_grace_is_refused(stream):
-    # Regression: plain requests were taken until 2.7 s after the signal, whatever
-    # they were known to take, and were cut at the end of the grace.
+    # Regression: plain requests were taken for 2.7 s whatever they usually take.
     departure = Departure(grace_s=GRACE_S, loads=loads())
     observe(departure, 9.0, run_s=4.5)
     departure.begin(10.0)
--- a/tests/test_relay/test_places.py
+++ b/tests/test_relay/test_places.py
@@ -99,8 +99,7 @@
 
 
 def test_a_second_request_of_the_same_name_does_not_disturb_the_first():
-    # Regression: both lost track of their wait, and the first one's place was
-    # never released.
+    # Regression: neither was notified, and the place of the first was kept.
     gate = Gate()
     first = gate.ask()
     gevent.sleep(0)
--- a/tests/test_transport/test_network.py
+++ b/tests/test_transport/test_network.py
@@ -22,8 +22,7 @@
 
 
 def test_links_that_are_stuck_delay_a_stop_once():
-    # Regression: each stuck link took the whole drain time, one after the other,
-    # so that a stop with many of them outlasted its grace period.
+    # Regression: each stuck link took the whole drain time, one after the other.
     network = Network(
         identity=Identity(name='n', role=ROLE_NODE, secrets={ROLE_NODE: b''}),
         on_message=lambda *_: None,
