The gates of a service are known as soon as the configuration is

An entry that has just started may have the replicas before the configuration that tells which services have engines. The set of gates to ask was kept by the change of the directory alone, so it stayed empty until a replica changed, and returns were refused as unknown. Found on reading; the new test failed before (an empty set).

--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -65,7 +65,7 @@
         self._doubts = LifetimeDoubts(doubt_s=doubt_s)
         self._left: set[tuple[str, int]] = set()
         self._all_gates: dict[frozenset[str], frozenset[str]] = {}
-        self._all_gates_change = 0
+        self._all_gates_key: tuple[int, RouteSet | None] = (0, None)
 
     def ready(self) -> list[ReplicaRecord]:
         """Return the records of all replicas that accept new requests."""
@@ -183,9 +183,10 @@
 
     def all_gates(self, services: frozenset[str]) -> frozenset[str]:
         """Return the gates of all replicas of services, gone ones included."""
-        change = self._subscriber.directory.change
-        if change != self._all_gates_change:
-            self._all_gates_change = change
+        change, routes = self._subscriber.directory.change, self._routes()
+        known_change, known_routes = self._all_gates_key
+        if change != known_change or routes is not known_routes:
+            self._all_gates_key = (change, routes)
             self._all_gates.clear()
         gates = self._all_gates.get(services)
         if gates is None:
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -13,13 +13,13 @@
 from .parts import FakeEntry
 
 
-def make_targets(*replicas, routes=None):
+def make_targets(*replicas, routes=lambda: None):
     entry = FakeEntry(replicas)
     return entry, Targets(
         subscriber=entry,
         loads=LoadWatch(),
         agent_port=7002,
-        routes=lambda: routes,
+        routes=routes,
         health=ReplicaHealth(),
     )
 
@@ -105,10 +105,19 @@
 
 def test_the_gates_of_replicas_that_are_gone_are_asked_too():
     routes = decode_configuration(json.dumps(VALID).encode())
-    entry, targets = make_targets('r1', routes=routes)
+    entry, targets = make_targets('r1', routes=lambda: routes)
     services = frozenset({'model'})
     assert targets.all_gates(services) == {'10.0.0.1:7002'}
     entry.directory.merge(record(replica='r2', address='10.0.0.2:80'), 1.0)
     entry.directory.depart('r1', 1.0)
     assert targets.all_gates(services) == {'10.0.0.1:7002', '10.0.0.2:7002'}
     assert targets.all_gates(frozenset({'plain'})) == frozenset()
+
+
+def test_gates_become_known_with_the_configuration():
+    in_force = []
+    _, targets = make_targets('r1', routes=lambda: in_force[-1] if in_force else None)
+    services = frozenset({'model'})
+    assert targets.all_gates(services) == frozenset()
+    in_force.append(decode_configuration(json.dumps(VALID).encode()))
+    assert targets.all_gates(services) == {'10.0.0.1:7002'}
