A question for streams does not subscribe an entry to each load of an older gate

A gate of an older build takes the question for a subscription, which without a period means each change of its load: 19 messages for 20 requests in the new test, none now.

--- a/pistachiopath/relay/stream_finder.py
+++ b/pistachiopath/relay/stream_finder.py
@@ -24,6 +24,8 @@
 BATCH_S = 0.004
 BATCH_S_PER_GATE = 0.0001
 MAX_STREAMS_PER_MESSAGE = 500
+# A gate of an older build takes a question for a wish to be sent its load.
+QUESTION_PERIOD_MS = 60_000
 CHECK_INTERVAL_S = 0.05
 REPEAT_INTERVAL_S = 0.4
 # An unconfirmed origin may be that of an earlier attempt, so the other gates have
@@ -155,7 +157,7 @@
                     gate=gate, searches=part, sent_at=now
                 )
                 streams = tuple(search.stream for search in part)
-                body = WatchLoad(slots=0, streams=streams)
+                body = WatchLoad(slots=0, period_ms=QUESTION_PERIOD_MS, streams=streams)
                 self._send(gate, self._last_call, body)
 
     def _drop_unanswered(self, now: float) -> None:
--- a/tests/test_relay/test_stream_finder.py
+++ b/tests/test_relay/test_stream_finder.py
@@ -5,6 +5,8 @@
 import gevent
 import pytest
 
+from pistachiopath.grants.gate import GrantGate
+from pistachiopath.messages.grants import Ask
 from pistachiopath.messages.streams import StreamOrigin, StreamOrigins
 from pistachiopath.relay.stream_finder import StreamFinder
 
@@ -114,3 +116,33 @@
     forged = StreamOrigins(origins=(origin('v9', is_confirmed=True),))
     gevent.spawn_later(0.05, gates.finder.receive, 'g9', 1, forged)
     assert gates.find(wait_s=0.2) is None
+
+
+def test_a_question_to_a_gate_of_an_older_build_does_not_ask_for_each_of_its_loads():
+    sent = []
+    finder = StreamFinder(send=lambda gate, call, body: sent.append(body))
+    until = time.monotonic() + 0.05
+    gates = frozenset({'g1'})
+    finder.find('c/a', lambda: gates, is_complete=lambda: True, until=until)
+    gate = GrantGate()
+    gate.watch('e', sent[0], 0.0)
+    updates = [
+        effect
+        for number in range(20)
+        for effect in gate.ask('other', numbered_ask(number), 0.1 * number)
+        if effect.to == 'e'
+    ]
+    assert updates == []
+
+
+def numbered_ask(number):
+    return Ask(
+        request=str(number),
+        tier=0,
+        customer='c',
+        prompt_tokens=10,
+        output_tokens=10,
+        objective_ms=1000,
+        deadline_ms=5000,
+        slots=30,
+    )
