At the first start of the system the directory goes back to its beginning

For twice the route's timeout after the first start each return at another entry was refused where no agents run, though no other version can have served before. The settings tell a first start; a control node that takes part in it says so by the age of its directory. Found on reading.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -53,11 +53,19 @@
     Each announcement received here is forwarded to the other control nodes.
     Followers get only those that change a replica's record in more than its
     sequence number and warm-up time.  `feed` identifies this lifetime's numbering
-    of changes.  Methods return effects.  `now` is a monotonic clock in seconds.
+    of changes.  `is_first_start` means that the system starts for the first time,
+    so that no replica has served before.  Methods return effects.  `now` is a
+    monotonic clock in seconds.
     """
 
     def __init__(
-        self, *, address: str, feed: int, silent_after_s: float, now: float
+        self,
+        *,
+        address: str,
+        feed: int,
+        silent_after_s: float,
+        now: float,
+        is_first_start: bool = False,
     ) -> None:
         self.directory = Directory()
         self.version = 0
@@ -66,6 +74,7 @@
         self._feed = feed
         self._silent_after_s = silent_after_s
         self._started_at = now
+        self._is_first_start = is_first_start
         self._has_stored_records = False
         self._followers: dict[str, _Follower] = {}
         self._controls: dict[str, float] = {}
@@ -116,12 +125,14 @@
     def _directory_age_s(self, now: float) -> float:
         """Return for how long all replicas that announced themselves are known.
 
-        What was stored before a restart goes back for the retention of gone
-        replicas.  Replicas that appeared just before it have announced themselves
-        again once silent ones are known.
+        At the first start of the system there were none before.  What was stored
+        before a restart goes back for the retention of gone replicas; replicas that
+        appeared just before it have announced themselves again once silent ones are
+        known.
         """
         up_s = now - self._started_at
-        if self._has_stored_records and up_s >= self._silent_after_s:
+        has_heard = self._has_stored_records and up_s >= self._silent_after_s
+        if self._is_first_start or has_heard:
             return up_s + GONE_RETENTION_S
         return up_s
 
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -95,6 +95,7 @@
             feed=rng.getrandbits(31) + 1,
             silent_after_s=cfg.silent_after_s,
             now=now,
+            is_first_start=cfg.forms,
         )
         self._customers = customers
         self._lender = AllowanceLender(
--- a/tests/test_directory/test_announcer.py
+++ b/tests/test_directory/test_announcer.py
@@ -206,3 +206,10 @@
     empty = Announcer(address='c2', feed=1, silent_after_s=3.6, now=10.0)
     empty.load((), 10.0)
     assert directory_age_s(empty, 14.0) == 4.0
+
+
+def test_at_the_first_start_of_the_system_no_replica_has_served_before():
+    announcer = Announcer(
+        address='c1', feed=1, silent_after_s=3.6, now=10.0, is_first_start=True
+    )
+    assert directory_age_s(announcer, 10.5) == 0.5 + GONE_RETENTION_S
