A reset alone does not keep streams from the only replica of their version

While two versions serve, a replica whose connection broke took no resumed stream for three announcements. A reset ended streams for which it was the only replica of their version, although it was the process of before. The entry connects at once to a replica that broke off a run; one that accepts within half a second has not started again. The new test failed before (the stream ended after its first half).

--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -3,20 +3,34 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 from ..errors.exchange import ConnectFailed
 from .target_connection import TargetConnection
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 MAX_IDLE_PER_TARGET = 8
 # A target that does not answer within this time neither accepts nor refuses.
 CHECK_TIMEOUT_S = 0.3
 
 
 class ConnectionPool:
-    """Keeps reusable connections and hands out the most recently used first."""
+    """Keeps reusable connections and hands out the most recently used first.
+
+    `on_accepted` is called with the address of a target that accepted the connection
+    of a check.
+    """
 
-    def __init__(self, *, request_id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        request_id_header: bytes,
+        on_accepted: Callable[[str], None] = lambda address: None,
+    ) -> None:
         self._id_header = request_id_header
+        self._on_accepted = on_accepted
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -52,6 +66,7 @@
         except ConnectFailed as exc:
             return exc.reason == ConnectionRefusedError.__name__
         self.opened += 1
+        self._on_accepted(address)
         conn.keep_idle(time.monotonic())
         self.give_back(conn)
         return False
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -103,7 +103,12 @@
             log=GateLog(metrics=metrics),
         )
         self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
-        self._pool = ConnectionPool(request_id_header=dialect.request_id_header)
+        self._pool = ConnectionPool(
+            request_id_header=dialect.request_id_header,
+            on_accepted=lambda address: self._targets.accepted(
+                address, time.monotonic()
+            ),
+        )
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
         )
--- a/pistachiopath/relay/lifetime_doubts.py
+++ b/pistachiopath/relay/lifetime_doubts.py
@@ -8,6 +8,8 @@
     from ..messages.directory import ReplicaRecord
 
 MAX_DOUBTS = 10_000
+# A replica that starts again takes longer until it accepts connections.
+RESTART_MIN_S = 0.5
 
 
 class LifetimeDoubts:
@@ -30,6 +32,16 @@
         while len(self._noted_at) > MAX_DOUBTS:
             del self._noted_at[next(iter(self._noted_at))]
 
+    def accepted(self, record: ReplicaRecord, now: float) -> None:
+        """Record that a replica accepted a connection.
+
+        Right after a break it is still the process that it was.
+        """
+        key = (record.replica, record.born_ms)
+        noted_at = self._noted_at.get(key)
+        if noted_at is not None and now - noted_at < RESTART_MIN_S:
+            del self._noted_at[key]
+
     def holds(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether a lifetime may have ended."""
         noted_at = self._noted_at.get((record.replica, record.born_ms))
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -167,6 +167,12 @@
         """Record that a replica's connection broke or was refused."""
         self._doubts.note(record, now)
 
+    def accepted(self, address: str, now: float) -> None:
+        """Record that the replica at an address accepted a connection."""
+        for record in self.ready():
+            if record.address == address:
+                self._doubts.accepted(record, now)
+
     def is_version_gone(self, version: ServiceVersion, now: float) -> bool:
         """Return whether no replica of a version is left to go on with streams.
 
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -365,6 +365,17 @@
     assert b'id: 5' in read_to_end(sock)
 
 
+def test_a_stream_goes_on_at_the_only_replica_of_its_version_after_a_reset(
+    gate_address,
+):
+    # The entry's check for a crash opens the second connection.
+    old, new = ScriptedTarget([half(), RESET], [rest('abc')]), ScriptedTarget([])
+    gone = attrs.evolve(announced('new', new, 'v2'), state='gone')
+    entry = Entry(gate_address)
+    entry.hear(announced('old', old), gone)
+    assert b'id: 5' in read_to_end(entry.open_stream('abc'))
+
+
 class KnownDirectory:
     """What an entry knows of control nodes and of a service's versions."""
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -4,6 +4,7 @@
 
 from pistachiopath.grants.watch import LoadWatch
 from pistachiopath.platform.configuration import decode_configuration
+from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
 from pistachiopath.relay.targets import DOUBT_S, DRAIN_S, DRAIN_SHARE, Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
 from pistachiopath.streams.service_version import version_of
@@ -91,6 +92,17 @@
     assert targets.may_resume(renewed, 10.2)
 
 
+def test_a_replica_that_accepts_a_connection_right_after_a_break_has_not_restarted():
+    entry, targets = make_targets('r1')
+    entry.directory.merge(record(replica='r2', software_version='v2'), 0.0)
+    targets.doubt(record(), 10.0)
+    targets.accepted('10.0.0.1:80', 10.0 + RESTART_MIN_S)
+    assert not targets.may_resume(record(), 10.6)
+    targets.doubt(record(), 11.0)
+    targets.accepted('10.0.0.1:80', 11.1)
+    assert targets.may_resume(record(), 11.1)
+
+
 def test_while_one_version_serves_a_broken_connection_stops_no_stream():
     _, targets = make_targets('r1', 'r2')
     targets.doubt(record(), 10.0)
