--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import attrs
 
+from ..errors.configuration import InvalidConfiguration
 from ..streams.service_version import version_of
+from ..util.plain_text import shortened
+from .record_check import MAX_NAME_CHARS, check_record
 from .replica_state import ReplicaState
 
 if TYPE_CHECKING:
@@ -15,6 +19,8 @@
     from ..messages.directory import ReplicaRecord
     from ..streams.service_version import ServiceVersion
 
+logger = logging.getLogger(__name__)
+
 GONE_RETENTION_S = 120.0
 
 
@@ -25,11 +31,14 @@
     one, and the state within a lifetime only moves forward.  Of two lifetimes at
     one address only the later one is in use.  An earlier lifetime of a replica
     that ran another software version is kept as a gone replica with a name of its
-    own.  `now` is a monotonic clock in seconds.
+    own.  A record that can't be sent or used is left out and counted in
+    `left_out`: other nodes may run a build that accepts it.  `now` is a monotonic
+    clock in seconds.
     """
 
     def __init__(self) -> None:
         self.change = 0
+        self.left_out = 0
         self._records: dict[str, ReplicaRecord] = {}
         self._changes: dict[str, int] = {}
         self._gone_at: dict[str, float] = {}
@@ -70,6 +79,8 @@
 
         They do not need a new sequence number or warm-up time alone.
         """
+        if not self._is_usable(record):
+            return False
         current = self._records.get(record.replica)
         if current is None:
             if self._is_superseded(record):
@@ -121,10 +132,27 @@
         earlier, later = sorted((current, record), key=lambda r: r.born_ms)
         if earlier.born_ms == later.born_ms or version_of(earlier) == version_of(later):
             return False
-        name = f'{earlier.replica}@{earlier.born_ms}'
+        suffix = f'@{earlier.born_ms}'
+        name = earlier.replica[: MAX_NAME_CHARS - len(suffix)] + suffix
         ended = attrs.evolve(earlier, replica=name, state=ReplicaState.GONE)
         return name not in self._records and self.merge(ended, now)
 
+    def _is_usable(self, record: ReplicaRecord) -> bool:
+        try:
+            check_record(record)
+        except InvalidConfiguration as exc:
+            self.left_out += 1
+            logger.warning(
+                'replica_left_out',
+                extra={
+                    'replica': shortened(record.replica),
+                    'reason': str(exc),
+                    'left_out': self.left_out,
+                },
+            )
+            return False
+        return True
+
     def _note_change(self, replica: str, now: float) -> None:
         self.change += 1
         self._changes[replica] = self.change
--- a/pistachiopath/errors/exchange.py
+++ b/pistachiopath/errors/exchange.py
@@ -15,11 +15,23 @@
     reason: str
 
 
+@dataclass(kw_only=True)
+class NumberTooLarge(PistachiopathError):
+    """A number in a header or an event is above the largest that can be used."""
+
+    maximum: int
+
+
 @dataclass(kw_only=True)
 class CallerLeft(PistachiopathError):
     """The caller closed its connection while its request was being served."""
 
 
+@dataclass(kw_only=True)
+class ServerStopping(PistachiopathError):
+    """The server stops, so the request in progress has to be answered now."""
+
+
 @dataclass(kw_only=True)
 class ExchangeFailed(PistachiopathError):
     """An exchange with a target failed.
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
 from .request import HttpRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import gevent
     from gevent.socket import socket
 
@@ -23,6 +26,8 @@
 # The colon, space and line end of a header line.
 HEADER_OVERHEAD_BYTES = 4
 LINGER_S = 1.0
+# `struct linger` with a timeout of 0.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ServerConnection:
@@ -30,11 +35,17 @@
 
     If the caller closes its connection while a request is being served,
     `CallerLeft` is raised in the greenlet that serves it, wherever that waits.
+    `get_limits` returns the limits in force; each request is read with those that
+    are in force when it begins.
     """
 
-    def __init__(self, *, sock: socket, limits: ExchangeLimits) -> None:
-        self.limits = limits
+    def __init__(
+        self, *, sock: socket, get_limits: Callable[[], ExchangeLimits]
+    ) -> None:
+        self.limits = get_limits()
+        self._get_limits = get_limits
         self.closes_after_response = False
+        self._is_cut = False
         self._sock = sock
         self._http = self._new_parser()
         self._worker: gevent.Greenlet | None = None
@@ -48,7 +59,20 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served."""
-        return self._http.their_state is h11.IDLE and not self._inbound.has_data
+        if self._inbound.has_data or self._has_partial_head():
+            return False
+        return self._http.their_state is h11.IDLE
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        state = self._http.their_state
+        return state is h11.SEND_BODY or (state is h11.IDLE and not self.is_idle)
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the response to the current request has been completed."""
+        return self._http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     @property
     def has_begun(self) -> bool:
@@ -110,15 +134,31 @@
         """End a response started by `begin`."""
         self._write_all([h11.EndOfMessage()])
 
+    @property
+    def must_linger(self) -> bool:
+        """Whether the caller may still have sent something before our close."""
+        if not self.closes_after_response or self._inbound.ended:
+            return False
+        return self._http.our_state is h11.MUST_CLOSE
+
     def next_cycle(self) -> bool:
-        """Prepare for the next request; return False if none can follow."""
-        if self._http.our_state is not h11.DONE:
+        """Prepare for the next request; return False if none can follow.
+
+        None can after a response of which a part was not written.
+        """
+        if self._is_cut or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
         return True
 
+    def reject(self, status: int) -> None:
+        """Refuse a request that may be incomplete, as the last one."""
+        self.closes_after_response = True
+        self.respond(status, [], b'')
+        self.linger()
+
     def linger(self) -> None:
         """Discard input for up to `LINGER_S` so that the caller can read the response.
 
@@ -133,45 +173,103 @@
         while self._inbound.take(max(0.0, deadline - time.monotonic())):
             pass
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a part of a request has arrived."""
+        self._inbound.poll()
+        if self.is_idle:
+            self.close()
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection.
+
+        It is reset if its end would complete a response that has been cut.
+        """
         self._inbound.stop()
+        if self._ends_with_connection and self._http.our_state is h11.SEND_BODY:
+            self._sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, RESET_ON_CLOSE)
         self._sock.close()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether a response of unknown length ends with the connection."""
+        return self._http.their_http_version == b'1.0'
+
     def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self.closes_after_response:
+        if self.closes_after_response and not self._has_next_request():
             headers = [*headers, (b'connection', b'close')]
         return h11.Response(status_code=status, headers=headers)
 
+    def _has_next_request(self) -> bool:
+        """Return whether a part of the next request has arrived.
+
+        It is answered too, so the current response can't announce a close.
+        """
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._inbound.poll()
+        return self._inbound.has_data or bool(self._http.trailing_data[0])
+
     def _write_all(self, events: list) -> None:
         try:
             data = b''.join(self._http.send(event) or b'' for event in events)
         except h11.LocalProtocolError as exc:
             raise BadHttp(status=502, reason=str(exc)) from exc
+        self._is_cut = True
         try:
             self._sock.sendall(data)
         except OSError as exc:
             raise CallerLeft from exc
+        self._is_cut = False
 
     def _read_head(self) -> h11.Request | None:
-        deadline = time.monotonic() + self.limits.idle_timeout_s
-        started = False
+        if not self._has_partial_head():
+            data = self._await_request()
+            if not data:
+                return None
+        else:
+            data = b''
+        self._adopt_limits()
+        deadline = time.monotonic() + self.limits.header_timeout_s
         while True:
+            if data:
+                self._http.receive_data(data)
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self._check_head(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            if not started and self._has_partial_head():
-                started = True
-                deadline = time.monotonic() + self.limits.header_timeout_s
             data = self._inbound.take(max(0.0, deadline - time.monotonic()))
-            if data is None and started:
+            if data is None:
                 raise BadHttp(status=408, reason='header_timeout')
             if not data:
                 return None
-            self._http.receive_data(data)
+
+    def _await_request(self) -> bytes | None:
+        """Return the first bytes of the next request, or None if there are none.
+
+        The idle timeout is the longest that is in force at the beginning or at
+        the end of the wait, as the caller may know either.
+        """
+        idle_since = time.monotonic()
+        first_timeout_s = self._get_limits().idle_timeout_s
+        while True:
+            timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
+            remaining_s = idle_since + timeout_s - time.monotonic()
+            data = self._inbound.take(max(0.0, remaining_s))
+            if data is not None or remaining_s <= 0:
+                return data
+
+    def _adopt_limits(self) -> None:
+        """Read the next request with the limits in force."""
+        limits = self._get_limits()
+        if limits == self.limits:
+            return
+        self.limits = limits
+        unread, _ = self._http.trailing_data
+        self._http = self._new_parser()
+        if unread:
+            self._http.receive_data(unread)
 
     def _has_partial_head(self) -> bool:
         """Return whether a part of a request head has arrived."""
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .base import Message, message
+from .base import Message, independent_items, message
 
 
 @message
@@ -59,10 +59,10 @@
     change: int
     version: int
     content: bytes
-    records: tuple[ReplicaRecord, ...]
+    records: tuple[ReplicaRecord, ...] = independent_items()
     controls: tuple[str, ...]
     entries: int
-    silent: tuple[str, ...]
+    silent: tuple[str, ...] = independent_items()
     directory_age_ms: int = 0
 
 
@@ -70,4 +70,4 @@
 class Announcements(Message):
     """Announcements that a control node received and forwards to the others."""
 
-    records: tuple[ReplicaRecord, ...]
+    records: tuple[ReplicaRecord, ...] = independent_items()
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -18,9 +18,11 @@
 from ..storage.memory_folder import MemoryFolder
 from ..storage.no_record_file import NoRecordFile
 from ..storage.record_file import RecordFile
+from ..transport.frames import MAX_FRAME_BYTES
+from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_FAILED
-from .configuration import decode_configuration
 from .control_api import ControlApi
+from .decoded_accounts import DecodedAccounts
 
 if TYPE_CHECKING:
     from ..telemetry.metrics import Metrics
@@ -32,7 +34,12 @@
 SILENT_AFTER_PERIODS = 3
 # Every call is answered within 1 second, so a longer drain is not needed.
 DRAIN_TIMEOUT_S = 1.0
-HTTP_LIMITS = ExchangeLimits(max_body_bytes=8 * 1024 * 1024, idle_timeout_s=30.0)
+END_TIMEOUT_S = 0.2
+# A configuration is sent in one frame, with the records of all replicas beside it.
+BESIDE_CONTENT_BYTES = 1024 * 1024
+HTTP_LIMITS = ExchangeLimits(
+    max_body_bytes=MAX_FRAME_BYTES - BESIDE_CONTENT_BYTES, idle_timeout_s=30.0
+)
 
 
 class ControlProgram:
@@ -56,12 +63,13 @@
                 open_folder=lambda: (
                     DataFolder(path=folder) if has_disk else MemoryFolder()
                 ),
-                customers=lambda content: decode_configuration(content).customers,
+                customers=DecodedAccounts().read,
                 replicas=(
                     RecordFile(path=folder / 'replicas') if has_disk else NoRecordFile()
                 ),
                 rng=random.Random(os.urandom(8)),
                 secret=LINK_SECRET,
+                failures=LoopFailures(metrics=metrics),
             )
         except (StorageFailed, CorruptFile) as exc:
             logger.critical('data_folder_unusable', extra={'error': repr(exc)})
@@ -83,6 +91,7 @@
         """Drain the calls in progress, then stop."""
         self._server.stop_accepting()
         self._server.wait_until_idle(DRAIN_TIMEOUT_S)
+        self._server.end_unfinished(END_TIMEOUT_S)
         self._shell.stop()
 
     def reload(self, cfg: PlatformSettings) -> None:
--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -5,6 +5,7 @@
 import json
 
 from ..configuration.value_types import check_address
+from ..directory.record_check import check_record
 from ..directory.replica_state import ReplicaState
 from ..errors.configuration import InvalidConfiguration
 from ..messages.directory import ReplicaRecord
@@ -12,25 +13,27 @@
 
 # An announcement with any other state is refused.
 STATES = {'ready': ReplicaState.READY, 'draining': ReplicaState.DRAINING}
-
-MAX_VERSION_CHARS = 200
+WHERE = 'announcement'
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
     """Return the record of an announcement; raises `InvalidConfiguration`."""
+    if len(content) > MAX_ANNOUNCEMENT_BYTES:
+        raise InvalidConfiguration(where=WHERE, reason='too_long')
     try:
         data = json.loads(content)
     except (ValueError, RecursionError) as exc:
-        raise InvalidConfiguration(where=replica, reason='unreadable') from exc
-    fields = WireFields(data=data, where=replica)
+        raise InvalidConfiguration(where=WHERE, reason='unreadable') from exc
+    fields = WireFields(data=data, where=WHERE)
     state = fields.text('state')
     if state not in STATES:
-        raise InvalidConfiguration(where=replica, reason='unknown_state')
+        raise InvalidConfiguration(where=WHERE, reason='unknown_state')
     try:
         address = check_address(fields.text('address'))
     except ValueError as exc:
-        raise InvalidConfiguration(where=replica, reason='bad_address') from exc
-    return ReplicaRecord(
+        raise InvalidConfiguration(where=WHERE, reason='bad_address') from exc
+    record = ReplicaRecord(
         replica=replica,
         born_ms=fields.integer('born', 0),
         sequence=fields.integer('sequence'),
@@ -40,13 +43,7 @@
         slots=fields.integer('slots'),
         state=STATES[state],
         warmup_ms=int(fields.number('warmup_left_ms', 0)),
-        software_version=_software_version(fields),
+        software_version=fields.text('version', ''),
     )
-
-
-def _software_version(fields: WireFields) -> str:
-    """Return the version of the replica's software, empty if it states none."""
-    version = fields.text('version', '')
-    if len(version) > MAX_VERSION_CHARS:
-        raise InvalidConfiguration(where=f'{fields.where}.version', reason='too_long')
-    return version
+    check_record(record)
+    return record
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -8,7 +8,12 @@
 import gevent
 
 from ..errors.exchange import BrokenOff, ConnectFailed, ExchangeFailed, Garbled
-from ..exchange.sse import MAX_EVENT_BYTES, EventSplitter
+from ..exchange.sse import (
+    MAX_EVENT_BYTES,
+    NO_NUMBER,
+    UNUSABLE_NUMBER,
+    EventSplitter,
+)
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .verdict import Verdict
 
@@ -214,11 +219,24 @@
         return Delivered()
 
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
-        """Write whole events; raises `Garbled` if they can't follow earlier ones."""
+        """Write whole events up to the first with an id out of order or range.
+
+        Raises `Garbled` for that one, behind which another target may resume.
+        """
         if events:
             self._check_version()
-        for event in events:
-            self._check_order(event)
+        valid: list[StreamEvent] = []
+        try:
+            for event in events:
+                self._check_order(event)
+                valid.append(event)
+        finally:
+            if valid or not events:
+                self._write_events(head, valid)
+
+    def _write_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
+        if events and self._work.stream_version is None:
+            self._on_begun(self._work, self._record)
         data = b''.join(event.data for event in events)
         self._record_progress()
         if self._conn.has_begun:
@@ -229,17 +247,17 @@
         self._conn.begin(head.status, headers, data)
 
     def _check_version(self) -> None:
-        """Record who began the stream; raise `Garbled` if another version did."""
-        if self._work.stream_version is None:
-            self._on_begun(self._work, self._record)
-        elif not self._work.may_run_at(self._record):
+        """Raise `Garbled` if another version began the stream."""
+        if not self._work.may_run_at(self._record):
             raise Garbled(
                 address=self._record.address, reason='other_version', sent=True
             )
 
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
-        if event.number < 0:
+        if event.number == UNUSABLE_NUMBER:
+            raise Garbled(address=self._record.address, reason='event_id', sent=True)
+        if event.number == NO_NUMBER:
             work.has_unnumbered_events |= event.has_data
             return
         expected = None
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
-from ..errors.exchange import BadHttp, CallerLeft
+from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
 from ..errors.relay import TurnedAway
+from ..util.plain_text import shortened
 from .attempts import EarlierAttempts
+from .departure import stopping_refusal
 from .work import Work, make_work
 
 if TYPE_CHECKING:
@@ -24,7 +27,12 @@
     from .routes_in_force import RoutesInForce
     from .stream_versions import StreamVersions
 
+logger = logging.getLogger(__name__)
+
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+FAILED_RETRY_AFTER_S = 0.5
+STATUS_NOT_RUN = 503
+STATUS_UNKNOWN_OUTCOME = 502
 # A node that starts has its configuration within a few hundred ms.
 FIRST_CONFIGURATION_WAIT_S = 0.6
 
@@ -64,9 +72,16 @@
         """Answer a request; raises `CallerLeft` if its caller has left."""
         self.in_flight += 1
         try:
-            req = self._dialect.read(http)
-            self._serve(conn, req)
+            self._serve(conn, self._read(http))
         except BadHttp as exc:
+            logger.warning(
+                'bad_request',
+                extra={
+                    'request': shortened(http.header(self._dialect.request_id_header)),
+                    'status': exc.status,
+                    'reason': shortened(exc.reason),
+                },
+            )
             if conn.has_begun:
                 raise CallerLeft from exc
             conn.respond(exc.status, [], b'')
@@ -87,6 +102,16 @@
         spent_s = self._attempts.spent_s(req, admitted.route)
         return make_work(req, admitted, now, spent_s=spent_s)
 
+    def _read(self, http: HttpRequest) -> CallerRequest:
+        """Return the decoded request; raises `BadHttp`."""
+        try:
+            return self._dialect.read(http)
+        except BadHttp:
+            raise
+        except Exception as exc:
+            logger.exception('request_unreadable')
+            raise BadHttp(status=STATUS_NOT_RUN, reason='unreadable') from exc
+
     def _serve(self, conn: ServerConnection, req: CallerRequest) -> None:
         started_at = time.monotonic()
         work: Work | None = None
@@ -97,21 +122,63 @@
             self._crashes.check(work, started_at)
             self._versions.resolve(work)
             self._dispatcher.serve(conn, work)
+            self._departure.record_run(work, time.monotonic())
             if work.outcome != 'delivered':
                 self._attempts.failed(work.admitted.route)
             self._log.done(work, self._routes.version)
         except TurnedAway as exc:
             self._refuse(conn, req, work, exc, started_at)
+        except ServerStopping:
+            if work is None or not work.may_have_run:
+                self._refuse(conn, req, work, stopping_refusal(), started_at)
+            else:
+                self._respond_unknown(conn, work, 'stop')
+        except BadHttp:
+            raise
         except CallerLeft:
             if work is not None:
                 work.outcome = 'caller_left'
                 self._log.done(work, self._routes.version)
             raise
+        except Exception:
+            logger.exception('request_failed', extra={'request': req.request_id})
+            self._answer_failed(conn, req, work, started_at)
         finally:
             if work is not None:
                 self._versions.ended(work)
             span.end()
 
+    def _answer_failed(
+        self,
+        conn: ServerConnection,
+        req: CallerRequest,
+        work: Work | None,
+        started_at: float,
+    ) -> None:
+        """Answer a request whose handling failed, unless it has its answer."""
+        if conn.is_answered:
+            return
+        if work is not None and work.may_have_run:
+            self._respond_unknown(conn, work, 'failure')
+            return
+        exc = TurnedAway(
+            status=STATUS_NOT_RUN, reason='failed', retry_after_s=FAILED_RETRY_AFTER_S
+        )
+        self._refuse(conn, req, work, exc, started_at)
+
+    def _respond_unknown(self, conn: ServerConnection, work: Work, cause: str) -> None:
+        """Answer a request that may have run, without saying whether it did.
+
+        An answer that has begun is left incomplete.
+        """
+        if conn.has_begun:
+            work.outcome = f'{cause}_broken_off'
+        else:
+            work.outcome = f'{cause}_lost'
+            work.status = STATUS_UNKNOWN_OUTCOME
+            conn.respond(work.status, self._dialect.own_headers(work.req, None), b'')
+        self._log.done(work, self._routes.version)
+
     def _refuse(
         self,
         conn: ServerConnection,
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -14,10 +14,14 @@
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
+from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.relay import entry as entry_module
 from pistachiopath.relay import request_handler
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.entry import RelayEntry
+from pistachiopath.relay.exchange_run import ExchangeRun
+from pistachiopath.relay.placer import Placer
+from pistachiopath.relay.request_log import RequestLog
 from pistachiopath.relay.settings import RelaySettings
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.telemetry.spans import NoSpans
@@ -37,7 +41,7 @@
 class Node:
     """An entry that receives scripted messages from a control node."""
 
-    def __init__(self):
+    def __init__(self, grace_s=2.0):
         self.callers, self.readiness = free_address(), free_address()
         self.entry = RelayEntry(
             cfg=RelaySettings(
@@ -49,7 +53,7 @@
                 seeds=(),
                 agent_port=1,
                 retry_budget=RetryBudgetLimits(ratio=0.2, slack=60, window_s=10),
-                grace_s=2.0,
+                grace_s=grace_s,
             ),
             dialect=PlatformDialect(),
             decode=decode_configuration,
@@ -166,6 +170,25 @@
     assert target.requests == []
 
 
+@pytest.mark.parametrize('depth', [1, 3, 2**40, -5])
+def test_a_part_in_quarantine_is_refused_at_any_position(node, depth):
+    # Regression: where the part came later in other prompts, there was no answer.
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    (part,) = shared_parts('m', ['shared', 'own'])
+    marks = tuple(
+        CrashMark(
+            fingerprint=part.key, lifetime=name, age_ms=age_ms, ran_ms=10, depth=depth
+        )
+        for name, age_ms in (('r1', 900), ('r2', 500), ('r3', 100))
+    )
+    node.entry._on_message('127.0.0.1:8', 0, CrashMarks(marks=marks))
+    prompt = b'Model: m\r\nPrefix-Hash: shared:5,own:5\r\nContent-Length'
+    response = node.send_request(PAY.replace(b'Content-Length', prompt))
+    assert response.startswith(b'HTTP/1.1 503')
+    assert target.requests == []
+
+
 def test_a_stopping_entry_is_not_ready_and_closes_its_connections(node):
     target = ScriptedTarget([answer()])
     node.receive_news(records=[plain(target)])
@@ -180,3 +203,50 @@
     assert conn.recv(65536) == b''
     with pytest.raises(OSError):
         node.send_request()
+
+
+class Fault(Exception):
+    """An error that no code expects."""
+
+
+def raise_fault(*_args, **_kwargs):
+    raise Fault
+
+
+def test_a_request_that_fails_unexpectedly_before_it_is_sent_gets_503(
+    node, monkeypatch
+):
+    # Regression: its connection ended without an answer.
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(Placer, 'choose', raise_fault)
+    response = node.send_request()
+    assert response.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in response
+    assert b'abc' in response
+    assert target.requests == []
+
+
+def test_a_request_that_fails_unexpectedly_after_it_was_sent_gets_502(
+    node, monkeypatch
+):
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(ExchangeRun, '_relay_answer', raise_fault)
+    assert node.send_request().startswith(b'HTTP/1.1 502')
+    assert len(target.requests) == 1
+
+
+def test_an_unexpected_failure_before_the_admission_gets_503(node, monkeypatch):
+    node.receive_news()
+    monkeypatch.setattr(PlatformDialect, 'read', raise_fault)
+    assert node.send_request().startswith(b'HTTP/1.1 503')
+
+
+def test_an_unexpected_failure_after_the_answer_adds_nothing_to_it(node, monkeypatch):
+    target = ScriptedTarget([answer()])
+    node.receive_news(records=[plain(target)])
+    monkeypatch.setattr(RequestLog, 'done', raise_fault)
+    response = node.send_request()
+    assert response.startswith(b'HTTP/1.1 200')
+    assert response.endswith(b'done')
--- a/tests/test_relay/test_places.py
+++ b/tests/test_relay/test_places.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
@@ -96,3 +98,28 @@
     gate = Gate()
     assert gate.ask(lambda: len(gate.sent) == 2).get(timeout=10) is None
     assert gate.sent[:2] == [ASK, ASK]
+
+
+def test_a_gate_is_not_taken_for_silent_because_this_process_was_paused():
+    gate = Gate()
+    waiting = gate.ask()
+    gevent.sleep(0)
+    time.sleep(FIRST_REPLY_TIMEOUT_S + 0.1)
+    gevent.sleep(0.05)
+    gate.places.handle_reply('g', Granted(request='a'))
+    assert waiting.get(timeout=5).request == 'a'
+
+
+def test_a_second_request_of_the_same_name_does_not_disturb_the_first():
+    # Regression: both lost track of their wait, and the first one's place was
+    # never released.
+    gate = Gate()
+    first = gate.ask()
+    gevent.sleep(0)
+    second = gate.ask()
+    with pytest.raises(PlaceDenied):
+        second.get(timeout=5)
+    gate.places.handle_reply('g', Granted(request='a'))
+    grant = first.get(timeout=5)
+    gate.places.release(grant, 20, ok=True)
+    assert gate.sent == [ASK, ReleasePlace(request='a', first_ms=20, ok=True)]
