--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -10,7 +10,7 @@
 from ..errors.configuration import InvalidConfiguration
 from ..streams.service_version import version_of
 from ..util.plain_text import shortened
-from .record_check import check_record
+from .record_check import MAX_NAME_CHARS, check_record
 from .replica_state import ReplicaState
 
 if TYPE_CHECKING:
@@ -31,9 +31,9 @@
     one, and the state within a lifetime only moves forward.  Of two lifetimes at
     one address only the later one is in use.  An earlier lifetime of a replica
     that ran another software version is kept as a gone replica with a name of its
-    own.  A record that can't be sent or used is left out and counted in `left_out`:
-    other nodes may run a build that accepts it.  `now` is a monotonic clock in
-    seconds.
+    own.  A record that can't be sent or used is left out and counted in
+    `left_out`: other nodes may run a build that accepts it.  `now` is a monotonic
+    clock in seconds.
     """
 
     def __init__(self) -> None:
@@ -132,7 +132,8 @@
         earlier, later = sorted((current, record), key=lambda r: r.born_ms)
         if earlier.born_ms == later.born_ms or version_of(earlier) == version_of(later):
             return False
-        name = f'{earlier.replica}@{earlier.born_ms}'
+        suffix = f'@{earlier.born_ms}'
+        name = earlier.replica[: MAX_NAME_CHARS - len(suffix)] + suffix
         ended = attrs.evolve(earlier, replica=name, state=ReplicaState.GONE)
         return name not in self._records and self.merge(ended, now)
 
--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -15,7 +15,6 @@
 STATES = {'ready': ReplicaState.READY, 'draining': ReplicaState.DRAINING}
 WHERE = 'announcement'
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
-MAX_VERSION_CHARS = 200
 
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
@@ -44,15 +43,7 @@
         slots=fields.integer('slots'),
         state=STATES[state],
         warmup_ms=int(fields.number('warmup_left_ms', 0)),
-        software_version=_software_version(fields),
+        software_version=fields.text('version', ''),
     )
     check_record(record)
     return record
-
-
-def _software_version(fields: WireFields) -> str:
-    """Return the version of the replica's software, empty if it states none."""
-    version = fields.text('version', '')
-    if len(version) > MAX_VERSION_CHARS:
-        raise InvalidConfiguration(where=f'{fields.where}.version', reason='too_long')
-    return version
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -221,8 +221,7 @@
     def _deliver(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         """Write whole events up to the first with an id out of order or range.
 
-        Raises `Garbled` for that one, behind which another target may resume,
-        and for events that can't follow earlier ones.
+        Raises `Garbled` for that one, behind which another target may resume.
         """
         if events:
             self._check_version()
@@ -236,6 +235,8 @@
                 self._write_events(head, valid)
 
     def _write_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
+        if events and self._work.stream_version is None:
+            self._on_begun(self._work, self._record)
         data = b''.join(event.data for event in events)
         self._record_progress()
         if self._conn.has_begun:
@@ -246,10 +247,8 @@
         self._conn.begin(head.status, headers, data)
 
     def _check_version(self) -> None:
-        """Record who began the stream; raise `Garbled` if another version did."""
-        if self._work.stream_version is None:
-            self._on_begun(self._work, self._record)
-        elif not self._work.may_run_at(self._record):
+        """Raise `Garbled` if another version began the stream."""
+        if not self._work.may_run_at(self._record):
             raise Garbled(
                 address=self._record.address, reason='other_version', sent=True
             )
--- a/tests/test_directory/test_directory.py
+++ b/tests/test_directory/test_directory.py
@@ -87,53 +87,6 @@
     assert len(directory) == 0
 
 
-ODD_RECORDS = [
-    record(replica='odd', state='resting'),
-    record(replica='odd', slots=0),
-    record(replica='odd', slots=-5),
-    record(replica='odd', slots=10**15),
-    record(replica='odd', sequence=-1),
-    record(replica='odd', born_ms=-(2**63)),
-    record(replica='odd', warmup_ms=2**62),
-    record(replica='odd', zone='z' * 1_000_000),
-    record(replica='odd', service='a\0b'),
-    record(replica=''),
-    record(replica='odd\r\nX'),
-    record(replica='o' * 100_000),
-]
-
-
-@pytest.mark.parametrize('odd', ODD_RECORDS, ids=lambda r: repr(r)[:90])
-def test_an_odd_record_of_a_peer_is_left_out_by_itself(odd, caplog):
-    # Regression: nodes of earlier builds accept such announcements and pass them on.
-    directory = Directory()
-    records = (record(), odd, odd, record(replica='r2', address='10.0.0.2:80'))
-    for each in records:
-        directory.merge(each, 0.0)
-    assert sorted(r.replica for r in directory.records()) == ['r1', 'r2']
-    assert directory.left_out == 2
-    assert [r.msg for r in caplog.records] == ['replica_left_out'] * 2
-    assert all(len(r.replica) <= 200 for r in caplog.records)
-
-
-def test_the_news_of_a_peer_is_used_without_its_odd_record():
-    subscriber = Subscriber(is_entry=True, own_address='10.0.0.9:1')
-    body = News(
-        feed=1,
-        change=5,
-        version=3,
-        content=b'{}',
-        records=(ODD_RECORDS[0], record()),
-        controls=(),
-        entries=1,
-        silent=(),
-    )
-    for _ in range(2):
-        subscriber.on_news('10.0.0.8:1', body, 1.0)
-    assert subscriber.version == 3
-    assert [r.replica for r in subscriber.directory.records()] == ['r1']
-
-
 def test_a_node_of_an_older_build_does_not_erase_the_version():
     for first, second in (('v1', ''), ('', 'v1')):
         directory = Directory()
@@ -186,3 +139,50 @@
     assert directory.draining_since('r1') == 2.0
     directory.merge(record(born_ms=2000, state='draining'), 4.0)
     assert directory.draining_since('r1') is None
+
+
+ODD_RECORDS = [
+    record(replica='odd', state='resting'),
+    record(replica='odd', slots=0),
+    record(replica='odd', slots=-5),
+    record(replica='odd', slots=10**15),
+    record(replica='odd', sequence=-1),
+    record(replica='odd', born_ms=-(2**63)),
+    record(replica='odd', warmup_ms=2**62),
+    record(replica='odd', zone='z' * 1_000_000),
+    record(replica='odd', service='a\0b'),
+    record(replica=''),
+    record(replica='odd\r\nX'),
+    record(replica='o' * 100_000),
+]
+
+
+@pytest.mark.parametrize('odd', ODD_RECORDS, ids=lambda r: repr(r)[:90])
+def test_an_odd_record_of_a_peer_is_left_out_by_itself(odd, caplog):
+    # Regression: nodes of earlier builds accept such announcements and pass them on.
+    directory = Directory()
+    records = (record(), odd, odd, record(replica='r2', address='10.0.0.2:80'))
+    for each in records:
+        directory.merge(each, 0.0)
+    assert sorted(r.replica for r in directory.records()) == ['r1', 'r2']
+    assert directory.left_out == 2
+    assert [r.msg for r in caplog.records] == ['replica_left_out'] * 2
+    assert all(len(r.replica) <= 200 for r in caplog.records)
+
+
+def test_the_news_of_a_peer_is_used_without_its_odd_record():
+    subscriber = Subscriber(is_entry=True, own_address='10.0.0.9:1')
+    body = News(
+        feed=1,
+        change=5,
+        version=3,
+        content=b'{}',
+        records=(ODD_RECORDS[0], record()),
+        controls=(),
+        entries=1,
+        silent=(),
+    )
+    for _ in range(2):
+        subscriber.on_news('10.0.0.8:1', body, 1.0)
+    assert subscriber.version == 3
+    assert [r.replica for r in subscriber.directory.records()] == ['r1']
