A place found while its caller leaves is released

What callers saw: nothing at once; a gate kept a place for a request that had ended, so others waited for it.

Cause: `Hedge.close` waited for the searcher's end. If the caller left or the deadline passed during that wait, the exception left `close` before it gave back the reservation, or the searcher found one afterwards that nobody took.

Evidence: the test failed before with `released` == [].

Why it works: `close` contains no switch any more, and a searcher that finds something after it gives that back itself.

--- a/pistachiopath/relay/hedge.py
+++ b/pistachiopath/relay/hedge.py
@@ -39,6 +39,7 @@
         self._search = search
         self._release = release
         self._found: Reservation | None = None
+        self._is_closed = False
         self._searcher = gevent.spawn(self._run)
 
     @property
@@ -52,11 +53,13 @@
         return found
 
     def close(self) -> None:
-        """Stop searching, and give back what was found but not taken."""
-        self._searcher.kill()
-        found = self.take()
-        if found is not None:
-            self._release(found)
+        """Stop searching, and give back what was found but not taken.
+
+        It waits for nothing, so its caller can't be interrupted before the end.
+        """
+        self._is_closed = True
+        self._searcher.kill(block=False)
+        self._release_untaken()
 
     def _run(self) -> None:
         while self._found is None:
@@ -66,3 +69,10 @@
                 logger.info('hedge_turned_away', extra={'reason': exc.reason})
             if self._found is None:
                 gevent.sleep(SEARCH_INTERVAL_S)
+        if self._is_closed:
+            self._release_untaken()
+
+    def _release_untaken(self) -> None:
+        found = self.take()
+        if found is not None:
+            self._release(found)
