A search beside a silent replica goes on after an unexpected error

What callers saw: a request whose replica had gone silent for good waited for its deadline, though another replica was free.

Cause: an exception other than `TurnedAway` ended the searcher's greenlet, while the exchange went on to wait for what it finds.

Evidence: the test failed before; the hedge had found nothing (None).

Why it works: the error is logged with its traceback, and the search is repeated after the usual interval.

--- a/pistachiopath/relay/hedge.py
+++ b/pistachiopath/relay/hedge.py
@@ -67,6 +67,8 @@
                 self._found = self._search()
             except TurnedAway as exc:
                 logger.info('hedge_turned_away', extra={'reason': exc.reason})
+            except Exception:
+                logger.exception('hedge_failed')
             if self._found is None:
                 gevent.sleep(SEARCH_INTERVAL_S)
         if self._is_closed:
--- a/tests/test_relay/test_hedge.py
+++ b/tests/test_relay/test_hedge.py
@@ -3,9 +3,25 @@
 import gevent
 import gevent.event
 
+from pistachiopath.relay import hedge as hedge_module
 from pistachiopath.relay.hedge import Hedge
 
 
+def test_a_search_that_fails_unexpectedly_is_repeated(monkeypatch):
+    monkeypatch.setattr(hedge_module, 'SEARCH_INTERVAL_S', 0.01)
+    results = [ValueError('odd'), 'place']
+
+    def search():
+        result = results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    hedge = Hedge(search=search, release=lambda found: None)
+    gevent.sleep(0.05)
+    assert hedge.take() == 'place'
+
+
 def test_a_place_found_while_the_caller_leaves_is_released():
     granted = gevent.event.Event()
     released = []
