A request that left its silent replica uses the place it was given

What callers saw: 502 or a cut answer from a silent but sound replica, although a place elsewhere was held; the gate there kept that place for nobody.

Cause: an exchange is ended once the place elsewhere is reserved, but the bound on failures (`MAX_FAILURES`) and on the remaining time was checked after that, and refused the try without releasing the reservation.

Why it works: once the exchange has been given up, the reservation is used.

--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -205,15 +205,15 @@
         if isinstance(result, NotRun) and result.reason == MOVED:
             return True
         work.failures += 1
+        work.excluded.add(work.replica)
+        if work.reservation is not None:
+            return True
         if work.failures >= MAX_FAILURES or work.remaining_s(now) < MIN_REMAINING_S:
             return False
-        work.excluded.add(work.replica)
         if isinstance(result, NotRun) and not result.arrived:
             work.sends -= 1
             gevent.sleep(UNREACHABLE_RETRY_PAUSE_S)
             return True
-        if work.reservation is not None:
-            return True
         is_allowed = isinstance(result, NotRun) or self._may_repeat(work, result)
         return is_allowed and self._retries.take_budget(work)
 
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pistachiopath.messages.grants import Ask, Denied, Granted, ReleasePlace
+from pistachiopath.relay.dispatcher import MAX_FAILURES
 from tests.test_exchange.sockets import CLOSE, MUTE, Paused, ScriptedTarget
 
 from .parts import (
@@ -72,6 +73,19 @@
             self.places.handle_load(to)
 
 
+class AllGranted(GrantingGate):
+    """Grants every place, and knows which are held."""
+
+    def _send(self, to, call, body):
+        self.received.append(body)
+        if isinstance(body, Ask):
+            self.places.handle_reply(to, Granted(request=body.request))
+
+    def unreleased(self):
+        asked = {b.request for b in self.received if isinstance(b, Ask)}
+        return asked - {b.request for b in self.received if isinstance(b, ReleasePlace)}
+
+
 def serve_slowly(targets, repetition, **options):
     return serve(targets, repetition, wait_s=WAIT_S, objective_s=OBJECTIVE_S, **options)
 
@@ -165,3 +179,12 @@
     caller, _ = serve_slowly(targets, IDEMPOTENT, attempts=3, budget=2.0)
     assert caller.status == 502
     assert targets[2].requests == []
+
+
+def test_the_last_try_that_moves_from_a_silent_target_takes_its_place_along():
+    unreachable = [ScriptedTarget() for _ in range(MAX_FAILURES - 1)]
+    silent, other = ScriptedTarget([MUTE]), ScriptedTarget([answer()])
+    gate = AllGranted()
+    caller, _ = serve_slowly([*unreachable, silent, other], IDEMPOTENT, gate=gate)
+    assert (caller.status, caller.body) == (200, b'done')
+    assert gate.unreleased() == set()
