A silent replica is not left for one that has begun to leave

What callers saw: no answer (502 or 504) from a replica that fell silent and went on, because its request was moved to a replica that could not be sent any.

Cause: the wait for a place elsewhere may be long. Whether the replica there still accepts requests, and whether the content was put in quarantine meanwhile, was only looked at after the exchange had been ended.

Why it works: both are looked at before the reservation counts as found, and before the retry budget is charged.

--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -89,7 +89,7 @@
         if found is None:
             excluded.update(moved.excluded)
             return None
-        if not self._retries.take_budget(work):
+        if not self._may_send(work, candidate) or not self._retries.take_budget(work):
             self._release(found)
             return None
         logger.info(
@@ -102,6 +102,12 @@
         )
         return found
 
+    def _may_send(self, work: Work, candidate: Candidate) -> bool:
+        """Return whether a request may still be sent, after the wait for a place."""
+        if self._crashes.is_quarantined(work, time.monotonic()):
+            return False
+        return self._placer.may_send(candidate.record)
+
     def _reserve(self, work: Work, candidate: Candidate) -> Reservation | None:
         """Wait for a place and connect; return None if either fails."""
         replica = candidate.record.replica
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -97,6 +97,7 @@
         self._calls = 0
         self.superseded = []
         self.accept = True
+        self.leaving = set()
 
     def mark_superseded(self, replica_record, now):
         self.superseded.append(replica_record.replica)
@@ -120,7 +121,7 @@
         return replica_record.replica
 
     def may_send(self, replica_record, now):
-        return self.accept
+        return self.accept and replica_record.replica not in self.leaving
 
     def mark_leaving(self, replica_record, now):
         return False
@@ -184,6 +185,7 @@
     gate=None,
     superseded=None,
     accept=True,
+    leaving=(),
     parts=(),
     caller=None,
 ):
@@ -191,10 +193,11 @@
 
     Without a `gate` the targets have none.  The names of replicas whose lifetime
     has ended are appended to `superseded`.  Without `accept` the targets have
-    begun to leave since they were chosen.
+    begun to leave since they were chosen, as have the replicas named by `leaving`.
     """
     fake_targets = FakeTargets(targets, vanish, prefix, awaits_gate=bool(gate))
     fake_targets.accept = accept
+    fake_targets.leaving = set(leaving)
     if superseded is not None:
         fake_targets.superseded = superseded
     crashes = crashes or FakeEntry([]).crashes
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -115,6 +115,11 @@
     return [other], {}
 
 
+def a_replica_elsewhere_that_leaves():
+    gate = GrantingGate()
+    return [ScriptedTarget([answer()])], {'gate': gate, 'leaving': {'r1'}}
+
+
 NOTHING_BETTER = [
     no_other_target,
     no_retry_budget,
@@ -122,6 +127,7 @@
     no_place_elsewhere,
     a_long_queue_elsewhere,
     no_connection_elsewhere,
+    a_replica_elsewhere_that_leaves,
 ]
 
 
