An idle connection does not show that a replica elsewhere still answers

What callers saw: a request left its silent but sound replica for one that was gone, and ended without an answer (504, or a cut stream).

Cause: a search beside a silent replica asked the pool for a connection to the replica elsewhere, and an idle one that was opened before counted as accepted, also where the VM had lost power or listened no more.

Evidence: with a connection that was opened before the replica stopped listening, the four cases that may be sent again failed before with 504, or with a stream broken off at the deadline, where the whole answer was due.

Why it works: the search opens another connection. The pool hands out the most recently used first, so the request is sent on that one.

--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -36,26 +36,34 @@
             if conn.is_reusable(time.monotonic()):
                 return conn
             conn.close()
-        conn = TargetConnection(address=address, request_id_header=self._id_header)
-        conn.connect(connect_timeout_s)
-        self.opened += 1
-        return conn
+        return self._open(address, connect_timeout_s)
+
+    def open_another(self, address: str, connect_timeout_s: float) -> None:
+        """Open a connection for the next request; raises `ConnectFailed`.
+
+        An idle connection does not show that its target still answers.
+        """
+        conn = self._open(address, connect_timeout_s)
+        conn.keep_idle(time.monotonic())
+        self.give_back(conn)
 
     def refuses(self, address: str) -> bool:
         """Return whether a target refuses connections.
 
         A connection that it accepts is kept for the next request.
         """
-        conn = TargetConnection(address=address, request_id_header=self._id_header)
         try:
-            conn.connect(CHECK_TIMEOUT_S)
+            self.open_another(address, CHECK_TIMEOUT_S)
         except ConnectFailed as exc:
             return exc.reason == ConnectionRefusedError.__name__
-        self.opened += 1
-        conn.keep_idle(time.monotonic())
-        self.give_back(conn)
         return False
 
+    def _open(self, address: str, connect_timeout_s: float) -> TargetConnection:
+        conn = TargetConnection(address=address, request_id_header=self._id_header)
+        conn.connect(connect_timeout_s)
+        self.opened += 1
+        return conn
+
     def give_back(self, conn: TargetConnection) -> None:
         """Keep a connection that is ready for another request."""
         idle = self._idle.setdefault(conn.address, [])
--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -131,16 +131,12 @@
     def _connects(self, work: Work, candidate: Candidate) -> bool:
         """Return whether the replica accepts a connection, which the pool keeps."""
         record = candidate.record
-        request_id = work.req.request_id.encode('latin-1')
         try:
-            conn = self._pool.take(record.address, CONNECT_TIMEOUT_S, request_id)
+            self._pool.open_another(record.address, CONNECT_TIMEOUT_S)
         except ConnectFailed:
             self._placement.health.unreachable(record.replica, time.monotonic())
             work.excluded.add(record.replica)
             return False
-        if not conn.requests:
-            conn.keep_idle(time.monotonic())
-        self._pool.give_back(conn)
         return True
 
     def _release(self, found: Reservation) -> None:
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -186,6 +186,7 @@
     superseded=None,
     accept=True,
     leaving=(),
+    pool=None,
     parts=(),
     caller=None,
 ):
@@ -230,7 +231,7 @@
     placement = Placement(zone='a', rng=random.Random(1))
     dispatcher = Dispatcher(
         dialect=PlatformDialect(),
-        pool=ConnectionPool(request_id_header=b'request-id'),
+        pool=pool or ConnectionPool(request_id_header=b'request-id'),
         places=places,
         placement=placement,
         placer=Placer(
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.messages.grants import Ask, Denied, Granted, ReleasePlace
 from pistachiopath.relay.dispatcher import MAX_FAILURES
 from tests.test_exchange.sockets import CLOSE, MUTE, Paused, ScriptedTarget
@@ -120,6 +121,13 @@
     return [ScriptedTarget([answer()])], {'gate': gate, 'leaving': {'r1'}}
 
 
+def only_an_old_connection_elsewhere():
+    other = ScriptedTarget([MUTE])
+    pool = ConnectionPool(request_id_header=b'request-id')
+    assert not pool.refuses(other.address)
+    return [other], {'pool': pool}
+
+
 NOTHING_BETTER = [
     no_other_target,
     no_retry_budget,
@@ -127,6 +135,7 @@
     no_place_elsewhere,
     a_long_queue_elsewhere,
     no_connection_elsewhere,
+    only_an_old_connection_elsewhere,
     a_replica_elsewhere_that_leaves,
 ]
 
