A target is not taken for silent because the entry itself was paused

What callers saw: after a pause of the entry of 6 s or more, every call that ran ended as unknown (`target_silent`), though the answers had arrived and waited to be read.

Cause: the silence was reckoned by the entry's clock alone, and the timers run before the messages are read.

Evidence: the test failed before: the first tick after the pause concluded `Unknown(reason='target_silent')`.

Why it works: a target counts as silent only if it has left several sends unanswered too, and an entry sends none while it is paused. What arrived meanwhile is read before the next send is due.

--- a/pistachiopath/claims/flow.py
+++ b/pistachiopath/claims/flow.py
@@ -369,11 +369,11 @@
         return [self._attach(now)]
 
     def _dispatch(self, now: float) -> Send:
-        self._watch.sent_at = now
+        self._watch.sent(now)
         return self._send(self._binding.dispatch(self.submission, now))
 
     def _attach(self, now: float) -> Send:
-        self._watch.sent_at = now
+        self._watch.sent(now)
         return self._send(self._binding.attach(self.received, now))
 
     def _send(self, body: Message) -> Send:
--- a/tests/test_claims/test_flow.py
+++ b/tests/test_claims/test_flow.py
@@ -160,6 +160,16 @@
     assert outcome(flow.tick(6.2)).reason == 'target_silent'
 
 
+def test_a_target_is_not_taken_for_silent_because_the_entry_itself_was_paused():
+    flow = make_flow()
+    flow.start(0.0)
+    flow.on_claim(bound_reply(), 0.0)
+    flow.on_agent(Accepted(key=b'k', binding=1), 0.1)
+    assert Attach in kinds(flow.tick(9.0))
+    flow.on_agent(Accepted(key=b'k', binding=1), 9.1)
+    assert kinds(flow.tick(9.2)) == []
+
+
 def test_request_bound_to_target_that_left_is_bound_again():
     flow = make_flow()
     flow.start(0.0)
