A link is not closed because its own process was paused

Cause: the first send after the pause found an earlier one that had been without an answer for longer than `silence_s`, and closed the link before the reader ran.

Evidence: the test failed before: the link was closed, and the reply that had arrived was not handled.

Why it works: the reader gets 0.1 s more before the link is closed. A link whose peer is silent is still closed by the send, that much later; a second test shows it.

--- a/pistachiopath/transport/link.py
+++ b/pistachiopath/transport/link.py
@@ -28,15 +28,17 @@
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 MAX_BATCH_FRAMES = 64
 SILENCE_S = 5.0
+# Time to read what arrived while this process was paused.
+SILENCE_CHECK_S = 0.1
 
 
 class Link:
     """Reads and writes frames in two greenlets until either fails.
 
     A send closes the link if nothing has been received since an earlier send
-    more than `silence_s` ago, so that an unnoticed network partition does not
-    lose messages for longer.  It also closes the link if more than
-    `MAX_QUEUED_BYTES` are queued.
+    more than `silence_s` ago, nor within `SILENCE_CHECK_S` after it, so that an
+    unnoticed network partition does not lose messages for longer.  It also closes
+    the link if more than `MAX_QUEUED_BYTES` are queued.
 
     The link is closed whatever ends one of its greenlets, so that neither side
     goes on sending to one that no longer reads.  A message whose handling fails
@@ -70,6 +72,7 @@
         self._queued_bytes = 0
         self._unanswered_since: float | None = None
         self._closed = False
+        self._is_checking_silence = False
         self._writer = gevent.spawn(self._write)
 
     def send(self, payload: bytes) -> None:
@@ -86,8 +89,9 @@
         now = time.monotonic()
         if self._unanswered_since is None:
             self._unanswered_since = now
-        is_silent = now - self._unanswered_since > self._silence_s
-        if is_silent or self._queued_bytes > MAX_QUEUED_BYTES:
+        if now - self._unanswered_since > self._silence_s:
+            self._check_silence()
+        if self._queued_bytes > MAX_QUEUED_BYTES:
             self.close()
             return
         self._queued_bytes += len(payload)
@@ -125,6 +129,19 @@
         self._frames.close()
         self._on_closed(self)
 
+    def _check_silence(self) -> None:
+        """Close the link soon, unless something has been read by then."""
+        if not self._is_checking_silence:
+            self._is_checking_silence = True
+            gevent.spawn_later(
+                SILENCE_CHECK_S, self._close_if_silent, self._unanswered_since
+            )
+
+    def _close_if_silent(self, unanswered_since: float) -> None:
+        self._is_checking_silence = False
+        if self._unanswered_since == unanswered_since:
+            self.close()
+
     def _handle(self, payload: bytes) -> None:
         self._unanswered_since = None
         self._on_received(len(payload))
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import gevent
 import gevent.event
 import pytest
@@ -10,7 +12,7 @@
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.transport.codec import encode
 from pistachiopath.transport.frames import MAX_FRAME_BYTES, pack
-from pistachiopath.transport.link import Link
+from pistachiopath.transport.link import SILENCE_CHECK_S, SILENCE_S, Link
 from pistachiopath.util.loop_failures import LoopFailures
 
 READ = encode(Envelope(call=1, body=ReadDocument()))
@@ -20,13 +22,16 @@
 class ScriptedFrames:
     """Frames whose reads and writes give or raise what a test says."""
 
-    def __init__(self, *, reads=(), writes=()):
+    def __init__(self, *, reads=(), writes=(), arrived=None):
+        self._arrived = arrived
         self._reads = list(reads)
         self._writes = list(writes)
         self.written = []
         self.closed = gevent.event.Event()
 
     def read(self):
+        if self._arrived is not None:
+            self._arrived.wait()
         if not self._reads:
             self.closed.wait()
             raise LinkClosed(peer='p')
@@ -53,7 +58,7 @@
 class LinkUnderTest:
     """A link on scripted frames and what it has reported."""
 
-    def __init__(self, *, handle=lambda body: None, **script):
+    def __init__(self, *, handle=lambda body: None, silence_s=SILENCE_S, **script):
         self.frames = ScriptedFrames(**script)
         self.received = []
         self.closed = 0
@@ -67,6 +72,7 @@
             on_closed=self._on_closed,
             on_received=lambda size: None,
             failures=LoopFailures(metrics=self.metrics),
+            silence_s=silence_s,
         )
 
     def _on_envelope(self, _link, envelope):
@@ -144,3 +150,28 @@
     assert test.frames.written == [REPLY]
     assert not test.closed
     assert test.failures(loop='link', part='send')
+
+
+def test_a_link_is_not_closed_because_its_own_process_was_paused():
+    arrived = gevent.event.Event()
+    test = LinkUnderTest(silence_s=0.05, arrived=arrived, reads=[REPLY])
+    reader = gevent.spawn(test.link.read)
+    gevent.sleep(0)
+    test.link.send(READ)
+    time.sleep(0.1)
+    arrived.set()
+    test.link.send(READ)
+    gevent.sleep(0.1)
+    assert test.received == [2]
+    assert not test.closed
+    test.link.close()
+    reader.get(timeout=5)
+
+
+def test_a_link_whose_peer_is_silent_is_closed():
+    test = LinkUnderTest(silence_s=0.05)
+    test.link.send(READ)
+    gevent.sleep(0.1)
+    test.link.send(READ)
+    gevent.sleep(2 * SILENCE_CHECK_S)
+    assert test.closed == 1
