--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -102,6 +102,7 @@
         self.superseded = []
         self.doubted = []
         self.accept = True
+        self.leaving = set()
 
     def mark_superseded(self, replica_record, now):
         self.superseded.append(replica_record.replica)
@@ -125,7 +126,7 @@
         return replica_record.replica
 
     def may_send(self, replica_record, now):
-        return self.accept
+        return self.accept and replica_record.replica not in self.leaving
 
     def mark_leaving(self, replica_record, now):
         return False
@@ -201,6 +202,8 @@
     gate=None,
     superseded=None,
     accept=True,
+    leaving=(),
+    pool=None,
     parts=(),
     caller=None,
 ):
@@ -208,10 +211,11 @@
 
     Without a `gate` the targets have none.  The names of replicas whose lifetime
     has ended are appended to `superseded`.  Without `accept` the targets have
-    begun to leave since they were chosen.
+    begun to leave since they were chosen, as have the replicas named by `leaving`.
     """
     fake_targets = FakeTargets(targets, vanish, prefix, awaits_gate=bool(gate))
     fake_targets.accept = accept
+    fake_targets.leaving = set(leaving)
     if superseded is not None:
         fake_targets.superseded = superseded
     crashes = crashes or FakeEntry([]).crashes
@@ -244,7 +248,7 @@
     placement = Placement(zone='a', rng=random.Random(1))
     dispatcher = Dispatcher(
         dialect=PlatformDialect(),
-        pool=ConnectionPool(request_id_header=b'request-id'),
+        pool=pool or ConnectionPool(request_id_header=b'request-id'),
         places=places,
         placement=placement,
         placer=Placer(
