--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -106,7 +106,7 @@
         """Return whether a request may still be sent, after the wait for a place."""
         if self._crashes.is_quarantined(work, time.monotonic()):
             return False
-        return self._placer.may_send(candidate.record)
+        return self._placer.may_send(work, candidate.record)
 
     def _reserve(self, work: Work, candidate: Candidate) -> Reservation | None:
         """Wait for a place and connect; return None if either fails."""
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -138,7 +138,7 @@
         return []
 
     def may_resume(self, replica_record, now):
-        return True
+        return self.may_send(replica_record, now)
 
     def doubt(self, replica_record, now):
         self.doubted.append(replica_record.replica)
