The soak: more lies of replicas, errors in logs, plans of chosen kinds

`--only KIND` plans chosen kinds of faults, `--all` also those that are not borne yet. A service may be slow, silent or ask for time as a whole. A replica may leave without an announcement, so that only its answers say so; its garbled answers may lack the signature or the header that proves a refusal. All routes allow three targets, so that only the kind of request forbids a second run. Tracebacks in the programs' logs are a check of their own, and the report shows each check's first failures.

--- a/tests/test_soak/test_checks/test_service.py
+++ b/tests/test_soak/test_checks/test_service.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.test_soak.histories import found, history, refused, request
-from tools.soak.operations import OwnEnd, Usage
+from tools.soak.operations import OwnEnd, UncaughtError, Usage
 
 
 def test_service_that_does_not_come_back_is_found():
@@ -47,3 +47,8 @@
 def test_a_program_that_ends_by_itself_is_found():
     past = history(own_ends=[OwnEnd(program='entry-1', at=5.0, code=1)])
     assert found(past) == {'no_own_ends'}
+
+
+def test_an_error_that_no_program_handles_is_found():
+    error = UncaughtError(program='control-1', text='OverflowError: too large')
+    assert found(history(errors=[error])) == {'no_uncaught_errors'}
--- a/tests/test_soak/test_plan.py
+++ b/tests/test_soak/test_plan.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
-from tools.soak.fault_kind import NOTICED_KINDS, OPEN_KINDS, FaultKind
+from tools.soak.fault_kind import OPEN_KINDS, PLANNED_KINDS, USUAL_KINDS
 from tools.soak.plan import make_plan
 from tools.soak.topology import Topology
 
@@ -13,15 +14,15 @@
 def test_a_seed_makes_the_same_plan_each_time():
     other = attrs.evolve(TOPOLOGY, network='127.9.9')
     for seed in range(20):
-        plan = make_plan(seed, LENGTH_S, TOPOLOGY)
-        assert plan == make_plan(seed, LENGTH_S, other)
-        assert plan != make_plan(seed + 1, LENGTH_S, TOPOLOGY)
+        plan = make_plan(seed, LENGTH_S, TOPOLOGY, PLANNED_KINDS)
+        assert plan == make_plan(seed, LENGTH_S, other, PLANNED_KINDS)
+        assert plan != make_plan(seed + 1, LENGTH_S, TOPOLOGY, PLANNED_KINDS)
 
 
 def test_faults_follow_one_another_and_overlap_and_end_in_time():
     overlaps = 0
     for seed in range(20):
-        faults = make_plan(seed, LENGTH_S, TOPOLOGY).faults
+        faults = make_plan(seed, LENGTH_S, TOPOLOGY, PLANNED_KINDS).faults
         assert list(faults) == sorted(faults, key=lambda f: f.at_s)
         assert all(f.at_s + f.for_s <= LENGTH_S for f in faults)
         pairs = zip(faults, faults[1:], strict=False)
@@ -29,18 +30,15 @@
     assert overlaps > 20
 
 
-def test_kinds_that_are_open_are_planned_only_if_they_are_asked_for():
-    def kinds(also):
-        plans = [make_plan(seed, LENGTH_S, TOPOLOGY, also) for seed in range(30)]
-        return {fault.kind for plan in plans for fault in plan.faults}
-
-    assert kinds(()) == set(FaultKind) - NOTICED_KINDS - OPEN_KINDS
-    assert kinds(OPEN_KINDS) == set(FaultKind) - NOTICED_KINDS
+@pytest.mark.parametrize('kinds', [PLANNED_KINDS, USUAL_KINDS, OPEN_KINDS])
+def test_all_kinds_that_are_asked_for_are_planned_and_no_others(kinds):
+    plans = [make_plan(seed, LENGTH_S, TOPOLOGY, kinds) for seed in range(30)]
+    assert {fault.kind for plan in plans for fault in plan.faults} == kinds
 
 
 def test_most_of_the_core_is_never_disturbed_by_two_faults_of_a_group():
     for seed in range(50):
-        faults = make_plan(seed, LENGTH_S, TOPOLOGY).faults
+        faults = make_plan(seed, LENGTH_S, TOPOLOGY, PLANNED_KINDS).faults
         core = [f for f in faults if f.kind.startswith(('control_', 'core_'))]
         for first, second in zip(core, core[1:], strict=False):
             assert second.at_s >= first.at_s + first.for_s
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -3,7 +3,7 @@
 import subprocess
 import sys
 
-SEED = 7
+SEED = 9
 LENGTH_S = 25
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,7 +17,7 @@
 
 from pistachiopath.telemetry.logs import configure_logging
 
-from .fault_kind import OPEN_KINDS, FaultKind
+from .fault_kind import PLANNED_KINDS, USUAL_KINDS, FaultKind
 from .plan import make_plan
 from .run import run_seed
 from .topology import Topology
@@ -33,16 +33,17 @@
     args = _parser().parse_args()
     first, _, last = args.seeds.partition(':')
     seeds = range(int(first), int(last) if last else int(first) + 1)
-    also = frozenset(OPEN_KINDS if args.all else map(FaultKind, args.also))
+    usual = PLANNED_KINDS if args.all else USUAL_KINDS
+    kinds = frozenset(map(FaultKind, args.only)) or usual
     if args.plan:
-        _print_plans(seeds, args.length, args.size, also)
+        _print_plans(seeds, args.length, args.size, kinds)
         return 0
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = []
     for seed in seeds:
         folder = args.logs / f'{time.strftime("%H%M%S")}-seed-{seed}'
         result = run_seed(
-            seed, length_s=args.length, size=args.size, also=also, folder=folder
+            seed, length_s=args.length, size=args.size, kinds=kinds, folder=folder
         )
         print(result.report)
         print(f'logs: {folder}', flush=True)
@@ -67,13 +68,16 @@
         '--size', type=int, default=1, help='1: 9 programs, and 7 more for each further'
     )
     parser.add_argument(
-        '--also',
-        nargs='*',
+        '--all', action='store_true', help='plan also the kinds that are not borne yet'
+    )
+    parser.add_argument(
+        '--only',
+        nargs='+',
         default=(),
-        choices=sorted(OPEN_KINDS),
-        help='kinds of faults that are planned only if they are named here',
+        choices=sorted(PLANNED_KINDS),
+        metavar='KIND',
+        help=f'plan only these kinds: {", ".join(sorted(PLANNED_KINDS))}',
     )
-    parser.add_argument('--all', action='store_true', help='plan those kinds too')
     parser.add_argument('--plan', action='store_true', help='print the plans only')
     parser.add_argument('--report', type=Path, help='file to append the reports to')
     parser.add_argument(
@@ -83,12 +87,12 @@
 
 
 def _print_plans(
-    seeds: Sequence[int], length_s: float, size: int, also: frozenset[FaultKind]
+    seeds: Sequence[int], length_s: float, size: int, kinds: frozenset[FaultKind]
 ) -> None:
     topology = Topology.of_size(size)
     for seed in seeds:
         print(f'seed {seed}')
-        for fault in make_plan(seed, length_s, topology, also).faults:
+        for fault in make_plan(seed, length_s, topology, kinds).faults:
             print(f'  {fault}')
 
 
--- a/tools/soak/checks/__init__.py
+++ b/tools/soak/checks/__init__.py
@@ -14,7 +14,7 @@
 from .configuration import configuration_in_force, configuration_kept
 from .left_alone import backoff_kept, departure_kept, notice_kept
 from .requests import at_most_once, truthful_refusals, unchanged_requests
-from .service import level_resources, no_own_ends, recovery
+from .service import level_resources, no_own_ends, no_uncaught_errors, recovery
 
 if TYPE_CHECKING:
     from ..history import History
@@ -36,14 +36,19 @@
     recovery,
     level_resources,
     no_own_ends,
+    no_uncaught_errors,
 )
 
 
 def violations(history: History) -> list[Violation]:
-    """Return what all checks find, in the order of time."""
-    found = [
-        attrs.evolve(violation, check=check.__name__)
-        for check in CHECKS
-        for violation in check(history)
-    ]
-    return sorted(found, key=lambda violation: violation.at)
+    """Return what all checks find, in the order of time.
+
+    Of several that a check finds about one request, the first is returned.
+    """
+    found: dict[tuple[str, str], Violation] = {}
+    for check in CHECKS:
+        for violation in sorted(check(history), key=lambda v: v.at):
+            subject = violation.request or violation.text
+            named = attrs.evolve(violation, check=check.__name__)
+            found.setdefault((named.check, subject), named)
+    return sorted(found.values(), key=lambda v: v.at)
--- a/tools/soak/checks/service.py
+++ b/tools/soak/checks/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from .violation import Violation
@@ -59,3 +59,10 @@
     """Yield programs that ended though nobody ended them."""
     for end in history.own_ends:
         yield Violation(at=end.at, text=f'{end.program} ended with code {end.code}')
+
+
+def no_uncaught_errors(history: History) -> Iterator[Violation]:
+    """Yield each kind of error that a program's log shows as not handled."""
+    counts = Counter((error.program, error.text) for error in history.errors)
+    for (program, text), count in counts.items():
+        yield Violation(at=history.ended_at, text=f'{program}: {count} times {text}')
--- a/tools/soak/documents.py
+++ b/tools/soak/documents.py
@@ -78,7 +78,7 @@
         'target_latency_ms': 500,
         'priority': 1 if kind.is_stream else 0,
         'backend': service,
-        'attempts': ATTEMPTS if kind.may_repeat else 1,
+        'attempts': ATTEMPTS,
         'public': False,
         'session_affinity': kind.is_stream,
         'stream_resume': kind is RequestKind.RESUMABLE_STREAM,
--- a/tools/soak/fault_kind.py
+++ b/tools/soak/fault_kind.py
@@ -34,8 +34,9 @@
     REPLICA_CRASHED = 'replica_crashed', 'replica', 0.5, 3.0
     REPLICA_LEAVES = 'replica_leaves', 'replica', 2.5, 4.0
     REPLICA_DELETES_ITSELF = 'replica_deletes_itself', 'replica', 2.5, 4.0
-    REPLICA_BACKOFF = 'replica_backoff', 'replica', 1.0, 3.0
-    REPLICA_SLOW = 'replica_slow', 'replica', 1.0, 4.0
+    REPLICA_LEAVES_UNSAID = 'replica_leaves_unsaid', 'replica', 4.0, 6.0
+    REPLICA_BACKOFF = 'replica_backoff', 'replica or service', 1.0, 3.0
+    REPLICA_SLOW = 'replica_slow', 'replica or service', 1.0, 5.0
     REPLICA_CUTS_STREAMS = 'replica_cuts_streams', 'engine', 1.0, 3.0
     REPLICA_GARBLED = 'replica_garbled', 'replica', 0.5, 2.0
     REPLICA_REFUSES_TWICE = 'replica_refuses_twice', 'replica', 0.5, 2.0
@@ -57,11 +58,13 @@
 
 
 # Faults that the programs are known not to bear yet.  They are planned only if they
-# are asked for with `--also`; a kind that is borne is taken out of this set.
+# are asked for; a kind that is borne is taken out of this set.
 OPEN_KINDS = frozenset(
     {FaultKind.REPLICA_SILENT, FaultKind.RELEASE, FaultKind.ODD_ANNOUNCEMENTS}
 )
 NOTICED_KINDS = frozenset({FaultKind.PROGRAM_STARVED, FaultKind.SOAK_LATE})
+PLANNED_KINDS = frozenset(FaultKind) - NOTICED_KINDS
+USUAL_KINDS = PLANNED_KINDS - OPEN_KINDS
 # Work of the operator that disturbs nothing by itself.
 PLANNED_WORK = frozenset(
     {
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -82,9 +82,10 @@
         return self.programs[name].starts
 
     def close(self) -> None:
-        """Kill all programs."""
+        """Kill all programs, and read from their logs which errors they had."""
         for program in self.programs.values():
             program.kill()
+            self._history.errors += program.uncaught_errors()
 
 
 def _settings(topology: Topology, name: str, folder: Path, bounds: Bounds) -> dict:
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -13,7 +13,7 @@
 from .bounds import Bounds
 from .fault import FaultRecord
 from .fault_kind import PLANNED_WORK, FaultKind
-from .operations import Departure, OwnEnd, Put, Read, Usage
+from .operations import Departure, OwnEnd, Put, Read, UncaughtError, Usage
 from .request_kind import RequestKind
 
 if TYPE_CHECKING:
@@ -37,6 +37,7 @@
     reads: list[Read] = attrs.field(factory=list)
     departures: list[Departure] = attrs.field(factory=list)
     own_ends: list[OwnEnd] = attrs.field(factory=list)
+    errors: list[UncaughtError] = attrs.field(factory=list)
     usages: list[Usage] = attrs.field(factory=list)
 
     def requests(self) -> Iterator[tuple[Attempt, list[Arrival]]]:
--- a/tools/soak/operations.py
+++ b/tools/soak/operations.py
@@ -50,6 +50,14 @@
     code: int
 
 
+@attrs.define(kw_only=True, frozen=True)
+class UncaughtError:
+    """An error in a program's log that nothing has handled."""
+
+    program: str
+    text: str
+
+
 @attrs.define(kw_only=True, frozen=True)
 class Usage:
     """Memory and descriptors of a process at a moment."""
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -8,7 +8,7 @@
 import attrs
 
 from .fault import Fault
-from .fault_kind import CORE_KINDS, NOTICED_KINDS, OPEN_KINDS, FaultKind
+from .fault_kind import CORE_KINDS, FaultKind
 from .topology import ENGINE_SERVICE, PLAIN_SERVICES
 
 if TYPE_CHECKING:
@@ -32,22 +32,20 @@
 
 
 def make_plan(
-    seed: int, length_s: float, topology: Topology, also: Iterable[FaultKind] = ()
+    seed: int, length_s: float, topology: Topology, kinds: Iterable[FaultKind]
 ) -> Plan:
     """Return the plan of a seed: groups of overlapping faults, with calm between.
 
-    Each kind comes once, in random order, before any comes again.  `also` names
-    kinds of `OPEN_KINDS` that are planned too.
+    Each of the kinds comes once, in random order, before any comes again.
     """
     rng = random.Random(seed)
-    left_out = NOTICED_KINDS | (OPEN_KINDS - frozenset(also))
-    kinds = _kinds(rng, [kind for kind in FaultKind if kind not in left_out])
+    kinds_in_order = _kinds(rng, sorted(kinds))
     faults: list[Fault] = []
     at_s = 0.0
     while at_s < length_s:
         group: list[Fault] = []
         for _ in range(rng.randint(1, MAX_GROUP)):
-            fault = _fault(rng, next(kinds), at_s, topology)
+            fault = _fault(rng, next(kinds_in_order), at_s, topology)
             if not any(_conflict(fault, other) for other in group):
                 group.append(fault)
         faults += [f for f in group if f.at_s + f.for_s <= length_s]
--- a/tools/soak/program.py
+++ b/tools/soak/program.py
@@ -10,6 +10,8 @@
 
 import tomli_w
 
+from .operations import UncaughtError
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -32,9 +34,9 @@
         self.starts = 0
         self.is_down = True
         self._role = role
-        self._folder = folder
         self._guard = guard
         self._path = folder / f'{name}.toml'
+        self._log = folder / f'{name}.log'
         self._process: subprocess.Popen | None = None
         self._is_guarded = False
 
@@ -54,7 +56,7 @@
         is_first = self.starts == 1 and self._role == 'control'
         self._write(self.settings | {'is_first_start': is_first})
         command = [sys.executable, '-m', 'pistachiopath.platform', self._role]
-        with (self._folder / f'{self.name}.log').open('ab') as log:
+        with self._log.open('ab') as log:
             self._process = subprocess.Popen(
                 command,
                 stdin=subprocess.DEVNULL,
@@ -94,6 +96,18 @@
             self._guard.remove(self.pid)
         return code
 
+    def uncaught_errors(self) -> list[UncaughtError]:
+        """Return the errors that tracebacks in the log end with."""
+        errors = []
+        is_in_traceback = False
+        for line in self._log.read_text(errors='replace').splitlines():
+            if is_in_traceback and not line.startswith(' '):
+                errors.append(UncaughtError(program=self.name, text=line[:200]))
+            is_in_traceback = line.startswith('Traceback') or (
+                is_in_traceback and line.startswith(' ')
+            )
+        return errors
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.is_down = True
--- a/tools/soak/replica_faults.py
+++ b/tools/soak/replica_faults.py
@@ -41,9 +41,12 @@
         match fault.kind:
             case FaultKind.REPLICA_CRASHED:
                 self._crash(replicas[0], fault.for_s)
-            case FaultKind.REPLICA_LEAVES | FaultKind.REPLICA_DELETES_ITSELF:
-                deletes_first = fault.kind is FaultKind.REPLICA_DELETES_ITSELF
-                self._replace(replicas[0], fault.for_s, deletes_first=deletes_first)
+            case (
+                FaultKind.REPLICA_LEAVES
+                | FaultKind.REPLICA_DELETES_ITSELF
+                | FaultKind.REPLICA_LEAVES_UNSAID
+            ):
+                self._replace(replicas[0], fault.kind, fault.for_s)
             case _:
                 self._misbehave(replicas, fault)
 
@@ -63,27 +66,25 @@
         self._deployment.announcers[replica.place].announce(replica.lifetime)
 
     def _replace(
-        self,
-        replica: Replica,
-        for_s: float,
-        *,
-        deletes_first: bool = False,
-        version: str = '',
+        self, replica: Replica, kind: FaultKind, for_s: float, version: str = ''
     ) -> None:
-        """Let a replica leave as planned; another lifetime follows it."""
+        """Let a replica leave as planned; another lifetime follows it.
+
+        Only its answers say so if it leaves unsaid.
+        """
         lifetime = replica.lifetime
         announcer = self._deployment.announcers[replica.place]
         lifetime.says_leaving = True
-        if deletes_first:
+        if kind is FaultKind.REPLICA_DELETES_ITSELF:
             announcer.delete(lifetime)
-        else:
+        elif kind is not FaultKind.REPLICA_LEAVES_UNSAID:
             lifetime.state = LifetimeState.DRAINING
             announcer.announce(lifetime)
         gevent.sleep(for_s)
         if replica.lifetime is not lifetime or lifetime.is_ended:
             # It crashed in the meantime.
             return
-        if not deletes_first:
+        if kind is not FaultKind.REPLICA_DELETES_ITSELF:
             announcer.delete(lifetime)
         replica.end()
         gevent.sleep(ABSENT_S)
@@ -101,7 +102,7 @@
         drain_s = self._deployment.history.bounds.drain_s
         for replica in replicas[:-1]:
             self._cut_streams(replicas)
-            self._replace(replica, drain_s + ABSENT_S, version=f'v{newest + 1}')
+            self._replace(replica, fault.kind, drain_s + ABSENT_S, f'v{newest + 1}')
         self._cut_streams(replicas)
         gevent.sleep(fault.for_s)
         for replica in replicas:
--- a/tools/soak/replica_run.py
+++ b/tools/soak/replica_run.py
@@ -29,8 +29,8 @@
 STEP_S = 0.05
 DEFAULT_DEADLINE_S = 60.0
 # Share of the answers that a replica breaks off or garbles while it does that.
-CUT_SHARE = 0.3
-GARBLED_SHARE = 0.3
+CUT_SHARE = 0.5
+GARBLED_SHARE = 0.5
 
 
 class RunEnded(Exception):
@@ -167,16 +167,17 @@
         self._stream.write(data)
 
     def _garble(self, data: bytes) -> None:
-        """Write a response that is cut or none, or bytes that follow a whole one."""
-        match self._rng.randrange(3):
-            case 0:
-                self._stream.write(data[:-1])
-                raise RunEnded(Ending.BROKE_OFF)
-            case 1:
-                self._stream.write(b'\x00\x01 no response\r\n\r\n' + data)
-                raise RunEnded(Ending.BROKE_OFF)
-            case _:
-                gevent.spawn_later(0.0, _write_quietly, self._stream, data)
+        """Write something else than a proven whole response, or bytes after one."""
+        signature = f'{wire.SIGNATURE}: {self.arrival.signature}\r\n'.encode()
+        unsigned = data.replace(signature, b'')
+        # This status alone does not say that the request has not run.
+        unproven = unsigned.replace(b'200 OK', b'503 Refused')
+        no_response = b'\x00\x01 no response\r\n\r\n' + data
+        other = self._rng.choice((data[:-1], no_response, unsigned, unproven, data))
+        if other is not data:
+            self._stream.write(other)
+            raise RunEnded(Ending.BROKE_OFF)
+        gevent.spawn_later(0.0, _write_quietly, self._stream, data)
 
     def _answer_stream(self) -> None:
         self._work(FIRST_EVENT_S)
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -16,7 +16,8 @@
     from .history import History
 
 WORST = 5
-MAX_SHOWN = 20
+# Violations of each check that are shown.
+MAX_SHOWN = 5
 
 
 def render(seed: int, history: History, violations: tuple[Violation, ...]) -> str:
@@ -36,17 +37,16 @@
 
 
 def _violations(history: History, violations: tuple[Violation, ...]) -> list[str]:
+    """Return the first violations of each check, with the faults around them."""
     lines = []
-    for violation in violations[:MAX_SHOWN]:
-        at_s = violation.at - history.started_at
-        lines.append(
-            f'  {violation.check} at {at_s:.2f} s'
-            f'{" request " + violation.request if violation.request else ""}: '
-            f'{violation.text}'
-        )
-        lines += [f'      {_fault(history, f)}' for f in history.around(violation.at)]
-    if len(violations) > MAX_SHOWN:
-        lines.append(f'  and {len(violations) - MAX_SHOWN} more')
+    for check, count in Counter(v.check for v in violations).items():
+        lines.append(f'{check}: {count}')
+        for violation in [v for v in violations if v.check == check][:MAX_SHOWN]:
+            at_s = violation.at - history.started_at
+            of = f', request {violation.request}' if violation.request else ''
+            lines.append(f'  at {at_s:.2f} s{of}: {violation.text}')
+            around = history.around(violation.at)
+            lines += [f'      {_fault(history, fault)}' for fault in around]
     return lines
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -38,7 +38,7 @@
 
 
 def run_seed(
-    seed: int, *, length_s: float, size: int, also: frozenset[FaultKind], folder: Path
+    seed: int, *, length_s: float, size: int, kinds: frozenset[FaultKind], folder: Path
 ) -> Result:
     """Run the plan of a seed; the logs and records go to `folder`.
 
@@ -46,7 +46,7 @@
     """
     folder.mkdir(parents=True, exist_ok=True)
     topology = Topology.of_size(size)
-    plan = make_plan(seed, length_s, topology, also)
+    plan = make_plan(seed, length_s, topology, kinds)
     (folder / 'plan.txt').write_text('\n'.join(map(str, plan.faults)) + '\n')
     history = History(started_at=time.monotonic())
     try:
