The soak's checks of replicas that leave read the history once

They looked through all arrivals for each refusal and notice, which grows with the square of a run's length.

--- a/tools/soak/announcer.py
+++ b/tools/soak/announcer.py
@@ -9,9 +9,10 @@
 import gevent
 
 from . import wire
-from .client import call_any
+from .client import call
 from .lifetime import LifetimeState
 from .operations import Departure
+from .replica import SLOTS
 from .topology import zone_of
 
 if TYPE_CHECKING:
@@ -21,8 +22,6 @@
     from .lifetime import Lifetime
     from .replica import Replica
 
-SLOTS = 8
-
 
 class Announcer:
     """Announces a replica's lifetime about once in each period.
@@ -58,23 +57,42 @@
                 self.announce(lifetime)
             gevent.sleep(self._period_s * self._rng.uniform(0.9, 1.1))
 
-    def announce(self, lifetime: Lifetime) -> bool:
-        """Announce the state of a lifetime; return whether it was acknowledged."""
+    def announce(self, lifetime: Lifetime) -> None:
+        """Announce the state of a lifetime, unless it has said that it is gone."""
         if lifetime.state is LifetimeState.GONE:
-            return False
+            return
         lifetime.sequence += 1
-        state = lifetime.state
-        path = wire.REPLICAS_PATH + quote(lifetime.replica)
-        return self._call('PUT', path, self.body(lifetime), lifetime, state)
+        self._call('PUT', lifetime, self._body(lifetime))
 
-    def delete(self, lifetime: Lifetime) -> bool:
-        """Say that a lifetime has ended; return whether that was acknowledged."""
+    def delete(self, lifetime: Lifetime) -> None:
+        """Say that a lifetime has ended."""
         lifetime.state = LifetimeState.GONE
+        self._call('DELETE', lifetime)
+
+    def _call(self, method: str, lifetime: Lifetime, body: dict | None = None) -> None:
+        """Call one control node after the other until one acknowledges."""
+        state = lifetime.state
         path = wire.REPLICAS_PATH + quote(lifetime.replica)
-        return self._call('DELETE', path, None, lifetime, LifetimeState.GONE)
+        for node in self._rng.sample(self._controls, len(self._controls)):
+            if call(node, method, path, body).is_success:
+                self._acknowledged(lifetime, state, node)
+                return
 
-    def body(self, lifetime: Lifetime) -> dict:
-        """Return an announcement."""
+    def _acknowledged(
+        self, lifetime: Lifetime, state: LifetimeState, node: str
+    ) -> None:
+        if state is LifetimeState.READY or lifetime.replica in self._departed:
+            return
+        self._departed.add(lifetime.replica)
+        departure = Departure(
+            replica=lifetime.replica,
+            place=lifetime.place,
+            acked_at=time.monotonic(),
+            node=node,
+        )
+        self._history.departures.append(departure)
+
+    def _body(self, lifetime: Lifetime) -> dict:
         return {
             'backend': lifetime.service,
             'address': self._address,
@@ -88,26 +106,3 @@
             'sequence': lifetime.sequence,
             'born': lifetime.born_ms,
         }
-
-    def _call(
-        self,
-        method: str,
-        path: str,
-        body: dict | None,
-        lifetime: Lifetime,
-        state: LifetimeState,
-    ) -> bool:
-        order = self._rng.sample(self._controls, len(self._controls))
-        reply, node = call_any(order, method, path, body)
-        if not reply.is_success:
-            return False
-        if state is not LifetimeState.READY and lifetime.replica not in self._departed:
-            self._departed.add(lifetime.replica)
-            departure = Departure(
-                replica=lifetime.replica,
-                place=lifetime.place,
-                acked_at=time.monotonic(),
-                node=node,
-            )
-            self._history.departures.append(departure)
-        return True
--- a/tools/soak/checks/left_alone.py
+++ b/tools/soak/checks/left_alone.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from .violation import Violation
@@ -20,9 +21,10 @@
 
 def departure_kept(history: History) -> Iterator[Violation]:
     """Yield requests to a replica whose departure was acknowledged before."""
+    sent = _sent_to(history)
     for departure in history.departures:
         since = departure.acked_at
-        for arrival, attempt in _sent_to(history, departure.replica):
+        for arrival, attempt in sent[departure.replica]:
             is_late = arrival.at > since + history.bounds.drain_s
             if (
                 is_late
@@ -34,12 +36,13 @@
 
 def notice_kept(history: History) -> Iterator[Violation]:
     """Yield requests that an entry sent though it had passed on a notice."""
+    sent = _sent_to(history)
     for told, notices in history.requests():
         if not told.is_leaving:
             continue
         since = told.ended_at
         for notice in notices:
-            for arrival, attempt in _sent_to(history, notice.replica):
+            for arrival, attempt in sent[notice.replica]:
                 is_late = attempt.began_at > since + history.bounds.drain_s
                 if (
                     is_late
@@ -52,27 +55,30 @@
 
 def backoff_kept(history: History) -> Iterator[Violation]:
     """Yield the third request that an entry sends to a replica within a backoff."""
+    sent = _sent_to(history)
     for told, refusals in history.requests():
-        for refusal in refusals:
+        for refusal in [r for r in refusals if r.backoff_s]:
             since = refusal.ended_at
             found = [
                 arrival
-                for arrival, attempt in _sent_to(history, refusal.replica)
+                for arrival, attempt in sent[refusal.replica]
                 if BACKOFF_MARGIN_S < arrival.at - since < refusal.backoff_s
                 and _same_process(attempt, told)
                 and _is_calm(history, attempt, arrival, since)
             ]
+            found.sort(key=lambda arrival: arrival.at)
             if len(found) > MAX_DURING_BACKOFF:
                 yield _violation(found[MAX_DURING_BACKOFF], since, 'it asked for time')
 
 
-def _sent_to(history: History, replica: str) -> Iterator[tuple[Arrival, Attempt]]:
-    """Yield what reached a lifetime of a replica, with the caller's attempt."""
-    attempts = history.attempts_by_request()
-    for arrival in history.arrivals:
-        is_there = arrival.replica == replica and arrival.status != MISDIRECTED
-        if is_there and arrival.request in attempts:
-            yield arrival, attempts[arrival.request]
+def _sent_to(history: History) -> dict[str, list[tuple[Arrival, Attempt]]]:
+    """Return what reached each lifetime of a replica, with the callers' attempts."""
+    sent = defaultdict(list)
+    for attempt, arrivals in history.requests():
+        for arrival in arrivals:
+            if arrival.status != MISDIRECTED:
+                sent[arrival.replica].append((arrival, attempt))
+    return sent
 
 
 def _violation(arrival: Arrival, since: float, why: str) -> Violation:
--- a/tools/soak/client.py
+++ b/tools/soak/client.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
 
 import attrs
 import gevent
 
 from .http_stream import BadMessage, CutOff, HttpStream, head_bytes
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
-
 CALL_TIMEOUT_S = 1.0
 
 
@@ -65,18 +61,3 @@
     finally:
         if stream is not None:
             stream.close()
-
-
-def call_any(
-    addresses: Sequence[str], method: str, path: str, body: object = None
-) -> tuple[Reply, str]:
-    """Call the addresses in turn until one answers with 2xx.
-
-    Returns the last answer and the address that gave it.
-    """
-    reply, used = Reply(), ''
-    for address in addresses:
-        reply, used = call(address, method, path, body), address
-        if reply.is_success:
-            break
-    return reply, used
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -37,25 +37,25 @@
         self._history = history
         self._rng = rng
 
-    def change(self) -> Put:
+    def change(self) -> None:
         """Send the next configuration until it has a clear answer."""
         self.version += 1
-        content = json.dumps(document(self.version), separators=(',', ':'))
-        put = Put(version=self.version, content=content, sent_at=time.monotonic())
-        self._history.puts.append(put)
-        self._send(put)
-        return put
+        self._put(self.version, document(self.version), is_valid=True)
 
-    def send_invalid(self) -> Put:
+    def send_invalid(self) -> None:
         """Send a configuration that must be refused."""
         version = self.version + 1
-        content = json.dumps(invalid_document(version))
+        self._put(version, invalid_document(version), is_valid=False)
+
+    def _put(self, version: int, content: dict, *, is_valid: bool) -> None:
         put = Put(
-            version=version, content=content, sent_at=time.monotonic(), is_valid=False
+            version=version,
+            content=json.dumps(content, separators=(',', ':')),
+            sent_at=time.monotonic(),
+            is_valid=is_valid,
         )
         self._history.puts.append(put)
         self._send(put)
-        return put
 
     def _send(self, put: Put) -> None:
         until = time.monotonic() + RESEND_FOR_S
@@ -82,7 +82,7 @@
             self.read()
             gevent.sleep(READ_INTERVAL_S)
 
-    def read(self) -> Read:
+    def read(self) -> None:
         """Read the configuration back at some node."""
         node, address = self._pick()
         sent_at = time.monotonic()
@@ -96,7 +96,6 @@
             content=reply.body.decode('utf-8', 'replace') if reply.is_success else '',
         )
         self._history.reads.append(read)
-        return read
 
     def _pick(self) -> tuple[str, str]:
         return self._rng.choice(list(self._controls.items()))
