--- a/tests/test_soak/test_program.py
+++ b/tests/test_soak/test_program.py
@@ -11,6 +11,9 @@
 2026-01-01 <Greenlet at 0x1: run> failed with OverflowError
 
 at=2 level=info msg="Traceback (most recent call last): of a handled one"
+Traceback (most recent call last):
+  File "a.py", line 1, in run
+at=3 level=info msg=starting
 """
 
 
--- a/tools/soak/program.py
+++ b/tools/soak/program.py
@@ -97,11 +97,15 @@
         return code
 
     def uncaught_errors(self) -> list[UncaughtError]:
-        """Return the errors that tracebacks in the log end with."""
+        """Return the errors that tracebacks in the log end with.
+
+        A traceback is cut, and left out, if the process was killed within it.
+        """
         errors = []
         is_in_traceback = False
         for line in self._log.read_text(errors='replace').splitlines():
-            if is_in_traceback and not line.startswith(' '):
+            is_cut = line.startswith('at=')
+            if is_in_traceback and not line.startswith(' ') and not is_cut:
                 errors.append(UncaughtError(program=self.name, text=line[:200]))
             is_in_traceback = line.startswith('Traceback') or (
                 is_in_traceback and line.startswith(' ')
