The soak changes settings of a program only once its interpreter runs

A SIGHUP that comes before Python runs ends any program, whatever its code does. The soak now waits for the interpreter (it ignores SIGPIPE first) and 0.2 s more.

--- a/tools/soak/program.py
+++ b/tools/soak/program.py
@@ -6,18 +6,23 @@
 import signal
 import subprocess
 import sys
+import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
+import gevent
 import tomli_w
 
 from .operations import UncaughtError
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     from .guard import Guard
 
 SETTINGS_VARIABLE = 'PISTACHIOPATH_SETTINGS'
+INTERPRETER_TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.02
+# From the start of the interpreter to that of a program's first module.
+MAIN_MODULE_S = 0.2
 
 
 class Program:
@@ -70,11 +75,27 @@
         self.is_down = False
 
     def change_settings(self, **changes: object) -> None:
-        """Write changed settings and tell the program by a signal."""
+        """Write changed settings and tell the program by a signal.
+
+        A signal that comes before the interpreter runs would end any program.
+        """
         self.settings |= changes
         self._write(self.settings | {'is_first_start': False})
+        until = time.monotonic() + INTERPRETER_TIMEOUT_S
+        while not self._has_interpreter() and time.monotonic() < until:
+            gevent.sleep(POLL_INTERVAL_S)
+        gevent.sleep(MAIN_MODULE_S)
         self.signal(signal.SIGHUP)
 
+    def _has_interpreter(self) -> bool:
+        """Return whether the process runs Python, which ignores SIGPIPE first."""
+        try:
+            status = Path(f'/proc/{self.pid}/status').read_text()
+        except OSError:
+            return False
+        ignored = int(status.partition('SigIgn:')[2].split()[0], 16)
+        return bool(ignored & 1 << signal.SIGPIPE - 1)
+
     def _write(self, settings: dict) -> None:
         """Replace the settings file as a whole."""
         new = self._path.with_suffix('.new')
