A SIGHUP while modules are imported no longer ends a program

Cause: SIGHUP was ignored only after the first module of the package had been imported, which takes 0.09 to 0.12 s; until then it ends the process.

Evidence: test_a_change_of_settings_while_modules_are_imported_ends_no_program sends the signal at that import: code -1 before, 0 now. What remains is the start of the interpreter itself.

--- a/pistachiopath/platform/__main__.py
+++ b/pistachiopath/platform/__main__.py
@@ -15,12 +15,14 @@
 # Modules are never freed, so collecting garbage during imports only costs time.
 gc.disable()
 
-from .early import listen_early  # noqa: E402
-
 if __name__ == '__main__':
     # `main` handles SIGHUP, which ends the process until then.  The settings are
-    # read later than this.
+    # read later than this, and the imports below take a while.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from .early import listen_early  # noqa: E402
+
+if __name__ == '__main__':
     listen_early(sys.argv[1:], os.environ)
 
 from .main import main  # noqa: E402
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -68,3 +68,32 @@
     )
     assert result.returncode == 0, result.stderr
     assert 'stop completed' in result.stdout
+
+
+# Sends a SIGHUP when the package begins to import its first module.
+SIGNALLED_IMPORT = """
+import os, runpy, signal, sys
+
+class SendsSignal:
+    @staticmethod
+    def find_spec(name, path=None, target=None):
+        if name == 'pistachiopath.platform.early':
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, SendsSignal)
+sys.argv = ['platform', 'agent', '--settings', sys.argv[1], '--check']
+runpy.run_module('pistachiopath.platform', run_name='__main__')
+"""
+
+
+def test_a_change_of_settings_while_modules_are_imported_ends_no_program(tmp_path):
+    path = tmp_path / 's.toml'
+    path.write_text(SETTINGS)
+    result = subprocess.run(
+        [sys.executable, '-c', SIGNALLED_IMPORT, str(path)],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert result.returncode == 0, result.stderr
