Tests: who still waits at the end of the grace is refused, not answered 502

Without the refusal in `RequestHandler._serve` all tests passed: requests that wait were always refused before, by the check of their remaining time. The new test failed with 502 for a request that was not sent when that branch was taken out.

--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -10,6 +10,7 @@
 import pytest
 
 from pistachiopath.relay import entry as entry_module
+from pistachiopath.relay.departure import Departure
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import MUTE, ScriptedTarget
 from tests.test_platform.test_configuration import VALID
@@ -128,6 +129,20 @@
     assert second.ended_at < first.ended_at - 0.1
 
 
+def test_a_request_that_still_waits_at_the_end_of_the_grace_is_refused(monkeypatch):
+    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    monkeypatch.setattr(Departure, 'check_unsent', lambda *_: None)
+    node = Node(grace_s=GRACE_S)
+    target = ScriptedTarget([MUTE])
+    node.receive_news(document(), [record(address=target.address, slots=1)])
+    first = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.5)
+    second = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.1)
+    stop(node, first, second)
+    assert (first.statuses, second.statuses) == ([502], [503])
+
+
 def test_pipelined_requests_are_all_answered_before_the_grace_ends(node):
     target = ScriptedTarget([MUTE])
     node.receive_news(document(), [plain(target)])
