--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -203,3 +203,11 @@
     caller, _ = serve_slowly([*unreachable, silent, other], IDEMPOTENT, gate=gate)
     assert (caller.status, caller.body) == (200, b'done')
     assert gate.unreleased() == set()
+
+
+def test_a_place_at_a_target_that_accepts_no_connection_is_released():
+    gate = AllGranted()
+    target = ScriptedTarget([Paused(SILENCE_S, answer())])
+    serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
+    assert len(gate.received) > 2
+    assert gate.unreleased() == set()
