--- a/tests/test_transport/test_peer_addresses.py
+++ b/tests/test_transport/test_peer_addresses.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import gevent
 import pytest
 
 from pistachiopath.messages.allowance import Borrow
@@ -8,6 +7,7 @@
 from pistachiopath.transport.handshake import ROLE_NODE, Identity
 from pistachiopath.transport.network import Network
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.waiting import wait_until
 
 
 @pytest.mark.parametrize(
@@ -34,6 +34,6 @@
         failures=LoopFailures(metrics=Metrics()),
     )
     network.send(address, 0, Borrow(customer='a', cost=1))
-    gevent.sleep(0.2)
+    wait_until(lambda: lost)
     assert lost == [address]
     assert not network._dialling
