--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -104,12 +104,18 @@
     assert b'abc' in caller.received
 
 
-def test_a_request_that_waits_for_a_place_gets_503_before_the_grace_ends(node):
+def fill_engine(node):
+    """Return an engine of one place, the request that has it and one that waits."""
     target = ScriptedTarget([MUTE])
     node.receive_news(document(), [record(address=target.address, slots=1)])
     first = Caller(node, post(b'/engine/x'))
     gevent.sleep(0.5)
     second = Caller(node, post(b'/engine/x'))
+    return target, first, second
+
+
+def test_a_request_that_waits_for_a_place_gets_503_before_the_grace_ends(node):
+    target, first, second = fill_engine(node)
     gevent.sleep(0.1)
     stop(node, first, second)
     assert (first.statuses, second.statuses) == ([502], [503])
@@ -118,11 +124,7 @@
 
 
 def test_a_request_that_waits_for_a_place_is_refused_once_it_cannot_end(node):
-    target = ScriptedTarget([MUTE])
-    node.receive_news(document(), [record(address=target.address, slots=1)])
-    first = Caller(node, post(b'/engine/x'))
-    gevent.sleep(0.5)
-    second = Caller(node, post(b'/engine/x'))
+    target, first, second = fill_engine(node)
     gevent.sleep(0.1)
     stop(node, first, second)
     assert second.statuses == [503]
@@ -133,11 +135,7 @@
     monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
     monkeypatch.setattr(Departure, 'check_unsent', lambda *_: None)
     node = Node(grace_s=GRACE_S)
-    target = ScriptedTarget([MUTE])
-    node.receive_news(document(), [record(address=target.address, slots=1)])
-    first = Caller(node, post(b'/engine/x'))
-    gevent.sleep(0.5)
-    second = Caller(node, post(b'/engine/x'))
+    target, first, second = fill_engine(node)
     gevent.sleep(0.1)
     stop(node, first, second)
     assert (first.statuses, second.statuses) == ([502], [503])
