A search beside a silent replica tries those again that accepted no connection

What callers saw: a request waited for its silent replica until its deadline (504), though the only other replica was back after a second.

The health of replicas avoids it for a while already. The failure had no log line of its own either: event hedge_unreachable.

Evidence: test_a_target_that_refused_a_connection_is_tried_again_later failed before with 504 and passes now.

--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -70,10 +70,10 @@
         )
         if not may_move:
             return None
-        excluded = work.excluded | {work.replica}
+        excluded = frozenset(work.excluded | {work.replica})
         return Hedge(search=lambda: self._search(work, excluded), release=self._release)
 
-    def _search(self, work: Work, excluded: set[str]) -> Reservation | None:
+    def _search(self, work: Work, excluded: frozenset[str]) -> Reservation | None:
         """Return a reservation, for which the retry budget has been charged."""
         now = time.monotonic()
         if self._crashes.is_quarantined(work, now) or not self._retries.has_budget(
@@ -81,13 +81,12 @@
         ):
             return None
         work.tries += 1
-        moved = attrs.evolve(work, excluded=excluded, denied=set())
+        moved = attrs.evolve(work, excluded=set(excluded), denied=set())
         candidate = self._placer.choose_other(moved)
         if candidate is None:
             return None
         found = self._reserve(moved, candidate)
         if found is None:
-            excluded.update(moved.excluded)
             return None
         if not self._may_send(work, candidate) or not self._retries.take_budget(work):
             self._release(found)
@@ -133,9 +132,16 @@
         record = candidate.record
         try:
             self._pool.open_another(record.address, CONNECT_TIMEOUT_S)
-        except ConnectFailed:
+        except ConnectFailed as exc:
             self._placement.health.unreachable(record.replica, time.monotonic())
-            work.excluded.add(record.replica)
+            logger.info(
+                'hedge_unreachable',
+                extra={
+                    'request': work.req.request_id,
+                    'replica': record.replica,
+                    'reason': exc.reason,
+                },
+            )
             return False
         return True
 
--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -66,19 +66,24 @@
 
     A script is a list of connections, each a list of responses.  `CLOSE`
     closes the connection, `RESET` resets it, and `MUTE` sends no response.  A
-    response may be a `Paused`.
+    response may be a `Paused`.  Until it listens, connections are refused.
     """
 
-    def __init__(self, *connections):
+    def __init__(self, *connections, listens_after_s=0.0):
         self._listener = gsocket.socket()
         self._listener.bind((LOOPBACK, 0))
-        self._listener.listen(16)
+        self._listens_after_s = listens_after_s
+        if not listens_after_s:
+            self._listener.listen(16)
         self.address = f'{LOOPBACK}:{self._listener.getsockname()[1]}'
         self._connections = list(connections)
         self.requests = []
         gevent.spawn(self._accept)
 
     def _accept(self):
+        if self._listens_after_s:
+            gevent.sleep(self._listens_after_s)
+            self._listener.listen(16)
         for script in self._connections:
             sock, _ = self._listener.accept()
             gevent.spawn(self._serve, sock, script)
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -174,6 +174,12 @@
     assert time.monotonic() - started_at < SILENCE_S
 
 
+def test_a_target_that_refused_a_connection_is_tried_again_later():
+    second = ScriptedTarget([answer()], listens_after_s=OBJECTIVE_S + 1.6)
+    caller, _ = serve_slowly([ScriptedTarget([MUTE]), second], IDEMPOTENT)
+    assert (caller.status, caller.body) == (200, b'done')
+
+
 def test_a_silent_stream_goes_on_at_another_target_that_has_a_place():
     first = ScriptedTarget([Paused(stream_head() + chunk(events(0, 2)), WAIT_S)])
     second = ScriptedTarget([stream_head() + chunk(events(3, 5)) + END])
