Gates' replies are not missed because the entry was paused while it asked

In the product a caller's return would have been refused with version_unknown.

Cause: the time of the search is reckoned by this process's clock. After a pause for longer than it, the waits end before the replies that arrived meanwhile are read.

Evidence: a test that pauses the process for 1.1 s of a search of 1.0 s failed with the same error and passes now; with 0.5 s it passed before and after. A search makes three checks at least after the first question, 0.15 s, before it gives up.

--- a/pistachiopath/relay/stream_finder.py
+++ b/pistachiopath/relay/stream_finder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,8 @@
 QUESTION_PERIOD_MS = 60_000
 CHECK_INTERVAL_S = 0.05
 REPEAT_INTERVAL_S = 0.4
+# A process that was paused handles what arrived meanwhile before it gives up.
+MIN_CHECKS = 3
 # An unconfirmed origin may be that of an earlier attempt, so the other gates have
 # this much longer to reply.
 SETTLE_S = 0.1
@@ -94,7 +97,7 @@
         is_complete: Callable[[], bool],
         until: float,
     ) -> Origin | None:
-        """Return the origin of a stream; wait until `until` at the latest.
+        """Return the origin of a stream; wait until `until`, and some checks at least.
 
         `gates` is asked again while it waits, as an entry that has just started
         learns of more.  If all have replied and `is_complete` tells that there are
@@ -103,13 +106,14 @@
         search = _Search(stream=stream)
         self._searches.add(search)
         try:
-            while True:
+            for check in itertools.count():
                 now = time.monotonic()
                 self._ask(search, gates(), now)
                 nobody_knows = not search.asked_at and is_complete()
-                if search.is_settled(now) or nobody_knows or now >= until:
+                is_over = now >= until and check >= MIN_CHECKS
+                if search.is_settled(now) or nobody_knows or is_over:
                     return search.origin
-                search.signal.wait(min(CHECK_INTERVAL_S, until - now))
+                search.signal.wait(CHECK_INTERVAL_S)
                 search.signal.clear()
         finally:
             self._searches.discard(search)
--- a/tests/test_relay/test_stream_finder.py
+++ b/tests/test_relay/test_stream_finder.py
@@ -100,6 +100,13 @@
     assert gates.find(gates=('g1',), wait_s=2.0).version.version == 'v1'
 
 
+@pytest.mark.parametrize('pause_s', [0.5, 1.1])
+def test_replies_are_not_missed_because_this_process_was_paused(pause_s):
+    gates = Gates({'g1': [origin('v1', is_confirmed=True)]})
+    gevent.spawn_later(0.002, time.sleep, pause_s)
+    assert gates.find(wait_s=1.0).version.version == 'v1'
+
+
 @pytest.mark.parametrize('number', [1, 40])
 def test_streams_that_are_wanted_at_once_share_a_message_to_each_gate(number):
     names = [f'c/{n}' for n in range(number)]
