Tests: a search is waited for with a timer that starts when it is set

Cause: gevent.joinall(timeout=) reckons from the time at which the event loop last read its clock. The test begins in the main greenlet; if the test before it in this worker computed for more than 5 s without yielding (tests in virtual time take up to 29 s), the 5 s are over when they begin, joinall returns at once, and the searches have no value yet.

AsyncResult.get, Greenlet.get, Event.wait and gevent.Timeout read the clock when they start. The check is as strict: each search has to end within 5 s, with v1.

--- a/tests/test_relay/test_stream_finder.py
+++ b/tests/test_relay/test_stream_finder.py
@@ -113,8 +113,8 @@
     known = {'g1': [origin('v1', stream=name, is_confirmed=True) for name in names]}
     gates = Gates(known)
     searches = [gevent.spawn(gates.find, name) for name in names]
-    gevent.joinall(searches, timeout=5.0)
-    assert all(search.value.version.version == 'v1' for search in searches)
+    versions = [search.get(timeout=5.0).version.version for search in searches]
+    assert versions == ['v1'] * number
     assert len(gates.asked) == len(GATES)
 
 
