A timer set after a pause of the process does not end at once

What callers could see: after a pause of an entry, or a step of it that took long, its link to a gate or a control node that had just answered was closed as silent; requests that wait at that gate lose their place in line, and a lender or a configuration is not heard until the link is made again.

A greenlet that was resumed by a timer or by a socket, and then held up, sets a timer that is due already. So the 0.1 s in which a link reads what arrived meanwhile did not exist after a pause longer than that.

The former test passed since its reply came by a callback, which runs before any timer.

--- a/pistachiopath/operator/client.py
+++ b/pistachiopath/operator/client.py
@@ -21,6 +21,8 @@
 from ..util.loop_failures import LoopFailures
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..messages.base import Message
     from ..messages.configuration import AcceptReply, ConfigurationReply
     from .settings import OperatorSettings
@@ -97,9 +99,15 @@
             call = self._new_call()
             results[address] = self._replies[call]
             self._network.send(address, call, body)
-        gevent.wait(list(results.values()), timeout=REPLY_TIMEOUT_S)
+        self._wait_for(results.values())
         return {a: r.get() for a, r in results.items() if r.ready()}
 
+    @staticmethod
+    def _wait_for(results: Iterable[gevent.event.AsyncResult]) -> None:
+        deadline = time.monotonic() + REPLY_TIMEOUT_S
+        for result in results:
+            result.wait(max(0.0, deadline - time.monotonic()))
+
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         now = time.monotonic()
         final, effects = self._leader.answered(sender, call, body, now)
--- a/pistachiopath/relay/stream_finder.py
+++ b/pistachiopath/relay/stream_finder.py
@@ -13,6 +13,7 @@
 from ..messages.grants import WatchLoad
 from ..streams.origin import Origin
 from ..streams.service_version import ServiceVersion
+from ..util.later import call_later
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -146,7 +147,7 @@
                 self._unsent.setdefault(gate, []).append(search)
         if self._unsent and not self._flush:
             pause_s = max(BATCH_S, BATCH_S_PER_GATE * len(self._unsent))
-            self._flush = gevent.spawn_later(pause_s, self._send_all)
+            self._flush = call_later(pause_s, self._send_all)
 
     def _send_all(self) -> None:
         self._flush = None
--- a/pistachiopath/transport/link.py
+++ b/pistachiopath/transport/link.py
@@ -13,6 +13,7 @@
 
 from ..errors.base import PistachiopathError
 from ..errors.transport import FrameTooLarge, LinkClosed
+from ..util.later import call_later
 from .codec import decode
 from .frames import MAX_FRAME_BYTES
 
@@ -133,9 +134,7 @@
         """Close the link soon, unless something has been read by then."""
         if not self._is_checking_silence:
             self._is_checking_silence = True
-            gevent.spawn_later(
-                SILENCE_CHECK_S, self._close_if_silent, self._unanswered_since
-            )
+            call_later(SILENCE_CHECK_S, self._close_if_silent, self._unanswered_since)
 
     def _close_if_silent(self, unanswered_since: float) -> None:
         self._is_checking_silence = False
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -4,6 +4,7 @@
 
 import gevent
 import gevent.event
+import gevent.socket
 import pytest
 
 from pistachiopath.errors.transport import LinkClosed, MalformedFrame
@@ -152,13 +153,27 @@
     assert test.failures(loop='link', part='send')
 
 
-def test_a_link_is_not_closed_because_its_own_process_was_paused():
-    arrived = gevent.event.Event()
+class Arrival:
+    """Input that arrives on a socket while the process is paused."""
+
+    def __init__(self):
+        self._socket, self._peer = gevent.socket.socketpair()
+
+    def wait(self):
+        self._socket.recv(1)
+
+    def set(self):
+        self._peer.close()
+
+
+@pytest.mark.parametrize('pause_s', [0.1, 3 * SILENCE_CHECK_S])
+def test_a_link_is_not_closed_because_its_own_process_was_paused(pause_s):
+    arrived = Arrival()
     test = LinkUnderTest(silence_s=0.05, arrived=arrived, reads=[REPLY])
     reader = gevent.spawn(test.link.read)
-    gevent.sleep(0)
+    gevent.sleep(0.01)
     test.link.send(READ)
-    time.sleep(0.1)
+    time.sleep(pause_s)
     arrived.set()
     test.link.send(READ)
     gevent.sleep(0.1)
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -1,4 +1,4 @@
-"""Checks the imports of decision code, and that wire names stay in the adapter."""
+"""Checks imports of decision code, places of wire names, and calls of gevent."""
 
 from __future__ import annotations
 
@@ -50,6 +50,8 @@
     '|prefix-hash|token-usage|expect-replica|replica-signature|not-executed'
     '|/pistachiopath/|stream_resume|traffic_split|session_affinity'
 )
+# Their timers begin when the event loop last read its clock: too early after a pause.
+EARLY_TIMERS = re.compile(r'gevent\.(spawn_later|joinall|wait|iwait)\(')
 FORBIDDEN = {
     'asyncio',
     'bottle',
@@ -89,12 +91,23 @@
     return exit_code
 
 
+def check_early_timers() -> int:
+    """Print each call whose timer may end too early; return 1 if there is any."""
+    exit_code = 0
+    for path in sorted(PACKAGE.rglob('*.py')):
+        for number, line in enumerate(path.read_text().splitlines(), start=1):
+            if EARLY_TIMERS.search(line):
+                print(f'{path}:{number}: use util.later or a wait with its own timeout')
+                exit_code = 1
+    return exit_code
+
+
 def main() -> int:
-    """Print each forbidden import and name; return 1 if there is any."""
+    """Print each forbidden import, name and call; return 1 if there is any."""
     paths = [PACKAGE / name for name in PURE_FILES]
     for name in PURE_PACKAGES:
         paths += sorted((PACKAGE / name).glob('*.py'))
-    exit_code = check_wire_names()
+    exit_code = check_wire_names() | check_early_timers()
     for path in paths:
         for name in sorted(imported_modules(ast.parse(path.read_text())) & FORBIDDEN):
             print(f'{path}: decision code imports {name}')
