Split the entry's planned stop and its handling of messages from its wiring

relay/entry.py had 338 lines and four jobs: wiring, timers, messages of other nodes and the planned stop. PlannedStop and MessageHandler now hold the last two; it has 269 lines.

No behaviour changes. tests/test_relay, test_grants, test_document and test_transport passed (-n 2); tests reach the message handler and the rotation constant at their new places.

--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..effects import Send
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
@@ -17,6 +16,7 @@
 from .gate_log import GateLog
 
 if TYPE_CHECKING:
+    from ..effects import Send
     from ..messages.base import Message
     from ..telemetry.metrics import Metrics
 
@@ -40,7 +40,7 @@
                 name=address, role=ROLE_NODE, secrets={ROLE_NODE: secret}
             ),
             on_message=self._on_message,
-            on_lost=lambda peer: self._apply_effects(
+            on_lost=lambda peer: self._network.send_all(
                 self.gate.entry_lost(peer, time.monotonic())
             ),
             silence_s=LINK_SILENCE_S,
@@ -67,7 +67,7 @@
         self._timers.stop()
 
     def _tick_gate(self, now: float) -> None:
-        self._apply_effects(self.gate.tick(now))
+        self._network.send_all(self.gate.tick(now))
 
     def _report_load(self, _now: float) -> None:
         gate = self.gate
@@ -86,18 +86,16 @@
             )
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
-        now = time.monotonic()
+        self._network.send_all(self._handle(sender, call, body, time.monotonic()))
+
+    def _handle(self, sender: str, call: int, body: Message, now: float) -> list[Send]:
         match body:
             case Ask():
-                self._apply_effects(self.gate.ask(sender, body, now))
+                return self.gate.ask(sender, body, now)
             case ReleasePlace():
-                self._apply_effects(self.gate.release(sender, body, now))
+                return self.gate.release(sender, body, now)
             case WatchLoad(streams=()):
-                self._apply_effects(self.gate.watch(sender, body, now))
+                return self.gate.watch(sender, body, now)
             case WatchLoad(streams=streams):
-                self._apply_effects(self.gate.find_streams(sender, call, streams, now))
-
-    def _apply_effects(self, effects: list) -> None:
-        for effect in effects:
-            if isinstance(effect, Send):
-                self._network.send(effect.to, effect.call, effect.body)
+                return self.gate.find_streams(sender, call, streams, now)
+        return []
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -2,24 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import TYPE_CHECKING
 
-import gevent
-
 from ..admission.leased_allowance import LeasedAllowance
 from ..directory.subscriber import Subscriber
-from ..effects import Send
 from ..exchange.limits import ExchangeLimits
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
 from ..grants.gate_log import GateLog
-from ..messages.allowance import AllowanceLeases, Borrowed
-from ..messages.directory import News
-from ..messages.grants import Denied, GateLoad, Granted
-from ..messages.quarantine import CrashMarks
-from ..messages.streams import StreamOrigins
 from ..quarantine.crash_watch import CrashWatch
 from ..routing.placement import Placement
 from ..transport.handshake import ROLE_NODE, Identity
@@ -29,12 +20,14 @@
 from ..util.periodic_loop import PeriodicLoop
 from .admitter import Admitter
 from .crashes import Crashes
-from .departure import LEAVE_ROTATION_S, Departure
+from .departure import Departure
 from .dispatcher import Dispatcher
 from .gate_link import GateLink
 from .lender_link import LenderLink
+from .message_handler import MessageHandler
 from .notices import Notices
 from .placer import Placer
+from .planned_stop import PlannedStop
 from .request_handler import RequestHandler
 from .request_log import RequestLog
 from .retries import Retries
@@ -50,15 +43,12 @@
 
     from ..exchange.request import HttpRequest
     from ..exchange.server_connection import ServerConnection
-    from ..messages.base import Message
     from ..routes.route_set import RouteSet
     from ..telemetry.metrics import Metrics
     from ..telemetry.spans import Spans
     from .dialect import Dialect
     from .settings import RelaySettings
 
-logger = logging.getLogger(__name__)
-
 TICK_S = 0.05
 PRUNE_INTERVAL_S = 1.0
 # A link without traffic for longer is reopened.
@@ -97,8 +87,8 @@
             identity=Identity(
                 name=cfg.node_address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET}
             ),
-            on_message=self._on_message,
-            on_lost=self._on_lost,
+            on_message=lambda *message: self._messages.handle(*message),
+            on_lost=lambda peer: self._messages.handle_lost(peer),
             silence_s=LINK_SILENCE_S,
             failures=failures,
         )
@@ -151,6 +141,17 @@
             broadcast=self._lender.broadcast,
             refuses=self._pool.refuses,
         )
+        self._messages = MessageHandler(
+            subscriber=self._subscriber,
+            routes=self._routes,
+            allowance=self._allowance,
+            targets=self._targets,
+            gates=self._gates,
+            finder=self._finder,
+            lender=self._lender,
+            crashes=self._crashes,
+            send_all=self._network.send_all,
+        )
         dispatcher = Dispatcher(
             dialect=dialect,
             pool=self._pool,
@@ -192,6 +193,7 @@
             limits=lambda: self._routes.limits,
             name='callers',
         )
+        self._stop = PlannedStop(server=self._server, departure=self._departure)
         self._readiness = HttpServer(
             address=cfg.readiness_address,
             handle=self._handle_readiness,
@@ -225,41 +227,18 @@
 
     def stop(self) -> None:
         """Leave the load balancer's rotation, finish open requests, then close."""
-        self._departure.begin(time.monotonic())
-        self._server.announce_stop()
-        gevent.sleep(min(LEAVE_ROTATION_S, self._remaining_s()))
-        self._departure.close()
-        self._server.stop_accepting()
-        self._wait_until_idle()
-        unfinished = self._server.end_unfinished(
-            self._departure.answering_s(time.monotonic())
-        )
-        logger.info('stopped', extra={'unfinished': unfinished})
+        self._stop.run()
         self._network.close(drain_s=0.1)
 
-    def _wait_until_idle(self) -> None:
-        """Wait until no request is left, or what is left has to be answered."""
-        while self._server.connections:
-            remaining_s = self._remaining_s()
-            if remaining_s <= 0:
-                return
-            self._server.wait_until_idle(min(TICK_S, remaining_s))
-
-    def _remaining_s(self) -> float:
-        """Return the seconds until the requests of all connections are ended."""
-        return self._departure.remaining_s(
-            time.monotonic(), unfinished=self._server.connections
-        )
-
     def _handle_readiness(self, conn: ServerConnection, _req: HttpRequest) -> None:
         conn.respond(200 if self.is_ready else 503, [], b'')
 
-    # Other nodes
+    # Timers
 
     def _tick_parts(self) -> list[LoopPart]:
         return [
-            LoopPart(name='controls', run=self._follow_controls),
-            LoopPart(name='gates', run=self._watch_gates),
+            LoopPart(name='controls', run=self._messages.follow_controls),
+            LoopPart(name='gates', run=self._messages.watch_gates),
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
             LoopPart(name='lender', run=self._lender.tick),
             LoopPart(name='crashes', run=self._crashes.tick),
@@ -278,15 +257,6 @@
             for name, run in run_by_name.items()
         ]
 
-    def _follow_controls(self, now: float) -> None:
-        self._apply_effects(self._subscriber.tick(now))
-
-    def _watch_gates(self, now: float) -> None:
-        routes = self._routes.current
-        if routes is not None:
-            gates = self._targets.gates(routes)
-            self._apply_effects(self._gates.watch(gates, now))
-
     def _set_metrics(self, now: float) -> None:
         self._metrics.set('connections', self._server.connections)
         self._metrics.set('connections_opened_total', self._pool.opened)
@@ -297,42 +267,3 @@
     def _prune_placement(self, _now: float) -> None:
         ready = {r.replica for r in self._targets.ready()}
         self._placement.keep_only(ready)
-
-    def _on_message(self, sender: str, call: int, body: Message) -> None:
-        now = time.monotonic()
-        match body:
-            case News():
-                self._on_news(sender, body, now)
-            case Granted() | Denied() | GateLoad():
-                self._gates.receive(sender, body, now)
-            case StreamOrigins():
-                self._finder.receive(sender, call, body)
-            case AllowanceLeases():
-                self._lender.handle_leases(sender, body, now)
-            case Borrowed():
-                self._lender.handle_borrowed(call, body)
-            case CrashMarks():
-                self._crashes.handle_marks(body, now)
-
-    def _on_news(self, sender: str, body: News, now: float) -> None:
-        version = self._subscriber.version
-        effects = self._subscriber.on_news(sender, body, now)
-        self._allowance.set_known_entries(self._subscriber.entries)
-        if self._subscriber.version != version:
-            routes = self._routes.adopt(
-                self._subscriber.version, self._subscriber.content
-            )
-            if routes is not None:
-                self._allowance.adopt(routes.customers, now)
-        self._apply_effects(effects)
-
-    def _on_lost(self, peer: str) -> None:
-        self._subscriber.link_lost(peer)
-        self._lender.handle_lost(peer)
-        self._gates.link_lost(peer)
-        self._finder.handle_lost(peer)
-
-    def _apply_effects(self, effects: list) -> None:
-        for effect in effects:
-            if isinstance(effect, Send):
-                self._network.send(effect.to, effect.call, effect.body)
--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -23,8 +23,9 @@
 from .outbound import OutboundEncoder
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
+    from ..effects import Send
     from ..messages.base import Message
     from ..util.loop_failures import LoopFailures
 
@@ -104,6 +105,11 @@
         elif ':' in to:
             self._start_dial(to, payload)
 
+    def send_all(self, effects: Iterable[Send]) -> None:
+        """Send the messages of a decision core, in their order."""
+        for effect in effects:
+            self.send(effect.to, effect.call, effect.body)
+
     def close(self, drain_s: float = 1.0) -> None:
         """Stop accepting links, write queued messages and close all links.
 
--- a/tests/harness/recording_peer.py
+++ b/tests/harness/recording_peer.py
@@ -32,8 +32,7 @@
         return sum(isinstance(body, cls) for body in self.received)
 
     def send_all(self, effects):
-        for effect in effects:
-            self.network.send(effect.to, effect.call, effect.body)
+        self.network.send_all(effects)
 
     def stop(self):
         self.network.close(drain_s=0)
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -15,8 +15,7 @@
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.quarantine.content import shared_parts
-from pistachiopath.relay import entry as entry_module
-from pistachiopath.relay import request_handler
+from pistachiopath.relay import planned_stop, request_handler
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.entry import RelayEntry
 from pistachiopath.relay.exchange_run import ExchangeRun
@@ -75,7 +74,7 @@
             entries=1,
             silent=(),
         )
-        self.entry._on_message('127.0.0.1:9', 0, news)
+        self.entry._messages.handle('127.0.0.1:9', 0, news)
 
     def send_request(self, request=PAY, address=None):
         host, _, port = (address or self.callers).partition(':')
@@ -91,7 +90,7 @@
 @pytest.fixture
 def node(monkeypatch):
     monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
-    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     return Node()
 
 
@@ -164,7 +163,7 @@
         CrashMark(fingerprint=content, lifetime=name, age_ms=age_ms, ran_ms=10)
         for name, age_ms in (('r1', 900), ('r2', 100))
     )
-    node.entry._on_message('127.0.0.1:8', 0, CrashMarks(marks=marks))
+    node.entry._messages.handle('127.0.0.1:8', 0, CrashMarks(marks=marks))
     response = node.send_request()
     assert response.startswith(b'HTTP/1.1 503')
     assert target.requests == []
@@ -182,7 +181,7 @@
         )
         for name, age_ms in (('r1', 900), ('r2', 500), ('r3', 100))
     )
-    node.entry._on_message('127.0.0.1:8', 0, CrashMarks(marks=marks))
+    node.entry._messages.handle('127.0.0.1:8', 0, CrashMarks(marks=marks))
     prompt = b'Model: m\r\nPrefix-Hash: shared:5,own:5\r\nContent-Length'
     response = node.send_request(PAY.replace(b'Content-Length', prompt))
     assert response.startswith(b'HTTP/1.1 503')
--- a/tests/test_relay/test_odd_headers.py
+++ b/tests/test_relay/test_odd_headers.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from pistachiopath.relay import entry as entry_module
-from pistachiopath.relay import request_handler
+from pistachiopath.relay import planned_stop, request_handler
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import ScriptedTarget
 from tests.test_platform.test_configuration import VALID
@@ -22,7 +21,7 @@
 @pytest.fixture
 def node(monkeypatch):
     monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
-    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     return Node()
 
 
--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -9,7 +9,7 @@
 import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.relay import entry as entry_module
+from pistachiopath.relay import planned_stop
 from pistachiopath.relay.departure import Departure
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import MUTE, ScriptedTarget
@@ -74,7 +74,7 @@
 
 @pytest.fixture
 def node(monkeypatch):
-    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     return Node(grace_s=GRACE_S)
 
 
@@ -132,7 +132,7 @@
 
 
 def test_a_request_that_still_waits_at_the_end_of_the_grace_is_refused(monkeypatch):
-    monkeypatch.setattr(entry_module, 'LEAVE_ROTATION_S', 0.05)
+    monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     monkeypatch.setattr(Departure, 'check_unsent', lambda *_: None)
     node = Node(grace_s=GRACE_S)
     target, first, second = fill_engine(node)
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -138,7 +138,7 @@
             silent=(),
             directory_age_ms=directory_age_ms,
         )
-        self._entry._on_message(control, 0, news)
+        self._entry._messages.handle(control, 0, news)
 
     def open_stream(self, request_id, *, last_event=None, resumes=''):
         """Send a request; return the connection."""
