A target that reads a long request late keeps it

Callers saw: 502, or a stream cut in its middle, 5.4 s after a long request was sent to a replica that was sound and had not read its body yet.

Cause: TCP_USER_TIMEOUT counts a closed receive window like lost acknowledgements, although the other side acknowledges each window probe. A request of more than 8 KiB can fill the window of a target that reads it only when a place is free.

Why it works: the timeout is set only for requests that are written at once, which fit into the window of any target that is not busy with another request. Longer ones end with the answer, the caller or the deadline, and those that may be repeated still move once a place elsewhere is held. Price: a long request that may run once and whose VM is gone gets 504 at its deadline, no longer 502 after 5 s.

Tried and left out: telling both cases apart by the unanswered probes of TCP_INFO, which needs a watch for each long request.

--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -26,6 +26,8 @@
 # that stands still does not for some seconds.  After 2.6 s of that TCP sends again
 # at 3.0 s; the next time would be at 6.2 s.
 UNACKNOWLEDGED_TIMEOUT_MS = 5000
+# Value of `TCP_USER_TIMEOUT` with which the kernel does not end a connection early.
+NO_TIMEOUT_MS = 0
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 IDLE_MARGIN_S = 1.0
 MIN_IDLE_TIMEOUT_S = 0.3
@@ -48,6 +50,7 @@
         self.requests = 0
         self._id_header = request_id_header
         self._sock: gsocket.socket | None = None
+        self._unacknowledged_timeout_ms = NO_TIMEOUT_MS
         self._http = self._new_parser()
         self._sent_events: list = []
         self._request_id = b''
@@ -72,9 +75,6 @@
             ) from exc
         sock.settimeout(None)
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            gsocket.IPPROTO_TCP, gsocket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-        )
         self._sock = sock
 
     def keep_idle(self, now: float) -> None:
@@ -108,7 +108,8 @@
         """Send a request; raises `BrokenOff`.
 
         A request above `MAX_INLINE_WRITE_BYTES` is written in the background, and
-        a failure to write it shows when the response is read.
+        a failure to write it shows when the response is read.  Its target may read
+        it as late as it wants.
         """
         self.requests += 1
         self._request_id = _header_value(headers, self._id_header)
@@ -120,13 +121,24 @@
         self._sent_events = [request, h11.Data(data=body), h11.EndOfMessage()]
         data = b''.join(self._http.send(e) or b'' for e in self._sent_events)
         if len(data) > MAX_INLINE_WRITE_BYTES:
+            # A target that reads late closes its window.  To the kernel that is
+            # the same as a target that acknowledges nothing.
+            self._set_unacknowledged_timeout(NO_TIMEOUT_MS)
             self._writer = gevent.spawn(self._write, data)
             return
+        self._set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
         try:
             self._sock.sendall(data)
         except OSError as exc:
             raise self._broken_off(exc) from exc
 
+    def _set_unacknowledged_timeout(self, timeout_ms: int) -> None:
+        if timeout_ms != self._unacknowledged_timeout_ms:
+            self._sock.setsockopt(
+                gsocket.IPPROTO_TCP, gsocket.TCP_USER_TIMEOUT, timeout_ms
+            )
+            self._unacknowledged_timeout_ms = timeout_ms
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
