--- /dev/null
+++ b/tests/test_relay/test_version_mutations.py
@@ -0,0 +1,79 @@
+"""Mutations that disable a mechanism of streams' versions, so that its test fails."""
+
+from __future__ import annotations
+
+from pistachiopath.grants.begun_streams import BegunStreams
+from pistachiopath.relay.placer import Placer
+from pistachiopath.relay.stream_versions import StreamVersions
+from pistachiopath.relay.work import Work
+from tests.harness.mutations import check_fails, each
+
+from . import test_stream_versions as version_checks
+
+
+def versions_are_not_looked_at(patch):
+    """Sends a return to replicas of all versions, and delivers their events."""
+    patch.setattr(Work, 'may_run_at', lambda self, record: True)
+    return with_a_gate(
+        version_checks.test_returns_go_on_at_another_version_after_all_entries_lost_power
+    )
+
+
+def versions_are_not_looked_at_in_a_retry(patch):
+    """Forgets who began a stream when it breaks."""
+    patch.setattr(StreamVersions, 'begun', lambda self, work, record: None)
+    return with_a_gate(
+        version_checks.test_a_broken_stream_goes_on_at_another_version_within_one_answer
+    )
+
+
+def the_fallback_takes_all_versions(patch):
+    """Takes any replica if all of the stream's version are excluded."""
+    of_same_version = Placer._of_same_version
+
+    def or_all(self, work, candidates, now):
+        return of_same_version(self, work, candidates, now) or candidates
+
+    patch.setattr(Placer, '_of_same_version', or_all)
+    patch.setattr(Placer, 'may_send', lambda *_: True)
+    return with_a_gate(
+        version_checks.test_a_return_goes_on_at_another_version_when_the_old_one_has_just_left
+    )
+
+
+def a_guess_when_nobody_knows(patch):
+    """Goes on with a stream at any version if nobody knows its own."""
+
+    def resolve(self, work):
+        origin, _ = self._find(work)
+        if origin is not None:
+            work.go_on_at(origin.version)
+
+    patch.setattr(StreamVersions, 'resolve', resolve)
+    return with_a_gate(
+        version_checks.test_a_return_that_nobody_knows_is_refused_while_two_versions_serve
+    )
+
+
+def gates_do_not_remember(patch):
+    """Keeps no streams where they survive the entries."""
+    patch.setattr(BegunStreams, 'granted', lambda *_: None)
+    return with_a_gate(
+        version_checks.test_returns_go_on_at_another_version_after_all_entries_lost_power
+    )
+
+
+def with_a_gate(check):
+    """Return a check that is given the address of a gate of its own."""
+    return lambda: check(version_checks.start_gate())
+
+
+@each(
+    versions_are_not_looked_at,
+    versions_are_not_looked_at_in_a_retry,
+    the_fallback_takes_all_versions,
+    a_guess_when_nobody_knows,
+    gates_do_not_remember,
+)
+def test_a_check_fails_without_its_mechanism(monkeypatch, mutation):
+    check_fails(mutation(monkeypatch))
