--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -77,11 +77,14 @@
         )
         self.entry._on_message('127.0.0.1:9', 0, news)
 
-    def send_request(self, request=PAY, address=None):
+    def open_request(self, request=PAY, address=None):
         host, _, port = (address or self.callers).partition(':')
         sock = gsocket.create_connection((host, int(port)))
         sock.sendall(request)
-        return sock.recv(65536)
+        return sock
+
+    def send_request(self, request=PAY, address=None):
+        return self.open_request(request, address).recv(65536)
 
     def is_ready(self):
         request = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
--- a/tests/test_relay/test_notices.py
+++ b/tests/test_relay/test_notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
@@ -9,12 +11,14 @@
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.routing.replica_health import ReplicaHealth
 from tests.test_directory.records import record
-from tests.test_exchange.sockets import ScriptedTarget
+from tests.test_exchange.sockets import Paused, ScriptedTarget
+from tests.test_platform.test_configuration import VALID
 
-from .parts import SIGNED, answer
-from .test_entry import Node, node, plain  # noqa: F401
+from .parts import SIGNED, answer, chunk, events, stream_head
+from .test_entry import PAY, Node, node, plain  # noqa: F401
 
 LEAVING = b'Server-Leaving: 1\r\n'
+LAST_CHUNK = b'0\r\n\r\n'
 REFUSED = b'Request-Id: abc\r\nNot-Executed: 1\r\n'
 
 
@@ -29,13 +33,63 @@
 
 @pytest.mark.parametrize('kind', leaving_answers())
 def test_a_replica_that_says_it_leaves_gets_no_further_request(node, kind):  # noqa: F811
-    target = ScriptedTarget([leaving_answers()[kind], answer()])
+    target = ScriptedTarget([leaving_answers()[kind], answer()], [answer()])
     node.receive_news(records=[plain(target)])
     node.send_request()
     assert node.send_request().startswith(b'HTTP/1.1 503')
     assert len(target.requests) == 1
 
 
+def test_a_stream_whose_head_says_that_its_replica_leaves_is_the_last_one_there(node):  # noqa: F811
+    first = stream_head(LEAVING) + chunk(events(0, 1))
+    target = ScriptedTarget(
+        [Paused(first, 0.3, chunk(events(2, 3)) + LAST_CHUNK)], [answer()]
+    )
+    node.receive_news(document=with_streams(), records=[plain(target)])
+    caller = node.open_request(PAY.replace(b'/pay', b'/gen/1'))
+    received = caller.recv(65536)
+    assert received.startswith(b'HTTP/1.1 200')
+    assert node.send_request().startswith(b'HTTP/1.1 503')
+    while LAST_CHUNK not in received:
+        received += caller.recv(65536)
+    assert b'id: 3' in received
+    assert len(target.requests) == 1
+
+
+def with_streams():
+    """Return a configuration whose streams go to the service without engines."""
+    stream = VALID['routes'][0] | {'public': True, 'backend': 'plain'}
+    del stream['traffic_split']
+    return VALID | {'version': 8, 'routes': [stream, VALID['routes'][1]]}
+
+
+def test_replicas_that_leave_one_after_the_other_are_all_left_alone(node):  # noqa: F811
+    refusal = answer(b'', b'503 Busy', REFUSED + LEAVING)
+    targets = [ScriptedTarget([refusal, answer()]) for _ in range(3)]
+    records = [
+        record(replica=f'r{n}', service='plain', address=target.address)
+        for n, target in enumerate(targets)
+    ]
+    node.receive_news(records=records)
+    responses = [node.send_request() for _ in range(5)]
+    assert all(response.startswith(b'HTTP/1.1 503') for response in responses)
+    assert all(len(target.requests) <= 1 for target in targets)
+
+
+def test_a_replica_that_says_it_leaves_and_goes_on_is_not_believed_again(node):  # noqa: F811
+    # A replica that lies loses only the requests of the entries that it answered.
+    target = ScriptedTarget([answer(extra=SIGNED + LEAVING)], [answer()])
+    other = Node()
+    other.receive_news(records=[plain(target)])
+    node.receive_news(records=[plain(target)])
+    node.send_request()
+    for sequence in (2, 3):
+        fresher = record(service='plain', address=target.address, sequence=sequence)
+        node.receive_news(records=[fresher])
+        assert node.send_request().startswith(b'HTTP/1.1 503')
+    assert other.send_request().startswith(b'HTTP/1.1 200')
+
+
 def test_no_announcement_of_the_same_lifetime_brings_a_leaving_replica_back(node):  # noqa: F811
     target = ScriptedTarget([answer(extra=SIGNED + LEAVING), answer()], [answer()])
     node.receive_news(records=[plain(target)])
@@ -64,6 +118,39 @@
     assert node.send_request().startswith(b'HTTP/1.1 200')
 
 
+@pytest.mark.parametrize('step_s', [-3600.0, 3600.0])
+def test_a_step_of_the_clock_does_not_end_a_backoff(node, monkeypatch, step_s):  # noqa: F811
+    target = ScriptedTarget([refused_for(b'0.6'), answer()], [answer()])
+    node.receive_news(records=[plain(target)])
+    node.send_request()
+    time_of_day = time.time
+    monkeypatch.setattr(time, 'time', lambda: time_of_day() + step_s)
+    assert node.send_request().startswith(b'HTTP/1.1 503')
+    gevent.sleep(0.65)
+    assert node.send_request().startswith(b'HTTP/1.1 200')
+
+
+def test_a_new_lifetime_at_the_address_of_one_that_backs_off_is_used(node):  # noqa: F811
+    target = ScriptedTarget([refused_for(b'30')], [answer()])
+    node.receive_news(records=[plain(target)])
+    node.send_request()
+    reborn = record(service='plain', address=target.address, born_ms=9000)
+    node.receive_news(records=[reborn])
+    assert node.send_request().startswith(b'HTTP/1.1 200')
+
+
+def test_a_refusal_that_was_read_late_counts_from_then(node):  # noqa: F811
+    # The entry was frozen while the refusal arrived.
+    target = ScriptedTarget([refused_for(b'0.5'), answer()], [answer()])
+    node.receive_news(records=[plain(target)])
+    caller = node.open_request()
+    gevent.sleep(0.0)
+    time.sleep(0.3)
+    assert caller.recv(65536).startswith(b'HTTP/1.1 503')
+    assert node.send_request().startswith(b'HTTP/1.1 503')
+    assert len(target.requests) == 1
+
+
 def test_a_refusal_while_all_back_off_says_when_the_first_is_back(node):  # noqa: F811
     targets = [
         ScriptedTarget([refused_for(b'40')]),
