A late answer of an earlier lifetime does not end a backoff

What callers saw: nothing yet; a replica could get requests that it had asked this entry not to send. An answer of its earlier lifetime that came after the refusal of the newer one replaced the record of the newer one, whose backoff was forgotten.

Evidence before: tests/test_relay/test_notices.py:: test_a_late_answer_of_an_earlier_lifetime_does_not_end_a_backoff failed with "assert 0.0 == 10.0". Found by reading, not by a run.

Lifetimes are ordered by their start everywhere else (directory), so an older one can be told and is left out.

--- a/pistachiopath/routing/replica_health.py
+++ b/pistachiopath/routing/replica_health.py
@@ -66,9 +66,12 @@
     ) -> None:
         """Record that a lifetime asked for no requests for some seconds.
 
-        A shorter backoff does not end a longer one.
+        Neither does a shorter backoff end a longer one, nor does a late answer of an
+        earlier lifetime end that of a later one.
         """
         record = self._records.setdefault(replica, _FailureRecord(updated_at=now))
+        if born_ms < record.backoff_born_ms:
+            return
         if record.backoff_born_ms != born_ms:
             record.backoff_born_ms = born_ms
             record.backoff_until = 0.0
--- a/tests/test_relay/test_notices.py
+++ b/tests/test_relay/test_notices.py
@@ -211,3 +211,10 @@
     health.succeeded('r', 2.0)
     assert health.backoff_until('r', 1) == 10.0
     assert health.backoff_until('r', 2) == 0.0
+
+
+def test_a_late_answer_of_an_earlier_lifetime_does_not_end_a_backoff():
+    health = ReplicaHealth()
+    health.asked_for_backoff('r', 2, 10.0, 0.0)
+    health.asked_for_backoff('r', 1, 60.0, 1.0)
+    assert health.backoff_until('r', 2) == 10.0
