A replica that backs off takes no resumed stream while it drains either

What callers saw: nothing yet; a replica that had asked an entry for no requests and then announced that it drains could get resumed streams from that entry during its backoff, where no other replica of the stream's version was left.

Cause: Targets.may_resume looked at the backoff of ready replicas alone, and the records of all that are not ready were pruned, with their backoffs.

Evidence before: tests/test_relay/test_targets.py:: test_a_draining_replica_that_backs_off_takes_no_stream failed with "assert not True" at may_resume. Found by reading. pytest tests/test_relay tests/test_routing: 540 passed in 180 s.

--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -295,8 +295,7 @@
         self._metrics.set('controls_live', self._subscriber.live_controls(now))
 
     def _prune_placement(self, _now: float) -> None:
-        ready = {r.replica for r in self._targets.ready()}
-        self._placement.keep_only(ready)
+        self._placement.keep_only(self._targets.present())
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
         now = time.monotonic()
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -75,6 +75,14 @@
             if record.state == ReplicaState.READY
         ]
 
+    def present(self) -> set[str]:
+        """Return the names of all replicas that are not gone."""
+        return {
+            record.replica
+            for record in self._subscriber.directory.records()
+            if record.state != ReplicaState.GONE
+        }
+
     def candidates(
         self, service: str, excluded: set[str], now: float
     ) -> list[Candidate]:
@@ -159,9 +167,10 @@
         current = self._subscriber.directory.get(record.replica)
         if current is None or current.born_ms != record.born_ms:
             return False
-        if current.state == ReplicaState.READY:
-            return not self._is_backing_off(record, now)
-        return self._is_draining_lately(current, now)
+        if self._is_backing_off(record, now):
+            return False
+        is_ready = current.state == ReplicaState.READY
+        return is_ready or self._is_draining_lately(current, now)
 
     def doubt(self, record: ReplicaRecord, now: float) -> None:
         """Record that a replica's connection broke or was refused."""
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -14,14 +14,14 @@
 from .parts import FakeEntry
 
 
-def make_targets(*replicas, routes=lambda: None):
+def make_targets(*replicas, routes=lambda: None, health=None):
     entry = FakeEntry(replicas)
     return entry, Targets(
         subscriber=entry,
         loads=LoadWatch(),
         agent_port=7002,
         routes=routes,
-        health=ReplicaHealth(),
+        health=health or ReplicaHealth(),
     )
 
 
@@ -133,3 +133,13 @@
     assert targets.all_gates(services) == frozenset()
     in_force.append(decode_configuration(json.dumps(VALID).encode()))
     assert targets.all_gates(services) == {'10.0.0.1:7002'}
+
+
+def test_a_draining_replica_that_backs_off_takes_no_stream():
+    health = ReplicaHealth()
+    entry, targets = make_targets('r1', health=health)
+    health.asked_for_backoff('r1', record().born_ms, 5.0, 10.0)
+    entry.directory.merge(draining(), 10.1)
+    health.keep_only(targets.present())
+    assert names_of_draining(targets, 10.2) == []
+    assert not targets.may_resume(record(), 10.2)
