A request with the id of one that runs gets a place of its own

Callers saw nothing, but replicas ran more requests than they have places: a caller that used its request id again while the first request ran was sent at once, and the end of either request gave the place of both away.

Cause: an ask for a place was named after the caller's id and the try. A gate takes an ask with the name of a place in use for a repetition and grants it again. The entry refused a second ask of the same name only while the first one waited.

Evidence: tests/test_relay/test_repeated_ids.py, an engine of one place, failed before: "AssertionError: assert 2 == 1" (requests at the target while the first one runs). After: 1, and all three callers get 200.

Why it works: each ask of an entry has a number, so no two are taken for one; a repetition of the same ask keeps its name. The try stays in the name for whoever reads the logs.

Weighed: refusing the second ask while the first place is held. That is a 503 for a caller that could be served.

--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -71,6 +72,7 @@
         self._is_quarantined = is_quarantined
         self._rng = rng
         self._check_wait = check_wait
+        self._serials = itertools.count(1)
 
     def choose(self, work: Work) -> Candidate:
         """Return a replica; wait up to a share of the objective if there is none."""
@@ -181,7 +183,8 @@
         gate, slots = self._gate(candidate)
         version = version_of(candidate.record)
         ask = Ask(
-            request=f'{work.req.request_id}.{work.tries}',
+            # A caller may use its request id again while the first request runs.
+            request=f'{work.req.request_id}.{work.tries}.{next(self._serials)}',
             tier=work.admitted.tier,
             customer=customer.name if customer else '',
             prompt_tokens=work.req.prompt_tokens,
