A target is not taken for silent because the entry was paused meanwhile

Callers saw nothing but a worse choice: after a pause of 1.2 s or more of the entry itself, each target of a running request counted as failed and was avoided for some seconds, and `answer_stalled` was logged for each request.

Cause: after a pause the timer ends the read before the data that has arrived is read. The exchange itself went on (the next read comes before anything is given up), the verdict on the target stayed.

Evidence: test_a_target_is_not_taken_for_silent_because_this_process_was_paused failed before: "assert 'answer_stalled' not in ['answer_stalled']".

Why it works: the target is read once more, for 20 ms, before it counts as silent. A target that is silent is left 20 ms later.

--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -41,6 +41,8 @@
 # the route's objective and at least `STALL_MIN_S`.
 STALL_OBJECTIVE_FACTOR = 2.0
 STALL_MIN_S = 1.2
+# Time to read what arrived while this process was paused.
+PAUSE_CHECK_S = 0.02
 # While a place is sought, the silent target is left this soon after it is found.
 MOVE_CHECK_INTERVAL_S = 0.02
 # A replica that crashes on a request does so when it begins to write the answer.
@@ -143,8 +145,9 @@
         """
         route = self._work.admitted.route
         stall_s = max(STALL_MIN_S, STALL_OBJECTIVE_FACTOR * route.objective_s)
-        with gevent.Timeout(stall_s, exception=False):
-            return read()
+        for timeout_s in (stall_s, PAUSE_CHECK_S):
+            with gevent.Timeout(timeout_s, exception=False):
+                return read()
         hedge = self._hedges.begin(self._work, delivered=self._conn.has_begun)
         if hedge is None:
             return read()
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import logging
 import time
 
+import gevent
 import pytest
 
 from pistachiopath.exchange.pool import ConnectionPool
@@ -217,3 +219,12 @@
     serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
     assert len(gate.received) > 2
     assert gate.unreleased() == set()
+
+
+def test_a_target_is_not_taken_for_silent_because_this_process_was_paused(caplog):
+    caplog.set_level(logging.INFO)
+    target = ScriptedTarget([Paused(0.2, answer())])
+    gevent.spawn_later(0.1, time.sleep, SILENCE_S)
+    caller, _ = serve_slowly([target], IDEMPOTENT)
+    assert (caller.status, caller.body) == (200, b'done')
+    assert 'answer_stalled' not in caplog.messages
