--- /dev/null
+++ b/pistachiopath/exchange/request_reader.py
@@ -0,0 +1,194 @@
+"""Reading of the requests that arrive on a caller's connection."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from ..errors.exchange import BadHttp, CallerLeft
+from .request import HttpRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .inbound import InboundBytes
+    from .limits import ExchangeLimits
+
+# The colon, space and line end of a header line.
+HEADER_OVERHEAD_BYTES = 4
+
+
+class RequestReader:
+    """Parses requests one after the other, within the limits in force.
+
+    `get_limits` returns the limits; each request is read with those that are in
+    force when it begins.  `http` is the parser, which also tracks the responses;
+    new limits replace it between requests.  `send_continue` writes the interim
+    response for which a caller may wait before it sends a body.
+    """
+
+    def __init__(
+        self,
+        *,
+        inbound: InboundBytes,
+        get_limits: Callable[[], ExchangeLimits],
+        send_continue: Callable[[], None],
+    ) -> None:
+        self._inbound = inbound
+        self._get_limits = get_limits
+        self._send_continue = send_continue
+        self._limits = get_limits()
+        self.http = self._new_parser()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or served."""
+        if self._inbound.has_data or self._has_partial_head():
+            return False
+        return self.http.their_state is h11.IDLE
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        state = self.http.their_state
+        return state is h11.SEND_BODY or (state is h11.IDLE and not self.is_idle)
+
+    def has_next_request(self) -> bool:
+        """Return whether a part of the request after the current one has arrived.
+
+        It is answered too, so the current response can't announce a close.
+        """
+        if self.http.their_state is not h11.DONE:
+            return False
+        self._inbound.poll()
+        return self._inbound.has_data or bool(self.http.trailing_data[0])
+
+    def read(self) -> HttpRequest | None:
+        """Return the next request, or None if there will be none.
+
+        There is none if the connection ends before a complete head has arrived or
+        if the idle timeout passes.  Raises `CallerLeft` if it ends within a body,
+        and `BadHttp` for a request that can't be accepted; the connection must be
+        closed after the response to it.
+        """
+        head = self._read_head()
+        if head is None:
+            return None
+        body = self._read_body(head)
+        return HttpRequest(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+            body=body,
+        )
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def _read_head(self) -> h11.Request | None:
+        data = b''
+        if not self._has_partial_head():
+            data = self._await_request()
+            if not data:
+                return None
+        self._adopt_limits()
+        deadline = time.monotonic() + self._limits.header_timeout_s
+        while True:
+            if data:
+                self.http.receive_data(data)
+            event = self._next_event()
+            if isinstance(event, h11.Request):
+                self._check_head(event)
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            data = self._inbound.take(max(0.0, deadline - time.monotonic()))
+            if data is None:
+                raise BadHttp(status=408, reason='header_timeout')
+            if not data:
+                return None
+
+    def _await_request(self) -> bytes | None:
+        """Return the first bytes of the next request.
+
+        Returns b'' if the connection ends, and None after the idle timeout.
+
+        The idle timeout is the longest that is in force at the beginning or at
+        the end of the wait, as the caller may know either.
+        """
+        idle_since = time.monotonic()
+        first_timeout_s = self._get_limits().idle_timeout_s
+        while True:
+            timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
+            remaining_s = idle_since + timeout_s - time.monotonic()
+            data = self._inbound.take(max(0.0, remaining_s))
+            if data is not None or remaining_s <= 0:
+                return data
+
+    def _adopt_limits(self) -> None:
+        """Read the next request with the limits in force."""
+        limits = self._get_limits()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        unread, _ = self.http.trailing_data
+        self.http = self._new_parser()
+        if unread:
+            self.http.receive_data(unread)
+
+    def _has_partial_head(self) -> bool:
+        """Return whether a part of a request head has arrived."""
+        return bool(self.http.trailing_data[0])
+
+    def _read_body(self, head: h11.Request) -> bytes:
+        self._check_length(head)
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                self._receive_body()
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise BadHttp(status=400, reason='body_cut')
+            size += len(event.data)
+            if size > self._limits.max_body_bytes:
+                raise BadHttp(status=413, reason='body_too_large')
+            parts.append(bytes(event.data))
+
+    def _receive_body(self) -> None:
+        if self.http.they_are_waiting_for_100_continue:
+            self._send_continue()
+        data = self._inbound.take(self._limits.header_timeout_s)
+        if data is None:
+            raise BadHttp(status=408, reason='body_timeout')
+        if not data:
+            raise CallerLeft
+        self.http.receive_data(data)
+
+    def _check_head(self, head: h11.Request) -> None:
+        """Check the size of a head that arrived in one piece.
+
+        h11 limits only heads that are incomplete after a read.
+        """
+        size = len(head.method) + len(head.target)
+        size += sum(len(n) + len(v) + HEADER_OVERHEAD_BYTES for n, v in head.headers)
+        if size > self._limits.max_header_bytes:
+            raise BadHttp(status=431, reason='head_too_large')
+
+    def _check_length(self, head: h11.Request) -> None:
+        for name, value in head.headers:
+            if name == b'content-length' and int(value) > self._limits.max_body_bytes:
+                raise BadHttp(status=413, reason='body_too_large')
+
+    def _next_event(self) -> object:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise BadHttp(status=exc.error_status_hint, reason=str(exc)) from exc
--- a/tests/test_exchange/test_mutations.py
+++ b/tests/test_exchange/test_mutations.py
@@ -5,10 +5,12 @@
 import pytest
 
 from pistachiopath.exchange.inbound import InboundBytes
+from pistachiopath.exchange.request_reader import RequestReader
 from pistachiopath.exchange.server import HttpServer
-from pistachiopath.exchange.server_connection import ServerConnection
 
+from . import test_request_reader as reader_checks
 from . import test_server as checks
+from .sample_requests import POST_AND_CLOSE
 
 LONG_HEAD = (
     b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: ' + b'y' * 3000 + b'\r\n\r\n'
@@ -17,16 +19,16 @@
 
 def no_head_size_limit(patch):
     """A head that arrives in one piece may have any size."""
-    patch.setattr(ServerConnection, '_check_head', lambda self, head: None)
-    check = checks.test_an_invalid_request_gets_its_status_and_is_not_handled
+    patch.setattr(RequestReader, '_check_head', lambda self, head: None)
+    check = reader_checks.test_an_invalid_request_gets_its_status_and_is_not_handled
     return lambda: check(LONG_HEAD, b'431')
 
 
 def no_body_read(patch):
     """A request is handled before its body has arrived."""
-    patch.setattr(ServerConnection, '_read_body', lambda self, head: b'')
-    check = checks.test_a_request_split_at_any_byte_is_parsed_alike
-    return lambda: check(checks.POST_AND_CLOSE)
+    patch.setattr(RequestReader, '_read_body', lambda self, head: b'')
+    check = reader_checks.test_a_request_split_at_any_byte_is_parsed_alike
+    return lambda: check(POST_AND_CLOSE)
 
 
 def no_stop_announcement(patch):
@@ -43,8 +45,8 @@
 
 def first_limits_only(patch):
     """A connection keeps the limits of the time when it was opened."""
-    patch.setattr(ServerConnection, '_adopt_limits', lambda self: None)
-    return lambda: checks.test_changed_sizes_hold_for_open_connections(True)
+    patch.setattr(RequestReader, '_adopt_limits', lambda self: None)
+    return lambda: reader_checks.test_changed_sizes_hold_for_open_connections(True)
 
 
 @pytest.mark.parametrize(
