--- a/pistachiopath/document/client.py
+++ b/pistachiopath/document/client.py
@@ -13,8 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..replication.effects import Effect
-
 RESEND_INTERVAL_S = 0.3
 
 
@@ -64,10 +62,10 @@
         del self._pending[call]
         return True
 
-    def due(self, now: float) -> list[Effect]:
+    def due(self, now: float) -> list[Send]:
         """Return the requests to send now, if there is a leader."""
         leader = self._leader()
-        effects: list[Effect] = []
+        effects: list[Send] = []
         for call, request in self._pending.items():
             if not leader or (request.sent_to == leader and now < request.resend_at):
                 continue
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import TYPE_CHECKING
 
-import gevent
-import gevent.event
-
 from ..admission.allowance_lender import AllowanceLender
 from ..control.replica_loop import ReplicaLoop
 from ..directory.announcer import Announcer
 from ..directory.subscriber import Subscriber
-from ..effects import Send
 from ..messages.allowance import Borrow, UseReport
 from ..messages.directory import Announcements, Follow, News
-from ..messages.document import DocumentReply, PutDocument, PutReply, ReadDocument
+from ..messages.document import DocumentReply, PutReply
 from ..messages.quarantine import CrashMarks
 from ..messages.replication import NotLeader
 from ..quarantine.crash_watch import CrashWatch
@@ -28,6 +23,7 @@
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
+from .operator_requests import OperatorRequests
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
@@ -45,14 +41,8 @@
     from ..util.loop_failures import LoopFailures
     from .settings import DocumentSettings
 
-logger = logging.getLogger(__name__)
-
 TICK_INTERVAL_S = 0.05
 LINK_SILENCE_S = 1.0
-SPREAD_POLL_INTERVAL_S = 0.01
-# A committed put is acknowledged after this time even if an entry that follows
-# does not hold it yet.
-SPREAD_TIMEOUT_S = 0.3
 
 
 class DocumentShell:
@@ -118,15 +108,18 @@
         self._replicas.load(now)
         self._peers = Subscriber(is_entry=False, own_address=cfg.node_address)
         self._peers.set_seeds(cfg.seeds, now)
-        self._client = DocumentClient(leader=lambda: self.core.leader)
-        self._results: dict[int, gevent.event.AsyncResult] = {}
+        self.requests = OperatorRequests(
+            client=DocumentClient(leader=lambda: self.core.leader),
+            announcer=self.announcer,
+            send_all=self._network.send_all,
+        )
         self._adopted_version = 0
         self._timers = PeriodicLoop(
             name='control_timers',
             interval_s=TICK_INTERVAL_S,
             parts=[
                 LoopPart(name='peers', run=self._follow_peers),
-                LoopPart(name='calls', run=self._resend_calls),
+                LoopPart(name='calls', run=self.requests.resend),
                 LoopPart(name='customers', run=self._adopt_customers),
                 LoopPart(name='publish', run=self._publish_committed),
                 LoopPart(name='prune', run=self.announcer.prune),
@@ -178,58 +171,15 @@
         self.core.group.set_addresses(seeds)
         self._peers.set_seeds(seeds, time.monotonic())
 
-    # Requests of operators
-
-    def put(self, version: int, content: bytes, timeout_s: float) -> int | None:
-        """Commit a document; return the highest committed version.
-
-        Returns None if there is no reply in time: the put may still be committed.
-        """
-        deadline = time.monotonic() + timeout_s
-        reply = self._ask(PutDocument(version=version, content=content), timeout_s)
-        if reply is None:
-            return None
-        self._await_spread(
-            reply.version, min(deadline, time.monotonic() + SPREAD_TIMEOUT_S)
-        )
-        return reply.version
-
-    def read(self, timeout_s: float) -> DocumentReply | None:
-        """Return the newest document, or None if there is no reply in time."""
-        return self._ask(ReadDocument(), timeout_s)
-
-    def _ask(self, body: Message, timeout_s: float) -> PutReply | DocumentReply | None:
-        call = self._client.ask(body)
-        result = gevent.event.AsyncResult()
-        self._results[call] = result
-        self._carry_out(self._client.due(time.monotonic()))
-        try:
-            result.wait(timeout_s)
-            return result.get() if result.ready() else None
-        finally:
-            del self._results[call]
-            self._client.forget(call)
-
-    def _await_spread(self, version: int, deadline: float) -> None:
-        """Wait until this node and the entries that follow it hold a version.
-
-        The wait ends at `deadline` at the latest.
-        """
-        while time.monotonic() < deadline:
-            is_held = self.announcer.version >= version
-            if is_held and self.announcer.all_entries_hold(version, time.monotonic()):
-                return
-            gevent.sleep(SPREAD_POLL_INTERVAL_S)
-
     # Announcements of replicas
 
     def announce(self, record: ReplicaRecord) -> None:
         """Merge a replica's announcement and forward it."""
-        self._carry_out(self.announcer.announce(record, time.monotonic()))
+        self._network.send_all(self.announcer.announce(record, time.monotonic()))
 
     def depart(self, replica: str) -> None:
         """Mark a replica as departed and forward the change."""
-        self._carry_out(self.announcer.depart(replica, time.monotonic()))
+        self._network.send_all(self.announcer.depart(replica, time.monotonic()))
 
     # Messages and timers
 
@@ -237,19 +187,19 @@
         now = time.monotonic()
         match body:
             case Follow():
-                self._carry_out(self.announcer.follow(sender, body, now))
+                self._network.send_all(self.announcer.follow(sender, body, now))
             case Announcements():
-                self._carry_out(self.announcer.merge_announcements(body, now))
+                self._network.send_all(self.announcer.merge_announcements(body, now))
             case UseReport():
-                self._carry_out(self._lending.on_use_report(sender, body, now))
+                self._network.send_all(self._lending.on_use_report(sender, body, now))
             case Borrow():
-                self._carry_out([self._lending.borrow(sender, call, body, now)])
+                self._network.send_all([self._lending.borrow(sender, call, body, now)])
             case CrashMarks():
-                self._carry_out(self._lending.on_crash_marks(sender, body, now))
+                self._network.send_all(self._lending.on_crash_marks(sender, body, now))
             case News():
                 self._on_news(sender, body, now)
             case PutReply() | DocumentReply() | NotLeader():
-                self._on_reply(call, body, now)
+                self.requests.handle_reply(call, body, now)
             case _:
                 self._loop.post(sender, call, body)
 
@@ -262,20 +212,12 @@
         self._peers.on_news(sender, body, now)
         if body.records:
             announcements = Announcements(records=body.records)
-            self._carry_out(self.announcer.merge_announcements(announcements, now))
-
-    def _on_reply(self, call: int, body: Message, now: float) -> None:
-        if not self._client.complete(call, body, now):
-            return
-        result = self._results.get(call)
-        if result is not None:
-            result.set(body)
+            self._network.send_all(
+                self.announcer.merge_announcements(announcements, now)
+            )
 
     def _follow_peers(self, now: float) -> None:
-        self._carry_out(self._peers.tick(now))
-
-    def _resend_calls(self, now: float) -> None:
-        self._carry_out(self._client.due(now))
+        self._network.send_all(self._peers.tick(now))
 
     def _adopt_customers(self, now: float) -> None:
         """Lend by a committed document's accounts.
@@ -291,25 +233,22 @@
     def _publish_committed(self, now: float) -> None:
         core = self.core
         if core.version > self.announcer.version:
-            self._carry_out(self.announcer.publish(core.version, core.content, now))
+            self._network.send_all(
+                self.announcer.publish(core.version, core.content, now)
+            )
 
     def _count_entries(self, now: float) -> None:
         self._lender.set_known_entries(self.announcer.entries(now))
 
     def _send_leases(self, now: float) -> None:
-        self._carry_out(self._lending.send_leases(now))
+        self._network.send_all(self._lending.send_leases(now))
 
     def _report_to_lenders(self, now: float) -> None:
-        self._carry_out(self._lending.report(now))
+        self._network.send_all(self._lending.report(now))
 
     def _resend_marks(self, now: float) -> None:
-        self._carry_out(self._lending.resend_marks(now))
+        self._network.send_all(self._lending.resend_marks(now))
 
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
         self.announcer.link_lost(peer)
-
-    def _carry_out(self, effects: list) -> None:
-        for effect in effects:
-            if isinstance(effect, Send):
-                self._network.send(effect.to, effect.call, effect.body)
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -66,7 +66,9 @@
         except InvalidConfiguration as exc:
             logger.warning('configuration_refused', extra={'reason': str(exc)})
             return 400, INVALID_BODY
-        held_version = self._shell.put(routes.version, req.body, ANSWER_TIMEOUT_S)
+        held_version = self._shell.requests.put(
+            routes.version, req.body, ANSWER_TIMEOUT_S
+        )
         logger.info(
             'configuration_put',
             extra={
@@ -77,7 +79,7 @@
         return (503, UNCERTAIN_BODY) if held_version is None else (200, EMPTY_BODY)
 
     def _read_configuration(self) -> tuple[int, bytes]:
-        reply = self._shell.read(ANSWER_TIMEOUT_S)
+        reply = self._shell.requests.read(ANSWER_TIMEOUT_S)
         if reply is None:
             return 503, UNCERTAIN_BODY
         if not reply.content:
--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -26,7 +26,7 @@
 # Methods that the timers of a control node call.
 TIMED_METHODS = {
     'peers': lambda shell: (shell._peers, 'tick'),
-    'calls': lambda shell: (shell._client, 'due'),
+    'calls': lambda shell: (shell.requests._client, 'due'),
     'publish': lambda shell: (shell.announcer, 'publish'),
     'prune': lambda shell: (shell.announcer.directory, 'prune'),
     'entries': lambda shell: (shell._lender, 'set_known_entries'),
@@ -102,7 +102,7 @@
 @pytest.fixture
 def control(tmp_path):
     node = ControlNode(tmp_path)
-    wait_until(lambda: node.shell.put(1, b'first', 1.0) == 1)
+    wait_until(lambda: node.shell.requests.put(1, b'first', 1.0) == 1)
     yield node
     node.shell.stop()
 
@@ -124,7 +124,7 @@
     control.shell.announce(record(replica='r1'))
     if part != 'publish':
         wait_until(lambda: failing.failed)
-    assert control.shell.put(2, b'second', 2.0) == 2
+    assert control.shell.requests.put(2, b'second', 2.0) == 2
     wait_until(lambda: follower.subscriber.content == b'second')
     leases = follower.leases
     wait_until(lambda: follower.leases > leases)
@@ -138,12 +138,12 @@
     # Regression: its sequence number did not fit into a message.
     control.shell.announce(record(sequence=2**70))
     gevent.sleep(4 * TICK_INTERVAL_S)
-    assert control.shell.put(2, b'second', 2.0) == 2
+    assert control.shell.requests.put(2, b'second', 2.0) == 2
     wait_until(lambda: control.shell.announcer.version == 2)
 
 
 def test_a_document_without_readable_accounts_is_published(control, follower):
-    assert control.shell.put(2, UNREADABLE, 2.0) == 2
+    assert control.shell.requests.put(2, UNREADABLE, 2.0) == 2
     wait_until(lambda: follower.subscriber.version == 2)
     assert control.failures('customers')
     leases = follower.leases
