--- a/pistachiopath/admission/reporter.py
+++ b/pistachiopath/admission/reporter.py
@@ -25,3 +25,11 @@
     is_complete: bool = False
     totals: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     demand: dict[str, RecentRate] = attrs.field(factory=dict)
+
+    def counted_part(self, now: float, *, live_s: float) -> float:
+        """Return the part of the use since the last report that is counted.
+
+        It is less than 1 if the node was silent for longer than `live_s` seconds.
+        """
+        silent_s = now - self.reported_at
+        return min(1.0, live_s / silent_s) if silent_s > 0 else 1.0
--- a/tests/harness/allowance_world.py
+++ b/tests/harness/allowance_world.py
@@ -17,6 +17,7 @@
     name='c', keys=('k',), rate_per_s=1000.0, burst=1000.0, counts_tokens=True
 )
 WINDOW_S = 8.0
+ALLOWED = CUSTOMER.rate_per_s * WINDOW_S + CUSTOMER.burst
 STEP_S = 0.02
 DELAY_S = 0.02
 TICK_S = 0.05
