--- a/pistachiopath/load/experiment.py
+++ b/pistachiopath/load/experiment.py
@@ -11,8 +11,6 @@
 from ..engine.profile import EngineProfile
 from ..gate.limits import GateLimits
 from ..gate.run import RunState
-from ..membership.feed import Feed
-from ..membership.follower import FeedFollower
 from ..messages.dispatch import Dispatch, End, NotStarted, Work
 from ..routing.chooser import Choice
 from ..routing.prefix import CHUNK_TOKENS
@@ -22,19 +20,15 @@
 from .job import Job
 from .plan import Arrival, make_plan
 from .sim_target import SimTarget
+from .target_reports import TargetReports
 
 if TYPE_CHECKING:
     from ..effects import Send
-    from ..messages.membership import Heartbeat
     from .condition import Condition
     from .policy import Policy
     from .workload import Workload
 
 CLAIM_LATENCY_S = 0.006
-HEARTBEAT_S = 0.5
-VIEW_INTERVAL_S = 0.25
-LEASE_S = 2.0
-FEED_SOURCE = 'control'
 TICK_S = 0.1
 WARM_UP_S = 5.0
 BLOCK_TOKENS = 16
@@ -82,18 +76,21 @@
         self._rng = random.Random(f'{seed} {policy.name}')
         self._prompts: dict[bytes, tuple[int, ...]] = {}
         self._chunks: dict[bytes, tuple[int, ...]] = {}
-        self._latest_reports: dict[str, Heartbeat] = {}
         self._jobs_by_key: dict[bytes, Job] = {}
         self.targets = {
             f't{n}': self._make_target(f't{n}', PROFILES[n % len(PROFILES)])
             for n in range(targets)
         }
-        self._tables = [TargetTable() for _ in range(entries)]
-        self._feed = Feed(feed_id=1, lease_s=LEASE_S)
-        self._followers = [FeedFollower(sources=(FEED_SOURCE,)) for _ in self._tables]
+        tables = [TargetTable() for _ in range(entries)]
+        self._reports = TargetReports(
+            clock=self.clock,
+            targets=self.targets,
+            tables=tables,
+            lag_s=condition.report_lag_s,
+        )
         self._choosers = [
             policy.make_chooser(table, random.Random(f'{seed} {n}'))
-            for n, table in enumerate(self._tables)
+            for n, table in enumerate(tables)
         ]
         self._plan = [
             arrival
@@ -118,11 +115,9 @@
 
     def run(self) -> list[Job]:
         """Run the simulation; return the jobs."""
-        self._send_heartbeats()
-        for number in range(len(self._tables)):
-            self.clock.after(0.0, lambda n=number: self._refresh_view(n))
+        self._reports.start()
         for number, arrival in enumerate(self._plan):
-            entry = number % len(self._tables)
+            entry = number % len(self._choosers)
             self.clock.after(
                 WARM_UP_S + arrival.at,
                 lambda a=arrival, e=entry: self._submit_arrival(a, e),
@@ -139,6 +134,11 @@
         self.clock.run_until(self._duration_s * 2 + 30)
         return self.jobs
 
+    def _tick_targets(self) -> None:
+        for target in self.targets.values():
+            target.tick()
+        self.clock.after(TICK_S, self._tick_targets)
+
     # Faults
 
     def _kill_target(self) -> None:
@@ -154,34 +154,6 @@
         engine = self.targets[self._condition.straggler].engine
         engine.profile = attrs.evolve(engine.profile, slowdown=STRAGGLER_SLOWDOWN)
 
-    # Reports
-
-    def _send_heartbeats(self) -> None:
-        for target in self.targets.values():
-            if target.alive:
-                report = target.heartbeat()
-                self.clock.after(
-                    self._condition.report_lag_s,
-                    lambda t=target.name, r=report: self._latest_reports.update({t: r}),
-                )
-        self.clock.after(HEARTBEAT_S, self._send_heartbeats)
-
-    def _refresh_view(self, number: int) -> None:
-        lag_ms = int(self._condition.report_lag_s * 1000)
-        for name, report in self._latest_reports.items():
-            if self.targets[name].alive:
-                self._feed.update(report, self.clock.now - min(lag_ms, 1500) / 1000)
-        follower = self._followers[number]
-        request = follower.request(FEED_SOURCE, 1, str(number), self.clock.now)
-        view = self._feed.view(request, 1, self.clock.now)
-        self._tables[number].update(follower.apply(FEED_SOURCE, view), self.clock.now)
-        self.clock.after(VIEW_INTERVAL_S, lambda: self._refresh_view(number))
-
-    def _tick_targets(self) -> None:
-        for target in self.targets.values():
-            target.tick()
-        self.clock.after(TICK_S, self._tick_targets)
-
     # Requests
 
     def _submit_arrival(self, arrival: Arrival, entry: int) -> None:
--- a/tools/measure_views.py
+++ b/tools/measure_views.py
@@ -11,7 +11,8 @@
 import attrs
 
 from pistachiopath.load.condition import Condition
-from pistachiopath.load.experiment import HEARTBEAT_S, Experiment
+from pistachiopath.load.experiment import Experiment
+from pistachiopath.load.target_reports import HEARTBEAT_S
 from pistachiopath.load.workload import WORKLOADS
 from pistachiopath.membership.feed import Feed
 from pistachiopath.membership.follower import INTERVAL_MIN_S, FeedFollower
@@ -37,12 +38,16 @@
         self.recorded_heartbeats = {}
         super().__init__(**details)
 
-    def _send_heartbeats(self):
+    def run(self):
+        self._record_heartbeats()
+        return super().run()
+
+    def _record_heartbeats(self):
         for target in self.targets.values():
             self.recorded_heartbeats.setdefault(target.name, []).append(
                 target.heartbeat()
             )
-        super()._send_heartbeats()
+        self.clock.after(HEARTBEAT_S, self._record_heartbeats)
 
 
 @functools.cache
