Split the states of the capacity slopes from their measures

The test's replica now flushes before it syncs, as the tool's did.

No other change. tests/test_relay, test_exchange, test_document, test_load, test_admission, test_grants, test_control and test_platform passed together (1093 passed, -n 2). The tool itself was not run.

--- a/tests/test_control/test_snapshot_writer.py
+++ b/tests/test_control/test_snapshot_writer.py
@@ -1,11 +1,8 @@
 from __future__ import annotations
 
-import random
-
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pistachiopath.control.core import ControlCore
 from pistachiopath.control.replicated_state import ReplicatedState
 from pistachiopath.control.snapshot import pack_state, unpack_state
 from pistachiopath.control.snapshot_writer import SnapshotWriter
@@ -19,7 +16,7 @@
 )
 from pistachiopath.messages.membership import CrashReport, Register, Retire
 from pistachiopath.replication.effects import SaveSnapshot, WriteSnapshotPart
-from pistachiopath.replication.persisted import Persisted
+from tools.leading_control import leading_control
 
 KEYS = [bytes([n]) for n in range(12)]
 TEN_MINUTES_MS = 10 * 60 * 1000
@@ -113,19 +110,7 @@
 
 def single_replica(claims, **sizes):
     """Return the only replica of a control group, with `claims` claims."""
-    core = ControlCore(
-        address='c0',
-        addresses=('c0',),
-        persisted=Persisted(member='m'),
-        rng=random.Random(1),
-        now=0.0,
-        **sizes,
-    )
-    now = 0.0
-    while not core.is_serving:
-        now += 0.1
-        core.tick(now, int(now * 1000))
-        core.synced(now)
+    core, now = leading_control(**sizes)
     core.receive('e', 1, Register(target='t', nonce=b'1'), now, 1000)
     core.synced(now)
     (record,) = core.state.targets.values()
--- a/tools/capacity_slopes.py
+++ b/tools/capacity_slopes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import os
 import random
 import tempfile
 import time
@@ -12,22 +11,12 @@
 
 import attrs
 
-from pistachiopath.claims.table import ClaimTable
 from pistachiopath.configuration.configuration import (
     Configuration,
-    Customer,
-    Tier,
-    WorkClass,
 )
 from pistachiopath.control.compaction import STEP_CLAIMS
-from pistachiopath.control.core import ControlCore
-from pistachiopath.control.registry import LEASE_S
-from pistachiopath.control.replicated_state import ReplicatedState
 from pistachiopath.control.snapshot import pack_state, unpack_state
 from pistachiopath.control.snapshot_writer import SnapshotWriter
-from pistachiopath.membership.feed import Feed
-from pistachiopath.membership.follower import FeedFollower
-from pistachiopath.messages.claims import Bind
 from pistachiopath.messages.envelope import Envelope
 from pistachiopath.messages.membership import (
     HeartbeatAck,
@@ -35,19 +24,27 @@
     View,
     ViewRequest,
 )
-from pistachiopath.quarantine.suspects import Suspects
 from pistachiopath.replication.effects import SaveSnapshot, WriteSnapshotPart
-from pistachiopath.replication.persisted import Persisted
-from pistachiopath.routing.prefix_index import PrefixIndex
 from pistachiopath.routing.targets import TargetTable
 from pistachiopath.storage.snapshot_file import SnapshotFile
 from pistachiopath.transport.codec import decode, encode
 from tools import measure_views
+from tools.capacity_states import (
+    FEED_SOURCE,
+    apply_view,
+    claim_table,
+    configuration,
+    feed_and_follower,
+    make_binds,
+    prefix_index,
+    state_with_claims,
+    target_table,
+)
+from tools.leading_control import leading_control
 from tools.measure_decisions import make_heartbeat
 
 SIZES = (1000, 2000, 4000, 8000)
 PAUSE_SIZES = (16_000, 32_000, 64_000, 128_000)
-FEED_SOURCE = 'control-0'
 REPETITIONS = 3
 
 
@@ -72,86 +69,6 @@
     return lowest_s
 
 
-def make_binds(number):
-    """Return binds of new requests, as decoded from the wire."""
-    commands = []
-    for _ in range(number):
-        cmd = Bind(
-            key=os.urandom(16),
-            fingerprint=os.urandom(16),
-            attempt=os.urandom(8),
-            target='target-in-dc1-0042',
-            incarnation=7,
-            address='10.11.12.13:7001',
-        )
-        commands.append(decode(encode(Envelope(call=1, body=cmd))).body)
-    return commands
-
-
-def claim_table(number):
-    """Return a claim table with that many claims."""
-    table = ClaimTable(suspects=Suspects())
-    for cmd in make_binds(number):
-        table.bind(cmd, 1_800_000_000_000)
-    return table
-
-
-def state_with_claims(number):
-    """Return a replicated state with that many claims."""
-    state = ReplicatedState()
-    for cmd in make_binds(number):
-        state.claims.bind(cmd, 1_800_000_000_000)
-    return state
-
-
-def feed_and_follower(number):
-    """Return a feed of that many targets and an entry's follower of feeds."""
-    rng = random.Random(number)
-    feed = Feed(feed_id=1, lease_s=LEASE_S)
-    follower = FeedFollower(sources=(FEED_SOURCE,))
-    for position in range(number):
-        feed.update(make_heartbeat(position, rng), 0.0)
-    return feed, follower
-
-
-def apply_view(feed, follower, table):
-    """Request a view, encode and decode it, and apply it to the table."""
-    view = feed.view(follower.request(FEED_SOURCE, 1, 'entry-a', 0.0), 1, 0.0)
-    data = encode(Envelope(call=1, body=view))
-    table.update(follower.apply(FEED_SOURCE, decode(data).body), 0.0)
-
-
-def target_table(number):
-    """Return the table and follower that an entry keeps for that many targets."""
-    feed, follower = feed_and_follower(number)
-    table = TargetTable()
-    apply_view(feed, follower, table)
-    return table, follower
-
-
-def configuration(customers):
-    """Return a configuration with that many customers."""
-    return Configuration(
-        deployment='size',
-        tiers=tuple(
-            Tier(name=f't{n}', rank=n, promised=n < 3, deadline_s=60.0)
-            for n in range(4)
-        ),
-        customers=tuple(
-            Customer(
-                name=f'customer-{n}',
-                key_sha256=f'{n:064x}',
-                requests_per_s=5.0,
-                burst=20,
-            )
-            for n in range(customers)
-        ),
-        work=tuple(
-            WorkClass(name=f'w{n}', tier='t0', model=f'm{n}') for n in range(13)
-        ),
-    )
-
-
 def snapshot_cpu(number):
     """Return the seconds to write and read a snapshot of claims."""
     state = state_with_claims(number)
@@ -191,27 +108,9 @@
     return min_cpu_s(lambda: Configuration.from_bytes(content))
 
 
-def leading_control():
-    """Return a control replica that leads a group of one."""
-    core = ControlCore(
-        address='c:1',
-        addresses=('c:1',),
-        persisted=Persisted(member='m'),
-        rng=random.Random(1),
-        now=0.0,
-    )
-    now = 0.0
-    while not core.is_serving:
-        now += 0.1
-        core.tick(now, 0)
-        core.flush(now)
-        core.synced(now)
-    return core
-
-
 def heartbeats_cpu(number):
     """Return the seconds to decode, handle and answer heartbeats."""
-    core = leading_control()
+    core, _ = leading_control()
     rng = random.Random(1)
     encoded_heartbeats = [
         encode(Envelope(call=0, body=make_heartbeat(n, rng))) for n in range(number)
@@ -249,16 +148,6 @@
     return min_cpu_s(apply_next)
 
 
-def prefix_index(number):
-    """Return an index that holds that many chunks."""
-    index = PrefixIndex()
-    rng = random.Random(1)
-    for n in range(number // 20):
-        chunks = tuple(rng.getrandbits(64) for _ in range(20))
-        index.record_prompt(f't{n % 24}', chunks, 2000)
-    return index
-
-
 def message_bytes():
     """Return the size of each frequent message."""
     rng = random.Random(1)
