--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -4,197 +4,29 @@
 
 import random
 
-import attrs
-
 from pistachiopath.errors.relay import TurnedAway
 from pistachiopath.grants.gate import GrantGate
-from pistachiopath.grants.watch import KnownLoad, LoadWatch
 from pistachiopath.messages.grants import (
     Ask,
-    Denied,
-    GateLoad,
-    Granted,
     ReleasePlace,
     WatchLoad,
 )
 from pistachiopath.relay import placer as placer_module
-from pistachiopath.relay.attempts import EarlierAttempts
 from pistachiopath.relay.patience import patience_s
-from pistachiopath.relay.placer import MAX_DENIALS, Placer
-from pistachiopath.routing.placement import Candidate, Placement
 from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
 from tests.test_relay.streams import stream_work
 
+from .gate_jobs import OUTPUT_MS, PROMPT_MS, USUAL_KINDS, Job
 from .network import VirtualNetwork
+from .placing_entry import PlacingEntry
 
 SLOTS = 5
-OBJECTIVE_S = 1.0
-TIMEOUT_S = 6.0
 TICK_S = 0.05
-PROMPT_MS = 0.027
-OUTPUT_MS = 1.0
 # Engines of one service differ in speed.
 SLOWNESS = (1.0, 1.0, 1.5)
 
 
-@attrs.define(kw_only=True, frozen=True)
-class JobKind:
-    """Requests of one kind; `share` is their share of the arrivals.
-
-    Prompt and output tokens are drawn from the given numbers.  Callers wait for
-    the timeout, or for less by up to the share `deadline_spread`.
-    """
-
-    tier: int = 1
-    share: float = 1.0
-    prompts: tuple[int, ...] = (600, 1800, 2900)
-    outputs: tuple[int, ...] = (30, 60, 280)
-    objective_s: float = OBJECTIVE_S
-    timeout_s: float = TIMEOUT_S
-    pause_s: float = 0.0
-    deadline_spread: float = 0.0
-
-    @property
-    def mean_ms(self):
-        """Mean time for which an engine of usual speed is held."""
-        prompt = sum(self.prompts) / len(self.prompts)
-        output = sum(self.outputs) / len(self.outputs)
-        return prompt * PROMPT_MS + output * OUTPUT_MS
-
-
-USUAL_KINDS = (JobKind(),)
-
-
-@attrs.define(kw_only=True, eq=False)
-class Job:
-    """A request, the gate at which it waits, and the times of its progress.
-
-    Its caller comes back once after a refusal; `refusals` counts these.
-    """
-
-    number: int
-    kind: JobKind
-    work: object
-    prompt: int
-    output: int
-    arrived_at: float
-    deadline_at: float
-    refusals: int = 0
-    candidate: Candidate | None = None
-    placed_at: float = 0.0
-    attempts: int = 0
-    first_token_at: float | None = None
-    engine_s: float = 0.0
-    is_resumed: bool = False
-
-    @property
-    def is_in_time(self):
-        if self.first_token_at is None:
-            return False
-        return self.first_token_at - self.arrived_at <= self.kind.objective_s
-
-
-class EntryNode:
-    """An entry; also provides the `targets` interface that the placer needs."""
-
-    def __init__(self, world, name, seed):
-        self.world = world
-        self.name = name
-        self.attempts = EarlierAttempts()
-        self.loads = LoadWatch(own_address=name)
-        self.placement = Placement(zone='a', rng=random.Random(seed))
-        self.placer = Placer(
-            places=None,
-            placement=self.placement,
-            targets=self,
-            is_quarantined=lambda work, now: False,
-            rng=random.Random(seed + 1),
-        )
-        self.waiting = {}
-
-    def gate(self, replica_record):
-        return replica_record.replica
-
-    def first_backoff_end(self, service, now):
-        return None
-
-    def draining(self, service, excluded, now):
-        return []
-
-    def may_resume(self, replica_record, now):
-        return True
-
-    def is_version_gone(self, version, now):
-        return False
-
-    def candidates(self, service, excluded, now):
-        return [
-            self._candidate(item, now)
-            for item in self.world.records
-            if item.replica not in excluded
-        ]
-
-    def _candidate(self, item, now):
-        load = self.loads.get(item.replica, now)
-        if self.world.all_loads_known:
-            current = self.world.gates[item.replica].load(now)
-            load = KnownLoad(load=current, received_at=now)
-        return Candidate(
-            record=item,
-            load=load,
-            is_silent=False,
-            ungated_places=1,
-            awaits_gate=self.loads.is_awaited(item.replica, now),
-            last_load=self.loads.last(item.replica),
-        )
-
-    def place(self, job):
-        job.candidate = self.placer.choose(job.work)
-        job.placed_at = self.world.net.now
-        job.attempts += 1
-        replica = job.candidate.record.replica
-        self.placement.add_request(replica, job.work.need, self.world.net.now)
-        self.waiting[f'{job.number}.{job.attempts}'] = job
-        self.world.ask(self, job)
-
-    def release(self, job, name):
-        del self.waiting[name]
-        replica = job.candidate.record.replica
-        self.placement.remove_request(replica)
-        body = ReleasePlace(request=name, first_ms=0, ok=False)
-        self.world.send_to_gate(self, replica, body)
-
-    def receive(self, gate, body):
-        now = self.world.net.now
-        if isinstance(body, GateLoad):
-            self.loads.record_load(gate, body, now)
-            self.move_waiting(gate)
-        elif body.request in self.waiting:
-            job = self.waiting[body.request]
-            if isinstance(body, Granted):
-                del self.waiting[body.request]
-                self.world.run(self, job, body.request)
-            elif isinstance(body, Denied):
-                self.release(job, body.request)
-                is_new = gate not in job.work.denied
-                job.work.denied.add(gate)
-                if is_new and len(job.work.denied) < MAX_DENIALS:
-                    self.place(job)
-                else:
-                    self.attempts.failed(job.work.admitted.route)
-                    self.world.refuse(self, job, body.retry_after_ms / 1000)
-
-    def move_waiting(self, gate=None):
-        """Move waiting requests, of one gate or of all, to gates that are better."""
-        for name, job in list(self.waiting.items()):
-            if gate not in (None, job.candidate.record.replica):
-                continue
-            if self.placer._should_move(job.work, job.candidate, job.placed_at):
-                self.release(job, name)
-                self.place(job)
-
-
 class GatesWorld:
     """Simulates a load.
 
@@ -238,7 +70,7 @@
         self.slowness = {
             name: SLOWNESS[n % len(SLOWNESS)] for n, name in enumerate(self.gates)
         }
-        self.entries = [EntryNode(self, f'e{n}', seed + n) for n in range(entries)]
+        self.entries = [PlacingEntry(self, f'e{n}', seed + n) for n in range(entries)]
         self.by_name = {e.name: e for e in self.entries}
         self.jobs = []
         self.messages = 0
--- a/tests/test_relay/test_overload.py
+++ b/tests/test_relay/test_overload.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from tests.harness.gates_world import GatesWorld, JobKind
+from tests.harness.gate_jobs import JobKind
+from tests.harness.gates_world import GatesWorld
 
 # Of a kind's worth, the least that users want to see earned on a calm day.
 CALM_FLOOR = 0.45
