--- a/tests/test_grants/test_begun_streams.py
+++ b/tests/test_grants/test_begun_streams.py
@@ -1,29 +1,18 @@
 from __future__ import annotations
 
 from pistachiopath.grants.gate import GrantGate
-from pistachiopath.messages.grants import Ask, ReleasePlace
 from pistachiopath.streams.memory import STREAM_RETENTION_S
 
+from . import asks
+
 
 def ask(request, stream='c/a', **changes):
-    details = {
-        'request': request,
-        'tier': 1,
-        'customer': 'c',
-        'prompt_tokens': 1000,
-        'output_tokens': 50,
-        'objective_ms': 1000,
-        'deadline_ms': 6000,
-        'slots': 2,
-        'stream': stream,
-        'software_version': 'v1',
-        'attempt': 1,
-    }
-    return Ask(**details | changes)
+    details = {'stream': stream, 'software_version': 'v1', 'attempt': 1}
+    return asks.ask(request, **details | changes)
 
 
 def release(request, first_ms=30):
-    return ReleasePlace(request=request, first_ms=first_ms, ok=False)
+    return asks.release(request, ok=False, first_ms=first_ms)
 
 
 def find(gate, now, *streams):
--- a/tests/test_grants/test_gate.py
+++ b/tests/test_grants/test_gate.py
@@ -3,40 +3,8 @@
 import random
 
 from pistachiopath.grants.gate import LOST_ENTRY_HOLD_S, GrantGate
-from pistachiopath.messages.grants import (
-    Ask,
-    Denied,
-    GateLoad,
-    Granted,
-    ReleasePlace,
-    WatchLoad,
-)
 
-
-def ask(request, **changes):
-    details = {
-        'request': request,
-        'tier': 1,
-        'customer': 'c',
-        'prompt_tokens': 1000,
-        'output_tokens': 50,
-        'objective_ms': 1000,
-        'deadline_ms': 6000,
-        'slots': 2,
-    }
-    return Ask(**details | changes)
-
-
-def release(request, ok=True):
-    return ReleasePlace(request=request, first_ms=30, ok=ok)
-
-
-def granted(effects):
-    return [e.body.request for e in effects if isinstance(e.body, Granted)]
-
-
-def denied(effects):
-    return [e.body.request for e in effects if isinstance(e.body, Denied)]
+from .asks import ask, denied, granted, release
 
 
 def test_grants_are_limited_to_the_slots_and_urgent_tiers_go_first():
@@ -231,44 +199,6 @@
     assert order.index('small') <= 1
 
 
-def test_watchers_are_sent_the_load_only_when_it_changes():
-    gate = GrantGate()
-    first = gate.watch('e', WatchLoad(slots=2), 0.0)
-    assert isinstance(first[0].body, GateLoad)
-    effects = gate.ask('f', ask('a'), 0.1)
-    loads = [e for e in effects if isinstance(e.body, GateLoad)]
-    assert [e.to for e in loads] == ['f', 'e']
-    assert loads[0].body.running == 1
-    assert gate.tick(0.2) == []
-
-
-def test_watchers_are_sent_the_load_at_most_once_per_period():
-    gate = GrantGate()
-    gate.watch('often', WatchLoad(slots=2), 0.0)
-    gate.watch('seldom', WatchLoad(slots=2, period_ms=500), 0.0)
-    sent = {'often': 0, 'seldom': 0}
-    for step in range(1, 41):
-        now = 0.05 * step
-        effects = gate.ask('e', ask(f'r{step}'), now) + gate.tick(now + 0.01)
-        for effect in effects:
-            if isinstance(effect.body, GateLoad) and effect.to in sent:
-                sent[effect.to] += 1
-    assert sent['often'] >= 35
-    assert 3 <= sent['seldom'] <= 4
-
-
-def test_replies_to_an_ask_carry_the_load():
-    gate = GrantGate()
-    for request in ('a', 'b', 'c'):
-        effects = gate.ask('e', ask(request), 0.0)
-        load = next(e.body for e in effects if isinstance(e.body, GateLoad))
-    assert load.running == 2
-    assert [t.waiting for t in load.waiting] == [1]
-    # The reply to a repeated ask shows that the gate is reachable.
-    again = gate.ask('e', ask('c'), 0.1)
-    assert [type(e.body) for e in again] == [GateLoad]
-
-
 def test_random_histories_never_exceed_the_places():
     rng = random.Random(11)
     gate = GrantGate()
@@ -294,35 +224,3 @@
     gate.ask('e', ask('report', tier=0, slots=1), 0.0)
     gate.ask('e', ask('tag0', tier=2, slots=1), 0.0)
     assert denied(gate.ask('e', ask('tag1', tier=2, slots=1), 0.1)) == []
-
-
-def test_a_resumed_stream_goes_before_new_requests_of_all_tiers():
-    gate = GrantGate()
-    for name in 'ab':
-        gate.ask('e', ask(name), 0.0)
-    gate.ask('e', ask('urgent', tier=0), 0.1)
-    gate.ask('e', ask('resumed', tier=2, is_resumed=True), 0.2)
-    assert granted(gate.release('e', release('a'), 0.3)) == ['resumed']
-    assert granted(gate.release('e', release('b'), 0.4)) == ['urgent']
-
-
-def test_a_resumed_stream_may_use_the_place_that_its_tier_leaves_free():
-    gate = GrantGate()
-    gate.ask('e', ask('report', tier=0, slots=5), 0.0)
-    gate.ask('e', ask('notice', tier=1, slots=5), 0.0)
-    for number in range(3):
-        gate.ask('e', ask(f'tag{number}', tier=2, slots=5), 0.0)
-    resumed = ask('resumed', tier=2, slots=5, is_resumed=True)
-    assert granted(gate.ask('e', resumed, 0.1)) == ['resumed']
-    assert gate.running == 5
-
-
-def test_a_resumed_stream_waits_while_its_caller_does():
-    gate = GrantGate()
-    for name in ('a', 'b'):
-        gate.ask('e', ask(name, output_tokens=4000, deadline_ms=15_000), 0.0)
-    late = {'patience_ms': 1000, 'output_tokens': 4000}
-    assert denied(gate.ask('e', ask('new', **late), 0.0)) == ['new']
-    assert denied(gate.ask('e', ask('resumed', **late, is_resumed=True), 0.0)) == []
-    assert denied(gate.tick(0.9)) == []
-    assert denied(gate.tick(1.0)) == ['resumed']
--- a/tests/test_grants/test_gate_log.py
+++ b/tests/test_grants/test_gate_log.py
@@ -8,7 +8,7 @@
 from pistachiopath.grants.gate_log import GateLog
 from pistachiopath.telemetry.metrics import Metrics
 
-from .test_gate import ask, release
+from .asks import ask, release
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_relay/test_known_versions.py
@@ -0,0 +1,101 @@
+"""Which version began a stream, by what an entry knows or asks the gates."""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+import pytest
+
+from pistachiopath.errors.relay import TurnedAway
+from pistachiopath.relay.stream_versions import StreamVersions
+from pistachiopath.streams.origin import Origin
+from pistachiopath.streams.service_version import ServiceVersion
+from pistachiopath.telemetry.metrics import Metrics
+from tests.test_directory.records import record
+
+from .streams import stream_work
+
+
+class KnownDirectory:
+    """What an entry knows of control nodes and of a service's versions."""
+
+    def __init__(self, heard, *versions):
+        self.heard = heard
+        self.directory = self
+        self.found = {
+            ServiceVersion(service='model', version=version) for version in versions
+        }
+
+    def heard_controls(self, now):
+        return self.heard
+
+    def directory_age_s(self, now):
+        return 100.0
+
+    def versions(self, service):
+        return self.found
+
+
+class Gates:
+    """Finder whose gates know of one version, or of none."""
+
+    def __init__(self, version=''):
+        self.version = version
+
+    def find(self, stream, gates, *, is_complete, until):
+        if not self.version:
+            return None
+        version = ServiceVersion(service='model', version=self.version)
+        return Origin(version=version, attempt=1, is_confirmed=True, noted_at=0.0)
+
+
+@pytest.mark.parametrize(
+    ('heard', 'versions', 'at_gates', 'expected'),
+    [
+        (1.0, ('v1',), 'v2', 'v1'),
+        (0.7, ('v1',), 'v2', 'v2'),
+        (0.7, ('v1',), '', 'v1'),
+        (0.5, ('v1',), '', None),
+        (1.0, ('v1', 'v2'), '', None),
+        (1.0, ('v1', 'v2'), 'v2', 'v2'),
+        (1.0, (), '', None),
+    ],
+)
+def test_the_gates_are_asked_before_the_view_of_some_control_nodes_is_trusted(
+    heard, versions, at_gates, expected
+):
+    stream_versions = StreamVersions(
+        subscriber=KnownDirectory(heard, *versions),
+        targets=None,
+        finder=Gates(at_gates),
+        metrics=Metrics(),
+    )
+    work = stream_work(time.monotonic())
+    work.req = attrs.evolve(work.req, last_event=3, resumes='first')
+    if expected is None:
+        with pytest.raises(TurnedAway) as caught:
+            stream_versions.resolve(work)
+        assert (caught.value.status, caught.value.reason) == (503, 'version_unknown')
+        assert caught.value.retry_after_s > 0
+        return
+    stream_versions.resolve(work)
+    assert work.stream_version.version == expected
+
+
+def test_a_stream_whose_service_has_left_the_route_is_refused():
+    gone = ServiceVersion(service='other', version='v1')
+    stream_versions = StreamVersions(
+        subscriber=KnownDirectory(1.0, 'v1', 'v2'),
+        targets=None,
+        finder=Gates(),
+        metrics=Metrics(),
+    )
+    begun = stream_work(time.monotonic())
+    stream_versions.begun(begun, record(service='other'))
+    assert begun.stream_version == gone
+    work = stream_work(time.monotonic())
+    work.req = attrs.evolve(work.req, last_event=3)
+    with pytest.raises(TurnedAway) as caught:
+        stream_versions.resolve(work)
+    assert caught.value.reason == 'service_gone'
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -13,7 +13,7 @@
 from pistachiopath.routes.service import Service
 from pistachiopath.routing.replica_health import ReplicaHealth
 from tests.test_directory.records import record
-from tests.test_grants.test_gate import ask
+from tests.test_grants.asks import ask
 
 from .parts import FakeEntry
 
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -2,160 +2,31 @@
 
 from __future__ import annotations
 
-import json
-import random
-import time
-
 import attrs
 import gevent
-import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.admission.retry_budget import RetryBudgetLimits
-from pistachiopath.errors.relay import TurnedAway
-from pistachiopath.grants.shell import GateShell
-from pistachiopath.messages.directory import News
-from pistachiopath.platform.configuration import decode_configuration
-from pistachiopath.platform.dialect import PlatformDialect
-from pistachiopath.platform.registration import decode_announcement
 from pistachiopath.relay import exchange_run
-from pistachiopath.relay.entry import RelayEntry
-from pistachiopath.relay.settings import LINK_SECRET, RelaySettings
-from pistachiopath.relay.stream_versions import StreamVersions
-from pistachiopath.streams.origin import Origin
-from pistachiopath.streams.service_version import ServiceVersion
+from pistachiopath.relay.settings import LINK_SECRET
 from pistachiopath.telemetry.metrics import Metrics
-from pistachiopath.telemetry.spans import NoSpans
 from pistachiopath.transport.handshake import ROLE_NODE, Identity
 from pistachiopath.transport.network import Network
 from pistachiopath.util.loop_failures import LoopFailures
-from tests.test_directory.records import record
 from tests.test_exchange.sockets import MUTE, RESET, ScriptedTarget
 from tools.free_address import free_address
 
-from .parts import chunk, events
-from .streams import stream_work
-
-DOCUMENT = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'stream',
-            'hostname': 'a.example',
-            'path_prefix': '/gen/',
-            'route_type': 'streaming',
-            'timeout_ms': 5000,
-            'target_latency_ms': 500,
-            'priority': 0,
-            'backend': 'model',
-            'attempts': 3,
-            'public': True,
-            'stream_resume': True,
-        }
-    ],
-    'backends': [{'name': 'model', 'engine': {'slots': 8, 'kv_capacity': 1000}}],
-    'limits': {},
-    'tenants': [],
-}
-LAST_CHUNK = b'0\r\n\r\n'
-CONTROL = '127.0.0.1:9'
-
-
-def part(request_id, first, last):
-    """Return the head of an answer and some events."""
-    head = (
-        f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nReplica-Signature: s\r\n'
-        'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n'
-    )
-    return head.encode() + chunk(events(first, last))
-
-
-def half(request_id='abc'):
-    """Return the first half of a stream."""
-    return part(request_id, 0, 2)
-
-
-def rest(request_id='second'):
-    """Return the second half of a stream."""
-    return part(request_id, 3, 5) + LAST_CHUNK
-
-
-def announced(replica, target, version='v1', **changes):
-    """Return the record of an announcement."""
-    content = {
-        'backend': 'model',
-        'address': target.address,
-        'zone': 'a',
-        'version': version,
-        'slots': 8,
-        'state': 'ready',
-        'sequence': 1,
-        'born': 1000,
-    }
-    return decode_announcement(replica, json.dumps(content | changes).encode())
-
-
-def newer(target):
-    """Return announcements of many replicas of another version at one address."""
-    return [announced(f'new{number}', target, 'v2') for number in range(8)]
-
-
-class Entry:
-    """An entry that begins with empty memory."""
-
-    def __init__(self, gate_address):
-        self.callers = free_address()
-        self._entry = RelayEntry(
-            cfg=RelaySettings(
-                name='e',
-                zone='a',
-                callers_address=self.callers,
-                readiness_address=free_address(),
-                node_address=free_address(),
-                seeds=(),
-                agent_port=int(gate_address.rpartition(':')[2]),
-                retry_budget=RetryBudgetLimits(ratio=1.0, slack=60, window_s=10),
-                grace_s=2.0,
-            ),
-            dialect=PlatformDialect(),
-            decode=decode_configuration,
-            metrics=Metrics(),
-            spans=NoSpans(),
-            rng=random.Random(1),
-        )
-        self._entry.start()
-
-    def hear(self, *records, control=CONTROL, directory_age_ms=0):
-        """Receive the records from a control node."""
-        news = News(
-            feed=1,
-            change=len(records),
-            version=1,
-            content=json.dumps(DOCUMENT).encode(),
-            records=records,
-            controls=(),
-            entries=1,
-            silent=(),
-            directory_age_ms=directory_age_ms,
-        )
-        self._entry._messages.handle(control, 0, news)
-
-    def open_stream(self, request_id, *, last_event=None, resumes=''):
-        """Send a request; return the connection."""
-        lines = ['GET /gen/x HTTP/1.1', 'Host: a.example', f'Request-Id: {request_id}']
-        lines += ['Deadline-Ms: 4000']
-        if last_event is not None:
-            lines += [f'Last-Event-Id: {last_event}', f'Resumes: {resumes}']
-        host, _, port = self.callers.partition(':')
-        sock = gsocket.create_connection((host, int(port)))
-        sock.sendall('\r\n'.join([*lines, '', '']).encode())
-        return sock
-
-    def resume(self, request_id='second', *, last_event=2, resumes='abc'):
-        """Come back for a stream; return the first bytes of the answer."""
-        sock = self.open_stream(request_id, last_event=last_event, resumes=resumes)
-        with gevent.Timeout(4.5):
-            return sock.recv(65536)
+from .version_entries import (
+    LAST_CHUNK,
+    Entry,
+    announced,
+    begin_stream,
+    half,
+    newer,
+    part,
+    read_to_end,
+    rest,
+    start_gate,
+)
 
 
 @pytest.fixture
@@ -173,39 +44,11 @@
     return address
 
 
-def start_gate():
-    """Start the agent beside the replicas, which outlives the entries."""
-    address = free_address()
-    GateShell(address=address, secret=LINK_SECRET, metrics=Metrics()).start()
-    return address
-
-
 @pytest.fixture
 def gate_address():
     return start_gate()
 
 
-def read_to_end(sock):
-    """Read an answer until it is complete or the connection is closed."""
-    data = b''
-    with gevent.Timeout(4.5):
-        while part := sock.recv(65536):
-            data += part
-            if data.endswith(LAST_CHUNK):
-                break
-    return data
-
-
-def begin_stream(entry, old, request_id='abc'):
-    """Begin a stream at the only replica; return once its first events are read."""
-    entry.hear(announced('old', old))
-    sock = entry.open_stream(request_id)
-    with gevent.Timeout(4.5):
-        data = sock.recv(65536)
-    assert b'id: 2' in data
-    return sock
-
-
 def test_a_broken_stream_goes_on_at_another_version_within_one_answer(gate_address):
     scripts = [half(), RESET], [rest('abc')]
     old, new = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
@@ -379,87 +222,3 @@
     entry = Entry(gate_address)
     entry.hear(announced('old', old), gone)
     assert b'id: 5' in read_to_end(entry.open_stream('abc'))
-
-
-class KnownDirectory:
-    """What an entry knows of control nodes and of a service's versions."""
-
-    def __init__(self, heard, *versions):
-        self.heard = heard
-        self.directory = self
-        self.found = {
-            ServiceVersion(service='model', version=version) for version in versions
-        }
-
-    def heard_controls(self, now):
-        return self.heard
-
-    def directory_age_s(self, now):
-        return 100.0
-
-    def versions(self, service):
-        return self.found
-
-
-class Gates:
-    """Finder whose gates know of one version, or of none."""
-
-    def __init__(self, version=''):
-        self.version = version
-
-    def find(self, stream, gates, *, is_complete, until):
-        if not self.version:
-            return None
-        version = ServiceVersion(service='model', version=self.version)
-        return Origin(version=version, attempt=1, is_confirmed=True, noted_at=0.0)
-
-
-@pytest.mark.parametrize(
-    ('heard', 'versions', 'at_gates', 'expected'),
-    [
-        (1.0, ('v1',), 'v2', 'v1'),
-        (0.7, ('v1',), 'v2', 'v2'),
-        (0.7, ('v1',), '', 'v1'),
-        (0.5, ('v1',), '', None),
-        (1.0, ('v1', 'v2'), '', None),
-        (1.0, ('v1', 'v2'), 'v2', 'v2'),
-        (1.0, (), '', None),
-    ],
-)
-def test_the_gates_are_asked_before_the_view_of_some_control_nodes_is_trusted(
-    heard, versions, at_gates, expected
-):
-    stream_versions = StreamVersions(
-        subscriber=KnownDirectory(heard, *versions),
-        targets=None,
-        finder=Gates(at_gates),
-        metrics=Metrics(),
-    )
-    work = stream_work(time.monotonic())
-    work.req = attrs.evolve(work.req, last_event=3, resumes='first')
-    if expected is None:
-        with pytest.raises(TurnedAway) as caught:
-            stream_versions.resolve(work)
-        assert (caught.value.status, caught.value.reason) == (503, 'version_unknown')
-        assert caught.value.retry_after_s > 0
-        return
-    stream_versions.resolve(work)
-    assert work.stream_version.version == expected
-
-
-def test_a_stream_whose_service_has_left_the_route_is_refused():
-    gone = ServiceVersion(service='other', version='v1')
-    stream_versions = StreamVersions(
-        subscriber=KnownDirectory(1.0, 'v1', 'v2'),
-        targets=None,
-        finder=Gates(),
-        metrics=Metrics(),
-    )
-    begun = stream_work(time.monotonic())
-    stream_versions.begun(begun, record(service='other'))
-    assert begun.stream_version == gone
-    work = stream_work(time.monotonic())
-    work.req = attrs.evolve(work.req, last_event=3)
-    with pytest.raises(TurnedAway) as caught:
-        stream_versions.resolve(work)
-    assert caught.value.reason == 'service_gone'
