Tests of callers' bytes do not wait out the idle timeout

Six cases took 15 s each: the answer was complete, and the server kept the connection open for the caller's next request, as it should, until its idle timeout (15 s). The caller of the test reads to the end of the connection. Its server now has an idle timeout of 0.5 s; the requests are as before.

Only the test waited. It checks more than before: nothing may follow the last chunk, which was ignored.

--- a/tests/test_relay/test_caller_bytes.py
+++ b/tests/test_relay/test_caller_bytes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiopath.exchange.limits import ExchangeLimits
 from tests.test_exchange.sockets import CLOSE, RESET, EchoServer, ScriptedTarget
 
 from .parts import (
@@ -20,11 +21,12 @@
 )
 
 END = b'0\r\n\r\n'
+# After a complete answer the server waits this long for the next request.
+IDLE_TIMEOUT_S = 0.5
 REQUEST = b'POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'
 CLOSING_REQUEST = REQUEST[:-2] + b'Connection: close\r\n\r\n'
 UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\n'
 NO_IDS = b'data: one\n\ndata: two\n\n'
-
 BROKEN_STREAMS = {
     'chunked and reset': [stream_head() + chunk(events(0, 1)), RESET],
     'chunked and closed': [stream_head() + chunk(events(0, 1)), CLOSE],
@@ -50,7 +52,8 @@
 def caller_bytes(targets, repetition, request=REQUEST):
     """Serve one request over a real connection; return all that the caller gets."""
     server = EchoServer(
-        handle=lambda conn, req: serve(targets, repetition, stream=True, caller=conn)
+        limits=ExchangeLimits(idle_timeout_s=IDLE_TIMEOUT_S),
+        handle=lambda conn, req: serve(targets, repetition, stream=True, caller=conn),
     )
     return server.send_parts(request)
 
@@ -65,6 +68,7 @@
         size, _, rest = rest.partition(b'\r\n')
         length = int(size, 16)
         if not length:
+            assert rest == b'\r\n'
             return body, True
         body += rest[:length]
         rest = rest[length + 2 :]
