--- a/pistachiopath/engine/prefix_cache.py
+++ b/pistachiopath/engine/prefix_cache.py
@@ -27,12 +27,9 @@
 
     def match(self, blocks: tuple[int, ...]) -> int:
         """Count the leading blocks that are cached; mark them as recently used."""
-        count = 0
-        for block in blocks:
-            if block not in self._blocks:
-                break
+        count = self.count_cached(blocks)
+        for block in blocks[:count]:
             self._blocks.move_to_end(block)
-            count += 1
         return count
 
     def count_cached(self, blocks: tuple[int, ...]) -> int:
--- a/pistachiopath/exchange/answer.py
+++ b/pistachiopath/exchange/answer.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .request import Headers
+from .request import Headers, first_value
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -21,10 +21,7 @@
 
     def header(self, name: bytes) -> str:
         """Return the first value of a header, or an empty string."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode('latin-1')
-        return ''
+        return first_value(self.headers, name)
 
     def has(self, name: bytes) -> bool:
         """Return whether a header is present."""
--- a/pistachiopath/exchange/request.py
+++ b/pistachiopath/exchange/request.py
@@ -7,6 +7,18 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def first_value(headers: Headers, name: bytes) -> str:
+    """Return the first value of a header, or an empty string.
+
+    >>> first_value([(b'host', b'a'), (b'host', b'b')], b'host')
+    'a'
+    """
+    for key, value in headers:
+        if key == name:
+            return value.decode('latin-1')
+    return ''
+
+
 @attrs.define(kw_only=True, frozen=True)
 class HttpRequest:
     """A complete request; header names are in lower case.
@@ -21,10 +33,7 @@
 
     def header(self, name: bytes) -> str:
         """Return the first value of a header, or an empty string."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode('latin-1')
-        return ''
+        return first_value(self.headers, name)
 
     @property
     def path(self) -> str:
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -13,6 +13,7 @@
 from ..streams.service_version import version_of
 from .own_gates import OwnGates
 from .patience import patience_s
+from .retry_after import retry_after_s
 
 if TYPE_CHECKING:
     import random
@@ -30,9 +31,7 @@
 NO_TARGET_POLL_INTERVAL_S = 0.02
 # Replicas announce themselves within about a second of a restart.
 NO_TARGET_WAIT_SHARE = 0.4
-# Callers retry within a third of their remaining time, so a refused caller is
-# asked to retry before that.
-RETRY_AFTER_DIVISOR = 3.1
+# Bounds the random factor by which the returns of refused callers are spread.
 RETRY_AFTER_MAX_FACTOR = 1.6
 # A request that moves to another gate loses its position in the queue.  It has to
 # save more than `MOVE_GAIN_MS` to move to a gate where it would not wait, and
@@ -209,9 +208,10 @@
             work.denied.add(replica)
             if is_new and len(work.denied) < MAX_DENIALS:
                 return None
-            retry_after_s = self._retry_after_s(work, exc.retry_after_s)
             raise TurnedAway(
-                status=503, reason='no_place', retry_after_s=retry_after_s
+                status=503,
+                reason='no_place',
+                retry_after_s=self._retry_after_s(work, exc.retry_after_s),
             ) from exc
         except GateLost:
             logger.warning(
@@ -231,11 +231,11 @@
     def _retry_after_s(self, work: Work, wait_s: float) -> float:
         """Return the seconds after which a caller without a place should retry.
 
-        The bound lets a later attempt be in time if a place is free by then.
         The jitter spreads the retries of callers that were refused in a burst.
         """
-        max_s = work.remaining_s(time.monotonic()) / RETRY_AFTER_DIVISOR
-        return min(max_s, wait_s * self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR))
+        remaining_s = work.remaining_s(time.monotonic())
+        wait_s *= self._rng.uniform(1.0, RETRY_AFTER_MAX_FACTOR)
+        return retry_after_s(wait_s, remaining_s)
 
     def _should_move(self, work: Work, candidate: Candidate, asked_at: float) -> bool:
         """Return whether a waiting request should leave this gate."""
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -13,6 +13,7 @@
 from ..streams.service_version import version_of
 from .origin_source import OriginSource
 from .patience import patience_s
+from .retry_after import retry_after_s
 from .targets import DIRECTORY_FILL_S
 
 if TYPE_CHECKING:
@@ -35,7 +36,6 @@
 # Share of the time for which a caller waits for its first event.
 SEARCH_PATIENCE_SHARE = 0.4
 RETRY_AFTER_S = 0.5
-RETRY_AFTER_DIVISOR = 3.1
 
 
 class StreamVersions:
@@ -173,5 +173,5 @@
     return TurnedAway(
         status=503,
         reason=reason,
-        retry_after_s=min(RETRY_AFTER_S, remaining_s / RETRY_AFTER_DIVISOR),
+        retry_after_s=retry_after_s(RETRY_AFTER_S, remaining_s),
     )
--- a/pistachiopath/storage/atomic_file.py
+++ b/pistachiopath/storage/atomic_file.py
@@ -53,3 +53,10 @@
         payloads.append(payload)
         frame_offset += HEADER.size + len(payload)
     return payloads
+
+
+def write_all(fd: int, data: bytes) -> None:
+    """Write all bytes to a file descriptor; raises `OSError`."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
--- a/pistachiopath/storage/data_folder.py
+++ b/pistachiopath/storage/data_folder.py
@@ -20,7 +20,7 @@
 from ..replication.persisted import Persisted
 from ..transport.codec import decode_message, encode_message
 from ..transport.frames import HEADER, FrameBuffer, pack
-from .atomic_file import read_frames, replace_synced, sync_folder
+from .atomic_file import read_frames, replace_synced, sync_folder, write_all
 from .snapshot_file import SnapshotFile
 
 if TYPE_CHECKING:
@@ -174,15 +174,10 @@
             self._offsets.append(size)
             size += len(frame)
             frames.append(frame)
-        self._write_all(b''.join(frames))
+        write_all(self._fd, b''.join(frames))
         self._size = size
         self._dirty = True
 
-    def _write_all(self, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self._fd, view) :]
-
     def _truncate_from(self, index: int) -> None:
         position = index - self._first_index
         if not 0 <= position < len(self._offsets):
--- a/pistachiopath/storage/snapshot_file.py
+++ b/pistachiopath/storage/snapshot_file.py
@@ -8,7 +8,7 @@
 from ..messages.storage import SnapshotHead
 from ..transport.codec import encode_message
 from ..transport.frames import pack
-from .atomic_file import sync_folder
+from .atomic_file import sync_folder, write_all
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -73,22 +73,17 @@
         head = SnapshotHead(
             index=source.index, term=source.term, members=source.members
         )
-        self._write_all(pack(encode_message(head)))
+        write_all(self._fd, pack(encode_message(head)))
 
     def _write(self, data: bytes) -> None:
         for start in range(0, len(data), PART_BYTES):
-            self._write_all(pack(data[start : start + PART_BYTES]))
+            write_all(self._fd, pack(data[start : start + PART_BYTES]))
         self._state_bytes += len(data)
         self._unsynced_bytes += len(data)
         if self._unsynced_bytes >= SYNC_BYTES:
             os.fdatasync(self._fd)
             self._unsynced_bytes = 0
 
-    def _write_all(self, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self._fd, view) :]
-
     def _close(self) -> None:
         if self._fd >= 0:
             os.close(self._fd)
