Relay and exchange read by a newcomer: units, terms and comments

Work's docstring had lost its indentation and named some fields only: it now tells what each counts, with units. Comments no longer say how a value was measured. Exchange results are attrs classes, as elsewhere.

--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -115,10 +115,9 @@
     def _await_request(self) -> bytes | None:
         """Return the first bytes of the next request.
 
-        Returns b'' if the connection ends, and None after the idle timeout.
-
-        The idle timeout is the longest that is in force at the beginning or at
-        the end of the wait, as the caller may know either.
+        Returns b'' if the connection ends, and None after the idle timeout, which is
+        the longest that is in force at the beginning or at the end of the wait, as
+        the caller may know either.
         """
         idle_since = time.monotonic()
         first_timeout_s = self._get_limits().idle_timeout_s
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -22,9 +22,9 @@
 # Larger requests are written by a separate greenlet, because a target may respond
 # before it has read the whole request.
 MAX_INLINE_WRITE_BYTES = 8 * 1024
-# A VM without power or behind a network partition acknowledges nothing, and one
-# that stands still does not for some seconds.  After 2.6 s of that TCP sends again
-# at 3.0 s; the next time would be at 6.2 s.
+# A VM without power or behind a network partition acknowledges nothing.  One that
+# stands still acknowledges the first retransmission after it goes on; TCP
+# retransmits 0.2, 0.6, 1.4, 3.0 and 6.2 s after the first transmission.
 UNACKNOWLEDGED_TIMEOUT_MS = 5000
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 IDLE_MARGIN_S = 1.0
--- a/pistachiopath/relay/__init__.py
+++ b/pistachiopath/relay/__init__.py
@@ -1,1 +1,1 @@
-"""Request path of an entry whose claims are local to it."""
+"""Path of a request through an entry that needs no claims at control nodes."""
--- a/pistachiopath/relay/admitter.py
+++ b/pistachiopath/relay/admitter.py
@@ -26,7 +26,8 @@
     """Terms under which a request is served.
 
     Requests are ordered by `tier`, the tier of the route, and then by
-    `customer_tier`.  `cost` was charged to the customer's allowance.
+    `customer_tier`, lower numbers first.  `cost`, in tokens or requests, was charged
+    to the customer's allowance.
     """
 
     route: Route
@@ -40,7 +41,8 @@
 class Admitter:
     """Admits requests; raises `TurnedAway` for those it refuses.
 
-    `borrow` asks the lender for a cost that exceeds this entry's own allowance.
+    `borrow` asks the lender for a customer's cost that exceeds this entry's own
+    allowance.
     It returns 0 if the cost was lent, or the seconds until it may be.
     """
 
--- a/pistachiopath/relay/departure.py
+++ b/pistachiopath/relay/departure.py
@@ -20,8 +20,8 @@
 STOP_MARGIN_PER_REQUEST_S = 0.002
 EXIT_MARGIN_S = 0.2
 STOPPING_RETRY_AFTER_S = 0.05
-# Gates report average speeds.  Next to long prompts a stream takes several
-# times as long: 2,800 tokens took up to 14.6 s where 3 s were expected.
+# Gates report average speeds.  Next to long prompts a stream takes several times
+# as long.
 STREAM_TIME_SAFETY_FACTOR = 4.0
 PROMPT_ALLOWANCE_S = 1.0
 DEFAULT_OUTPUT_TOKEN_MS = 1.5
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -31,9 +31,11 @@
 logger = logging.getLogger(__name__)
 
 MAX_FAILURES = 5
+# Reason of a try that ended before anything was sent, to choose another replica.
 MOVED = 'moved'
 UNREACHABLE_RETRY_PAUSE_S = 0.02
 RECHOOSE_PAUSE_S = 0.005
+# A request with less time left is not tried again.
 MIN_REMAINING_S = 0.03
 FAILURE_RETRY_AFTER_S = 0.5
 
--- a/pistachiopath/relay/ended.py
+++ b/pistachiopath/relay/ended.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+import attrs
 
-if TYPE_CHECKING:
-    from ..exchange.answer import AnswerHead
+from ..exchange.answer import AnswerHead
 
 
-@dataclass(kw_only=True, frozen=True)
+@attrs.define(kw_only=True, frozen=True)
 class Delivered:
     """The caller has received the whole answer."""
 
 
-@dataclass(kw_only=True, frozen=True)
+@attrs.define(kw_only=True, frozen=True)
 class NotRun:
     """The request certainly did not run at the replica.
 
@@ -25,7 +23,7 @@
     arrived: bool
 
 
-@dataclass(kw_only=True, frozen=True)
+@attrs.define(kw_only=True, frozen=True)
 class TargetFailed:
     """The target answered with a failure; the request may have run."""
 
@@ -33,7 +31,7 @@
     body: bytes
 
 
-@dataclass(kw_only=True, frozen=True)
+@attrs.define(kw_only=True, frozen=True)
 class Lost:
     """No complete answer was received; the request may have run.
 
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -61,8 +61,7 @@
     """Wires the parts of an entry and runs its timers.
 
     `decode` is provided by the adapter and turns the configuration document
-    into routes.  The link secret is a fixed value that proves no identity: the
-    network belongs to the platform.
+    into routes.
     """
 
     def __init__(
@@ -209,7 +208,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether the load balancer should send callers to this entry."""
+        """Whether the load balancer should send callers to this entry."""
         if self._departure.is_stopping or self._routes.current is None:
             return False
         return any(True for _ in self._targets.ready())
--- a/pistachiopath/relay/places.py
+++ b/pistachiopath/relay/places.py
@@ -26,7 +26,11 @@
 
 @attrs.define(kw_only=True)
 class Grant:
-    """A granted place, which has to be released."""
+    """A granted place, which has to be released.
+
+    `request` is the name under which the place was asked for, and `granted_at` is
+    in seconds of a monotonic clock.
+    """
 
     gate: str
     request: str
--- a/pistachiopath/relay/reservation.py
+++ b/pistachiopath/relay/reservation.py
@@ -10,9 +10,9 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class Reservation:
-    """A replica that accepts connections, and the place granted there if it has any.
+    """A replica that accepts connections, and the place granted at its gate.
 
-    The place has to be released.
+    `grant` is None if the replica has no gate; a grant has to be released.
     """
 
     candidate: Candidate
--- a/pistachiopath/relay/settings.py
+++ b/pistachiopath/relay/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry whose claims are local to it."""
+"""Settings of an entry that needs no claims at control nodes."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from ..admission.retry_budget import RetryBudgetLimits
 
+# The network belongs to the platform, so links prove no identity.
 LINK_SECRET = b'pistachiopath'
 
 
@@ -13,10 +14,11 @@
 class RelaySettings:
     """Addresses and bounds of an entry.
 
-    `node_address` receives messages from other nodes, and `agent_port` is the
-    port of the agents for such messages.  A stop takes at most `grace_s`
-    seconds.  A draining replica serves for `drain_s`, and replicas announce
-    themselves every `announce_s`.
+    Addresses have the form `host:port`.  `node_address` receives messages from
+    other nodes, and `agent_port` is the port of the agents for such messages.
+    `seeds` are the addresses of control nodes.  A stop takes at most `grace_s`
+    seconds, a draining replica serves for `drain_s` seconds, and replicas announce
+    themselves every `announce_s` seconds.
     """
 
     name: str
--- a/pistachiopath/relay/target_notice.py
+++ b/pistachiopath/relay/target_notice.py
@@ -20,5 +20,5 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether the replica said nothing."""
+        """Whether the replica said nothing."""
         return self == TargetNotice()
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -33,6 +33,7 @@
 # Share of the time for which a draining replica serves, after this entry heard of
 # it, in which streams may go on there.
 DRAIN_SHARE = 0.5
+# Defaults of `drain_s` and `doubt_s`.
 DRAIN_S = 2.0
 DOUBT_S = 3.6
 
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -24,15 +24,22 @@
 class Work:
     """A request, the attempts to serve it and what the caller has received.
 
-        Times are seconds of a monotonic clock.  `may_have_run` is true once a
-        target may have started the request.  `last_event` is the last event that
-        the caller has, or the one after which it asked to resume, and `last_event_at`
-        when it was last sent one.
-        `first_attempt_at` is the caller's first attempt, if it was turned away
-        before; `sent_at` is the last send to a replica, and `has_lived` tells whether
-        that run has been writing its answer for a while.  `unknown_load_moves` counts
-        the moves of a new request to gates whose load was not known.  `reservation`
-    is the place to which it moves from a replica that has fallen silent.
+    Fields that end in `_at` are seconds of a monotonic clock, 0 for what has not
+    happened yet.  `first_attempt_at` is the caller's first attempt, if it was
+    turned away before, and `sent_at` the last send to a replica.
+
+    `tries` counts the replicas that were chosen, `sends` the exchanges with those
+    that could be reached, and `failures` the tries after which another replica was
+    needed.  `excluded` names the replicas of failures, and `denied` those whose
+    gates denied a place.  The request waited for places for `waited_s` seconds in
+    all, and `unknown_load_moves` counts its moves to gates whose load was not known.
+    `reservation` is the place to which it moves from a replica that has fallen
+    silent.  `may_have_run` is true once a target may have started the request, and
+    `has_lived` once the last run has been writing its answer for a while.
+
+    `last_event` is the last event that the caller has, or the one after which it
+    asked to resume, and `last_event_at` when it was last sent one.
+    `has_unnumbered_events` tells whether it has events without a number.
     `stream_version` is the version that began the stream, from its first event on;
     only replicas of that version may go on with it.
     """
--- a/tests/test_admission/test_allowance_lender.py
+++ b/tests/test_admission/test_allowance_lender.py
@@ -17,9 +17,8 @@
 
 
 def test_after_all_processes_restart_the_accrued_allowance_is_available():
-    # Regression: after all processes of a day had been killed, 47 requests that
-    # had waited for their entries were refused as beyond the allowance, because
-    # the lenders' buckets held a ninth of it (Ankobra, trouble-2).
+    # Regression: requests that had waited for their entries were refused, because
+    # the buckets of restarted lenders held a ninth of the allowance.
     world = AllowanceWorld(7)
     for name in tuple(world.lenders):
         world.stop_lender(name)
