Returns of streams at replicas without an agent go on at other entries

What callers saw: without agents beside the engines, a caller whose entry was killed while a service ran two software versions was refused at every other entry (503 version_unknown), until its time was over.

Cause: where no gate grants the place, only the entry that delivered the stream knows its version. It ends with the entry, and two versions can't be deduced.

Mend: while a service has several versions, an entry tells one control node on another VM, every 0.4 s, the digests of begun streams that no gate holds. Entries ask the control nodes that they hear together with the gates. Notes are fields of WatchLoad, which control nodes of older builds ignore.

Why it works: a note is sent only for a stream that has brought an event, so what a control node knows is confirmed, and what it does not know is refused as before.

Open: the control node's part is 34 KB/s at the size to design for if each request is such a stream, 11 times the budget (3.1 KB/s in today's large fleet).

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -87,11 +87,17 @@
         """Return the control nodes that are followed."""
         return tuple(self._sources)
 
+    def heard(self, now: float) -> tuple[str, ...]:
+        """Return the control nodes that sent a message recently."""
+        return tuple(
+            address
+            for address, source in self._sources.items()
+            if now - source.last_message_at < CONTROL_TIMEOUT_S
+        )
+
     def live_controls(self, now: float) -> int:
         """Return how many control nodes sent a message recently."""
-        return sum(
-            now - s.last_message_at < CONTROL_TIMEOUT_S for s in self._sources.values()
-        )
+        return len(self.heard(now))
 
     def heard_controls(self, now: float) -> float:
         """Return the share of the control nodes that sent a message recently.
--- /dev/null
+++ b/pistachiopath/document/noted_streams.py
@@ -0,0 +1,66 @@
+"""Streams that entries have noted at a control node, which outlives them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages.streams import StreamOrigin, StreamOrigins
+from ..streams.memory import StreamMemory
+from ..streams.name import DIGEST_BYTES, stream_digest
+from ..streams.service_version import ServiceVersion
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..messages.streams import StreamNotes
+
+MAX_STREAMS_PER_MESSAGE = 1000
+
+
+class NotedStreams:
+    """Remembers the software versions that began streams, by their digests.
+
+    Each of these streams has brought an event.  `now` is a monotonic clock in
+    seconds.
+    """
+
+    def __init__(self) -> None:
+        self._memory = StreamMemory()
+
+    def __len__(self) -> int:
+        return len(self._memory)
+
+    def note(self, notes: Iterable[StreamNotes], now: float) -> None:
+        """Record the streams that versions have begun."""
+        for batch in notes:
+            version = ServiceVersion(
+                service=batch.service, version=batch.software_version
+            )
+            for digest in _split(batch.digests):
+                self._memory.note(
+                    digest.hex(), version, attempt=0, is_confirmed=True, now=now
+                )
+
+    def find(self, streams: tuple[str, ...], now: float) -> StreamOrigins:
+        """Return what is known of streams."""
+        found = (self._find(name, now) for name in streams[:MAX_STREAMS_PER_MESSAGE])
+        return StreamOrigins(origins=tuple(origin for origin in found if origin))
+
+    def _find(self, stream: str, now: float) -> StreamOrigin | None:
+        origin = self._memory.find(stream_digest(stream).hex(), now)
+        if origin is None:
+            return None
+        return StreamOrigin(
+            stream=stream,
+            service=origin.version.service,
+            software_version=origin.version.version,
+            attempt=origin.attempt,
+            is_confirmed=origin.is_confirmed,
+            age_ms=int((now - origin.noted_at) * 1000),
+        )
+
+
+def _split(digests: bytes) -> Iterable[bytes]:
+    """Return the whole digests, one by one."""
+    for start in range(0, len(digests) - DIGEST_BYTES + 1, DIGEST_BYTES):
+        yield digests[start : start + DIGEST_BYTES]
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -17,6 +17,7 @@
 from ..messages.allowance import Borrow, UseReport
 from ..messages.directory import Announcements, Follow, News
 from ..messages.document import DocumentReply, PutDocument, PutReply, ReadDocument
+from ..messages.grants import WatchLoad
 from ..messages.quarantine import CrashMarks
 from ..messages.replication import NotLeader
 from ..quarantine.crash_watch import CrashWatch
@@ -28,6 +29,7 @@
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
+from .noted_streams import NotedStreams
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
@@ -114,6 +116,7 @@
             crashes=CrashWatch(),
             controls=lambda: self.announcer.controls(time.monotonic())[1:],
         )
+        self.noted_streams = NotedStreams()
         self._replicas = SavedReplicas(file=replicas, announcer=self.announcer)
         self._replicas.load(now)
         self._peers = Subscriber(is_entry=False, own_address=cfg.node_address)
@@ -246,6 +249,8 @@
                 self._carry_out([self._lending.borrow(sender, call, body, now)])
             case CrashMarks():
                 self._carry_out(self._lending.on_crash_marks(sender, body, now))
+            case WatchLoad():
+                self._on_streams(sender, call, body, now)
             case News():
                 self._on_news(sender, body, now)
             case PutReply() | DocumentReply() | NotLeader():
@@ -264,6 +269,13 @@
             announcements = Announcements(records=body.records)
             self._carry_out(self.announcer.merge_announcements(announcements, now))
 
+    def _on_streams(self, sender: str, call: int, body: WatchLoad, now: float) -> None:
+        """Note streams of an entry, or tell it their origins."""
+        self.noted_streams.note(body.notes, now)
+        if body.streams:
+            found = self.noted_streams.find(body.streams, now)
+            self._carry_out([Send(to=sender, call=call, body=found)])
+
     def _on_reply(self, call: int, body: Message, now: float) -> None:
         if not self._client.complete(call, body, now):
             return
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from .base import Message, message
+from .base import Message, independent_items, message
+from .streams import StreamNotes
 
 
 @message
@@ -73,12 +74,15 @@
 
     With `streams` it asks for the origins of these streams instead.  A gate of an
     older build replies with its load to that, whereas it would close the link on a
-    message of a type that it does not know.
+    message of a type that it does not know.  For the same reason a control node is
+    sent `notes` of streams with it, and asked for their origins.  One of an older
+    build ignores both.
     """
 
     slots: int
     period_ms: int = 0
     streams: tuple[str, ...] = ()
+    notes: tuple[StreamNotes, ...] = independent_items(factory=tuple)
 
 
 @message
--- a/pistachiopath/messages/streams.py
+++ b/pistachiopath/messages/streams.py
@@ -20,9 +20,21 @@
     age_ms: int
 
 
+@message
+class StreamNotes(Message):
+    """Streams that a version of a service began, for a holder outside the entry.
+
+    `digests` holds the digests of their names, one after the other.
+    """
+
+    service: str
+    software_version: str
+    digests: bytes
+
+
 @message
 class StreamOrigins(Message):
-    """The origins that a gate knows of the streams that a `WatchLoad` names.
+    """The origins that a node knows of the streams that a `WatchLoad` names.
 
     It is sent with the call of the question, also if it holds nothing.
     """
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -128,6 +128,8 @@
                 return NotRun(reason=MOVED, arrived=False)
             self._crashes.check_send(work, time.monotonic())
             work.sends += 1
+            work.has_gate = candidate.is_gated
+            self._versions.goes_on(work)
             run = self._new_run(conn, work, record)
             # If the caller disconnects or the timeout expires during the
             # exchange, the request may or may not have run.
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -34,6 +34,7 @@
 from .gate_link import GateLink
 from .lender_link import LenderLink
 from .notices import Notices
+from .open_streams import NOTE_INTERVAL_S, OpenStreams
 from .placer import Placer
 from .request_handler import RequestHandler
 from .request_log import RequestLog
@@ -127,10 +128,17 @@
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
         self._finder = StreamFinder(send=self._network.send)
+        self._open_streams = OpenStreams(
+            own_address=cfg.node_address,
+            subscriber=self._subscriber,
+            send=self._apply_effect,
+            metrics=metrics,
+        )
         self._versions = StreamVersions(
             subscriber=self._subscriber,
             targets=self._targets,
             finder=self._finder,
+            open_streams=self._open_streams,
             metrics=metrics,
         )
         self._notices = Notices(
@@ -263,6 +271,11 @@
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
             LoopPart(name='lender', run=self._lender.tick),
             LoopPart(name='crashes', run=self._crashes.tick),
+            LoopPart(
+                name='open_streams',
+                run=self._open_streams.tick,
+                interval_s=NOTE_INTERVAL_S,
+            ),
         ]
 
     def _prune_parts(self) -> list[LoopPart]:
@@ -331,8 +344,12 @@
         self._lender.handle_lost(peer)
         self._gates.link_lost(peer)
         self._finder.handle_lost(peer)
+        self._open_streams.handle_lost(peer)
 
     def _apply_effects(self, effects: list) -> None:
         for effect in effects:
             if isinstance(effect, Send):
-                self._network.send(effect.to, effect.call, effect.body)
+                self._apply_effect(effect)
+
+    def _apply_effect(self, effect: Send) -> None:
+        self._network.send(effect.to, effect.call, effect.body)
--- /dev/null
+++ b/pistachiopath/relay/open_streams.py
@@ -0,0 +1,152 @@
+"""Notes at a control node of the streams that no gate holds."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..effects import Send
+from ..messages.grants import WatchLoad
+from ..messages.streams import StreamNotes
+from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S
+from ..streams.name import stream_digest
+from ..streams.service_version import ServiceVersion
+from ..util.rendezvous import by_weight
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..directory.subscriber import Subscriber
+    from ..telemetry.metrics import Metrics
+
+logger = logging.getLogger(__name__)
+
+# A stream that is complete by then is never noted.
+NOTE_INTERVAL_S = 0.4
+# The holder forgets a note after the retention, so that of a long stream is repeated.
+REPEAT_INTERVAL_S = STREAM_RETENTION_S / 2
+MAX_STREAMS_PER_MESSAGE = 1000
+
+
+@attrs.define(kw_only=True)
+class _OpenStream:
+    """A stream, and when and where it was noted last.
+
+    `has_ended` is true if its answer ended before the stream was complete.
+    """
+
+    version: ServiceVersion
+    holder: str = ''
+    noted_at: float = 0.0
+    has_ended: bool = False
+
+
+class OpenStreams:
+    """Tells one control node the versions of the streams that this entry delivers.
+
+    If this entry ends, the callers of these streams come back at others, which ask
+    the control nodes.  Notes are sent only while a service has more than one
+    version, and go to a control node on another VM if there is one.  What is open
+    is noted again when that one is lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_address: str,
+        subscriber: Subscriber,
+        send: Callable[[Send], None],
+        metrics: Metrics,
+    ) -> None:
+        self._own_address = own_address
+        self._subscriber = subscriber
+        self._send = send
+        self._metrics = metrics
+        self._holder = ''
+        self._streams: dict[str, _OpenStream] = {}
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def begun(self, stream: str, version: ServiceVersion) -> None:
+        """Record a stream that has begun, or goes on, and that no gate holds."""
+        self._streams[stream] = _OpenStream(version=version)
+        if len(self._streams) > MAX_STREAMS:
+            del self._streams[next(iter(self._streams))]
+
+    def ended(self, stream: str, *, is_complete: bool) -> None:
+        """Record the end of an answer; after a part of a stream its caller returns."""
+        if is_complete:
+            self._streams.pop(stream, None)
+        elif stream in self._streams:
+            self._streams[stream].has_ended = True
+
+    def handle_lost(self, peer: str) -> None:
+        """Note the open streams again if the link to their holder was lost.
+
+        The control node may have started again with empty memory.
+        """
+        if peer == self._holder:
+            for noted in self._streams.values():
+                noted.holder = ''
+
+    def tick(self, now: float) -> None:
+        """Send the notes that are due."""
+        self._choose_holder(now)
+        due = [name for name in self._streams if self._is_due(name, now)]
+        if self._holder:
+            for start in range(0, len(due), MAX_STREAMS_PER_MESSAGE):
+                self._note(due[start : start + MAX_STREAMS_PER_MESSAGE], now)
+        self._drop_ended()
+
+    def _choose_holder(self, now: float) -> None:
+        """Keep the control node while it is heard."""
+        heard = self._subscriber.heard(now)
+        if self._holder in heard:
+            return
+        elsewhere = [a for a in heard if _host(a) != _host(self._own_address)]
+        ranked = by_weight(self._own_address, elsewhere or heard)
+        holder = ranked[0] if ranked else ''
+        if holder != self._holder:
+            self._holder = holder
+            logger.info('stream_holder', extra={'holder': holder})
+
+    def _is_due(self, stream: str, now: float) -> bool:
+        noted = self._streams[stream]
+        if len(self._subscriber.directory.versions(noted.version.service)) <= 1:
+            return False
+        is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
+        return is_old or noted.holder != self._holder
+
+    def _note(self, streams: Iterable[str], now: float) -> None:
+        by_version: dict[ServiceVersion, list[str]] = {}
+        for name in streams:
+            noted = self._streams[name]
+            noted.holder, noted.noted_at = self._holder, now
+            by_version.setdefault(noted.version, []).append(name)
+        notes = tuple(
+            StreamNotes(
+                service=version.service,
+                software_version=version.version,
+                digests=b''.join(stream_digest(name) for name in names),
+            )
+            for version, names in by_version.items()
+        )
+        self._send(Send(to=self._holder, call=0, body=WatchLoad(slots=0, notes=notes)))
+        count = sum(len(names) for names in by_version.values())
+        self._metrics.count('streams_noted_total', count)
+        logger.info('streams_noted', extra={'holder': self._holder, 'streams': count})
+
+    def _drop_ended(self) -> None:
+        """Remove the ended streams that are noted, or of a service with one version."""
+        for name, noted in list(self._streams.items()):
+            versions = self._subscriber.directory.versions(noted.version.service)
+            is_noted = noted.holder == self._holder or len(versions) <= 1
+            if noted.has_ended and is_noted:
+                del self._streams[name]
+
+
+def _host(address: str) -> str:
+    return address.rpartition(':')[0]
--- a/pistachiopath/relay/stream_finder.py
+++ b/pistachiopath/relay/stream_finder.py
@@ -1,4 +1,4 @@
-"""Asks the gates which software version began a stream."""
+"""Asks gates and control nodes which software version began a stream."""
 
 from __future__ import annotations
 
@@ -76,7 +76,9 @@
 
 
 class StreamFinder:
-    """Finds the origins of streams in the memories of gates.
+    """Finds the origins of streams in the memories of gates and control nodes.
+
+    Control nodes are asked as gates are.
 
     `send` sends a message to a gate without a delivery guarantee.
     """
@@ -129,7 +131,7 @@
         for search in sent.searches:
             origin = found.get(search.stream)
             if origin is not None:
-                search.take(_decoded(origin, now), now)
+                search.take(_decoded(origin, gate, now), now)
             _heard(search, gate)
 
     def handle_lost(self, gate: str) -> None:
@@ -180,10 +182,11 @@
         search.signal.set()
 
 
-def _decoded(origin: StreamOrigin, now: float) -> Origin:
+def _decoded(origin: StreamOrigin, holder: str, now: float) -> Origin:
     return Origin(
         version=ServiceVersion(service=origin.service, version=origin.software_version),
         attempt=origin.attempt,
         is_confirmed=origin.is_confirmed,
         noted_at=now - origin.age_ms / 1000,
+        holder=holder,
     )
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -19,6 +19,7 @@
     from ..directory.subscriber import Subscriber
     from ..messages.directory import ReplicaRecord
     from ..telemetry.metrics import Metrics
+    from .open_streams import OpenStreams
     from .stream_finder import StreamFinder
     from .targets import Targets
     from .work import Work
@@ -43,7 +44,7 @@
 
     What this entry delivered itself is known.  If a service has had one version
     for long enough, each of its streams is of that version.  Otherwise the gates
-    are asked.  A stream whose version nobody knows is refused.
+    and the control nodes are asked.  A stream whose version nobody knows is refused.
     """
 
     def __init__(
@@ -52,11 +53,13 @@
         subscriber: Subscriber,
         targets: Targets,
         finder: StreamFinder,
+        open_streams: OpenStreams,
         metrics: Metrics,
     ) -> None:
         self._subscriber = subscriber
         self._targets = targets
         self._finder = finder
+        self._open_streams = open_streams
         self._metrics = metrics
         self._memory = StreamMemory()
 
@@ -73,16 +76,27 @@
             raise _refusal(work, 'service_gone')
         self._log(work, origin, source)
 
+    def goes_on(self, work: Work) -> None:
+        """Record that a stream is about to go on at a replica."""
+        if work.stream and work.stream_version is not None and not work.has_gate:
+            self._open_streams.begun(work.stream, work.stream_version)
+
     def begun(self, work: Work, record: ReplicaRecord) -> None:
         """Record the replica that brought the first event of a stream."""
         work.stream_version = version_of(record)
-        if work.stream:
-            self._note(work)
+        if not work.stream:
+            return
+        self._note(work)
+        if not work.has_gate:
+            self._open_streams.begun(work.stream, work.stream_version)
 
     def ended(self, work: Work) -> None:
         """Remember a stream from its end on, as its caller may come back."""
-        if work.stream and work.stream_version is not None:
-            self._note(work)
+        if not work.stream or work.stream_version is None:
+            return
+        self._note(work)
+        is_complete = work.outcome == 'delivered'
+        self._open_streams.ended(work.stream, is_complete=is_complete)
 
     def _note(self, work: Work) -> None:
         self._memory.note(
@@ -104,9 +118,11 @@
         deduced = self._deduce(work, now) if heard > MIN_HEARD_CONTROLS else None
         if deduced is not None and has_one_service and heard == 1.0:
             return deduced, OriginSource.DEDUCED
-        origin = self._ask_gates(work, now)
+        origin = self._ask_holders(work, now)
         if origin is not None:
-            return origin, OriginSource.GATE
+            is_control = origin.holder in self._subscriber.controls()
+            source = OriginSource.CONTROL if is_control else OriginSource.GATE
+            return origin, source
         if deduced is not None:
             return deduced, OriginSource.DEDUCED
         return None, OriginSource.NONE
@@ -128,18 +144,23 @@
             noted_at=now - age_s,
         )
 
-    def _ask_gates(self, work: Work, now: float) -> Origin | None:
+    def _ask_holders(self, work: Work, now: float) -> Origin | None:
         services = frozenset(share.service for share in work.admitted.route.shares)
         wait_s = SEARCH_PATIENCE_SHARE * patience_s(work, now)
         return self._finder.find(
             work.stream,
-            lambda: self._targets.all_gates(services),
+            lambda: self._holders(services),
             is_complete=lambda: (
                 self._subscriber.contact_s(time.monotonic()) >= DIRECTORY_FILL_S
             ),
             until=now + min(MAX_SEARCH_S, wait_s),
         )
 
+    def _holders(self, services: frozenset[str]) -> frozenset[str]:
+        """Return the nodes that may know who began a stream."""
+        controls = self._subscriber.heard(time.monotonic())
+        return self._targets.all_gates(services).union(controls)
+
     def _log(
         self,
         work: Work,
@@ -161,6 +182,7 @@
                 'service': origin.version.service if origin else '',
                 'software_version': origin.version.version if origin else '',
                 'source': source.value,
+                'holder': origin.holder if origin else '',
                 'age_ms': int((now - origin.noted_at) * 1000) if origin else -1,
                 'searched_ms': int((now - work.started_at) * 1000),
                 'refused': refused,
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -34,7 +34,8 @@
         the moves of a new request to gates whose load was not known.  `reservation`
     is the place to which it moves from a replica that has fallen silent.
     `stream_version` is the version that began the stream, from its first event on;
-    only replicas of that version may go on with it.
+    only replicas of that version may go on with it.  `has_gate` tells whether the
+    gate beside its replica granted the place of the last attempt.
     """
 
     req: CallerRequest
@@ -48,6 +49,7 @@
     may_have_run: bool = False
     last_event: int | None = None
     stream_version: ServiceVersion | None = None
+    has_gate: bool = False
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
     last_event_at: float = 0.0
--- a/pistachiopath/streams/origin.py
+++ b/pistachiopath/streams/origin.py
@@ -14,13 +14,14 @@
     Before its first event a request may be tried at several replicas, so the
     `attempt` of the highest number counts.  `is_confirmed` means that this attempt
     brought an event, or continued the stream.  `noted_at` is in seconds of a
-    monotonic clock.
+    monotonic clock.  `holder` is the node that told it, empty if none did.
     """
 
     version: ServiceVersion
     attempt: int
     is_confirmed: bool
     noted_at: float
+    holder: str = ''
 
     @property
     def rank(self) -> tuple[bool, int]:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -476,6 +476,7 @@
   slots @0 :Int64;
   periodMs @1 :Int64;
   streams @2 :List(Text);
+  notes @3 :List(StreamNotes);
 }
 
 struct GateLoad {
@@ -576,6 +577,12 @@
   slot @2 :Int64;
 }
 
+struct StreamNotes {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  digests @2 :Data;
+}
+
 struct TierLoad {
   tier @0 :Int64;
   waiting @1 :Int64;
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -29,6 +29,8 @@
 from pistachiopath.telemetry.metrics import Metrics
 from tests.test_directory.records import record
 
+from .streams import NoNotes
+
 SIGNED = b'Request-Id: abc\r\nReplica-Signature: s\r\n'
 
 
@@ -271,7 +273,11 @@
             metrics=Metrics(),
         ),
         versions=StreamVersions(
-            subscriber=None, targets=fake_targets, finder=None, metrics=Metrics()
+            subscriber=None,
+            targets=fake_targets,
+            finder=None,
+            open_streams=NoNotes(),
+            metrics=Metrics(),
         ),
     )
     caller = caller or FakeCaller()
--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -1,4 +1,4 @@
-"""State of an admitted request on a resumable route."""
+"""Requests on a resumable route, and stand-ins for what handles them."""
 
 from __future__ import annotations
 
@@ -49,3 +49,13 @@
     admitted = Admitted(route=route, service='model', customer=None, tier=tier, cost=0)
     spent_s = attempts.spent_s(req, route) if attempts else 0.0
     return make_work(req, admitted, now, spent_s=spent_s)
+
+
+class NoNotes:
+    """Notes that go nowhere."""
+
+    def begun(self, stream, version):
+        pass
+
+    def ended(self, stream, *, is_complete):
+        pass
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -34,7 +34,7 @@
 from tools.free_address import free_address
 
 from .parts import chunk, events
-from .streams import stream_work
+from .streams import NoNotes, stream_work
 
 DOCUMENT = {
     'version': 1,
@@ -394,6 +394,9 @@
     def heard_controls(self, now):
         return self.heard
 
+    def controls(self):
+        return ()
+
     def directory_age_s(self, now):
         return 100.0
 
@@ -433,6 +436,7 @@
         subscriber=KnownDirectory(heard, *versions),
         targets=None,
         finder=Gates(at_gates),
+        open_streams=NoNotes(),
         metrics=Metrics(),
     )
     work = stream_work(time.monotonic())
@@ -453,6 +457,7 @@
         subscriber=KnownDirectory(1.0, 'v1', 'v2'),
         targets=None,
         finder=Gates(),
+        open_streams=NoNotes(),
         metrics=Metrics(),
     )
     begun = stream_work(time.monotonic())
--- a/tools/capacity_platform.py
+++ b/tools/capacity_platform.py
@@ -40,10 +40,10 @@
     WatchLoad,
 )
 from pistachiopath.messages.quarantine import CrashMark, CrashMarks
-from pistachiopath.messages.streams import StreamOrigin, StreamOrigins
+from pistachiopath.messages.streams import StreamNotes, StreamOrigin, StreamOrigins
 from pistachiopath.routes.customer_account import CustomerAccount
 from pistachiopath.streams.memory import MAX_STREAMS, StreamMemory
-from pistachiopath.streams.name import stream_name
+from pistachiopath.streams.name import stream_digest, stream_name
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.transport.codec import encode
 from pistachiopath.transport.frames import pack
@@ -134,6 +134,13 @@
     )
 
 
+def notes(streams):
+    """Return notes of that many streams for a control node."""
+    digests = b''.join(stream_digest(stream(n)) for n in range(streams))
+    batch = StreamNotes(service='service', software_version='v1.2', digests=digests)
+    return WatchLoad(slots=0, notes=(batch,))
+
+
 def ask(number):
     """Return a request for a place."""
     return Ask(
@@ -184,6 +191,7 @@
         'WatchLoad, ten streams': size(
             WatchLoad(slots=0, streams=tuple(stream(n) for n in range(10)))
         ),
+        'WatchLoad, notes by streams': {n: size(notes(n)) for n in SIZES},
         'StreamOrigins, none': size(origins(0)),
         'StreamOrigins, one stream': size(origins(1)),
     }
--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pistachiopath.relay.open_streams import NOTE_INTERVAL_S
 from pistachiopath.relay.stream_finder import BATCH_S_PER_GATE
 from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from tools.capacity_page import (
@@ -100,6 +101,21 @@
     )
 
 
+def note_rows(sizes, fit, entries, controls, requests_per_s):
+    """Return the bytes per second of notes of streams, if all requests are streams."""
+    digest_bytes, message_bytes, _ = fit(sizes['WatchLoad, notes by streams'])
+    entry_bytes = requests_per_s / entries * digest_bytes
+    entry_bytes += message_bytes / NOTE_INTERVAL_S
+    own_entries = entries / controls
+    return (
+        (f'entry: streams noted, {entries} entries', entry_bytes),
+        (
+            f'control node: streams that {own_entries:.0f} entries note',
+            own_entries * entry_bytes,
+        ),
+    )
+
+
 def figures(raw, fit):
     """Return bytes per second of a node, today and at the size to design for."""
     sizes = raw['bytes']
@@ -120,6 +136,10 @@
             ),
             *control_rows(sizes, NODES, CONTROLS, TARGETS),
         ),
+        'today without agents': note_rows(
+            sizes, fit, TODAY_ENTRIES, TODAY_CONTROLS, TODAY_REQUESTS_PER_S
+        ),
+        'without agents': note_rows(sizes, fit, NODES, CONTROLS, REQUESTS_PER_S),
         'then': (
             (
                 'control node: use of active customers, to and from one other',
@@ -216,6 +236,15 @@
 questions hold while all callers come back at once, for seconds after all entries
 lost power. There the bytes are far beyond the budget: that does not reach the size.
 
+Streams at replicas without an agent are noted at a control node while their service
+has several versions. These are upper bounds, as if each request were such a stream
+and lasted until the next notes, {NOTE_INTERVAL_S} s apart:
+
+| who tells what | bytes | budget of 3,000 B/s |
+|---|---|---|
+{tables['today without agents']}
+{tables['without agents']}
+
 ## What has to carry the size (not built)
 
 | who tells what | bytes | budget of 3,000 B/s |
