--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -12,6 +12,7 @@
 from ..messages.allowance import Borrow, UseReport
 from ..messages.directory import Announcements, Follow, News
 from ..messages.document import DocumentReply, PutReply
+from ..messages.grants import WatchLoad
 from ..messages.quarantine import CrashMarks
 from ..messages.replication import NotLeader
 from ..quarantine.crash_watch import CrashWatch
@@ -23,6 +24,7 @@
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
+from .noted_streams import NotedStreams
 from .operator_requests import OperatorRequests
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
@@ -104,6 +106,7 @@
             crashes=CrashWatch(),
             controls=lambda: self.announcer.controls(time.monotonic())[1:],
         )
+        self.noted_streams = NotedStreams()
         self._replicas = SavedReplicas(file=replicas, announcer=self.announcer)
         self._replicas.load(now)
         self._peers = Subscriber(is_entry=False, own_address=cfg.node_address)
@@ -196,6 +199,8 @@
                 self._network.send_all([self._lending.borrow(sender, call, body, now)])
             case CrashMarks():
                 self._network.send_all(self._lending.on_crash_marks(sender, body, now))
+            case WatchLoad():
+                self._handle_streams(sender, call, body, now)
             case News():
                 self._on_news(sender, body, now)
             case PutReply() | DocumentReply() | NotLeader():
@@ -216,6 +221,15 @@
                 self.announcer.merge_announcements(announcements, now)
             )
 
+    def _handle_streams(
+        self, sender: str, call: int, body: WatchLoad, now: float
+    ) -> None:
+        """Note streams of an entry, or tell it their origins."""
+        self.noted_streams.note(body.notes, now)
+        if body.streams:
+            found = self.noted_streams.find(body.streams, now)
+            self._network.send(sender, call, found)
+
     def _follow_peers(self, now: float) -> None:
         self._network.send_all(self._peers.tick(now))
 
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -26,6 +26,7 @@
 from .lender_link import LenderLink
 from .message_handler import MessageHandler
 from .notices import Notices
+from .open_streams import NOTE_INTERVAL_S, OpenStreams
 from .placer import Placer
 from .planned_stop import PlannedStop
 from .request_handler import RequestHandler
@@ -116,10 +117,17 @@
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
         self._finder = StreamFinder(send=self._network.send)
+        self._open_streams = OpenStreams(
+            own_address=cfg.node_address,
+            subscriber=self._subscriber,
+            send=self._network.send,
+            metrics=metrics,
+        )
         self._versions = StreamVersions(
             subscriber=self._subscriber,
             targets=self._targets,
             finder=self._finder,
+            open_streams=self._open_streams,
             metrics=metrics,
         )
         self._notices = Notices(
@@ -147,6 +155,7 @@
             targets=self._targets,
             gates=self._gates,
             finder=self._finder,
+            open_streams=self._open_streams,
             lender=self._lender,
             crashes=self._crashes,
             send_all=self._network.send_all,
@@ -241,6 +250,11 @@
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
             LoopPart(name='lender', run=self._lender.tick),
             LoopPart(name='crashes', run=self._crashes.tick),
+            LoopPart(
+                name='open_streams',
+                run=self._open_streams.tick,
+                interval_s=NOTE_INTERVAL_S,
+            ),
         ]
 
     def _prune_parts(self) -> list[LoopPart]:
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -21,6 +21,7 @@
     from .crashes import Crashes
     from .gate_link import GateLink
     from .lender_link import LenderLink
+    from .open_streams import OpenStreams
     from .routes_in_force import RoutesInForce
     from .stream_finder import StreamFinder
     from .targets import Targets
@@ -42,6 +43,7 @@
         targets: Targets,
         gates: GateLink,
         finder: StreamFinder,
+        open_streams: OpenStreams,
         lender: LenderLink,
         crashes: Crashes,
         send_all: Callable[[list[Send]], None],
@@ -52,6 +54,7 @@
         self._targets = targets
         self._gates = gates
         self._finder = finder
+        self._open_streams = open_streams
         self._lender = lender
         self._crashes = crashes
         self._send_all = send_all
@@ -79,6 +82,7 @@
         self._lender.handle_lost(peer)
         self._gates.link_lost(peer)
         self._finder.handle_lost(peer)
+        self._open_streams.handle_lost(peer)
 
     def follow_controls(self, now: float) -> None:
         """Renew the subscriptions at the control nodes that are due."""
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -41,7 +41,8 @@
     asked to resume, and `last_event_at` when it was last sent one.
     `has_unnumbered_events` tells whether it has events without a number.
     `stream_version` is the version that began the stream, from its first event on;
-    only replicas of that version may go on with it.
+    only replicas of that version may go on with it.  `has_gate` tells whether the
+    gate beside its replica granted the place of the last attempt.
     """
 
     req: CallerRequest
@@ -55,6 +56,7 @@
     may_have_run: bool = False
     last_event: int | None = None
     stream_version: ServiceVersion | None = None
+    has_gate: bool = False
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
     last_event_at: float = 0.0
