--- a/pistachiopath/document/settings.py
+++ b/pistachiopath/document/settings.py
@@ -10,8 +10,9 @@
     """Addresses, group size and limits.
 
     `node_address` and `seeds` are addresses for messages between nodes: that of
-    this node and those of control nodes.  This node takes part in forming a
-    first group only if `forms` is true.  The group has
+    this node and those of control nodes.  It listens at `listen_address` if that is
+    another one.  This node takes part in forming a first group only if `forms` is
+    true.  The group has
     2 * `tolerated_losses` + 1 voters; a `diskless` node is none of them.  A
     replica that announces nothing for `silent_after_s` seconds is reported as
     silent.  All entries together may exceed a customer's allowance by the
@@ -24,5 +25,6 @@
     tolerated_losses: int
     silent_after_s: float
     diskless: bool = False
+    listen_address: str = ''
     allowance_overage: float = 0.0
     allowance_slack_tokens: float = 0.0
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -162,7 +162,7 @@
 
     def start(self) -> None:
         """Listen for links and start the replica and the timers."""
-        self._network.listen(self._cfg.node_address)
+        self._network.listen(self._cfg.listen_address or self._cfg.node_address)
         self._loop.start()
         self._timers.start()
 
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -30,9 +30,16 @@
 class GateShell:
     """Runs the gate of the engine on this VM."""
 
-    def __init__(self, *, address: str, secret: bytes, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        secret: bytes,
+        metrics: Metrics,
+        listen_address: str = '',
+    ) -> None:
         self.gate = GrantGate(log=GateLog(metrics=metrics))
-        self._address = address
+        self._listen_address = listen_address or address
         self._metrics = metrics
         failures = LoopFailures(metrics=metrics)
         self._network = Network(
@@ -58,7 +65,7 @@
 
     def start(self) -> None:
         """Start listening and granting places."""
-        self._network.listen(self._address)
+        self._network.listen(self._listen_address)
         self._timers.start()
 
     def stop(self) -> None:
--- a/pistachiopath/platform/agent_program.py
+++ b/pistachiopath/platform/agent_program.py
@@ -17,7 +17,10 @@
 
     def __init__(self, cfg: PlatformSettings, metrics: Metrics) -> None:
         self._shell = GateShell(
-            address=f'{cfg.ip}:{cfg.agent_port}', secret=LINK_SECRET, metrics=metrics
+            address=cfg.node_address(cfg.agent_port),
+            listen_address=cfg.listen_address(cfg.agent_port),
+            secret=LINK_SECRET,
+            metrics=metrics,
         )
 
     def start(self) -> None:
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -51,7 +51,8 @@
         try:
             self._shell = DocumentShell(
                 cfg=DocumentSettings(
-                    node_address=f'{cfg.ip}:{cfg.control_port}',
+                    node_address=cfg.node_address(cfg.control_port),
+                    listen_address=cfg.listen_address(cfg.control_port),
                     seeds=cfg.seed_nodes,
                     forms=cfg.is_first_start,
                     tolerated_losses=cfg.tolerated_losses,
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -20,7 +20,8 @@
 class PlatformSettings:
     """One VM's settings; `deploy/settings.toml` is the template.
 
-    `ports` holds the first and last port for messages between nodes.
+    `ports` holds the first and last port for messages between nodes.  Other nodes
+    connect to `advertise_ip`, where it is not `ip`, as through a proxy.
     `announce_ms` is the period of replicas' announcements, and a draining replica
     serves for `drain_ms`.  Spans are appended to `traces_file`; if it is empty,
     none are recorded.  `allowance_overage` is
@@ -33,6 +34,7 @@
     zone: str
     ip: str
     ports: tuple[int, ...] = attrs.field(validator=_check_ports)
+    advertise_ip: str = ''
     seeds: tuple[Address, ...] = ()
     callers: OptionalAddress = OptionalAddress('')
     readiness: OptionalAddress = OptionalAddress('')
@@ -67,6 +69,14 @@
         """Port on which agents receive messages from other nodes."""
         return self.ports[0] + 2
 
+    def node_address(self, port: int) -> str:
+        """Return the address to which other nodes send messages."""
+        return f'{self.advertise_ip or self.ip}:{port}'
+
+    def listen_address(self, port: int) -> str:
+        """Return the address at which messages from other nodes are received."""
+        return f'{self.ip}:{port}'
+
     @property
     def seed_nodes(self) -> tuple[str, ...]:
         """Addresses of the seeds with the control nodes' port for messages."""
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -214,7 +214,7 @@
 
     def start(self) -> None:
         """Listen, and start to follow the control nodes."""
-        self._network.listen(self._cfg.node_address)
+        self._network.listen(self._cfg.listen_address or self._cfg.node_address)
         self._readiness.start()
         self._server.start()
         self._timers.start()
--- a/pistachiopath/relay/settings.py
+++ b/pistachiopath/relay/settings.py
@@ -13,10 +13,10 @@
 class RelaySettings:
     """Addresses and bounds of an entry.
 
-    `node_address` receives messages from other nodes, and `agent_port` is the
-    port of the agents for such messages.  A stop takes at most `grace_s`
-    seconds.  A draining replica serves for `drain_s`, and replicas announce
-    themselves every `announce_s`.
+    `node_address` receives messages from other nodes, at `listen_address` if that is
+    another one, and `agent_port` is the port of the agents for such messages.  A
+    stop takes at most `grace_s` seconds.  A draining replica serves for `drain_s`,
+    and replicas announce themselves every `announce_s`.
     """
 
     name: str
@@ -29,4 +29,5 @@
     retry_budget: RetryBudgetLimits
     grace_s: float
     drain_s: float = 2.0
+    listen_address: str = ''
     announce_s: float = 1.2
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import attrs
 import gevent
 import gevent.socket as gsocket
 import pytest
@@ -153,3 +154,13 @@
         assert program._shell.announcer.silent(time.monotonic()) == ()
     finally:
         program.stop()
+
+
+def test_a_program_listens_at_its_own_address_and_states_the_one_it_advertises():
+    cfg = PlatformSettings(
+        name='n', role='agent', zone='a', ip='10.0.0.1', ports=(7600, 7615)
+    )
+    assert cfg.node_address(7602) == cfg.listen_address(7602) == '10.0.0.1:7602'
+    behind_a_proxy = attrs.evolve(cfg, advertise_ip='10.0.0.9')
+    assert behind_a_proxy.node_address(7602) == '10.0.0.9:7602'
+    assert behind_a_proxy.listen_address(7602) == '10.0.0.1:7602'
