Soak: budgets over all entries, callers that leave, a cut core, bad storage, a plot

- allowance_kept: a customer, over all entries, gets no more than its allowance and what may go beyond it.
One customer of the soak now always asks for more than it has.
- retry_budget_kept: repeats at a service over all entries.
- gone_callers: some callers close their connections; then nothing arrives and nobody works for them.
- core_cut: connections between control nodes and entries go through the proxy, which knows both ends; a control node, alone or with an entry, is cut off.
- storage_full, storage_slow, clock_stepped: programs are started by a module of the soak that replaces what they use of the clock and of the storage.
- report.png beside report.txt: requests by outcome, waits, faults.

Addresses now have a block each, so that more than 40 entries fit.

--- a/tests/test_soak/test_proxy.py
+++ b/tests/test_soak/test_proxy.py
@@ -6,6 +6,7 @@
 
 from tools.free_address import free_address
 from tools.soak.http_stream import HttpStream
+from tools.soak.partition import Partition
 from tools.soak.proxy import Proxy
 from tools.soak.topology import split_address
 
@@ -76,3 +77,34 @@
     proxy.stop()
     gevent.sleep(0.05)
     assert not stream.is_open()
+
+
+def programs(address):
+    """Return a partition of two programs, of which `address` belongs to one."""
+    return Partition(names={address: 'control-1', '127.1.2.3:4': 'entry-1'})
+
+
+HELLO = b'\x00\x07127.1.2.3:4\x00'
+
+
+@pytest.mark.parametrize(
+    ('cut_off', 'passes'),
+    [
+        ({'control-1'}, False),
+        ({'entry-1'}, False),
+        ({'control-1', 'entry-1'}, True),
+        ({'entry-2'}, True),
+    ],
+)
+def test_nothing_passes_between_the_two_sides_of_a_partition(
+    proxy, sock, address, cut_off, passes
+):
+    proxy.partition = programs(address)
+    sock.sendall(HELLO)
+    assert receives(sock, 5.0) == HELLO
+    proxy.partition.begin(cut_off)
+    sock.sendall(b'x')
+    assert (receives(sock, 0.2) == b'x') is passes
+    proxy.partition.end()
+    if not passes:
+        assert receives(sock, 5.0) == b'x'
--- a/tests/test_soak/test_report.py
+++ b/tests/test_soak/test_report.py
@@ -3,6 +3,7 @@
 from tests.test_soak.histories import cut, fault, history, request
 from tools.soak.checks import violations
 from tools.soak.fault_kind import FaultKind
+from tools.soak.plot import save_plot
 from tools.soak.report import render
 
 
@@ -19,3 +20,11 @@
 
 def test_a_run_without_requests_has_a_report():
     assert render(1, history(), ()).startswith('seed 1, 100 s: passed')
+
+
+def test_a_run_has_a_plot(tmp_path):
+    path = tmp_path / 'report.png'
+    reset = fault(FaultKind.LINK_RESET, 'link-desk-2', 8.0, 8.0)
+    save_plot(history(cut(), request(at=12.0, name='r2'), faults=[reset]), path)
+    assert path.read_bytes().startswith(b'\x89PNG')
+    save_plot(history(), path)
--- a/tools/soak/attempt.py
+++ b/tools/soak/attempt.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .documents import CUSTOMER
 from .request_kind import RequestKind
 
 
@@ -22,6 +23,8 @@
     GARBLED = 'garbled'
     # The caller's patience ended first.
     TIMED_OUT = 'timed_out'
+    # The caller closed its connection because it wanted no answer any more.
+    GAVE_UP = 'gave_up'
     # The request could not be sent as a whole.
     NOT_SENT = 'not_sent'
 
@@ -49,10 +52,12 @@
     kind: RequestKind
     path: str
     entry: str
+    customer: str = CUSTOMER
     lifetime: int = 0
     root: str = ''
     last_event: int | None = None
     deadline_s: float = 5.0
+    gives_up_after_s: float = math.inf
     configuration: int = 0
     began_at: float = 0.0
     sent_at: float = math.inf
@@ -71,6 +76,12 @@
         """Whether a complete response with a status of 200 to 299 came."""
         return self.outcome is Outcome.ANSWERED and 200 <= self.status < 300
 
+    @property
+    def label(self) -> str:
+        """Status of a complete response, else how the attempt ended."""
+        is_answered = self.outcome is Outcome.ANSWERED
+        return str(self.status) if is_answered else str(self.outcome)
+
     @property
     def is_stream(self) -> bool:
         """Whether the response consists of events."""
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -27,6 +27,8 @@
 MAX_RETRIES = 3
 RETRY_PAUSE_S = 0.1
 EVENT_COUNTS = (4, 40)
+GIVE_UP_SHARE = 0.05
+GIVE_UP_S = (0.2, 1.2)
 KINDS = (
     (RequestKind.RESUMABLE_STREAM, 4),
     (RequestKind.ONCE_STREAM, 2),
@@ -48,6 +50,7 @@
         self,
         *,
         name: str,
+        customer: str,
         links: dict[str, str],
         rotation: Rotation,
         lifetime: Callable[[str], int],
@@ -56,6 +59,7 @@
         rng: random.Random,
     ) -> None:
         self._name = name
+        self._customer = customer
         self._links = links
         self._rotation = rotation
         self._lifetime = lifetime
@@ -89,14 +93,16 @@
             attempt = retry
 
     def _new_attempt(self, kind: RequestKind) -> Attempt:
-        path, configuration = kind.prefix, 0
+        path, fields = kind.prefix, {}
         if kind is RequestKind.EXTRA:
-            configuration = self._extra_route()
-            path += f'{configuration}/'
+            fields['configuration'] = self._extra_route()
+            path += f'{fields["configuration"]}/'
         path += f'{self._name}/{self._number + 1}'
         if kind.is_stream:
             path += f'/{self._rng.randint(*EVENT_COUNTS)}'
-        return self._attempt(kind, path, configuration=configuration)
+            if self._rng.random() < GIVE_UP_SHARE:
+                fields['gives_up_after_s'] = self._rng.uniform(*GIVE_UP_S)
+        return self._attempt(kind, path, **fields)
 
     def _extra_route(self) -> int:
         """Return the number of an extra route, which may have been removed."""
@@ -110,13 +116,16 @@
             kind=kind,
             path=path,
             entry='',
+            customer=self._customer,
             deadline_s=timeout_s(kind),
             **fields,
         )
 
     def _retry(self, attempt: Attempt) -> Attempt | None:
         """Return the attempt that follows one which failed, if one may."""
-        if attempt.is_success or attempt.status in (400, 401, 404, 413, 431):
+        has_given_up = attempt.outcome is Outcome.GAVE_UP
+        is_final = attempt.status in (400, 401, 404, 413, 431)
+        if attempt.is_success or has_given_up or is_final:
             return None
         kind = attempt.kind
         is_refused = (
--- a/tools/soak/checks/__init__.py
+++ b/tools/soak/checks/__init__.py
@@ -11,7 +11,9 @@
 import attrs
 
 from .answers import answered, ended_early, one_version, whole_answers
+from .budgets import allowance_kept, retry_budget_kept
 from .configuration import configuration_in_force, configuration_kept
+from .gone import gone_callers
 from .left_alone import backoff_kept, departure_kept, notice_kept
 from .requests import at_most_once, truthful_refusals, unchanged_requests
 from .service import level_resources, no_own_ends, no_uncaught_errors, recovery
@@ -31,6 +33,9 @@
     departure_kept,
     notice_kept,
     backoff_kept,
+    gone_callers,
+    allowance_kept,
+    retry_budget_kept,
     configuration_kept,
     configuration_in_force,
     recovery,
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -9,9 +9,11 @@
 
 from .announcer import Announcer
 from .caller import Caller
+from .documents import CUSTOMER, METERED_CUSTOMER
 from .fleet import Fleet
 from .guard import Guard
 from .operator import Operator
+from .partition import Partition
 from .proxy import Proxy
 from .replica import Replica
 from .rotation import Rotation
@@ -24,6 +26,9 @@
     from .topology import Topology
 
 CALLERS_PER_ENTRY = 6
+# The soak itself has one processor for all callers, replicas and proxies.
+MAX_CALLERS = 60
+METERED_CALLERS = 3
 START_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.1
 FIRST_SOFTWARE = 'v1'
@@ -50,6 +55,17 @@
             name: Proxy(address=topology.link(name), target=topology.address(name))
             for name in topology.linked_names
         }
+        self.partition = Partition(
+            names={topology.node_link(name): name for name in topology.node_names}
+        )
+        self._node_links = [
+            Proxy(
+                address=topology.node_link(name),
+                target=topology.node_address(name),
+                partition=self.partition,
+            )
+            for name in topology.node_names
+        ]
         self.controls = {name: topology.link(name) for name in topology.control_names}
         self.replicas = {
             name: Replica(
@@ -87,7 +103,7 @@
         gevent.killall(self._greenlets)
         for replica in self.replicas.values():
             replica.end()
-        for link in self.links.values():
+        for link in (*self.links.values(), *self._node_links):
             link.stop()
         self.fleet.close()
         self._guard.close()
@@ -95,7 +111,7 @@
     def start(self) -> None:
         """Start everything but the callers; raises `NotStarted`."""
         sampler = Sampler(fleet=self.fleet, history=self.history)
-        for link in self.links.values():
+        for link in (*self.links.values(), *self._node_links):
             link.start()
         for replica in self.replicas.values():
             replica.start(FIRST_SOFTWARE)
@@ -114,9 +130,12 @@
     def start_callers(self) -> None:
         """Start the callers, which send requests until the end of the run."""
         links = {name: self.topology.link(name) for name in self.topology.entry_names}
-        for number in range(CALLERS_PER_ENTRY * len(links)):
+        callers = min(MAX_CALLERS, CALLERS_PER_ENTRY * len(links))
+        customers = [CUSTOMER] * callers + [METERED_CUSTOMER] * METERED_CALLERS
+        for number, customer in enumerate(customers):
             caller = Caller(
                 name=f'c{number}',
+                customer=customer,
                 links=links,
                 rotation=self.rotation,
                 lifetime=self.fleet.starts,
--- a/tools/soak/documents.py
+++ b/tools/soak/documents.py
@@ -5,8 +5,14 @@
 from .request_kind import RequestKind
 from .topology import ENGINE_SERVICE, HOST, PLAIN_SERVICES
 
+KEYS = {'customer-1': 'k3y0f7h3s0ak', 'metered': 'k3y0f7h3m3t3r3d'}
 CUSTOMER = 'customer-1'
-KEY = 'k3y0f7h3s0ak'
+# This customer asks for more than its allowance.
+METERED_CUSTOMER = 'metered'
+METERED_RATE_PER_S = 400
+METERED_BURST = 1200
+PLAIN_TOKENS = 200
+STREAM_TOKENS = (200, 40)
 PLAIN_TIMEOUT_S = 5.0
 STREAM_TIMEOUT_S = 12.0
 # Each configuration adds a route, which it keeps for so many versions in all.
@@ -29,15 +35,28 @@
     return version - EXTRA_ROUTES_KEPT < number <= version
 
 
+def services_of(kind: RequestKind) -> tuple[str, ...]:
+    """Return the services to which configurations send a kind of request."""
+    if kind.is_stream:
+        return (ENGINE_SERVICE,)
+    if kind is RequestKind.MOVED:
+        return PLAIN_SERVICES
+    return PLAIN_SERVICES[1:] if kind is RequestKind.UNSAFE else PLAIN_SERVICES[:1]
+
+
+def tokens_of(kind: RequestKind) -> int:
+    """Return what a request of a kind counts against an allowance."""
+    return sum(STREAM_TOKENS) if kind.is_stream else PLAIN_TOKENS
+
+
 def document(version: int) -> dict:
     """Return the configuration of a version, as the operator sends it."""
     fixed = {
-        RequestKind.RESUMABLE_STREAM: ENGINE_SERVICE,
-        RequestKind.ONCE_STREAM: ENGINE_SERVICE,
-        RequestKind.SAFE: PLAIN_SERVICES[0],
-        RequestKind.UNSAFE: PLAIN_SERVICES[1],
-        RequestKind.MOVED: moved_service(version),
+        kind: services_of(kind)[0]
+        for kind in RequestKind
+        if kind is not RequestKind.EXTRA
     }
+    fixed[RequestKind.MOVED] = moved_service(version)
     routes = [_route(kind, kind.prefix, service) for kind, service in fixed.items()]
     first = max(1, version - EXTRA_ROUTES_KEPT + 1)
     for number in range(first, version + 1):
@@ -53,7 +72,16 @@
             'header_timeout_ms': 3000,
             'idle_timeout_ms': 15000,
         },
-        'tenants': [{'name': CUSTOMER, 'api_keys': [KEY], 'priority': 0}],
+        'tenants': [
+            _customer(CUSTOMER),
+            _customer(METERED_CUSTOMER)
+            | {
+                'unit': 'tokens',
+                'plain_tokens': PLAIN_TOKENS,
+                'rate_per_s': METERED_RATE_PER_S,
+                'burst': METERED_BURST,
+            },
+        ],
     }
 
 
@@ -86,6 +114,10 @@
     }
 
 
+def _customer(name: str) -> dict:
+    return {'name': name, 'api_keys': [KEYS[name]], 'priority': 0}
+
+
 def _service(name: str) -> dict:
     return {
         'name': name,
--- a/tools/soak/exchange.py
+++ b/tools/soak/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,7 @@
 
 from . import wire
 from .attempt import Attempt, EventSeen, Outcome
-from .documents import KEY
+from .documents import KEYS, STREAM_TOKENS
 from .http_stream import BadMessage, CutOff, HttpStream, head_bytes
 from .topology import HOST
 
@@ -35,12 +36,11 @@
     """
     attempt.began_at = time.monotonic()
     try:
-        with gevent.Timeout(attempt.deadline_s + PATIENCE_S, _TooLate()):
+        with gevent.Timeout(_patience_s(attempt), _TooLate()):
             _send(stream, attempt)
             return _receive(stream, attempt)
     except _TooLate:
-        is_sent = attempt.sent_at <= time.monotonic()
-        attempt.outcome = Outcome.TIMED_OUT if is_sent else Outcome.NOT_SENT
+        attempt.outcome = _outcome_too_late(attempt)
     except BadMessage:
         attempt.outcome = Outcome.GARBLED
     except (OSError, CutOff):
@@ -51,18 +51,29 @@
     return False
 
 
+def _patience_s(attempt: Attempt) -> float:
+    return min(attempt.deadline_s + PATIENCE_S, attempt.gives_up_after_s)
+
+
+def _outcome_too_late(attempt: Attempt) -> Outcome:
+    if attempt.sent_at > time.monotonic():
+        return Outcome.NOT_SENT
+    has_given_up = attempt.gives_up_after_s < math.inf
+    return Outcome.GAVE_UP if has_given_up else Outcome.TIMED_OUT
+
+
 def _send(stream: HttpStream, attempt: Attempt) -> None:
     headers = [
         ('Host', HOST),
         (wire.REQUEST_ID, attempt.request),
         (wire.DEADLINE_MS, str(int(attempt.deadline_s * 1000))),
-        (wire.AUTHORIZATION, wire.KEY_SCHEME + KEY),
+        (wire.AUTHORIZATION, wire.KEY_SCHEME + KEYS[attempt.customer]),
         ('Content-Length', str(len(BODY))),
     ]
     if attempt.is_stream:
         headers += [
             (wire.MODEL, 'm'),
-            (wire.TOKEN_COUNTS, '200,40'),
+            (wire.TOKEN_COUNTS, ','.join(map(str, STREAM_TOKENS))),
             (wire.PROMPT_PARTS, f'5c1e07a2:100,{attempt.root or attempt.request}:100'),
         ]
     if attempt.last_event is not None:
--- a/tools/soak/fault_kind.py
+++ b/tools/soak/fault_kind.py
@@ -19,6 +19,10 @@
     CONTROL_PAUSED = 'control_paused', 'control', 0.5, 4.0
     CONTROL_STOPPED = 'control_stopped', 'control', 0.3, 1.0
     CORE_KILLED = 'core_killed', '', 0.3, 1.0
+    CORE_CUT = 'core_cut', 'control', 1.0, 4.0
+    STORAGE_SLOW = 'storage_slow', 'control', 0.5, 3.0
+    STORAGE_FULL = 'storage_full', 'control', 0.3, 2.0
+    CLOCK_STEPPED = 'clock_stepped', 'program', 1.0, 4.0
     AGENT_KILLED = 'agent_killed', 'agent', 0.3, 2.0
     AGENT_PAUSED = 'agent_paused', 'agent', 0.5, 3.0
     SETTINGS_CHANGED = 'settings_changed', 'settings', 0.0, 0.0
@@ -40,6 +44,8 @@
     REPLICA_CUTS_STREAMS = 'replica_cuts_streams', 'engine', 1.0, 3.0
     REPLICA_GARBLED = 'replica_garbled', 'replica', 0.5, 2.0
     REPLICA_REFUSES_TWICE = 'replica_refuses_twice', 'replica', 0.5, 2.0
+    REPLICA_FAILS = 'replica_fails', 'replica', 0.5, 2.0
+    REPLICA_LEAVES_FALSELY = 'replica_leaves_falsely', 'replica', 4.0, 6.0
     REPLICA_SILENT = 'replica_silent', 'replica or service', 2.0, 4.0
     RELEASE = 'release', 'engines', 1.0, 3.0
     ODD_ANNOUNCEMENTS = 'odd_announcements', '', 1.0, 2.0
@@ -79,5 +85,8 @@
         FaultKind.CONTROL_PAUSED,
         FaultKind.CONTROL_STOPPED,
         FaultKind.CORE_KILLED,
+        FaultKind.CORE_CUT,
+        FaultKind.STORAGE_SLOW,
+        FaultKind.STORAGE_FULL,
     }
 )
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from .disturbed_program import Disturbance
 from .fault import FaultRecord
 from .fault_kind import FaultKind
 from .replica_faults import ReplicaFaults
@@ -24,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 DELAY_S = 0.15
+SLOW_SYNC_S = 0.2
+MAX_STEP_S = 4.0
 
 
 class Injector:
@@ -69,6 +72,10 @@
             FaultKind.CONTROL_KILLED: self._kill,
             FaultKind.CORE_KILLED: self._kill,
             FaultKind.AGENT_KILLED: self._kill,
+            FaultKind.CORE_CUT: self._cut_core,
+            FaultKind.STORAGE_SLOW: self._disturb_program,
+            FaultKind.STORAGE_FULL: self._disturb_program,
+            FaultKind.CLOCK_STEPPED: self._disturb_program,
             FaultKind.SETTINGS_CHANGED: self._change_settings,
             FaultKind.CONFIGURATION_CHANGED: lambda _: operator.change(),
             FaultKind.CONFIGURATION_INVALID: lambda _: operator.send_invalid(),
@@ -103,16 +110,44 @@
         gevent.sleep(fault.for_s)
         self._fleet.programs[fault.target].start()
 
+    def _disturb_program(self, fault: Fault) -> None:
+        disturbances = {
+            FaultKind.STORAGE_SLOW: Disturbance(sync_s=SLOW_SYNC_S),
+            FaultKind.STORAGE_FULL: Disturbance(is_full=True),
+            FaultKind.CLOCK_STEPPED: Disturbance(
+                clock_s=self._rng.uniform(-MAX_STEP_S, MAX_STEP_S)
+            ),
+        }
+        program = self._fleet.programs[fault.target]
+        program.disturb(disturbances[fault.kind])
+        gevent.sleep(fault.for_s)
+        program.disturb(Disturbance())
+
     def _change_settings(self, fault: Fault) -> None:
         """Change the order of the seeds, and sometimes leave one out."""
         names = self._topology.control_names
-        seeds = [self._topology.address(name) for name in names]
+        seeds = [self._topology.link(name) for name in names]
         self._rng.shuffle(seeds)
         kept = self._rng.randint(2, len(seeds))
         self._fleet.programs[fault.target].change_settings(seeds=seeds[:kept])
 
     # Links
 
+    def _cut_core(self, fault: Fault) -> None:
+        """Cut a control node, and sometimes an entry, off from all others."""
+        names = self._rng.choice(((), (self._rng.choice(self._topology.entry_names),)))
+        records = [
+            FaultRecord(kind=fault.kind, target=name, began_at=time.monotonic())
+            for name in names
+        ]
+        self._history.faults += records
+        partition = self._deployment.partition
+        partition.begin({fault.target, *names})
+        gevent.sleep(fault.for_s)
+        partition.end()
+        for record in records:
+            record.ended_at = time.monotonic()
+
     def _disturb_link(self, fault: Fault) -> None:
         proxy = self._deployment.links[fault.target.removeprefix('link-')]
         match fault.kind:
--- a/tools/soak/odd_announcements.py
+++ b/tools/soak/odd_announcements.py
@@ -61,17 +61,17 @@
     number = 0
     while time.monotonic() < until:
         number += 1
-        path, body = odd_announcement(rng, number, deployment.topology.network)
+        path, body = odd_announcement(rng, number, deployment.topology.unused_ip)
         address = rng.choice(list(deployment.controls.values()))
         call(address, 'PUT', path, body)
         gevent.sleep(INTERVAL_S)
 
 
 def odd_announcement(
-    rng: random.Random, number: int, network: str
+    rng: random.Random, number: int, unused_ip: str
 ) -> tuple[str, bytes]:
     """Return path and body of an odd announcement."""
-    replica, body = f'i-odd-{number}', _usual(network)
+    replica, body = f'i-odd-{number}', _usual(unused_ip)
     match rng.randrange(6):
         case 0:
             replica = rng.choice(ODD_IDS)
@@ -84,11 +84,11 @@
     return _path(replica), json.dumps(body).encode()
 
 
-def _usual(network: str) -> dict:
+def _usual(unused_ip: str) -> dict:
     """Return an announcement of a replica at an address where nothing listens."""
     return {
         'backend': 'odd',
-        'address': f'{network}.250:9',
+        'address': f'{unused_ip}:9',
         'zone': 'zone-a',
         'version': 'v1',
         'slots': 1,
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -76,6 +76,7 @@
         '': ('',),
         'entry': topology.entry_names,
         'control': topology.control_names,
+        'program': topology.program_names,
         'agent': topology.agent_names,
         'settings': topology.entry_names + topology.control_names,
         'link': tuple(f'link-{name}' for name in topology.linked_names),
--- a/tools/soak/program.py
+++ b/tools/soak/program.py
@@ -13,16 +13,18 @@
 import gevent
 import tomli_w
 
+from . import disturbed_program
 from .operations import UncaughtError
 
 if TYPE_CHECKING:
+    from .disturbed_program import Disturbance
     from .guard import Guard
 
 SETTINGS_VARIABLE = 'PISTACHIOPATH_SETTINGS'
 INTERPRETER_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.02
 # From the start of the interpreter to that of a program's first module.
-MAIN_MODULE_S = 0.2
+MAIN_MODULE_S = 0.4
 
 
 class Program:
@@ -41,6 +43,7 @@
         self._role = role
         self._guard = guard
         self._path = folder / f'{name}.toml'
+        self._disturbance_path = folder / f'{name}.disturbance'
         self._log = folder / f'{name}.log'
         self._process: subprocess.Popen | None = None
         self._is_guarded = False
@@ -60,20 +63,28 @@
         self.starts += 1
         is_first = self.starts == 1 and self._role == 'control'
         self._write(self.settings | {'is_first_start': is_first})
-        command = [sys.executable, '-m', 'pistachiopath.platform', self._role]
+        command = [sys.executable, '-m', disturbed_program.__name__, self._role]
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
                 command,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=os.environ | {SETTINGS_VARIABLE: str(self._path)},
+                env=os.environ
+                | {
+                    SETTINGS_VARIABLE: str(self._path),
+                    disturbed_program.FILE_VARIABLE: str(self._disturbance_path),
+                },
                 process_group=0,
             )
         self._guard.add(self.pid)
         self._is_guarded = True
         self.is_down = False
 
+    def disturb(self, disturbance: Disturbance) -> None:
+        """Say what is wrong with the program's clock and storage from now on."""
+        disturbance.save(self._disturbance_path)
+
     def change_settings(self, **changes: object) -> None:
         """Write changed settings and tell the program by a signal.
 
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import gevent
 import gevent.event
@@ -11,6 +13,9 @@
 from .http_stream import reset
 from .topology import split_address
 
+if TYPE_CHECKING:
+    from .partition import Partition
+
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 
@@ -21,6 +26,8 @@
 
     client: gsocket.socket
     server: gsocket.socket
+    # The program that has opened the connection, once it is known.
+    sender: str = ''
 
     def reset(self) -> None:
         reset(self.client)
@@ -32,10 +39,15 @@
 
     `delay_s` is added to all that is forwarded.  `hold` stops one direction or both
     until `release`; held bytes are forwarded then.  `reset` resets all connections.
+    Between programs a `partition` may hold connections too.
     """
 
-    def __init__(self, *, address: str, target: str) -> None:
+    def __init__(
+        self, *, address: str, target: str, partition: Partition | None = None
+    ) -> None:
         self.delay_s = 0.0
+        self._address = address
+        self.partition = partition
         self._target = split_address(target)
         self._flows = {'in': gevent.event.Event(), 'out': gevent.event.Event()}
         self._pairs: set[_Pair] = set()
@@ -91,15 +103,19 @@
         """Forward one direction, and its end, until it ends or fails."""
         try:
             while data := source.recv(READ_BYTES):
-                self._wait(direction)
+                if self.partition and direction == 'in' and not pair.sender:
+                    pair.sender = self.partition.sender(data)
+                self._wait(pair, direction)
                 sink.sendall(data)
-            self._wait(direction)
+            self._wait(pair, direction)
             sink.shutdown(gsocket.SHUT_WR)
         except OSError:
-            self._wait(direction)
+            self._wait(pair, direction)
             pair.reset()
 
-    def _wait(self, direction: str) -> None:
+    def _wait(self, pair: _Pair, direction: str) -> None:
         if self.delay_s:
             gevent.sleep(self.delay_s)
         self._flows[direction].wait()
+        if self.partition and pair.sender:
+            self.partition.wait(pair.sender, self._address)
--- a/tools/soak/replica_faults.py
+++ b/tools/soak/replica_faults.py
@@ -18,6 +18,8 @@
     from .replica import Replica
 
 ABSENT_S = 0.5
+# Part of the time for which a replica says falsely that it leaves.
+FALSE_SHARE = 0.4
 SAME_ID_SHARE = 0.3
 
 
@@ -47,6 +49,8 @@
                 | FaultKind.REPLICA_LEAVES_UNSAID
             ):
                 self._replace(replicas[0], fault.kind, fault.for_s)
+            case FaultKind.REPLICA_LEAVES_FALSELY:
+                self._leave_falsely(replicas[0], fault.for_s)
             case _:
                 self._misbehave(replicas, fault)
 
@@ -91,6 +95,16 @@
         replica.start(version or lifetime.version)
         announcer.announce(replica.lifetime)
 
+    def _leave_falsely(self, replica: Replica, for_s: float) -> None:
+        """Let a replica say that it leaves, go on as ever, and start again later."""
+        lifetime = replica.lifetime
+        lifetime.says_leaving = True
+        gevent.sleep(FALSE_SHARE * for_s)
+        lifetime.says_leaving = False
+        gevent.sleep((1 - FALSE_SHARE) * for_s)
+        if replica.lifetime is lifetime and not lifetime.is_ended:
+            self._crash(replica, ABSENT_S)
+
     def _release(self, fault: Fault) -> None:
         """Replace the replicas of a service by a newer software version in turn.
 
--- a/tools/soak/replica_run.py
+++ b/tools/soak/replica_run.py
@@ -154,6 +154,9 @@
 
     def _answer_plain(self) -> None:
         self._work(PLAIN_WORK_S)
+        if self._behaviour.has(FaultKind.REPLICA_FAILS):
+            self._fail()
+            return
         self.arrival.text = plain_text(self.arrival)
         body = self.arrival.text.encode()
         headers = [
@@ -166,6 +169,11 @@
             self._garble(data)
         self._stream.write(data)
 
+    def _fail(self) -> None:
+        self.arrival.status = 500
+        headers = [*self._headers(), ('Content-Length', '0')]
+        self._stream.write(head_bytes('HTTP/1.1 500 Failed', headers))
+
     def _garble(self, data: bytes) -> None:
         """Write something else than a proven whole response, or bytes after one."""
         signature = f'{wire.SIGNATURE}: {self.arrival.signature}\r\n'.encode()
@@ -233,6 +241,11 @@
     return f'{arrival.request} {arrival.path} {arrival.signature} {"x" * 700}.'
 
 
+def stream_s(path: str) -> float:
+    """Return how long an undisturbed replica works on a whole stream."""
+    return FIRST_EVENT_S + EVENT_S * event_count(path)
+
+
 def event_count(path: str) -> int:
     """Return the number of events of a stream, which is the last part of its path."""
     return int(path.rpartition('/')[2])
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -6,11 +6,9 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from .attempt import Outcome
 from .fault_kind import NOTICED_KINDS
 
 if TYPE_CHECKING:
-    from .attempt import Attempt
     from .checks.violation import Violation
     from .fault import FaultRecord
     from .history import History
@@ -60,7 +58,7 @@
     """Return the number of attempts by kind and outcome."""
     outcomes: dict[str, Counter[str]] = defaultdict(Counter)
     for attempt in history.attempts:
-        outcomes[attempt.kind.name.lower()][_outcome(attempt)] += 1
+        outcomes[attempt.kind.name.lower()][attempt.label] += 1
     lines = [f'requests: {len(history.attempts)}, arrivals: {len(history.arrivals)}']
     for kind, counts in sorted(outcomes.items()):
         shown = ', '.join(f'{name} {n}' for name, n in counts.most_common())
@@ -68,12 +66,6 @@
     return lines
 
 
-def _outcome(attempt: Attempt) -> str:
-    if attempt.outcome is Outcome.ANSWERED:
-        return str(attempt.status)
-    return str(attempt.outcome)
-
-
 def _faults(history: History) -> list[str]:
     counts = Counter(fault.kind for fault in history.faults)
     shown = ', '.join(f'{kind} {n}' for kind, n in sorted(counts.items()))
@@ -112,7 +104,7 @@
     for attempt in answered[:WORST]:
         lines.append(
             f'  {attempt.head_at - attempt.began_at:6.2f} s  {attempt.request} '
-            f'{_outcome(attempt)} at {attempt.entry}, '
+            f'{attempt.label} at {attempt.entry}, '
             f'sent at {attempt.began_at - history.started_at:.2f} s'
         )
     return lines
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -15,6 +15,7 @@
 from .history import History
 from .injector import Injector
 from .plan import make_plan
+from .plot import save_plot
 from .report import render
 from .topology import Topology
 
@@ -57,6 +58,7 @@
     found = tuple(violations(history))
     report = render(seed, history, found)
     (folder / 'report.txt').write_text(report + '\n')
+    save_plot(history, folder / 'report.png')
     return Result(seed=seed, violations=found, report=report, folder=folder)
 
 
--- a/tools/soak/topology.py
+++ b/tools/soak/topology.py
@@ -14,15 +14,16 @@
 PLAIN_REPLICAS = 2
 CONTROLS = 3
 
-# Last octets of the first VM of each kind, and of the proxies before them.
-FIRST_EDGE = 10
-FIRST_EDGE_LINK = 50
-FIRST_REPLICA_LINK = 100
-FIRST_REPLICA = 150
-# The other octets of the network are taken from the process id, so that soaks which
+# Blocks of 256 addresses: VMs of each kind, the proxies before them, and unused ones.
+EDGES, EDGE_LINKS, REPLICAS, REPLICA_LINKS, UNUSED = range(5)
+BLOCKS = 8
+# The network and its first block are taken from the process id, so that soaks which
 # run at the same time do not meet.
 FIRST_NETWORK = 64
 NETWORKS = 128
+FIRST_BLOCKS = range(0, 256, BLOCKS)
+# Each kind of program has the first port for messages or one of those after it.
+NODE_ROLES = ('control', 'entry')
 
 
 def _free_port() -> int:
@@ -39,11 +40,13 @@
 
     The first VMs with an entry also run a control node.  A link is a proxy: callers
     reach entries, replicas and operators reach control nodes, and entries reach
-    replicas through it.  An agent is on the VM where its replica's link listens,
-    because entries look for it there.
+    replicas through it.  Entries and control nodes reach one another through proxies
+    too, at the addresses that they advertise.  An agent is on the VM where its
+    replica's link listens, because entries look for it there.
     """
 
     network: str
+    first_block: int
     entry_names: tuple[str, ...]
     engine_names: tuple[str, ...]
     control_names: tuple[str, ...] = _names('control', CONTROLS)
@@ -58,9 +61,9 @@
     def of_size(cls, size: int) -> Topology:
         """Return a deployment of a size from 1, with free ports."""
         pid = os.getpid()
-        network = f'127.{FIRST_NETWORK + pid % NETWORKS}.{pid // NETWORKS % 256}'
         return cls(
-            network=network,
+            network=f'127.{FIRST_NETWORK + pid % NETWORKS}',
+            first_block=FIRST_BLOCKS[pid // NETWORKS % len(FIRST_BLOCKS)],
             entry_names=_names('entry', CONTROLS + 2 * (size - 1)),
             engine_names=_names(ENGINE_SERVICE, 3 * size),
         )
@@ -81,6 +84,11 @@
         """Names of all programs in the order in which they are started."""
         return self.control_names + self.entry_names + self.agent_names
 
+    @property
+    def node_names(self) -> tuple[str, ...]:
+        """Names of the programs that others reach through a proxy."""
+        return self.control_names + self.entry_names
+
     @property
     def linked_names(self) -> tuple[str, ...]:
         """Names of everything that is reached through a link."""
@@ -88,10 +96,30 @@
 
     def ip(self, program: str) -> str:
         """Return the IP address of a program's VM."""
-        if program.startswith('agent-'):
-            return self._ip(program.removeprefix('agent-'), is_link=True)
+        if program in self.agent_names:
+            return self.advertise_ip(program)
         return self._ip(program, is_link=False)
 
+    def advertise_ip(self, program: str) -> str:
+        """Return the IP address at which other programs reach a program."""
+        return self._ip(program.removeprefix('agent-'), is_link=True)
+
+    def node_address(self, program: str) -> str:
+        """Return where a program listens for messages of other programs."""
+        return f'{self.ip(program)}:{self._node_port(program)}'
+
+    def node_link(self, program: str) -> str:
+        """Return the address to which other programs send messages."""
+        return f'{self.advertise_ip(program)}:{self._node_port(program)}'
+
+    def _node_port(self, program: str) -> int:
+        return self.nodes_port + NODE_ROLES.index(program.partition('-')[0])
+
+    @property
+    def unused_ip(self) -> str:
+        """An address at which nothing listens."""
+        return f'{self.network}.{self.first_block + UNUSED}.1'
+
     def readiness(self, entry: str) -> str:
         """Return the address at which an entry tells whether it is ready."""
         return f'{self.ip(entry)}:{self.readiness_port}'
@@ -106,10 +134,12 @@
 
     def _ip(self, name: str, *, is_link: bool) -> str:
         if name in self.replica_names:
-            first = FIRST_REPLICA_LINK if is_link else FIRST_REPLICA
-            return f'{self.network}.{first + self.replica_names.index(name)}'
-        first = FIRST_EDGE_LINK if is_link else FIRST_EDGE
-        return f'{self.network}.{first + _number(name)}'
+            block = REPLICA_LINKS if is_link else REPLICAS
+            number = 1 + self.replica_names.index(name)
+        else:
+            block = EDGE_LINKS if is_link else EDGES
+            number = _number(name)
+        return f'{self.network}.{self.first_block + block}.{number}'
 
     def _port(self, name: str) -> int:
         if name in self.entry_names:
