--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -30,6 +30,7 @@
 MAX_CALLERS = 60
 METERED_CALLERS = 3
 START_TIMEOUT_S = 60.0
+START_TIMEOUT_PER_PROGRAM_S = 2.0
 POLL_INTERVAL_S = 0.1
 FIRST_SOFTWARE = 'v1'
 
@@ -157,7 +158,9 @@
 
     def _wait_ready(self) -> None:
         """Wait until all entries are in the rotation."""
-        with gevent.Timeout(START_TIMEOUT_S, NotStarted()):
+        programs = len(self.topology.program_names)
+        timeout_s = START_TIMEOUT_S + START_TIMEOUT_PER_PROGRAM_S * programs
+        with gevent.Timeout(timeout_s, NotStarted()):
             while len(self.rotation.ready) < len(self.topology.entry_names):
                 gevent.sleep(POLL_INTERVAL_S)
 
