--- a/pistachiopath/relay/settings.py
+++ b/pistachiopath/relay/settings.py
@@ -15,10 +15,10 @@
     """Addresses and bounds of an entry.
 
     Addresses have the form `host:port`.  `node_address` receives messages from
-    other nodes, and `agent_port` is the port of the agents for such messages.
-    `seeds` are the addresses of control nodes.  A stop takes at most `grace_s`
-    seconds, a draining replica serves for `drain_s` seconds, and replicas announce
-    themselves every `announce_s` seconds.
+    other nodes, at `listen_address` if that is another one, and `agent_port` is the
+    port of the agents for such messages.  `seeds` are the addresses of control
+    nodes.  A stop takes at most `grace_s` seconds, a draining replica serves for
+    `drain_s` seconds, and replicas announce themselves every `announce_s` seconds.
     """
 
     name: str
@@ -31,4 +31,5 @@
     retry_budget: RetryBudgetLimits
     grace_s: float
     drain_s: float = 2.0
+    listen_address: str = ''
     announce_s: float = 1.2
