Puts that are overtaken on their way are not stored

Cause: every put became a record of its own, and so did every repetition of one (0.3 s after it, from each control node that an operator tried). With some 30 documents of a thousand routes in 6 s, links of control nodes carried records that were obsolete before they were stored, and those that mattered came late.

Now one put at a time is on its way through the log. Those that come meanwhile wait for it, and the highest of them is next; all are acknowledged when it is committed, since a lower version is obsolete by then. A put at or below the committed version needs no record. Why it is safe: an acknowledgement still stands for a committed version that is at least as high.

--- a/pistachiopath/document/core.py
+++ b/pistachiopath/document/core.py
@@ -24,18 +24,30 @@
 
 
 @attrs.define(kw_only=True, frozen=True)
-class _PendingRequest:
-    """A request that waits for its record to commit.
-
-    `term` is the term in which the record was proposed.
-    """
+class _Request:
+    """A put or a read that has no reply yet."""
 
     sender: str
     call: int
-    term: int
     is_read: bool
 
 
+@attrs.define(kw_only=True)
+class _PendingRecord:
+    """A record that was proposed in a term, and the requests that wait for it."""
+
+    term: int
+    requests: list[_Request]
+
+
+@attrs.define(kw_only=True)
+class _NextPut:
+    """The highest put that waits for an earlier one to commit, with its requests."""
+
+    body: PutDocument
+    requests: list[_Request]
+
+
 class DocumentCore:
     """Keeps the document of the highest version on a replicated log.
 
@@ -44,6 +56,11 @@
     acknowledged before the read was sent.  This does not depend on the leader's
     clock.
 
+    One put at a time is on its way through the log.  Those that come meanwhile wait
+    for it, and only the highest of them is proposed next: a lower one is obsolete
+    by then.  Otherwise puts that come faster than the members store them would fill
+    memory and links with documents that nobody needs.
+
     The storage effects must be carried out and synced before the sends returned
     with them.  Then `synced` must be called and its effects handled.
     """
@@ -53,7 +70,10 @@
         self.version = 0
         self.content = b''
         self._replica = group.replica
-        self._pending: dict[int, _PendingRequest] = {}
+        self._pending: dict[int, _PendingRecord] = {}
+        self._open_put: PutDocument | None = None
+        self._open_put_index = 0
+        self._next_put: _NextPut | None = None
         self._log_bytes = 0
         self._handle(self._replica.restored())
 
@@ -64,7 +84,8 @@
 
     def tick(self, now: float, time_ms: int) -> list[Effect]:
         """Run the timers of the group and compact a long log."""
-        return self._handle(self.group.tick(now, time_ms)) + self._compact()
+        effects = self._handle(self.group.tick(now, time_ms))
+        return effects + self._propose_next_put(now, time_ms) + self._compact()
 
     def flush(self, now: float) -> list[Effect]:
         """Send the records proposed since the last flush to the followers."""
@@ -90,13 +111,56 @@
         if not self._replica.is_leader:
             return [Send(to=sender, call=call, body=NotLeader(leader=self.leader))]
         is_read = isinstance(body, ReadDocument)
+        request = _Request(sender=sender, call=call, is_read=is_read)
         if is_read:
-            kind, command = EntryKind.NOOP, b''
+            return self._propose_record(EntryKind.NOOP, b'', [request], now, time_ms)
+        return self._put(body, request, now, time_ms)
+
+    def _put(
+        self, body: PutDocument, request: _Request, now: float, time_ms: int
+    ) -> list[Effect]:
+        """Propose a put, or let it wait for the one that is on its way."""
+        if self._open_put is None:
+            return self._propose_put(body, [request], now, time_ms)
+        if body.version <= self._open_put.version:
+            self._pending[self._open_put_index].requests.append(request)
+        elif self._next_put is None:
+            self._next_put = _NextPut(body=body, requests=[request])
         else:
-            kind, command = EntryKind.COMMAND, encode_message(body)
+            if body.version > self._next_put.body.version:
+                self._next_put.body = body
+            self._next_put.requests.append(request)
+        return []
+
+    def _propose_put(
+        self, body: PutDocument, requests: list[_Request], now: float, time_ms: int
+    ) -> list[Effect]:
+        if body.version <= self.version:
+            return [self._reply(request) for request in requests]
+        self._open_put = body
+        self._open_put_index = self._replica.log.last_index + 1
+        command = encode_message(body)
+        return self._propose_record(EntryKind.COMMAND, command, requests, now, time_ms)
+
+    def _propose_next_put(self, now: float, time_ms: int) -> list[Effect]:
+        """Propose the put that waits, if none is on its way any more."""
+        if self._next_put is None or self._open_put is not None:
+            return []
+        put = self._next_put
+        self._next_put = None
+        return self._propose_put(put.body, put.requests, now, time_ms)
+
+    def _propose_record(
+        self,
+        kind: EntryKind,
+        command: bytes,
+        requests: list[_Request],
+        now: float,
+        time_ms: int,
+    ) -> list[Effect]:
         index, effects = self._replica.propose(kind, now, time_ms, command=command)
-        self._pending[index] = _PendingRequest(
-            sender=sender, call=call, term=self._replica.term, is_read=is_read
+        self._pending[index] = _PendingRecord(
+            term=self._replica.term, requests=requests
         )
         return self._handle(effects)
 
@@ -111,7 +175,7 @@
                     self._restore(effect.data)
                 case _:
                     remaining.append(effect)
-        if not self._replica.is_leader and self._pending:
+        if not self._replica.is_leader:
             remaining += self._redirect_pending()
         return remaining
 
@@ -128,21 +192,32 @@
             if put.version > self.version:
                 self.version = put.version
                 self.content = put.content
-        request = self._pending.pop(entry.index, None)
-        if request is None or request.term != entry.term:
+        if entry.index == self._open_put_index:
+            self._open_put = None
+        record = self._pending.pop(entry.index, None)
+        if record is None or record.term != entry.term:
             return []
+        return [self._reply(request) for request in record.requests]
+
+    def _reply(self, request: _Request) -> Send:
+        """Reply to a request whose record is committed."""
         if request.is_read:
             body = DocumentReply(version=self.version, content=self.content)
         else:
             body = PutReply(version=self.version)
-        return [Send(to=request.sender, call=request.call, body=body)]
+        return Send(to=request.sender, call=request.call, body=body)
 
     def _redirect_pending(self) -> list[Effect]:
         """Redirect pending requests to the leader, if known; puts are idempotent."""
-        reply = NotLeader(leader=self.leader)
-        pending = list(self._pending.values())
+        records = list(self._pending.values())
+        requests = [request for record in records for request in record.requests]
+        if self._next_put is not None:
+            requests += self._next_put.requests
         self._pending.clear()
-        return [Send(to=r.sender, call=r.call, body=reply) for r in pending]
+        self._open_put = None
+        self._next_put = None
+        reply = NotLeader(leader=self.leader)
+        return [Send(to=r.sender, call=r.call, body=reply) for r in requests]
 
     def _compact(self) -> list[Effect]:
         """Replace the log with a snapshot when it is long or large."""
--- a/tests/harness/document_world.py
+++ b/tests/harness/document_world.py
@@ -110,6 +110,7 @@
         self.acked = 0
         self.min_versions = {}
         self.reads = 0
+        self.replies = []
         self._calls = 0
         self._versions = 0
         for name in (*seeds, *others):
@@ -161,6 +162,7 @@
         node.receive('operator', self._calls, put or ReadDocument())
 
     def _handle_reply(self, call, body):
+        self.replies.append(body)
         if isinstance(body, PutReply):
             self.acked = max(self.acked, body.version)
         elif isinstance(body, DocumentReply):
