A large put is not sent again while it is on its way

Cause: a control node that is not the leader sent a put on again each 0.3 s, also one of 0.5 MB on a link that needs longer for it, so copies delayed each other.

Now a put is sent again after 0.3 s and the time that its bytes need at 0.25 MB/s, and at once if the link to the leader is lost or another node leads.

--- a/pistachiopath/document/client.py
+++ b/pistachiopath/document/client.py
@@ -8,6 +8,7 @@
 
 from ..effects import Send
 from ..messages.base import Message
+from ..messages.document import PutDocument
 from ..messages.replication import NotLeader
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
     from ..replication.effects import Effect
 
 RESEND_INTERVAL_S = 0.3
+# Links of small VMs carry more than this.
+MIN_BYTES_PER_S = 250_000
 
 
 @attrs.define(kw_only=True)
@@ -64,6 +67,12 @@
         del self._pending[call]
         return True
 
+    def link_lost(self, address: str) -> None:
+        """Resend what was on its way to a node whose link is lost."""
+        for request in self._pending.values():
+            if request.sent_to == address:
+                request.sent_to = ''
+
     def due(self, now: float) -> list[Effect]:
         """Return the requests to send now, if there is a leader."""
         leader = self._leader()
@@ -72,6 +81,13 @@
             if not leader or (request.sent_to == leader and now < request.resend_at):
                 continue
             request.sent_to = leader
-            request.resend_at = now + RESEND_INTERVAL_S
+            request.resend_at = now + _resend_interval_s(request.body)
             effects.append(Send(to=leader, call=call, body=request.body))
         return effects
+
+
+def _resend_interval_s(body: Message) -> float:
+    """Return when to resend a request, with the time that its content needs."""
+    if not isinstance(body, PutDocument):
+        return RESEND_INTERVAL_S
+    return RESEND_INTERVAL_S + len(body.content) / MIN_BYTES_PER_S
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -308,6 +308,7 @@
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
         self.announcer.link_lost(peer)
+        self._client.link_lost(peer)
 
     def _carry_out(self, effects: list) -> None:
         for effect in effects:
