--- a/pistachiopath/messages/registry.py
+++ b/pistachiopath/messages/registry.py
@@ -87,6 +87,8 @@
     'messages.allowance.Borrow',
     'messages.allowance.Borrowed',
     'messages.streams.StreamOrigins',
+    'messages.replication.AppendPart',
+    'messages.replication.AppendPartReply',
 )
 
 
--- a/pistachiopath/messages/replication.py
+++ b/pistachiopath/messages/replication.py
@@ -109,6 +109,39 @@
     offset: int
 
 
+@message
+class AppendPart(Message):
+    """One part of the command of a large record, starting at the byte `offset`.
+
+    The other fields are those of an `Append` and of its record.  Without `data` it
+    is a heartbeat.
+    """
+
+    to_member: str
+    term: int
+    round: int
+    previous_term: int
+    commit: int
+    index: int
+    entry_term: int
+    kind: str
+    time_ms: int
+    offset: int
+    total: int
+    data: bytes
+
+
+@message
+class AppendPartReply(Message):
+    """Reply to an AppendPart; the follower holds `offset` bytes."""
+
+    member: str
+    term: int
+    round: int
+    index: int
+    offset: int
+
+
 @message
 class Probe(Message):
     """Announces a member that looks for its group."""
@@ -149,6 +182,8 @@
     AppendReply,
     InstallSnapshot,
     SnapshotReply,
+    AppendPart,
+    AppendPartReply,
     Probe,
     ProbeReply,
     Form,
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -7,6 +7,8 @@
 from ..effects import Send
 from ..messages.replication import (
     Append,
+    AppendPart,
+    AppendPartReply,
     AppendReply,
     Entry,
     InstallSnapshot,
@@ -27,9 +29,9 @@
 from .election_clock import ElectionClock
 from .entry_kind import EntryKind
 from .log import Log
+from .part_buffer import PartBuffer
 from .replicator import Replicator
 from .role import Role
-from .snapshot_parts import SnapshotParts
 from .timing import Timing
 
 if TYPE_CHECKING:
@@ -84,7 +86,8 @@
         self._pre_voting = False
         self._replicator = Replicator(replica=self, timing=self._timing)
         self._leader_contact_at = -self._timing.election_max_s
-        self._snapshot_parts = SnapshotParts()
+        self._snapshot_parts = PartBuffer()
+        self._record_parts = PartBuffer()
         self._effects: list[Effect] = []
         self._election_clock = ElectionClock(timing=self._timing, rng=rng)
         self._election_at = now + self._election_clock.draw_timeout_s()
@@ -196,7 +199,9 @@
             Append: self._on_append,
             AppendReply: self._on_append_reply,
             InstallSnapshot: self._on_install,
-            SnapshotReply: self._on_snapshot_reply,
+            SnapshotReply: self._on_part_reply,
+            AppendPart: self._on_append_part,
+            AppendPartReply: self._on_part_reply,
         }
         handlers[type(body)](sender, body, now)
         return self._take_effects()
@@ -211,7 +216,7 @@
         not disturb it.  A leader is live if it is this replica or has sent it a
         message within `election_min_s`.  Pre-vote requests are then denied.
         """
-        if isinstance(body, (Append, InstallSnapshot)):
+        if isinstance(body, (Append, AppendPart, InstallSnapshot)):
             return body.to_member != self.member
         if not isinstance(body, VoteRequest):
             return False
@@ -351,9 +356,11 @@
             self._replicator.on_append_reply(reply, now)
             self._advance_commit()
 
-    def _on_snapshot_reply(self, sender: str, reply: SnapshotReply, now: float) -> None:
+    def _on_part_reply(
+        self, sender: str, reply: SnapshotReply | AppendPartReply, now: float
+    ) -> None:
         if self.is_leader and reply.term == self.term:
-            self._replicator.on_snapshot_reply(reply, now)
+            self._replicator.on_part_reply(reply, now)
 
     def _advance_commit(self) -> None:
         index = self._replicator.majority_match(self._durable_index)
@@ -369,22 +376,69 @@
     # Replication on followers
 
     def _on_append(self, sender: str, msg: Append, now: float) -> None:
+        if self._follows_log(sender, msg, msg.previous_index, now):
+            self._append_entries(sender, msg, now)
+
+    def _follows_log(
+        self, sender: str, msg: Append | AppendPart, previous_index: int, now: float
+    ) -> bool:
+        """Tell whether records that a leader sent follow this log; refuse others."""
         if msg.term < self.term:
             self._reply_append(sender, msg, success=False, match=0)
-            return
+            return False
         self._accept_leader(sender, msg.term, now)
         if self._leader_commit is None:
             self._leader_commit = msg.commit
-        if msg.previous_index < self.commit:
+        if previous_index < self.commit:
             # Committed records always match, so the previous term is not checked.
             # The records that a snapshot covers are skipped.
-            self._append_entries(sender, msg, now)
-            return
-        if self.log.term_at(msg.previous_index) != msg.previous_term:
-            hint = min(self.log.last_index, msg.previous_index - 1)
+            return True
+        if self.log.term_at(previous_index) != msg.previous_term:
+            hint = min(self.log.last_index, previous_index - 1)
             self._reply_append(sender, msg, success=False, match=hint)
+            return False
+        return True
+
+    def _on_append_part(self, sender: str, msg: AppendPart, now: float) -> None:
+        previous_index = msg.index - 1
+        if not self._follows_log(sender, msg, previous_index, now):
+            return
+        is_held = self.log.term_at(msg.index) == msg.entry_term
+        if msg.index <= self.commit or is_held:
+            self._reply_append(sender, msg, success=True, match=msg.index)
             return
-        self._append_entries(sender, msg, now)
+        self._commit_up_to(max(self.commit, min(msg.commit, previous_index)))
+        received_bytes = self._record_parts.add(msg)
+        if received_bytes < msg.total:
+            reply = AppendPartReply(
+                member=self.member,
+                term=self.term,
+                round=msg.round,
+                index=msg.index,
+                offset=received_bytes,
+            )
+            self.send(sender, reply)
+            return
+        self._append_entries(sender, self._joined(msg), now)
+
+    def _joined(self, msg: AppendPart) -> Append:
+        """Return the message with the whole record whose last part has arrived."""
+        entry = Entry(
+            index=msg.index,
+            term=msg.entry_term,
+            kind=msg.kind,
+            time_ms=msg.time_ms,
+            command=self._record_parts.take(),
+        )
+        return Append(
+            to_member=msg.to_member,
+            term=msg.term,
+            round=msg.round,
+            previous_index=msg.index - 1,
+            previous_term=msg.previous_term,
+            commit=msg.commit,
+            entries=(entry,),
+        )
 
     def _append_entries(self, sender: str, msg: Append, now: float) -> None:
         added = []
@@ -405,7 +459,9 @@
         self._commit_up_to(max(self.commit, min(msg.commit, match)))
         self._reply_append(sender, msg, success=True, match=match)
 
-    def _reply_append(self, to: str, msg: Append, *, success: bool, match: int) -> None:
+    def _reply_append(
+        self, to: str, msg: Append | AppendPart, *, success: bool, match: int
+    ) -> None:
         reply = AppendReply(
             member=self.member,
             term=self.term,
--- a/pistachiopath/replication/replicator.py
+++ b/pistachiopath/replication/replicator.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
-from ..messages.replication import Append, InstallSnapshot
-from .progress import Progress
+from ..messages.replication import Append, AppendPart, InstallSnapshot
+from .progress import Progress, Transfer
 
 if TYPE_CHECKING:
-    from ..messages.replication import AppendReply, Member, SnapshotReply
+    from ..messages.replication import (
+        AppendPartReply,
+        AppendReply,
+        Entry,
+        Member,
+        SnapshotReply,
+    )
     from .replica import Replica
     from .timing import Timing
 
@@ -67,62 +74,103 @@
         progress = self._progress[peer.member]
         progress.last_reply_at = now
         if not reply.success:
-            self._step_back(peer, progress, reply.match, now)
+            self._step_back(peer, progress, reply, now)
             return
-        progress.match = max(progress.match, reply.match)
-        progress.next_index = max(progress.next_index, progress.match + 1)
-        if progress.match >= self._replica.log.base_index:
-            progress.is_sending_snapshot = False
+        progress.confirm(reply.match)
         if progress.next_index <= self._replica.log.last_index:
             self._replicate(peer, now)
 
-    def on_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
-        """Update how much of a snapshot a follower has and continue sending."""
+    def on_part_reply(self, reply: SnapshotReply | AppendPartReply, now: float) -> None:
+        """Send the next part of what a follower receives.
+
+        A reply to a message that was sent before the last part does not tell
+        whether that part arrived.
+        """
         peer = self._peer(reply)
         if peer is None:
             return
         progress = self._progress[peer.member]
         progress.last_reply_at = now
-        if (
-            reply.index != self._replica.log.base_index
-            or not progress.is_sending_snapshot
-        ):
-            progress.is_sending_snapshot = False
+        transfer = progress.transfer
+        if transfer is None or reply.index != transfer.index:
             return
-        progress.offset = reply.offset
-        if reply.offset < len(self._replica.snapshot):
-            self._send_snapshot(peer, progress, now, resend=True)
+        if not self._is_current(progress, transfer) or reply.round < transfer.round:
             return
-        progress.is_sending_snapshot = False
-        progress.match = max(progress.match, reply.index)
-        progress.next_index = progress.match + 1
-        self._replicate(peer, now)
+        if transfer.is_snapshot and reply.offset >= len(self._replica.snapshot):
+            progress.transfer = None
+            progress.confirm(reply.index)
+            self._replicate(peer, now)
+            return
+        self._send_part(peer, progress, now, offset=reply.offset)
 
     def send_due(self, now: float) -> None:
         """Send heartbeats that are due, with the records that are not sent yet."""
         for peer in self._replica.others():
             if now - self._progress[peer.member].sent_at >= self._timing.heartbeat_s:
-                self._replicate(peer, now, resend=True)
+                self._replicate(peer, now, heartbeat=True)
 
     def replicate_all(self, now: float) -> None:
         """Send each follower the records that were not sent to it yet."""
         for peer in self._replica.others():
             self._replicate(peer, now)
 
-    def _replicate(self, peer: Member, now: float, *, resend: bool = False) -> None:
+    def _replicate(self, peer: Member, now: float, *, heartbeat: bool = False) -> None:
+        """Send the next records or part, or a heartbeat if there is nothing to send."""
         progress = self._progress[peer.member]
-        if progress.next_index <= self._replica.log.base_index:
-            self._send_snapshot(peer, progress, now, resend=resend)
+        transfer = progress.transfer
+        if transfer is not None and self._is_current(progress, transfer):
+            if heartbeat:
+                self._send_part(peer, progress, now)
             return
-        first = progress.next_index
+        progress.transfer = self._next_transfer(progress)
+        if progress.transfer is not None:
+            self._send_part(peer, progress, now, offset=0)
+            return
+        entries = self._next_entries(progress)
+        if entries or heartbeat or not progress.round:
+            self._send_entries(peer, progress, entries, now)
+
+    def _next_transfer(self, progress: Progress) -> Transfer | None:
+        """Return the transfer of what comes next, if it is to be sent in parts."""
+        log = self._replica.log
+        if progress.next_index <= log.base_index:
+            return Transfer(index=log.base_index, is_snapshot=True)
+        if self._is_large(log.get(progress.next_index)):
+            return Transfer(index=progress.next_index, is_snapshot=False)
+        return None
+
+    def _is_current(self, progress: Progress, transfer: Transfer) -> bool:
+        """Tell whether a follower still needs what is being sent in parts."""
+        base_index = self._replica.log.base_index
+        if transfer.is_snapshot:
+            return transfer.index == base_index and progress.next_index <= base_index
+        return transfer.index == progress.next_index > base_index
+
+    def _is_large(self, entry: Entry | None) -> bool:
+        return entry is not None and len(entry.command) > self._timing.part_bytes
+
+    def _next_entries(self, progress: Progress) -> tuple[Entry, ...]:
+        """Return the records to send now, within the window."""
+        free_bytes = self._timing.window_bytes - progress.window.bytes
+        if free_bytes <= 0:
+            return ()
         entries = self._replica.log.slice(
-            first, self._timing.max_entries, MAX_APPEND_BYTES
+            progress.next_index,
+            self._timing.max_entries,
+            min(free_bytes, MAX_APPEND_BYTES),
         )
-        if not entries and not resend and progress.round:
-            return
+        return tuple(takewhile(lambda entry: not self._is_large(entry), entries))
+
+    def _send_entries(
+        self, peer: Member, progress: Progress, entries: tuple[Entry, ...], now: float
+    ) -> None:
+        first = progress.next_index
         progress.round += 1
         progress.sent_at = now
-        progress.next_index = first + len(entries)
+        if entries:
+            progress.next_index = first + len(entries)
+            size = sum(len(entry.command) for entry in entries)
+            progress.window.add(entries[-1].index, size)
         self._replica.send(
             peer.address,
             Append(
@@ -136,49 +184,80 @@
             ),
         )
 
-    def _send_snapshot(
-        self, peer: Member, progress: Progress, now: float, *, resend: bool
+    def _send_part(
+        self, peer: Member, progress: Progress, now: float, *, offset: int | None = None
     ) -> None:
-        if progress.is_sending_snapshot and not resend:
-            return
-        if not progress.is_sending_snapshot:
-            progress.offset = 0
-        progress.is_sending_snapshot = True
+        """Send the part of the transfer at an offset, or a heartbeat without data."""
+        transfer = progress.transfer
         progress.round += 1
         progress.sent_at = now
-        start = progress.offset
-        end = start + self._timing.snapshot_chunk_bytes
-        data = bytes(self._replica.snapshot[start:end])
-        self._replica.send(
-            peer.address,
-            InstallSnapshot(
-                to_member=peer.member,
-                term=self._replica.term,
-                round=progress.round,
-                index=self._replica.log.base_index,
-                index_term=self._replica.log.base_term,
-                members=self._replica.log.base_members,
-                offset=start,
-                total=len(self._replica.snapshot),
-                data=data,
-            ),
+        if offset is not None:
+            transfer.round = progress.round
+        build = self._snapshot_part if transfer.is_snapshot else self._record_part
+        self._replica.send(peer.address, build(peer, progress, offset))
+
+    def _snapshot_part(
+        self, peer: Member, progress: Progress, offset: int | None
+    ) -> InstallSnapshot:
+        snapshot = self._replica.snapshot
+        log = self._replica.log
+        return InstallSnapshot(
+            to_member=peer.member,
+            term=self._replica.term,
+            round=progress.round,
+            index=log.base_index,
+            index_term=log.base_term,
+            members=log.base_members,
+            offset=offset or 0,
+            total=len(snapshot),
+            data=self._part(snapshot, offset),
+        )
+
+    def _record_part(
+        self, peer: Member, progress: Progress, offset: int | None
+    ) -> AppendPart:
+        entry = self._replica.log.get(progress.transfer.index)
+        return AppendPart(
+            to_member=peer.member,
+            term=self._replica.term,
+            round=progress.round,
+            previous_term=self._replica.log.term_at(entry.index - 1) or 0,
+            commit=self._replica.commit,
+            index=entry.index,
+            entry_term=entry.term,
+            kind=entry.kind,
+            time_ms=entry.time_ms,
+            offset=offset or 0,
+            total=len(entry.command),
+            data=self._part(entry.command, offset),
         )
 
+    def _part(self, data: bytes | bytearray, offset: int | None) -> bytes:
+        if offset is None:
+            return b''
+        return bytes(data[offset : offset + self._timing.part_bytes])
+
     def _step_back(
-        self, peer: Member, progress: Progress, match: int, now: float
+        self, peer: Member, progress: Progress, reply: AppendReply, now: float
     ) -> None:
-        if match < progress.match:
-            # Only a disk that lost synced records causes this.  The next
+        """Send again from where a follower's log ends.
+
+        All messages after a lost one are refused, and only the first refusal counts.
+        """
+        if reply.match < progress.match or reply.round <= progress.restart_round:
+            # If the match is lower, the disk has lost synced records.  The next
             # heartbeat retries.
             return
-        progress.next_index = match + 1
+        progress.restart(reply.match + 1)
         self._replicate(peer, now)
 
     def _match(self, member: str) -> int:
         progress = self._progress.get(member)
         return progress.match if progress else 0
 
-    def _peer(self, reply: AppendReply | SnapshotReply) -> Member | None:
+    def _peer(
+        self, reply: AppendReply | SnapshotReply | AppendPartReply
+    ) -> Member | None:
         for peer in self._replica.others():
             if peer.member == reply.member:
                 return peer
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -522,6 +522,29 @@
   origins @0 :List(StreamOrigin);
 }
 
+struct AppendPart {
+  toMember @0 :Text;
+  term @1 :Int64;
+  round @2 :Int64;
+  previousTerm @3 :Int64;
+  commit @4 :Int64;
+  index @5 :Int64;
+  entryTerm @6 :Int64;
+  kind @7 :Text;
+  timeMs @8 :Int64;
+  offset @9 :Int64;
+  total @10 :Int64;
+  data @11 :Data;
+}
+
+struct AppendPartReply {
+  member @0 :Text;
+  term @1 :Int64;
+  round @2 :Int64;
+  index @3 :Int64;
+  offset @4 :Int64;
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -702,5 +725,7 @@
     borrow @74 :Borrow;
     borrowed @75 :Borrowed;
     streamOrigins @76 :StreamOrigins;
+    appendPart @77 :AppendPart;
+    appendPartReply @78 :AppendPartReply;
   }
 }
