Control nodes ask each other for no configuration

Cause: a control node that follows the others to hear of replicas asked for configurations as an entry does, though it takes them from the replicated log alone: a second copy of each version on the links between control nodes, asked for again each 0.3 s, since it never counted as held.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -59,9 +59,10 @@
     """Polls every known control node for changes and merges the replies.
 
     An entry takes configurations from its main control node.  The main control
-    nodes of all entries are spread evenly.  A control node needs none and polls
-    all others equally often.  The version never decreases, and the state stays in
-    use while no control node replies.  `now` is a monotonic clock in seconds.
+    nodes of all entries are spread evenly.  A control node has them from the
+    replicated log: it wants none, and polls all others equally often.  The version
+    never decreases, and the state stays in use while no control node replies.
+    `now` is a monotonic clock in seconds.
     """
 
     def __init__(self, *, is_entry: bool, own_address: str) -> None:
@@ -151,7 +152,8 @@
         effects: list[Send] = []
         for address, source in self._sources.items():
             timeout_s = self._content_timeout_s(address, main)
-            is_content_late = now - source.newer_version_since >= timeout_s
+            newer_since_s = now - source.newer_version_since
+            is_content_late = self._is_entry and newer_since_s >= timeout_s
             if now < source.next_follow_at and not is_content_late:
                 continue
             if is_content_late:
@@ -234,11 +236,12 @@
     def _follow(
         self, address: str, source: _Source, *, wants_content: bool = False
     ) -> Send:
+        is_supplier = address == self._main or not self.version
         body = Follow(
             version=self.version,
             feed=source.feed,
             since=source.change,
             is_entry=self._is_entry,
-            wants_content=wants_content or address == self._main or not self.version,
+            wants_content=self._is_entry and (wants_content or is_supplier),
         )
         return Send(to=address, call=0, body=body)
--- a/tests/test_directory/test_content_in_flight.py
+++ b/tests/test_directory/test_content_in_flight.py
@@ -96,3 +96,13 @@
     for tenth in range(2, 12):
         assert wanted_from(entry, tenth / 10) <= {main}
     assert len(wanted_from(entry, 1.7)) == 2
+
+
+def test_control_nodes_ask_each_other_for_no_configuration():
+    # Regression: each took a copy from another one, besides that of the log.
+    node = Subscriber(is_entry=False, own_address='c3')
+    node.set_seeds(('c1', 'c2'), 0.0)
+    for tenth in range(30):
+        assert wanted_from(node, tenth / 10) == set()
+        for control in ('c1', 'c2'):
+            node.on_news(control, offer(2), tenth / 10)
