A control node sends large configurations to a few followers at a time

Cause: each of its followers was sent the configuration at once, so memory grew by bytes of a version x followers that are slow, and heartbeats of the group shared the node's link with all those copies.

Now 2 MB are on their way to all followers together, one configuration at least. Those with the lowest version are next, and one that never confirms holds up the others for 0.5 s and the time that its bytes need at 0.25 MB/s.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -20,6 +20,9 @@
 # rate, is taken to be lost.  Links of small VMs carry 0.6 MB/s or more.
 CONFIRM_TIMEOUT_S = 0.5
 MIN_BYTES_PER_S = 250_000
+# At most this much of configurations is on its way to all followers together, but
+# one configuration at least.
+MAX_CONTENT_BYTES_SENT = 2 * 1024 * 1024
 
 
 @attrs.define(kw_only=True)
@@ -39,12 +42,15 @@
     sent_version: int = 0
     sent_until: float = 0.0
 
+    def is_receiving(self, now: float) -> bool:
+        """Return whether a configuration is on its way."""
+        return self.sent_version > self.version and now < self.sent_until
+
     def needs_content(self, version: int, now: float) -> bool:
         """Return whether to send the configuration of a version now."""
         if not self.wants_content or version <= self.version:
             return False
-        is_receiving = self.sent_version > self.version and now < self.sent_until
-        return not is_receiving
+        return not self.is_receiving(now)
 
 
 class Announcer:
@@ -53,9 +59,10 @@
     Each announcement received here is forwarded to the other control nodes.
     Followers get only those that change a replica's record in more than its
     sequence number and warm-up time.  `feed` identifies this lifetime's numbering
-    of changes.  `is_first_start` means that the system starts for the first time,
-    so that no replica has served before.  Methods return effects.  `now` is a
-    monotonic clock in seconds.
+    of changes.  Configurations go to a few followers at a time, first to those with
+    the lowest version, so that slow links hold few copies.  `is_first_start` means
+    that the system starts for the first time, so that no replica has served before.
+    Methods return effects.  `now` is a monotonic clock in seconds.
     """
 
     def __init__(
@@ -77,6 +84,8 @@
         self._is_first_start = is_first_start
         self._has_stored_records = False
         self._followers: dict[str, _Follower] = {}
+        self._receiving: set[str] = set()
+        self._waiting: set[str] = set()
         self._controls: dict[str, float] = {}
         self._last_announced_at: dict[str, float] = {}
 
@@ -161,7 +170,11 @@
             follower.sent_version = previous.sent_version
             follower.sent_until = previous.sent_until
         self._followers[sender] = follower
-        return [self._push_to(sender, follower, now)]
+        chosen = self._choose_receivers({*self._waiting, sender}, now)
+        return [
+            self._push_to(name, now, with_content=name in chosen)
+            for name in (sender, *sorted(chosen - {sender}))
+        ]
 
     def link_lost(self, address: str) -> None:
         """Forget what was on its way to a follower; its next poll is answered."""
@@ -219,19 +232,25 @@
 
     def _push(self, now: float) -> list[Send]:
         """Send each live follower the changes that it does not have yet."""
+        live = {name for name in self._followers if self._is_live(name, now)}
+        chosen = self._choose_receivers(live, now)
         return [
-            self._push_to(name, follower, now)
-            for name, follower in self._followers.items()
-            if now - follower.last_follow_at < FOLLOWER_LEASE_S
+            self._push_to(name, now, with_content=name in chosen)
+            for name in self._followers
+            if name in live
         ]
 
-    def _push_to(self, name: str, follower: _Follower, now: float) -> Send:
-        content = self._content_for(follower, now)
+    def _is_live(self, name: str, now: float) -> bool:
+        follower = self._followers.get(name)
+        return follower is not None and now - follower.last_follow_at < FOLLOWER_LEASE_S
+
+    def _push_to(self, name: str, now: float, *, with_content: bool) -> Send:
+        follower = self._followers[name]
         news = News(
             feed=self._feed,
             change=self.directory.change,
             version=self.version,
-            content=content,
+            content=self.content if with_content else b'',
             records=self.directory.since(follower.since),
             controls=self.controls(now),
             entries=self.entries(now),
@@ -241,15 +260,33 @@
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
 
-    def _content_for(self, follower: _Follower, now: float) -> bytes:
-        """Return the configuration if it is to be sent now, or nothing.
+    def _choose_receivers(self, names: set[str], now: float) -> set[str]:
+        """Return to which of these followers the configuration is sent now.
 
         A follower needs the newest version only, so those that come while it
         receives one are skipped.
         """
-        if not follower.needs_content(self.version, now):
-            return b''
+        self._receiving = {
+            name
+            for name in self._receiving
+            if self._is_live(name, now) and self._followers[name].is_receiving(now)
+        }
+        needing = [
+            name
+            for name in names
+            if self._is_live(name, now)
+            and self._followers[name].needs_content(self.version, now)
+        ]
+        needing.sort(key=lambda name: (self._followers[name].version, name))
+        most = max(1, MAX_CONTENT_BYTES_SENT // max(1, len(self.content)))
+        chosen = needing[: max(0, most - len(self._receiving))]
+        for name in chosen:
+            self._start_sending(self._followers[name], now)
+        self._receiving.update(chosen)
+        self._waiting = set(needing) - self._receiving
+        return set(chosen)
+
+    def _start_sending(self, follower: _Follower, now: float) -> None:
         follower.sent_version = self.version
         transfer_s = len(self.content) / MIN_BYTES_PER_S
         follower.sent_until = now + CONFIRM_TIMEOUT_S + transfer_s
-        return self.content
--- a/tests/test_directory/test_content_in_flight.py
+++ b/tests/test_directory/test_content_in_flight.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.announcer import MAX_CONTENT_BYTES_SENT, Announcer
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.messages.directory import Follow, News
 
@@ -106,3 +106,52 @@
         assert wanted_from(node, tenth / 10) == set()
         for control in ('c1', 'c2'):
             node.on_news(control, offer(2), tenth / 10)
+
+
+def confirm(announcer, name, version, now):
+    return announcer.follow(name, follow(version), now)
+
+
+def receivers(effects):
+    """Return the followers that are sent a configuration."""
+    return [send.to for send in effects if send.body.content]
+
+
+def test_large_configurations_are_on_their_way_to_a_few_followers_at_a_time(
+    announcer,
+):
+    # Regression: seventy slow entries had seventy copies in the queues of a node.
+    names = [f'e{n:02}' for n in range(70)]
+    for name in names:
+        announcer.follow(name, follow(0), 0.0)
+    started = receivers(announcer.publish(1, CONTENT, 0.1))
+    assert len(started) * len(CONTENT) <= MAX_CONTENT_BYTES_SENT
+    reached = []
+    while started:
+        name = started.pop(0)
+        reached.append(name)
+        started += receivers(confirm(announcer, name, 1, 0.2))
+        assert len(started) * len(CONTENT) <= MAX_CONTENT_BYTES_SENT
+    assert sorted(reached) == names
+
+
+def test_followers_that_wait_longest_get_the_next_configuration_first(announcer):
+    names = [f'e{n}' for n in range(6)]
+    for name in names:
+        announcer.follow(name, follow(0), 0.0)
+    started = receivers(announcer.publish(1, CONTENT, 0.1))
+    announcer.publish(2, CONTENT, 0.2)
+    waiting = set(names) - set(started)
+    assert set(receivers(confirm(announcer, started[0], 1, 0.3))) <= waiting
+
+
+def test_a_follower_that_never_confirms_holds_up_the_others_for_a_while_only(
+    announcer,
+):
+    for number in range(6):
+        announcer.follow(f'e{number}', follow(0), 0.0)
+    started = receivers(announcer.publish(1, CONTENT, 0.0))
+    last = f'e{max({0, 1, 2, 3, 4, 5} - {int(name[1:]) for name in started})}'
+    announcer.follow(last, follow(0), 2.4)
+    assert receivers(announcer.follow(last, follow(0), 2.4)) == []
+    assert last in receivers(announcer.follow(last, follow(0), 2.6))
