--- a/pistachiopath/document/operator_requests.py
+++ b/pistachiopath/document/operator_requests.py
@@ -68,6 +68,10 @@
         if result is not None:
             result.set(body)
 
+    def handle_lost(self, peer: str) -> None:
+        """Resend what was on its way to a node whose link is lost, when due."""
+        self._client.link_lost(peer)
+
     def resend(self, now: float) -> None:
         """Resend the requests without a reply that are due."""
         self._send_all(self._client.due(now))
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -266,3 +266,4 @@
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
         self.announcer.link_lost(peer)
+        self.requests.handle_lost(peer)
