--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..effects import Send
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
@@ -17,6 +16,7 @@
 from .gate_log import GateLog
 
 if TYPE_CHECKING:
+    from ..effects import Send
     from ..messages.base import Message
     from ..telemetry.metrics import Metrics
 
@@ -30,9 +30,16 @@
 class GateShell:
     """Runs the gate of the engine on this VM."""
 
-    def __init__(self, *, address: str, secret: bytes, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        secret: bytes,
+        metrics: Metrics,
+        listen_address: str = '',
+    ) -> None:
         self.gate = GrantGate(log=GateLog(metrics=metrics))
-        self._address = address
+        self._listen_address = listen_address or address
         self._metrics = metrics
         failures = LoopFailures(metrics=metrics)
         self._network = Network(
@@ -40,7 +47,7 @@
                 name=address, role=ROLE_NODE, secrets={ROLE_NODE: secret}
             ),
             on_message=self._on_message,
-            on_lost=lambda peer: self._apply_effects(
+            on_lost=lambda peer: self._network.send_all(
                 self.gate.entry_lost(peer, time.monotonic())
             ),
             silence_s=LINK_SILENCE_S,
@@ -58,7 +65,7 @@
 
     def start(self) -> None:
         """Start listening and granting places."""
-        self._network.listen(self._address)
+        self._network.listen(self._listen_address)
         self._timers.start()
 
     def stop(self) -> None:
@@ -67,7 +74,7 @@
         self._timers.stop()
 
     def _tick_gate(self, now: float) -> None:
-        self._apply_effects(self.gate.tick(now))
+        self._network.send_all(self.gate.tick(now))
 
     def _report_load(self, _now: float) -> None:
         gate = self.gate
@@ -86,18 +93,16 @@
             )
 
     def _on_message(self, sender: str, call: int, body: Message) -> None:
-        now = time.monotonic()
+        self._network.send_all(self._handle(sender, call, body, time.monotonic()))
+
+    def _handle(self, sender: str, call: int, body: Message, now: float) -> list[Send]:
         match body:
             case Ask():
-                self._apply_effects(self.gate.ask(sender, body, now))
+                return self.gate.ask(sender, body, now)
             case ReleasePlace():
-                self._apply_effects(self.gate.release(sender, body, now))
+                return self.gate.release(sender, body, now)
             case WatchLoad(streams=()):
-                self._apply_effects(self.gate.watch(sender, body, now))
+                return self.gate.watch(sender, body, now)
             case WatchLoad(streams=streams):
-                self._apply_effects(self.gate.find_streams(sender, call, streams, now))
-
-    def _apply_effects(self, effects: list) -> None:
-        for effect in effects:
-            if isinstance(effect, Send):
-                self._network.send(effect.to, effect.call, effect.body)
+                return self.gate.find_streams(sender, call, streams, now)
+        return []
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -476,6 +476,7 @@
   slots @0 :Int64;
   periodMs @1 :Int64;
   streams @2 :List(Text);
+  notes @3 :List(StreamNotes);
 }
 
 struct GateLoad {
@@ -522,6 +523,29 @@
   origins @0 :List(StreamOrigin);
 }
 
+struct AppendPart {
+  toMember @0 :Text;
+  term @1 :Int64;
+  round @2 :Int64;
+  previousTerm @3 :Int64;
+  commit @4 :Int64;
+  index @5 :Int64;
+  entryTerm @6 :Int64;
+  kind @7 :Text;
+  timeMs @8 :Int64;
+  offset @9 :Int64;
+  total @10 :Int64;
+  data @11 :Data;
+}
+
+struct AppendPartReply {
+  member @0 :Text;
+  term @1 :Int64;
+  round @2 :Int64;
+  index @3 :Int64;
+  offset @4 :Int64;
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -576,6 +600,12 @@
   slot @2 :Int64;
 }
 
+struct StreamNotes {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  digests @2 :Data;
+}
+
 struct TierLoad {
   tier @0 :Int64;
   waiting @1 :Int64;
@@ -702,5 +732,7 @@
     borrow @74 :Borrow;
     borrowed @75 :Borrowed;
     streamOrigins @76 :StreamOrigins;
+    appendPart @77 :AppendPart;
+    appendPartReply @78 :AppendPartReply;
   }
 }
