--- a/pistachiopath/gate/answers.py
+++ b/pistachiopath/gate/answers.py
@@ -4,13 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from ..effects import Send
 from ..errors.outcomes import OutcomeKind
 from ..messages.claims import OutcomeRecord
-from ..messages.dispatch import Chunk, End, NotStarted
+from ..messages.dispatch import Accepted, Chunk, End, NotHeld, NotStarted
 from .run import RunState
 
 if TYPE_CHECKING:
     from ..messages.base import Message
+    from ..messages.dispatch import Attach, Dispatch
     from .run import Run
 
 CHUNK_BYTES = 64 * 1024
@@ -37,6 +39,33 @@
     return messages
 
 
+def publish(run: Run) -> list[Send]:
+    """Send all subscribers what they have not been sent of the answer."""
+    effects: list[Send] = []
+    for name in list(run.subscribers):
+        effects += publish_to(name, run)
+    return effects
+
+
+def publish_to(name: str, run: Run) -> list[Send]:
+    """Send a subscriber what it has not been sent of the answer."""
+    messages = answer_messages(run, run.subscribers[name])
+    run.subscribers[name] = len(run.answer)
+    return [Send(to=name, call=0, body=message) for message in messages]
+
+
+def accepted(sender: str, run: Run) -> Send:
+    """Confirm to an entry that the run is held."""
+    body = Accepted(key=run.key, binding=run.binding)
+    return Send(to=sender, call=0, body=body)
+
+
+def not_held(sender: str, msg: Attach | Dispatch) -> Send:
+    """Reply to an entry that no run of the message's binding is held."""
+    body = NotHeld(key=msg.key, binding=msg.binding)
+    return Send(to=sender, call=0, body=body)
+
+
 def not_started(run: Run) -> NotStarted:
     """Return the proof that a run never started."""
     return NotStarted(
--- a/pistachiopath/gate/gate.py
+++ b/pistachiopath/gate/gate.py
@@ -9,16 +9,11 @@
 from ..effects import Send
 from ..errors.outcomes import OutcomeKind
 from ..messages.claims import FinishItem, OutcomeRecord
-from ..messages.dispatch import (
-    Accepted,
-    Attach,
-    NotHeld,
-    Work,
-)
-from ..messages.membership import Load
-from .answers import answer_messages, not_started
+from ..messages.dispatch import Work
+from .answers import accepted, not_held, not_started, publish, publish_to
 from .effects import RecordOutcome, StartRun, StopRun
 from .fairness import FairTags
+from .load import load_of
 from .queue import RunQueue
 from .retention import Retention
 from .run import Run, RunState
@@ -26,7 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..messages.dispatch import Cancel, Dispatch
+    from ..messages.dispatch import Attach, Cancel, Dispatch
+    from ..messages.membership import Load
     from .limits import GateLimits
 
 
@@ -71,17 +67,10 @@
 
     def load(self) -> Load:
         """Return the load to announce."""
-        held = self.held()
-        promised = [run for run in held if run.work.promised]
-        return Load(
-            running=len(self._running),
-            queued=len(self._queue),
+        return load_of(
+            queued=list(self._queue),
+            running=self.running(),
             window=self._limits.window,
-            promised=len(promised),
-            prompt_tokens=_prompt_tokens(held),
-            output_tokens=_output_tokens(held),
-            promised_prompt_tokens=_prompt_tokens(promised),
-            promised_output_tokens=_output_tokens(promised),
         )
 
     def start_incarnation(self, incarnation: int, now: float) -> list:
@@ -118,8 +107,7 @@
         if is_foreign or (run is not None and run.state is not RunState.TOMBSTONE):
             # A request bound to an incarnation that this process never had may
             # have been run by another process.
-            not_held = NotHeld(key=msg.key, binding=msg.binding)
-            return [Send(to=sender, call=0, body=not_held)]
+            return [not_held(sender, msg)]
         refusal = self._refusal(msg)
         self._order += 1
         run = Run(
@@ -138,7 +126,7 @@
         tokens = work.prompt_tokens + work.output_tokens
         run.fair_tag = self._fair_tags.tag(work.tier, work.customer, tokens)
         self._queue.push(run)
-        effects = [_accepted(sender, run)]
+        effects = [accepted(sender, run)]
         return effects + self._shed(now) + self._start_due(now)
 
     def attach(self, sender: str, msg: Attach, now: float) -> list:
@@ -147,13 +135,12 @@
         if run is None and msg.recent and msg.incarnation in self._incarnations:
             run = self._tombstone_unseen(msg, now)
         if run is None or run.binding != msg.binding:
-            not_held = NotHeld(key=msg.key, binding=msg.binding)
-            return [Send(to=sender, call=0, body=not_held)]
+            return [not_held(sender, msg)]
         if run.state is RunState.TOMBSTONE:
             return [Send(to=sender, call=0, body=not_started(run))]
         run.subscribers[sender] = msg.offset
         # Without output to send, confirm that the run is held.
-        return self._publish_to(sender, run) or [_accepted(sender, run)]
+        return publish_to(sender, run) or [accepted(sender, run)]
 
     def cancel(self, sender: str, msg: Cancel, now: float) -> list:
         """Unsubscribe an entry; stop a repeatable run that has no subscriber left."""
@@ -183,7 +170,7 @@
         run.status = status
         run.content_type = content_type
         run.answer += data
-        return self._publish(run)
+        return publish(run)
 
     def engine_end(self, run: Run, outcome: OutcomeRecord, now: float) -> list:
         """Handle the end of a run at the engine."""
@@ -302,18 +289,7 @@
             stale = attrs.evolve(not_started(run), binding=binding)
             return [Send(to=sender, call=0, body=stale)]
         run.subscribers.setdefault(sender, 0)
-        return [_accepted(sender, run), *self._publish_to(sender, run)]
-
-    def _publish(self, run: Run) -> list:
-        effects = []
-        for name in list(run.subscribers):
-            effects += self._publish_to(name, run)
-        return effects
-
-    def _publish_to(self, name: str, run: Run) -> list:
-        messages = answer_messages(run, run.subscribers[name])
-        run.subscribers[name] = len(run.answer)
-        return [Send(to=name, call=0, body=message) for message in messages]
+        return [accepted(sender, run), *publish_to(sender, run)]
 
     def _end_cancelled(self, run: Run, now: float) -> list:
         outcome = OutcomeRecord(kind=OutcomeKind.FAILED, reason='cancelled')
@@ -329,17 +305,4 @@
         if run.work.once:
             stored = attrs.evolve(stored, answer=bytes(run.answer))
         item = FinishItem(key=run.key, binding=run.binding, outcome=stored)
-        return [RecordOutcome(item=item), *self._publish(run)]
-
-
-def _accepted(sender: str, run: Run) -> Send:
-    body = Accepted(key=run.key, binding=run.binding)
-    return Send(to=sender, call=0, body=body)
-
-
-def _prompt_tokens(runs: list[Run]) -> int:
-    return sum(run.work.prompt_tokens for run in runs if not run.answer)
-
-
-def _output_tokens(runs: list[Run]) -> int:
-    return sum(run.work.output_tokens for run in runs)
+        return [RecordOutcome(item=item), *publish(run)]
--- a/pistachiopath/gate/queue.py
+++ b/pistachiopath/gate/queue.py
@@ -47,7 +47,3 @@
         """Remove a run if it is in the queue."""
         if self._waiting.get(run.key) is run:
             del self._waiting[run.key]
-
-    def worst(self) -> Run | None:
-        """Return the run of the lowest priority, or None."""
-        return max(self._waiting.values(), key=lambda r: r.priority, default=None)
