--- a/tests/test_admission/test_leased_allowance.py
+++ b/tests/test_admission/test_leased_allowance.py
@@ -142,8 +142,8 @@
 
 
 def test_a_partition_does_not_double_the_burst_allowance():
-    # Regression: QUOTA on Prairie Commons' trouble-1, a fifth too much.  Both
-    # sides of the cut began with full buckets and the whole rate for a second.
+    # Regression: both sides of the cut began with full buckets and the whole rate
+    # for a second.
     world = AllowanceWorld(7)
     rng = random.Random(6)
     world.cut_links = {frozenset(('c0', 'c1')), frozenset(('c0', 'c2'))}
--- a/tests/test_grants/test_gate.py
+++ b/tests/test_grants/test_gate.py
@@ -67,8 +67,7 @@
     gate.ask('e', ask('notice', tier=1, slots=8), 0.0)
     for number in range(8):
         gate.ask('e', ask(f'tag{number}', tier=2, slots=8), 0.0)
-    # Regression: the third tier left two places free, and on Prairie Commons'
-    # trouble-1, whose floor is a third, tags earned only a third of their worth.
+    # Regression: the third tier left two places free.
     assert gate.running == 7
 
 
@@ -152,8 +151,8 @@
 
 
 def test_an_infeasible_wait_is_denied_well_before_the_deadline():
-    # Regression: notices that urgent requests kept overtaking waited until their
-    # deadline (142 on Ankobra's scale-1 once they no longer moved).
+    # Regression: requests that more urgent ones kept overtaking waited until their
+    # deadline.
     gate = GrantGate()
     for name in ('a', 'b'):
         gate.ask('e', ask(name, tier=0, output_tokens=1500), 0.0)
--- a/tests/test_platform/test_early.py
+++ b/tests/test_platform/test_early.py
@@ -41,8 +41,8 @@
 
 
 def test_connection_opened_before_the_server_starts_is_served(settings):
-    # Regression: entries that were still importing their modules refused 191
-    # connections in one day (Ankobra, trouble-2).
+    # Regression: entries that were still importing their modules refused
+    # connections.
     address, environ = settings
     listen_early(['entry', '--metrics-port', '9464'], environ)
     caller = connect(address)
--- a/tests/test_relay/test_departure.py
+++ b/tests/test_relay/test_departure.py
@@ -52,9 +52,8 @@
 @pytest.mark.parametrize('after_s', [0.0, 1.0, 2.4])
 @pytest.mark.parametrize('output_tokens', [20, 280, 800, 1500, 2800])
 def test_admitted_streams_end_before_the_cutoff(after_s, output_tokens):
-    # Regression: a stream of 2,700 tokens was admitted 2.4 s after the stop began
-    # and cut off 5.5 s later (LOST on Ankobra's trouble-2).  This happened again
-    # with a first fix that used the average speed of the engines.
+    # Regression: long streams were admitted late in the grace and cut off at its
+    # end, also when they were judged by the average speed of the engines.
     departure = Departure(grace_s=GRACE_S, loads=loads())
     departure.begin(10.0)
     now = 10.0 + after_s
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -88,8 +88,8 @@
 
 
 def test_one_gate_that_denies_a_place_does_not_turn_a_request_away():
-    # Regression: 1,056 requests of one day waited 0.6 s at the median and were
-    # then refused by the gate to which they had moved (Ankobra, scale-1).
+    # Regression: requests that had waited were refused by the gate to which they
+    # had moved.
     gates = Gates(denying=('r1',))
     candidates = [candidate('r1', running=0), candidate('r2', running=SLOTS)]
     assert place(candidates, gates) == 'r2'
