--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -12,7 +12,7 @@
 from pistachiopath.relay import entry as entry_module
 from pistachiopath.relay.departure import Departure
 from tests.test_directory.records import record
-from tests.test_exchange.sockets import MUTE, ScriptedTarget
+from tests.test_exchange.sockets import MUTE, Paused, ScriptedTarget
 from tests.test_platform.test_configuration import VALID
 
 from .parts import answer, chunk, events, stream_head
@@ -20,6 +20,7 @@
 
 GRACE_S = 1.0
 LIMIT_S = 10.0
+END = b'0\r\n\r\n'
 
 
 def document():
@@ -55,6 +56,9 @@
         self._sock.sendall(data)
         gevent.spawn(self._read)
 
+    def send(self, data):
+        self._sock.sendall(data)
+
     def _read(self):
         try:
             while part := self._sock.recv(65536):
@@ -178,6 +182,31 @@
     assert caller.received.endswith(b'done')
 
 
+@pytest.mark.parametrize(
+    ('path', 'parts', 'end'),
+    [
+        (b'/pay', [0.3, answer()], b'done'),
+        (b'/pay', [answer()[:-2], 0.3, answer()[-2:]], b'done'),
+        (
+            b'/gen/x',
+            [stream_head() + chunk(events(1, 2)), 0.3, chunk(events(3, 3)) + END],
+            END,
+        ),
+    ],
+)
+def test_an_answer_whose_target_falls_silent_during_the_grace_is_whole(
+    node, path, parts, end
+):
+    target = ScriptedTarget([Paused(*parts)])
+    service = 'model' if path == b'/gen/x' else 'plain'
+    node.receive_news(document(), [record(service=service, address=target.address)])
+    caller = Caller(node, post(path))
+    gevent.sleep(0.05)
+    stop(node, caller)
+    assert caller.statuses == [200]
+    assert caller.received.endswith(end)
+
+
 def test_a_grace_shorter_than_the_rotation_still_answers_what_is_unfinished(
     monkeypatch,
 ):
--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -9,7 +9,13 @@
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.messages.grants import Ask, Denied, Granted, ReleasePlace
 from pistachiopath.relay.dispatcher import MAX_FAILURES
-from tests.test_exchange.sockets import CLOSE, MUTE, Paused, ScriptedTarget
+from tests.test_exchange.sockets import (
+    CLOSE,
+    MUTE,
+    Paused,
+    ScriptedTarget,
+    read_request,
+)
 
 from .parts import (
     IDEMPOTENT,
@@ -228,3 +234,91 @@
     caller, _ = serve_slowly([target], IDEMPOTENT)
     assert (caller.status, caller.body) == (200, b'done')
     assert 'answer_stalled' not in caplog.messages
+
+
+CHUNKED_HEAD = stream_head()
+PLAIN_PHASES = {
+    'in the head': [answer()[:30], SILENCE_S, answer()[30:]],
+    'before the last byte': [answer()[:-1], SILENCE_S, answer()[-1:]],
+    'before the end': [CHUNKED_HEAD + chunk(b'done'), SILENCE_S, END],
+    'in the trailers': [
+        CHUNKED_HEAD + chunk(b'done') + b'0\r\nX: 1\r\n',
+        SILENCE_S,
+        b'\r\n',
+    ],
+    'twice': [answer()[:-3], SILENCE_S, answer()[-3:-1], SILENCE_S, answer()[-1:]],
+}
+STREAM_PHASES = {
+    'in the head': [
+        CHUNKED_HEAD[:40],
+        SILENCE_S,
+        CHUNKED_HEAD[40:] + chunk(STREAM) + END,
+    ],
+    'after the head': [CHUNKED_HEAD, SILENCE_S, chunk(STREAM) + END],
+    'in an event': [
+        CHUNKED_HEAD + chunk(STREAM[:-9]),
+        SILENCE_S,
+        chunk(STREAM[-9:]) + END,
+    ],
+    'in a chunk': [
+        CHUNKED_HEAD + chunk(STREAM)[:30],
+        SILENCE_S,
+        chunk(STREAM)[30:] + END,
+    ],
+    'before the end': [CHUNKED_HEAD + chunk(STREAM), SILENCE_S, END],
+    'in the trailers': [
+        CHUNKED_HEAD + chunk(STREAM) + b'0\r\nX: 1\r\n',
+        SILENCE_S,
+        b'\r\n',
+    ],
+    'twice': [
+        CHUNKED_HEAD + chunk(events(0, 2)),
+        SILENCE_S,
+        chunk(events(3, 4)),
+        SILENCE_S,
+        chunk(events(5, 5)) + END,
+    ],
+}
+PHASES = [
+    (repetition, is_stream, phase)
+    for is_stream, phases in ((False, PLAIN_PHASES), (True, STREAM_PHASES))
+    for repetition in (IDEMPOTENT, ONCE, RESUMABLE)
+    for phase in phases
+    if is_stream or repetition is not RESUMABLE
+]
+
+
+class ResumingTarget(ScriptedTarget):
+    """Target that answers each request whole, a stream from the event asked for."""
+
+    def __init__(self, *, is_stream):
+        self._is_stream = is_stream
+        super().__init__(*[None] * 4, listens_after_s=0.01)
+
+    def _serve(self, sock, _script):
+        request = read_request(sock)
+        if request is None:
+            return
+        self.requests.append(request)
+        if not self._is_stream:
+            sock.sendall(answer())
+            return
+        _, _, last = request[0].lower().partition(b'last-event-id: ')
+        left = events(int(last.split(b'\r\n')[0]) + 1 if last else 0, 5)
+        sock.sendall(CHUNKED_HEAD + (chunk(left) if left else b'') + END)
+
+
+@pytest.mark.parametrize('has_other', [False, True])
+def test_an_answer_is_whole_whenever_its_target_falls_silent(has_other):
+    def run(repetition, is_stream, phase):
+        parts = (STREAM_PHASES if is_stream else PLAIN_PHASES)[phase]
+        targets = [ScriptedTarget([Paused(*parts)])]
+        if has_other:
+            targets.append(ResumingTarget(is_stream=is_stream))
+        caller, _ = serve_slowly(targets, repetition, stream=is_stream)
+        return caller.status, caller.body, caller.finished
+
+    runs = {case: gevent.spawn(run, *case) for case in PHASES}
+    for case, result in runs.items():
+        body = STREAM if case[1] else b'done'
+        assert result.get(timeout=4 * WAIT_S) == (200, body, True), case
