A caller that sends without end does not keep its refused connection

Callers saw nothing; the entry spent its time: after a refusal (408, 413, 431) what a caller still sends is to be discarded for 1 s, so that it can read the refusal. A caller that went on sending was read for longer.

The deadline bounded each wait for bytes, not the loop, and bytes that have arrived are returned after the deadline too. And a rejected connection was read for 1 s twice, by `reject` and by the server.

Evidence: test_a_caller_that_sends_without_end_does_not_keep_its_refused_connection (bytes at each look) failed before: "gevent.timeout.Timeout: 3.0 seconds".

Why it works: the loop itself ends at the deadline, and only the server begins it, for each connection whose last response announced the close.

--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -157,7 +157,6 @@
         """Refuse a request that may be incomplete, as the last one."""
         self.closes_after_response = True
         self.respond(status, [], b'')
-        self.linger()
 
     def linger(self) -> None:
         """Discard input for up to `LINGER_S` so that the caller can read the response.
@@ -170,8 +169,9 @@
         except OSError:
             return
         deadline = time.monotonic() + LINGER_S
-        while self._inbound.take(max(0.0, deadline - time.monotonic())):
-            pass
+        while (remaining_s := deadline - time.monotonic()) > 0:
+            if not self._inbound.take(remaining_s):
+                return
 
     def close_if_idle(self) -> None:
         """Close the connection unless a part of a request has arrived."""
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -7,7 +7,9 @@
 import pytest
 
 from pistachiopath.errors.exchange import CallerLeft
+from pistachiopath.exchange.inbound import InboundBytes
 from pistachiopath.exchange.limits import ExchangeLimits
+from pistachiopath.exchange.server_connection import LINGER_S
 
 from .sockets import EchoServer, read_all
 
@@ -356,3 +358,22 @@
         assert sock.recv(65536).startswith(b'HTTP/1.1 100')
         sock.sendall(body)
     assert b'hello' in sock.recv(65536)
+
+
+def test_a_caller_that_sends_without_end_does_not_keep_its_refused_connection(
+    monkeypatch,
+):
+    server = EchoServer(limits=ExchangeLimits(max_body_bytes=10))
+
+    def endless(self, timeout_s):
+        gevent.sleep(0)
+        return b'x'
+
+    sock = server.connect()
+    sock.sendall(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n')
+    assert sock.recv(65536).startswith(b'HTTP/1.1 413')
+    monkeypatch.setattr(InboundBytes, 'take', endless)
+    sock.sendall(b'x')
+    with gevent.Timeout(1.5 * LINGER_S):
+        while server.server.connections:
+            gevent.sleep(0.05)
