A new connection is not closed as idle before its first request

Callers saw: with a short idle timeout in force, a connection that they had just opened was closed without an answer before their first request arrived, where that took longer than the idle timeout (a slow link, a lost segment, a busy caller).

Cause: the wait for the first request of a connection was bounded by the idle timeout, which is for the time between requests.

Evidence: test_the_first_request_of_a_connection_may_come_later_than_the_idle_timeout (idle timeout 0.05 s, time for a head 1 s, first request after 0.2 s) failed before: "AssertionError: ... b''.startswith" (the connection's end). After: 200, and the connection is closed as idle after it.

Why it works: the first request may begin within the time for a head, or the idle timeout if that is longer. From its first byte on the time for a head holds as before.

--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -46,6 +46,7 @@
         self._get_limits = get_limits
         self.closes_after_response = False
         self._is_cut = False
+        self._has_read_request = False
         self._sock = sock
         self._http = self._new_parser()
         self._worker: gevent.Greenlet | None = None
@@ -91,6 +92,7 @@
         if head is None:
             return None
         body = self._read_body(head)
+        self._has_read_request = True
         return HttpRequest(
             method=head.method,
             target=head.target,
@@ -246,10 +248,14 @@
         Returns b'' if the connection ends, and None after the idle timeout.
 
         The idle timeout is the longest that is in force at the beginning or at
-        the end of the wait, as the caller may know either.
+        the end of the wait, as the caller may know either.  A new connection is
+        not idle: its first request has the time for a head as well.
         """
         idle_since = time.monotonic()
-        first_timeout_s = self._get_limits().idle_timeout_s
+        limits = self._get_limits()
+        first_timeout_s = limits.idle_timeout_s
+        if not self._has_read_request:
+            first_timeout_s = max(first_timeout_s, limits.header_timeout_s)
         while True:
             timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
             remaining_s = idle_since + timeout_s - time.monotonic()
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -94,6 +94,16 @@
     assert idle.recv(65536) == b''
 
 
+def test_the_first_request_of_a_connection_may_come_later_than_the_idle_timeout():
+    server = EchoServer(ExchangeLimits(header_timeout_s=1.0, idle_timeout_s=0.05))
+    sock = server.connect()
+    gevent.sleep(0.2)
+    sock.sendall(POST)
+    assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+    # Between requests the connection is idle.
+    assert sock.recv(65536) == b''
+
+
 def test_caller_left_is_raised_in_the_handler():
     left = gevent.event.Event()
 
