A customer with the smallest of rates is told to wait, not answered with an error

Cause: a third of the smallest float is 0, and the wait is divided by it.

Why it works: such a rate never gains a request, so the wait is infinite, which the admitter bounds to 5 s.

--- a/pistachiopath/admission/leased_allowance.py
+++ b/pistachiopath/admission/leased_allowance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -120,8 +121,9 @@
         totals.mean_cost = mean_cost + COST_SMOOTHING * (cost - mean_cost)
         needed = min(cost, bucket.burst)
         if bucket.level < needed:
-            missing = needed - bucket.level
-            return missing / max(bucket.rate_per_s, self._own_rate(customer))
+            rate_per_s = max(bucket.rate_per_s, self._own_rate(customer))
+            # An even share of the smallest of rates is rounded to 0.
+            return (needed - bucket.level) / rate_per_s if rate_per_s else math.inf
         bucket.level -= cost
         totals.used += cost
         totals.recent.add(cost, now)
--- a/tests/test_admission/test_leased_allowance.py
+++ b/tests/test_admission/test_leased_allowance.py
@@ -327,3 +327,13 @@
     small, large = bytes_per_s_of_an_entry(7), bytes_per_s_of_an_entry(70)
     assert large < 1.2 * small
     assert large < STATED_BYTES_PER_S
+
+
+@pytest.mark.parametrize('rate_per_s', [5e-324, 1e-300, 1e-9])
+def test_a_request_beyond_the_smallest_of_rates_is_told_to_wait(rate_per_s):
+    customer = attrs.evolve(CUSTOMER, rate_per_s=rate_per_s, burst=0.0)
+    entry = LeasedAllowance(started_ms=1)
+    entry.set_known_entries(3)
+    entry.adopt((customer,), 0.0)
+    entry.take(customer, 1.0, 0.1)
+    assert entry.take(customer, 1.0, 0.2) > 0
