Tests: requests beside a gate that stands still

A gate that handles nothing for 1.0, 2.5 and 4.0 s and all of it afterwards, while a stream runs at its engine and two requests ask it; and one that falls silent for good while a request waits in its queue.

--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -41,7 +41,7 @@
 class Node:
     """An entry that receives scripted messages from a control node."""
 
-    def __init__(self, grace_s=2.0):
+    def __init__(self, grace_s=2.0, agent_port=1):
         self.callers, self.readiness = free_address(), free_address()
         self.entry = RelayEntry(
             cfg=RelaySettings(
@@ -51,7 +51,7 @@
                 readiness_address=self.readiness,
                 node_address=free_address(),
                 seeds=(),
-                agent_port=1,
+                agent_port=agent_port,
                 retry_budget=RetryBudgetLimits(ratio=0.2, slack=60, window_s=10),
                 grace_s=grace_s,
             ),
--- /dev/null
+++ b/tests/test_relay/test_silent_gates.py
@@ -0,0 +1,123 @@
+"""Requests whose gate falls silent and goes on."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from pistachiopath.grants.gate import GrantGate
+from pistachiopath.messages.grants import Ask, ReleasePlace, WatchLoad
+from pistachiopath.relay.settings import LINK_SECRET
+from pistachiopath.telemetry.metrics import Metrics
+from pistachiopath.transport.handshake import ROLE_NODE, Identity
+from pistachiopath.transport.network import Network
+from pistachiopath.util.loop_failures import LoopFailures
+from tests.test_directory.records import record
+from tests.test_exchange.sockets import Paused, ScriptedTarget
+from tools.free_address import free_address
+
+from .parts import answer, chunk, events, stream_head
+from .test_entry import Node
+from .test_planned_stop import Caller, document, post
+
+END = b'0\r\n\r\n'
+LIMIT_S = 8.0
+
+
+class PausingGate:
+    """A gate that handles nothing while it stands still, and all of it afterwards."""
+
+    def __init__(self):
+        self.address = free_address()
+        self.gate = GrantGate()
+        self._unhandled = []
+        self._is_still = False
+        self._network = Network(
+            identity=Identity(
+                name=self.address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET}
+            ),
+            on_message=self._on_message,
+            on_lost=lambda peer: self.gate.entry_lost(peer, time.monotonic()),
+            failures=LoopFailures(metrics=Metrics()),
+        )
+        self._network.listen(self.address)
+        gevent.spawn(self._tick)
+
+    @property
+    def port(self):
+        return int(self.address.rpartition(':')[2])
+
+    def stand_still(self, seconds):
+        self._is_still = True
+        gevent.spawn_later(seconds, self._go_on)
+
+    def _go_on(self):
+        self._is_still = False
+        unhandled, self._unhandled = self._unhandled, []
+        for sender, body in unhandled:
+            self._on_message(sender, 0, body)
+
+    def _on_message(self, sender, _call, body):
+        if self._is_still:
+            self._unhandled.append((sender, body))
+            return
+        now = time.monotonic()
+        match body:
+            case Ask():
+                self._send(self.gate.ask(sender, body, now))
+            case ReleasePlace():
+                self._send(self.gate.release(sender, body, now))
+            case WatchLoad():
+                self._send(self.gate.watch(sender, body, now))
+
+    def _tick(self):
+        while True:
+            gevent.sleep(0.05)
+            if not self._is_still:
+                self._send(self.gate.tick(time.monotonic()))
+
+    def _send(self, effects):
+        for effect in effects:
+            self._network.send(effect.to, effect.call, effect.body)
+
+
+def wait_for_answers(*callers):
+    with gevent.Timeout(LIMIT_S):
+        while not all(c.received.endswith((b'done', END)) for c in callers):
+            gevent.sleep(0.02)
+    assert [c.statuses for c in callers] == [[200]] * len(callers)
+
+
+@pytest.mark.parametrize('still_s', [1.0, 2.5, 4.0])
+def test_requests_are_answered_while_their_gate_stands_still(still_s):
+    gate = PausingGate()
+    node = Node(agent_port=gate.port)
+    stream = [stream_head() + chunk(events(0, 2)), 3.0, chunk(events(3, 5)) + END]
+    target = ScriptedTarget([Paused(*stream)], *[[answer()]] * 3)
+    node.receive_news(document(), [record(address=target.address, slots=2)])
+    gevent.sleep(0.2)
+    running = Caller(node, post(b'/gen/x'))
+    gevent.sleep(0.2)
+    assert gate.gate.running == 1
+    gate.stand_still(still_s)
+    asking = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.6)
+    later = Caller(node, post(b'/engine/x'))
+    wait_for_answers(asking, later, running)
+
+
+def test_a_request_does_not_wait_without_end_at_a_gate_that_fell_silent():
+    gate = PausingGate()
+    node = Node(agent_port=gate.port)
+    target = ScriptedTarget([Paused(2 * LIMIT_S, answer())], [answer()])
+    node.receive_news(document(), [record(address=target.address, slots=1)])
+    gevent.sleep(0.2)
+    Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.2)
+    waiting = Caller(node, post(b'/engine/x'))
+    gevent.sleep(0.5)
+    assert gate.gate.waiting == 1
+    gate.stand_still(2 * LIMIT_S)
+    wait_for_answers(waiting)
