--- a/tests/test_relay/test_streams_without_agents.py
+++ b/tests/test_relay/test_streams_without_agents.py
@@ -4,24 +4,21 @@
 
 import random
 
-import gevent
 import pytest
 
 from pistachiopath.document.settings import DocumentSettings
 from pistachiopath.document.shell import DocumentShell
-from pistachiopath.relay.open_streams import NOTE_INTERVAL_S
 from pistachiopath.relay.settings import LINK_SECRET
 from pistachiopath.storage.memory_folder import MemoryFolder
 from pistachiopath.storage.no_record_file import NoRecordFile
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.waiting import wait_until
 from tests.test_exchange.sockets import MUTE, ScriptedTarget
 from tools.free_address import free_address
 
 from .test_stream_versions import Entry, announced, begin_stream, half, newer, rest
 
-UNTIL_NOTED_S = 2 * NOTE_INTERVAL_S
-
 
 class Control:
     """A control node, which outlives the entries."""
@@ -62,6 +59,11 @@
     return entry
 
 
+def held(controls):
+    """Return how many streams each control node remembers."""
+    return [len(control.shell.noted_streams) for control in controls]
+
+
 def test_returns_at_other_entries_are_refused_while_two_versions_serve(controls):
     ids = 'abcd'
     old = ScriptedTarget(*([half(i), MUTE] for i in ids), *([rest(i * 2)] for i in ids))
@@ -69,7 +71,7 @@
     first = new_entry(controls)
     open_streams = [begin_stream(first, old, i) for i in ids]
     first.hear(announced('old', old), *newer(new))
-    gevent.sleep(UNTIL_NOTED_S)
+    wait_until(lambda: sum(held(controls)) == len(ids))
     other = new_entry(controls, announced('old', old), *newer(new))
     answers = [other.resume(i * 2, resumes=i) for i in ids]
     assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
@@ -84,12 +86,11 @@
     first = new_entry(controls)
     sock = begin_stream(first, old)
     first.hear(announced('old', old), *newer(new))
-    gevent.sleep(UNTIL_NOTED_S)
-    held = [bool(len(control.shell.noted_streams)) for control in controls]
-    assert sorted(held) == [False, True]
-    lost, left = (controls[held.index(True)], controls[held.index(False)])
+    wait_until(lambda: any(held(controls)))
+    left, lost = sorted(controls, key=lambda control: held([control]))
+    assert held([left]) == [0]
     lost.shell.stop()
-    gevent.sleep(UNTIL_NOTED_S)
+    wait_until(lambda: any(held([left])))
     other = new_entry([left], announced('old', old), *newer(new))
     assert other.resume().startswith(b'HTTP/1.1 200')
     assert new.requests == []
