A resumed stream is not sent to a replica that closed an idle connection early

What callers saw: nothing that was recorded; a hole in ORDER found by reading. A replica that starts again in place, under its name, with other software, is taken for its earlier lifetime until its announcement, where no exchange broke.

Cause: a replica is doubted when a connection breaks during an exchange. The end of a replica also closes the connections that an entry keeps idle; the pool dropped those without a word and opened a new one, to whatever process listens now.

Evidence: test_a_stream_goes_on_at_a_replica_that_closed_an_idle_connection_early on the code before: the return is answered 200 with events 3 to 5, where 503 is due.

Mend: right before a resumed stream is sent, the idle connections to the replica are looked at. One that was closed before the time which the replica stated in Keep-Alive, after it was idle for longer than a start takes, raises the doubt that exists. A replica that closes at its stated time, or states none, raises none (test_a_replica_that_closes_idle_connections_at_its_time_takes_no_streams).

--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -20,7 +20,8 @@
     """Keeps reusable connections and hands out the most recently used first.
 
     `on_accepted` is called with the address of a target that accepted the connection
-    of a check.
+    of a check, and `on_closed_early` with that of a target that closed an idle
+    connection before the time it had stated, and the time since when it was idle.
     """
 
     def __init__(
@@ -28,9 +29,11 @@
         *,
         request_id_header: bytes,
         on_accepted: Callable[[str], None] = lambda address: None,
+        on_closed_early: Callable[[str, float], None] = lambda address, since: None,
     ) -> None:
         self._id_header = request_id_header
         self._on_accepted = on_accepted
+        self._on_closed_early = on_closed_early
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -73,6 +76,14 @@
         self._on_accepted(address)
         return False
 
+    def drop_closed(self, address: str, now: float) -> None:
+        """Drop the idle connections to a target that it has closed early."""
+        idle = self._idle.get(address, [])
+        for conn in [c for c in idle if c.is_closed_early(now)]:
+            idle.remove(conn)
+            conn.close()
+            self._on_closed_early(address, conn.idle_since)
+
     def _open(self, address: str, connect_timeout_s: float) -> TargetConnection:
         conn = TargetConnection(address=address, request_id_header=self._id_header)
         conn.connect(connect_timeout_s)
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -44,7 +44,9 @@
 
     def __init__(self, *, address: str, request_id_header: bytes) -> None:
         self.address = address
+        self.idle_since = 0.0
         self.idle_until = 0.0
+        self._has_stated_timeout = False
         self.requests = 0
         self._id_header = request_id_header
         self._sock: gsocket.socket | None = None
@@ -79,6 +81,7 @@
 
     def keep_idle(self, now: float) -> None:
         """Prepare a new connection for its first request later on."""
+        self.idle_since = now
         self.idle_until = now + DEFAULT_IDLE_TIMEOUT_S
 
     def is_reusable(self, now: float) -> bool:
@@ -100,6 +103,20 @@
             self._sock.settimeout(None)
         return False
 
+    def is_closed_early(self, now: float) -> bool:
+        """Return whether the target closed the connection before the time it stated."""
+        if now >= self.idle_until or not self._has_stated_timeout:
+            return False
+        self._sock.settimeout(0.0)
+        try:
+            return not self._sock.recv(1, gsocket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self._sock.settimeout(None)
+
     def has_carried(self, request_id: bytes) -> bool:
         """Return whether a request with this id was sent on this connection."""
         return request_id in self._carried_ids
@@ -178,7 +195,9 @@
             return False
         self._http.start_next_cycle()
         self._writer = None
+        self.idle_since = now
         self.idle_until = now + _idle_timeout_s(head)
+        self._has_stated_timeout = bool(head.header(b'keep-alive'))
         return True
 
     def close(self) -> None:
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -123,6 +123,8 @@
                     # Gates in this process reply without a wait.
                     gevent.sleep(RECHOOSE_PAUSE_S)
                     return NotRun(reason=MOVED, arrived=False)
+            if work.stream_version is not None:
+                self._pool.drop_closed(record.address, time.monotonic())
             if not self._placer.may_send(work, record):
                 gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -114,6 +114,9 @@
             on_accepted=lambda address: self._targets.accepted(
                 address, time.monotonic()
             ),
+            on_closed_early=lambda address, since: self._targets.closed_early(
+                address, since, time.monotonic()
+            ),
         )
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
--- a/pistachiopath/relay/lifetime_doubts.py
+++ b/pistachiopath/relay/lifetime_doubts.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
     from ..messages.directory import ReplicaRecord
 
@@ -12,8 +14,21 @@
 RESTART_MIN_S = 0.5
 
 
+@attrs.define(kw_only=True, frozen=True)
+class _Doubt:
+    """When a lifetime was doubted last, and since when it may have ended."""
+
+    noted_at: float
+    since: float
+
+    @property
+    def is_late(self) -> bool:
+        """Return whether the lifetime may have ended before it was doubted."""
+        return self.since < self.noted_at
+
+
 class LifetimeDoubts:
-    """Remembers replicas whose connections broke or were refused.
+    """Remembers replicas whose connections broke, were refused or closed early.
 
     Such a replica may start again under its name and address with other software.
     It then announces itself within `doubt_s`, so if it has not by then, it is the
@@ -22,15 +37,20 @@
 
     def __init__(self, *, doubt_s: float) -> None:
         self._doubt_s = doubt_s
-        self._noted_at: dict[tuple[str, int], float] = {}
+        self._doubts: dict[tuple[str, int], _Doubt] = {}
 
-    def note(self, record: ReplicaRecord, now: float) -> None:
-        """Record a connection that broke or was refused."""
+    def note(
+        self, record: ReplicaRecord, now: float, *, since: float | None = None
+    ) -> None:
+        """Record a connection that broke, `since` some time ago if that is given."""
         key = (record.replica, record.born_ms)
-        self._noted_at.pop(key, None)
-        self._noted_at[key] = now
-        while len(self._noted_at) > MAX_DOUBTS:
-            del self._noted_at[next(iter(self._noted_at))]
+        known = self._doubts.pop(key, None)
+        if known is not None and known.is_late and now - known.noted_at < self._doubt_s:
+            since = known.since
+        since = now if since is None else since
+        self._doubts[key] = _Doubt(noted_at=now, since=since)
+        while len(self._doubts) > MAX_DOUBTS:
+            del self._doubts[next(iter(self._doubts))]
 
     def accepted(self, record: ReplicaRecord, now: float) -> None:
         """Record that a replica accepted a connection.
@@ -38,11 +58,11 @@
         Right after a break it is still the process that it was.
         """
         key = (record.replica, record.born_ms)
-        noted_at = self._noted_at.get(key)
-        if noted_at is not None and now - noted_at < RESTART_MIN_S:
-            del self._noted_at[key]
+        doubt = self._doubts.get(key)
+        if doubt is not None and now - doubt.since < RESTART_MIN_S:
+            del self._doubts[key]
 
     def holds(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether a lifetime may have ended."""
-        noted_at = self._noted_at.get((record.replica, record.born_ms))
-        return noted_at is not None and now - noted_at < self._doubt_s
+        doubt = self._doubts.get((record.replica, record.born_ms))
+        return doubt is not None and now - doubt.noted_at < self._doubt_s
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -11,7 +11,7 @@
 from ..directory.replica_state import ReplicaState
 from ..routing.placement import Candidate
 from ..streams.service_version import version_of
-from .lifetime_doubts import LifetimeDoubts
+from .lifetime_doubts import RESTART_MIN_S, LifetimeDoubts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -167,6 +167,25 @@
         """Record that a replica's connection broke or was refused."""
         self._doubts.note(record, now)
 
+    def closed_early(self, address: str, since: float, now: float) -> None:
+        """Record that a connection that was idle since then was closed before its time.
+
+        The replica may have ended, and started again if there was time for that.
+        """
+        if now - since < RESTART_MIN_S:
+            return
+        for record in self._subscriber.directory.records():
+            if record.address == address:
+                self._doubts.note(record, now, since=since)
+                logger.info(
+                    'connection_closed_early',
+                    extra={
+                        'replica': record.replica,
+                        'born_ms': record.born_ms,
+                        'idle_ms': int((now - since) * 1000),
+                    },
+                )
+
     def accepted(self, address: str, now: float) -> None:
         """Record that the replica at an address accepted a connection."""
         for record in self.ready():
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -20,6 +20,7 @@
 from pistachiopath.platform.registration import decode_announcement
 from pistachiopath.relay import exchange_run
 from pistachiopath.relay.entry import RelayEntry
+from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
 from pistachiopath.relay.settings import LINK_SECRET, RelaySettings
 from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.streams.origin import Origin
@@ -30,7 +31,7 @@
 from pistachiopath.transport.network import Network
 from pistachiopath.util.loop_failures import LoopFailures
 from tests.test_directory.records import record
-from tests.test_exchange.sockets import MUTE, RESET, ScriptedTarget
+from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
 from tools.free_address import free_address
 
 from .parts import chunk, events
@@ -381,6 +382,42 @@
     assert b'id: 5' in read_to_end(entry.open_stream('abc'))
 
 
+def kept(request_id, timeout_s):
+    """Return a whole answer on a connection that is kept for that long."""
+    answer = part(request_id, 0, 2) + LAST_CHUNK
+    keep = f'Keep-Alive: timeout={timeout_s}\r\n'.encode()
+    return answer.replace(b'Connection: close\r\n', keep)
+
+
+def test_a_stream_goes_on_at_a_replica_that_closed_an_idle_connection_early(
+    gate_address,
+):
+    old = ScriptedTarget([half(), MUTE], [kept('whole', 9), CLOSE], [rest()])
+    new = ScriptedTarget([])
+    entry = Entry(gate_address)
+    sock = begin_stream(entry, old)
+    read_to_end(entry.open_stream('whole'))
+    entry.hear(announced('old', old), *newer(new))
+    gevent.sleep(RESTART_MIN_S + 0.1)
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert len(old.requests) == 2
+    sock.close()
+
+
+def test_a_replica_that_closes_idle_connections_at_its_time_takes_no_streams(
+    gate_address,
+):
+    old = ScriptedTarget([half(), MUTE], [kept('whole', 1), CLOSE], [rest()])
+    new = ScriptedTarget([])
+    entry = Entry(gate_address)
+    sock = begin_stream(entry, old)
+    read_to_end(entry.open_stream('whole'))
+    entry.hear(announced('old', old), *newer(new))
+    gevent.sleep(RESTART_MIN_S + 0.1)
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+    sock.close()
+
+
 class KnownDirectory:
     """What an entry knows of control nodes and of a service's versions."""
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -103,6 +103,18 @@
     assert targets.may_resume(record(), 11.1)
 
 
+def test_a_replica_that_closed_an_idle_connection_early_may_have_restarted():
+    entry, targets = make_targets('r1')
+    entry.directory.merge(record(replica='r2', software_version='v2'), 0.0)
+    targets.closed_early('10.0.0.1:80', 10.0, 10.0 + RESTART_MIN_S - 0.1)
+    assert targets.may_resume(record(), 10.5)
+    targets.closed_early('10.0.0.1:80', 10.0, 11.0)
+    targets.doubt(record(), 11.1)
+    targets.accepted('10.0.0.1:80', 11.2)
+    assert not targets.may_resume(record(), 11.2)
+    assert targets.may_resume(record(), 11.1 + DOUBT_S)
+
+
 def test_while_one_version_serves_a_broken_connection_stops_no_stream():
     _, targets = make_targets('r1', 'r2')
     targets.doubt(record(), 10.0)
