Capacity: what the questions after a loss of all entries cost, and what would not

At the size to design for an entry that asks all 846 gates of a model once for the streams of 2 s sends and hears 4.1 MB, and 118 KB for the 22 control nodes: reckoned from the sizes of the messages, not measured under load. The names of the streams are most of it, so pauses between messages save little.

--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -38,6 +38,8 @@
 CONTROLS_PER_DATA_CENTRE = 2
 # Assumptions at the size to design for.
 ACTIVE_SHARE = 0.05
+# Streams that break off with an entry are those of this many seconds.
+STREAM_S = 2.0
 CONTROLS = CONTROLS_PER_DATA_CENTRE * ZONES
 MEMBER_EVENTS_PER_S = 2 * (120 + 2_700) / 86_400
 
@@ -149,6 +151,15 @@
     }
 
 
+def returns_bytes(sizes, holders):
+    """Return the bytes of asking that many nodes once for all streams of an entry."""
+    returns = REQUESTS_PER_S / NODES * STREAM_S
+    name_bytes = (sizes['WatchLoad, ten streams'] - sizes['WatchLoad']) / 10
+    found_bytes = sizes['StreamOrigins, one stream'] - sizes['StreamOrigins, none']
+    envelope_bytes = sizes['WatchLoad'] + sizes['StreamOrigins, none']
+    return holders * (envelope_bytes + returns * name_bytes) + returns * found_bytes
+
+
 def stream_rows(raw):
     """Return the rows on remembered streams, and on questions for them."""
     stream_bytes = raw['memory bytes']['remembered stream']
@@ -174,6 +185,14 @@
             'gate: questions a second, if all entries ask',
             f'{messages_per_s * NODES / gates:,.0f}',
         ),
+        (
+            f'entry: all gates asked once for the streams of {STREAM_S:.0f} s',
+            f'{returns_bytes(sizes, gates) / 1e6:.1f} MB',
+        ),
+        (
+            f'entry: the {CONTROLS} control nodes asked once for the same',
+            f'{returns_bytes(sizes, CONTROLS) / 1e3:.0f} KB',
+        ),
     )
     return '\n'.join(f'| {label} | {value} |' for label, value in rows)
 
@@ -235,6 +254,8 @@
 neither remember nor deduce, so while a service runs two versions; the figures of
 questions hold while all callers come back at once, for seconds after all entries
 lost power. There the bytes are far beyond the budget: that does not reach the size.
+The streams of an entry that break off are reckoned as those of {STREAM_S:.0f} s, which is
+assumed. Control nodes are asked with the gates.
 
 Streams at replicas without an agent are noted at a control node while their service
 has several versions. These are upper bounds, as if each request were such a stream
