Documents are packed on links, in the log and on disks

Cause: the text of a route is much the same as that of the next, and it was sent, stored and queued as it is. zlib at its fastest level makes 18 KB of 358 KB of synthetic routes in 1.2 ms; unpacking takes 0.7 ms, reading the JSON 7 ms.

Now the control node that takes a document packs it, and whoever reads it unpacks it: entries, the lender of allowances, operators' reads. Documents in old data folders carry no mark and are read as they are. An entry of an older build can't read packed ones: update entries first, then control nodes.

--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -28,6 +28,7 @@
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
+from .packing import pack, unpack
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
@@ -184,9 +185,11 @@
         """Commit a document; return the highest committed version.
 
         Returns None if there is no reply in time: the put may still be committed.
+        Raises `InvalidConfiguration` if the document is too large.
         """
         deadline = time.monotonic() + timeout_s
-        reply = self._ask(PutDocument(version=version, content=content), timeout_s)
+        body = PutDocument(version=version, content=pack(content))
+        reply = self._ask(body, timeout_s)
         if reply is None:
             return None
         self._await_spread(
@@ -196,7 +199,10 @@
 
     def read(self, timeout_s: float) -> DocumentReply | None:
         """Return the newest document, or None if there is no reply in time."""
-        return self._ask(ReadDocument(), timeout_s)
+        reply = self._ask(ReadDocument(), timeout_s)
+        if reply is None:
+            return None
+        return DocumentReply(version=reply.version, content=unpack(reply.content))
 
     def _ask(self, body: Message, timeout_s: float) -> PutReply | DocumentReply | None:
         call = self._client.ask(body)
@@ -286,7 +292,7 @@
         if core.version <= self._adopted_version:
             return
         self._adopted_version = core.version
-        self._lender.adopt(self._customers(core.content), now)
+        self._lender.adopt(self._customers(unpack(core.content)), now)
 
     def _publish_committed(self, now: float) -> None:
         core = self.core
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -63,10 +63,10 @@
     def _put_configuration(self, req: HttpRequest) -> tuple[int, bytes]:
         try:
             routes = decode_configuration(req.body)
+            held_version = self._shell.put(routes.version, req.body, ANSWER_TIMEOUT_S)
         except InvalidConfiguration as exc:
             logger.warning('configuration_refused', extra={'reason': str(exc)})
             return 400, INVALID_BODY
-        held_version = self._shell.put(routes.version, req.body, ANSWER_TIMEOUT_S)
         logger.info(
             'configuration_put',
             extra={
--- a/pistachiopath/relay/routes_in_force.py
+++ b/pistachiopath/relay/routes_in_force.py
@@ -7,6 +7,7 @@
 
 import gevent.event
 
+from ..document.packing import unpack
 from ..errors.configuration import InvalidConfiguration
 from ..exchange.limits import ExchangeLimits
 
@@ -48,7 +49,7 @@
     def adopt(self, version: int, content: bytes) -> RouteSet | None:
         """Put a document in force; return it, or None if it can't be decoded."""
         try:
-            routes = self._decode(content)
+            routes = self._decode(unpack(content))
         except InvalidConfiguration as exc:
             logger.error(
                 'configuration_unusable',
--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pistachiopath.directory.subscriber import Subscriber
+from pistachiopath.document.packing import unpack
 from pistachiopath.document.settings import DocumentSettings
 from pistachiopath.document.shell import TICK_INTERVAL_S, DocumentShell
 from pistachiopath.messages.allowance import AllowanceLeases, UseReport
@@ -15,6 +16,7 @@
 from pistachiopath.storage.record_file import RecordFile
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.documents import document
 from tests.harness.failing import FailingMethod
 from tests.harness.recording_peer import RecordingPeer
 from tests.harness.waiting import wait_until
@@ -134,6 +136,18 @@
     assert control.failures(part)
 
 
+def test_a_large_document_is_stored_and_sent_packed_and_read_as_it_was(
+    control, follower
+):
+    content = document(1000)
+    assert control.shell.put(2, content, 2.0) == 2
+    wait_until(lambda: follower.subscriber.version == 2)
+    assert len(follower.subscriber.content) < len(content) / 10
+    assert len(control.shell.core.content) < len(content) / 10
+    assert unpack(follower.subscriber.content) == content
+    assert control.shell.read(2.0).content == content
+
+
 def test_an_announcement_that_cannot_be_stored_stops_no_timer(control):
     # Regression: its sequence number did not fit into a message.
     control.shell.announce(record(sequence=2**70))
