--- a/tests/harness/document_faults.py
+++ b/tests/harness/document_faults.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import attrs
+
+from pistachiopath.document.timing import DOCUMENT_TIMING
+
 from .document_world import DocumentWorld
 
 SEEDS = ('c0', 'c1', 'c2')
 ROUNDS = 14
 OTHERS = ('c3', 'c4', 'c5')
+# Each record and snapshot takes several parts.
+MANY_PARTS = attrs.evolve(DOCUMENT_TIMING, part_bytes=16, window_bytes=64)
 
 
 def inject_fault(world, rng, down):
@@ -70,9 +76,9 @@
             world.read(name)
 
 
-def run_random_faults(seed, *, others=(), tolerated=1):
+def run_random_faults(seed, *, others=(), tolerated=1, timing=DOCUMENT_TIMING):
     """Put and read among faults; check that no acknowledged version is lost."""
-    world = DocumentWorld(seed=seed, others=others, tolerated=tolerated)
+    world = DocumentWorld(seed=seed, others=others, tolerated=tolerated, timing=timing)
     world.run(3.0 if tolerated == 1 else 6.0)
     rng = world.rng
     down = set()
--- a/tests/harness/document_world.py
+++ b/tests/harness/document_world.py
@@ -52,7 +52,7 @@
                 persisted=self.disk.load(),
                 rng=random.Random(self.world.rng.getrandbits(64)),
                 now=self.world.net.now,
-                timing=DOCUMENT_TIMING,
+                timing=self.world.timing,
                 forms=self.forms,
                 voters=2 * self.world.tolerated + 1,
                 diskless=self.diskless,
@@ -101,10 +101,19 @@
 class DocumentWorld:
     """Control nodes, and an operator that checks their replies."""
 
-    def __init__(self, *, seed, seeds=('c0', 'c1', 'c2'), others=(), tolerated=1):
+    def __init__(
+        self,
+        *,
+        seed,
+        seeds=('c0', 'c1', 'c2'),
+        others=(),
+        tolerated=1,
+        timing=DOCUMENT_TIMING,
+    ):
         self.rng = random.Random(seed)
         self.net = VirtualNetwork(seed=seed + 1)
         self.tolerated = tolerated
+        self.timing = timing
         self.seeds = seeds
         self.nodes = {}
         self.acked = 0
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.harness.document_faults import OTHERS, SEEDS, run_random_faults
+from tests.harness.document_faults import MANY_PARTS, OTHERS, SEEDS, run_random_faults
 from tests.harness.document_world import DocumentWorld
 
 
@@ -226,6 +226,11 @@
     run_random_faults(seed, others=OTHERS, tolerated=2)
 
 
+@pytest.mark.parametrize('seed', range(60))
+def test_records_sent_in_parts_are_not_lost_under_random_faults(seed):
+    run_random_faults(seed, others=OTHERS, tolerated=2, timing=MANY_PARTS)
+
+
 def test_a_diskless_node_follows_and_passes_puts_on_but_never_votes():
     world = formed_world(tolerated=2)
     for name in ('d0', 'd1'):
--- a/tests/test_document/test_mutations.py
+++ b/tests/test_document/test_mutations.py
@@ -5,11 +5,13 @@
 
 from pistachiopath.document.core import DocumentCore
 from pistachiopath.effects import Send
+from pistachiopath.errors.transport import MalformedFrame
 from pistachiopath.messages.document import DocumentReply, PutDocument, PutReply
 from pistachiopath.replication.group import Group
+from pistachiopath.replication.part_buffer import PartBuffer
 from pistachiopath.replication.replica import Replica
 from tests.harness.disk import Disk
-from tests.harness.document_faults import run_random_faults
+from tests.harness.document_faults import MANY_PARTS, OTHERS, run_random_faults
 from tests.harness.document_world import DocumentNode
 
 SEEDS = range(60)
@@ -76,6 +78,34 @@
     patch.setattr(Replica, '_on_vote_request', without_check)
 
 
+def acknowledge_waiting_puts(patch):
+    """A put that waits for an earlier one is acknowledged before it is proposed."""
+    put = DocumentCore._put
+
+    def without_wait(self, body, request, now, time_ms):
+        effects = put(self, body, request, now, time_ms)
+        if self._next_put is None or request not in self._next_put.requests:
+            return effects
+        self._next_put.requests.remove(request)
+        reply = PutReply(version=body.version)
+        return [*effects, Send(to=request.sender, call=request.call, body=reply)]
+
+    patch.setattr(DocumentCore, '_put', without_wait)
+
+
+def keep_repeated_parts(patch):
+    """A follower adds each part to what it holds, also one that it has already."""
+
+    def without_check(self, msg):
+        self._data += msg.data
+        return len(self._data)
+
+    patch.setattr(PartBuffer, 'add', without_check)
+
+
+# A record of other parts may not be readable.
+FOUND = (AssertionError, AttributeError, MalformedFrame)
+PART_MUTATIONS = [acknowledge_waiting_puts, keep_repeated_parts]
 MUTATIONS = [
     read_without_commit,
     acknowledge_without_commit,
@@ -91,3 +121,11 @@
     with pytest.raises(AssertionError):
         for seed in SEEDS:
             run_random_faults(seed)
+
+
+@pytest.mark.parametrize('mutation', PART_MUTATIONS, ids=lambda m: m.__name__)
+def test_random_faults_detect_a_fault_of_records_in_parts(monkeypatch, mutation):
+    mutation(monkeypatch)
+    with pytest.raises(FOUND):
+        for seed in SEEDS:
+            run_random_faults(seed, others=OTHERS, tolerated=2, timing=MANY_PARTS)
--- a/tests/test_replication/test_replicator.py
+++ b/tests/test_replication/test_replicator.py
@@ -171,3 +171,15 @@
     beats = [beat for _ in range(5) for beat in pair.tick()]
     assert data_sizes(beats) == [0] * 5
     assert lost_follower.log.last_index == 2
+
+
+def test_parts_of_an_earlier_leaders_record_are_not_joined_with_the_next(pair):
+    (first,) = pair.propose(LARGE)
+    pair.follower.receive('a:1', first, pair.now)
+    part = attrs.evolve(first, term=2, entry_term=2, data=LARGE[100:200], offset=100)
+    (reply,) = (
+        effect.body
+        for effect in pair.follower.receive('c:1', part, pair.now)
+        if isinstance(effect, Send)
+    )
+    assert reply.offset == 0
