--- a/pistachiopath/document/operator_requests.py
+++ b/pistachiopath/document/operator_requests.py
@@ -9,6 +9,7 @@
 import gevent.event
 
 from ..messages.document import DocumentReply, PutDocument, PutReply, ReadDocument
+from .packing import pack, unpack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,9 +47,11 @@
         """Commit a document; return the highest committed version.
 
         Returns None if there is no reply in time: the put may still be committed.
+        Raises `InvalidConfiguration` if the document is too large.
         """
         deadline = time.monotonic() + timeout_s
-        reply = self._ask(PutDocument(version=version, content=content), timeout_s)
+        body = PutDocument(version=version, content=pack(content))
+        reply = self._ask(body, timeout_s)
         if reply is None:
             return None
         self._await_spread(
@@ -58,7 +61,10 @@
 
     def read(self, timeout_s: float) -> DocumentReply | None:
         """Return the newest document, or None if there is no reply in time."""
-        return self._ask(ReadDocument(), timeout_s)
+        reply = self._ask(ReadDocument(), timeout_s)
+        if reply is None:
+            return None
+        return DocumentReply(version=reply.version, content=unpack(reply.content))
 
     def handle_reply(self, call: int, body: Message, now: float) -> None:
         """Pass a reply of the leader to the operator's request that it answers."""
