Soak: configurations are sent until one is acknowledged before the faults begin

With 154 programs on two processors the control nodes had a leader 120 s after the start, when the first configuration was no longer sent again (30 s): the run waited for entries that could not become ready. The record of a fault is one context manager, which the cut of a core uses too.

--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -123,7 +123,6 @@
         self._spawn(self.rotation.run)
         for announcer in self.announcers.values():
             self._spawn(announcer.run)
-        self.operator.change()
         self._wait_ready()
         self._spawn(self.operator.read_forever)
         self._spawn(self.operator.change_forever)
@@ -157,10 +156,12 @@
                 greenlet.get()
 
     def _wait_ready(self) -> None:
-        """Wait until all entries are in the rotation."""
+        """Send configurations until one is in force at all entries."""
         programs = len(self.topology.program_names)
         timeout_s = START_TIMEOUT_S + START_TIMEOUT_PER_PROGRAM_S * programs
         with gevent.Timeout(timeout_s, NotStarted()):
+            while not self.operator.is_acknowledged:
+                self.operator.change()
             while len(self.rotation.ready) < len(self.topology.entry_names):
                 gevent.sleep(POLL_INTERVAL_S)
 
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import signal
 import time
@@ -16,7 +17,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from .deployment import Deployment
     from .fault import Fault
@@ -27,6 +28,8 @@
 DELAY_S = 0.15
 SLOW_SYNC_S = 0.2
 MAX_STEP_S = 4.0
+# Part of the cuts in which an entry is on the side of the control node.
+ENTRY_CUT_SHARE = 0.5
 
 
 class Injector:
@@ -51,12 +54,16 @@
 
     def _carry_out(self, fault: Fault) -> None:
         logger.info('fault', extra={'kind': fault.kind, 'target': fault.target})
-        record = FaultRecord(
-            kind=fault.kind, target=fault.target, began_at=time.monotonic()
-        )
+        with self._recorded(fault.kind, fault.target):
+            self._action(fault.kind)(fault)
+
+    @contextlib.contextmanager
+    def _recorded(self, kind: FaultKind, target: str) -> Iterator[None]:
+        """Record a fault for as long as the block runs."""
+        record = FaultRecord(kind=kind, target=target, began_at=time.monotonic())
         self._history.faults.append(record)
         try:
-            self._action(fault.kind)(fault)
+            yield
         finally:
             record.ended_at = time.monotonic()
 
@@ -135,18 +142,18 @@
 
     def _cut_core(self, fault: Fault) -> None:
         """Cut a control node, and sometimes an entry, off from all others."""
-        names = self._rng.choice(((), (self._rng.choice(self._topology.entry_names),)))
-        records = [
-            FaultRecord(kind=fault.kind, target=name, began_at=time.monotonic())
-            for name in names
-        ]
-        self._history.faults += records
+        if self._rng.random() >= ENTRY_CUT_SHARE:
+            self._cut_off({fault.target}, fault.for_s)
+            return
+        entry = self._rng.choice(self._topology.entry_names)
+        with self._recorded(fault.kind, entry):
+            self._cut_off({fault.target, entry}, fault.for_s)
+
+    def _cut_off(self, names: set[str], for_s: float) -> None:
         partition = self._deployment.partition
-        partition.begin({fault.target, *names})
-        gevent.sleep(fault.for_s)
+        partition.begin(names)
+        gevent.sleep(for_s)
         partition.end()
-        for record in records:
-            record.ended_at = time.monotonic()
 
     def _disturb_link(self, fault: Fault) -> None:
         proxy = self._deployment.links[fault.target.removeprefix('link-')]
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -37,6 +38,11 @@
         self._history = history
         self._rng = rng
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether any configuration was acknowledged."""
+        return any(put.acked_at < math.inf for put in self._history.puts)
+
     def change(self) -> None:
         """Send the next configuration until it has a clear answer."""
         self.version += 1
