Soak: checks tell lifetimes by their start, not by the replica's id alone

The check was wrong: it compared ids. departure_kept and backoff_kept had the same fault.

A lifetime is now its id and its start, in arrivals, departures and checks; what the checks ask of one lifetime is as before. Evidence before: test_a_later_lifetime_of_the_same_id_may_get_requests fails with "assert not {'notice_kept'}" while lifetimes are told by the id.

--- a/tests/test_soak/test_checks/test_left_alone.py
+++ b/tests/test_soak/test_checks/test_left_alone.py
@@ -49,3 +49,20 @@
 def test_a_third_request_within_a_backoff_is_found():
     assert found(backoff(3)) == {'backoff_kept'}
     assert not found(backoff(2))
+
+
+def reborn(requests):
+    """Return requests to a later lifetime that has kept the replica's id."""
+    return [(a, attrs.evolve(arrival, born_ms=2)) for a, arrival in requests]
+
+
+def test_a_later_lifetime_of_the_same_id_may_get_requests():
+    # Regression, seed 305: lifetimes were told by the id alone.
+    later = reborn([request(at=13.0, name='r2')])
+    assert not found(history(notice(10.0), *later))
+    assert not found(history(*reborn([request(at=9.5)]), departures=[LEFT]))
+    past = backoff(0)
+    more = history(*reborn([request(at=11.0, name=f'r{n + 2}') for n in range(3)]))
+    past.attempts += more.attempts
+    past.arrivals += more.arrivals
+    assert not found(past)
--- a/tools/soak/announcer.py
+++ b/tools/soak/announcer.py
@@ -46,7 +46,7 @@
         self._period_s = period_s
         self._history = history
         self._rng = rng
-        self._departed: set[str] = set()
+        self._departed: set[tuple[str, int]] = set()
 
     def run(self) -> None:
         """Announce for ever."""
@@ -81,14 +81,16 @@
     def _acknowledged(
         self, lifetime: Lifetime, state: LifetimeState, node: str
     ) -> None:
-        if state is LifetimeState.READY or lifetime.replica in self._departed:
+        key = (lifetime.replica, lifetime.born_ms)
+        if state is LifetimeState.READY or key in self._departed:
             return
-        self._departed.add(lifetime.replica)
+        self._departed.add(key)
         departure = Departure(
             replica=lifetime.replica,
             place=lifetime.place,
             acked_at=time.monotonic(),
             node=node,
+            born_ms=lifetime.born_ms,
         )
         self._history.departures.append(departure)
 
--- a/tools/soak/arrival.py
+++ b/tools/soak/arrival.py
@@ -28,7 +28,8 @@
 class Arrival:
     """A request at a replica.  All times are monotonic seconds.
 
-    `replica` is the id of the replica's lifetime and `place` the name of its VM.
+    `replica` is the replica's id, `born_ms` the start of its lifetime, and `place`
+    the name of its VM.
     `ran_at` is when it began to work on the request.  `text` is the response's
     whole body.  `was_silent` tells whether the replica was silent for some time.
     """
@@ -39,6 +40,7 @@
     service: str
     version: str
     at: float
+    born_ms: int = 0
     method: str = ''
     path: str = ''
     body: str = ''
--- a/tools/soak/checks/left_alone.py
+++ b/tools/soak/checks/left_alone.py
@@ -13,6 +13,7 @@
     from ..arrival import Arrival
     from ..attempt import Attempt
     from ..history import History
+    from ..operations import Departure
 
 MISDIRECTED = 421
 BACKOFF_MARGIN_S = 0.5
@@ -24,7 +25,7 @@
     sent = _sent_to(history)
     for departure in history.departures:
         since = departure.acked_at
-        for arrival, attempt in sent[departure.replica]:
+        for arrival, attempt in sent[_lifetime(departure)]:
             is_late = arrival.at > since + history.bounds.drain_s
             if (
                 is_late
@@ -42,7 +43,7 @@
             continue
         since = told.ended_at
         for notice in notices:
-            for arrival, attempt in sent[notice.replica]:
+            for arrival, attempt in sent[_lifetime(notice)]:
                 is_late = attempt.began_at > since + history.bounds.drain_s
                 if (
                     is_late
@@ -61,7 +62,7 @@
             since = refusal.ended_at
             found = [
                 arrival
-                for arrival, attempt in sent[refusal.replica]
+                for arrival, attempt in sent[_lifetime(refusal)]
                 if BACKOFF_MARGIN_S < arrival.at - since < refusal.backoff_s
                 and _same_process(attempt, told)
                 and _is_calm(history, attempt, arrival, since)
@@ -71,13 +72,20 @@
                 yield _violation(found[MAX_DURING_BACKOFF], since, 'it asked for time')
 
 
-def _sent_to(history: History) -> dict[str, list[tuple[Arrival, Attempt]]]:
+def _lifetime(seen: Arrival | Departure) -> tuple[str, int]:
+    """Return what tells a lifetime: a later one may have kept the replica's id."""
+    return seen.replica, seen.born_ms
+
+
+def _sent_to(
+    history: History,
+) -> dict[tuple[str, int], list[tuple[Arrival, Attempt]]]:
     """Return what reached each lifetime of a replica, with the callers' attempts."""
     sent = defaultdict(list)
     for attempt, arrivals in history.requests():
         for arrival in arrivals:
             if arrival.status != MISDIRECTED:
-                sent[arrival.replica].append((arrival, attempt))
+                sent[_lifetime(arrival)].append((arrival, attempt))
     return sent
 
 
--- a/tools/soak/operations.py
+++ b/tools/soak/operations.py
@@ -39,6 +39,7 @@
     place: str
     acked_at: float
     node: str
+    born_ms: int = 0
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/tools/soak/replica_run.py
+++ b/tools/soak/replica_run.py
@@ -70,6 +70,7 @@
             service=lifetime.service,
             version=lifetime.version,
             at=time.monotonic(),
+            born_ms=lifetime.born_ms,
             method=method,
             path=path,
             body=body.decode('latin-1'),
