--- a/tools/soak/checks/budgets.py
+++ b/tools/soak/checks/budgets.py
@@ -49,31 +49,41 @@
     The requests are counted in the window of the repeats, the one before it and the
     one half a window before it; the highest number counts.
     """
-    bounds = history.bounds
-    window_s = bounds.retry_window_s
-    requests: dict[str, list[float]] = defaultdict(list)
-    repeats: dict[str, list[tuple[float, str]]] = defaultdict(list)
-    for attempt, arrivals in history.requests():
-        for service in services_of(attempt.kind):
-            requests[service].append(attempt.began_at)
-        in_order = sorted(arrivals, key=lambda arrival: arrival.at)
-        for arrival in in_order[1:]:
-            repeats[arrival.service].append((arrival.at, arrival.request))
-    for service, found in repeats.items():
-        found.sort()
-        requests[service].sort()
-        times = [at for at, _ in found]
-        for at, request in found:
+    window_s = history.bounds.retry_window_s
+    requests = _requests(history)
+    for service, repeats in _repeats(history).items():
+        times = [at for at, _ in repeats]
+        for at, request in repeats:
             count = _count(times, at - window_s, at)
             asked = max(
                 _count(requests[service], at - lag_s - window_s, at - lag_s)
                 for lag_s in (0.0, window_s / 2, window_s)
             )
-            if count > bounds.retry_ratio * asked + bounds.retry_slack:
+            if count > history.bounds.retry_ratio * asked + history.bounds.retry_slack:
                 text = f'{service} gets {count} repeats of {asked} in {window_s:.0f} s'
                 yield Violation(at=at, request=request, text=text)
 
 
+def _requests(history: History) -> dict[str, list[float]]:
+    """Return when requests for each service were sent, in order."""
+    sent: dict[str, list[float]] = defaultdict(list)
+    for attempt in sorted(history.attempts, key=lambda attempt: attempt.began_at):
+        for service in services_of(attempt.kind):
+            sent[service].append(attempt.began_at)
+    return sent
+
+
+def _repeats(history: History) -> dict[str, list[tuple[float, str]]]:
+    """Return when requests reached each service once more, in order, and which."""
+    seen: set[str] = set()
+    repeats: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for arrival in sorted(history.arrivals, key=lambda arrival: arrival.at):
+        if arrival.request in seen:
+            repeats[arrival.service].append((arrival.at, arrival.request))
+        seen.add(arrival.request)
+    return repeats
+
+
 def _count(times: list[float], since: float, until: float) -> int:
     """Return how many of the sorted times are in a span."""
     return bisect_right(times, until) - bisect_left(times, since)
