A request that is seen by a look at the socket is read at once

What callers saw: at a planned stop, a request on a kept connection that had arrived but had not been read yet had no answer for the whole idle timeout (15 s), so none within a grace of 8 s but a 503 at its end. The same beside a response that announces the close.

Cause: HttpServer looks into each idle connection's socket before it closes it. The look put the bytes into the buffer but did not end the wait of the greenlet that reads requests, and the reader that usually does never sees those bytes.

--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -66,6 +66,7 @@
     def poll(self) -> None:
         """Buffer the bytes that have arrived but have not been read yet.
 
+        The wait of `take` ends with them, as the reader does not see them any more.
         The reader notices an end or an error of the connection by itself.
         """
         if self.ended or not self._has_room.is_set():
@@ -77,6 +78,8 @@
             return
         finally:
             self._sock.settimeout(None)
+        if self._data:
+            self._arrived.set()
 
     def stop(self) -> None:
         """Stop reading, and end the wait of `take`."""
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -168,7 +168,8 @@
     gevent.sleep(0.01)
     sock.sendall(POST)
     server.server.stop_accepting()
-    response = read_all(sock)
+    with gevent.Timeout(ExchangeLimits().idle_timeout_s / 3):
+        response = read_all(sock)
     assert b'hello' in response
     assert b'connection: close' in response.lower()
 
