Tests: running streams whatever is heard of their replica

Three streams, silent in three phases, while their replica drains, is gone, has started again, or its address belongs to another replica of the same or another service.

--- a/tests/test_relay/test_changes_beside_requests.py
+++ b/tests/test_relay/test_changes_beside_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import gevent
 import pytest
 
@@ -169,3 +170,33 @@
     gevent.sleep(0.1)
     requests.finish_unread()
     check_answers(requests)
+
+
+LATER_MS = 10**6
+
+
+@pytest.mark.parametrize(
+    'news',
+    [
+        {'state': 'draining'},
+        {'state': 'gone'},
+        {'born_ms': LATER_MS},
+        {'replica': 'other', 'born_ms': LATER_MS},
+        {'service': 'plain', 'replica': 'other', 'born_ms': LATER_MS},
+    ],
+)
+def test_a_running_request_is_answered_whatever_is_heard_of_its_replica(news):
+    node = Node()
+    model = ScriptedTarget(*[[Paused(*parts)] for parts in STREAMS.values()])
+    old = record(replica='m', address=model.address, slots=len(STREAMS))
+    node.receive_news(document(), [old])
+    callers = []
+    for _ in STREAMS:
+        callers.append(Caller(node, post(b'/gen/x')))
+        gevent.sleep(0.05)
+    assert len(model.requests) == len(STREAMS)
+    node.receive_news(document(), [attrs.evolve(old, sequence=2, **news)])
+    wait_until(lambda: all(c.received.endswith(END) for c in callers))
+    for caller in callers:
+        assert caller.statuses == [200]
+        assert caller.received.endswith(CHUNKS[-10:] + END)
