Mutations of notes and of idle connections; a line of the capacity page is shorter

Three mutations disable the memory of control nodes, the notes to a holder whose link was lost, and the look at idle connections: a check fails without each.

--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -9,9 +9,11 @@
 from pistachiopath.admission.allowance_lender import AllowanceLender
 from pistachiopath.admission.heard_nodes import LiveNodes
 from pistachiopath.directory import announcer, directory
+from pistachiopath.document.noted_streams import NotedStreams
 from pistachiopath.errors.exchange import ExchangeFailed
 from pistachiopath.errors.relay import TurnedAway
 from pistachiopath.exchange import target_connection
+from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.grants.begun_streams import BegunStreams
 from pistachiopath.grants.gate import GrantGate
 from pistachiopath.grants.place_queue import PlaceQueue
@@ -25,6 +27,7 @@
 from pistachiopath.relay.ended import Delivered, Lost
 from pistachiopath.relay.exchange_run import ExchangeRun
 from pistachiopath.relay.hedge import Hedge
+from pistachiopath.relay.open_streams import OpenStreams
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.targets import Targets
@@ -44,6 +47,7 @@
 from . import test_departure as departure_checks
 from . import test_dispatcher as dispatcher_checks
 from . import test_notices as notice_checks
+from . import test_open_streams as note_checks
 from . import test_overload as overload_checks
 from . import test_silent_targets as silence_checks
 from . import test_stream_versions as version_checks
@@ -325,6 +329,27 @@
     )
 
 
+def control_nodes_do_not_remember(patch):
+    """Keeps no streams where no gate holds them."""
+    patch.setattr(NotedStreams, 'note', lambda *_: None)
+    return note_checks.test_streams_of_two_versions_are_mixed_up
+
+
+def a_new_holder_is_told_only_new_streams(patch):
+    """Takes a control node to remember what it was told before the link was lost."""
+    patch.setattr(OpenStreams, 'handle_lost', lambda *_: None)
+    check = note_checks
+    return check.test_open_streams_are_forgotten_when_their_control_node_starts_again
+
+
+def idle_connections_are_not_looked_at(patch):
+    """Opens a new connection in place of one that the replica closed early."""
+    patch.setattr(ConnectionPool, 'drop_closed', lambda *_: None)
+    return with_a_gate(
+        version_checks.test_a_stream_goes_on_at_a_replica_that_closed_an_idle_connection_early
+    )
+
+
 def resumed_streams_wait_as_new_requests_do(patch):
     """Ranks and denies resumed streams as new requests."""
     patch.setattr(GrantGate, 'ask', _ask_as_new(GrantGate.ask))
@@ -381,6 +406,9 @@
     the_fallback_takes_all_versions,
     a_guess_when_nobody_knows,
     gates_do_not_remember,
+    control_nodes_do_not_remember,
+    a_new_holder_is_told_only_new_streams,
+    idle_connections_are_not_looked_at,
     resumed_streams_wait_as_new_requests_do,
 ]
 
--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -254,8 +254,8 @@
 neither remember nor deduce, so while a service runs two versions; the figures of
 questions hold while all callers come back at once, for seconds after all entries
 lost power. There the bytes are far beyond the budget: that does not reach the size.
-The streams of an entry that break off are reckoned as those of {STREAM_S:.0f} s, which is
-assumed. Control nodes are asked with the gates.
+The streams of an entry that break off are taken to be those of {STREAM_S:.0f} s, an
+assumption. Control nodes are asked with the gates.
 
 Streams at replicas without an agent are noted at a control node while their service
 has several versions. These are upper bounds, as if each request were such a stream
