Tests: a place that a search holds when the answer comes is released right after it

Cause: the test's target goes on after 1.7 s, and the third search for another place begins at 1.72 s. If the answer comes while that search holds a place and connects, the search is ended without a wait and gives the place back when its greenlet runs next; the test looked before that. Shown without load: with an answer after 1.722 s (two of three runs) the place is held when the answer is there, and released 0.05 s later.

--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -9,6 +9,7 @@
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.messages.grants import Ask, Denied, Granted, ReleasePlace
 from pistachiopath.relay.dispatcher import MAX_FAILURES
+from tests.harness.waiting import wait_until
 from tests.test_exchange.sockets import (
     CLOSE,
     MUTE,
@@ -224,7 +225,8 @@
     target = ScriptedTarget([Paused(SILENCE_S, answer())])
     serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
     assert len(gate.received) > 2
-    assert gate.unreleased() == set()
+    # The search may end after the answer.
+    wait_until(lambda: not gate.unreleased())
 
 
 def test_a_target_is_not_taken_for_silent_because_this_process_was_paused(caplog):
