--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -26,6 +26,7 @@
 from .lending import Lending
 from .noted_streams import NotedStreams
 from .operator_requests import OperatorRequests
+from .packing import unpack
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
@@ -242,7 +243,7 @@
         if core.version <= self._adopted_version:
             return
         self._adopted_version = core.version
-        self._lender.adopt(self._customers(core.content), now)
+        self._lender.adopt(self._customers(unpack(core.content)), now)
 
     def _publish_committed(self, now: float) -> None:
         core = self.core
--- a/tests/test_admission/test_leased_allowance.py
+++ b/tests/test_admission/test_leased_allowance.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from pistachiopath.admission.leased_allowance import LeasedAllowance
@@ -142,8 +143,8 @@
 
 
 def test_a_partition_does_not_double_the_burst_allowance():
-    # Regression: QUOTA on Prairie Commons' trouble-1, a fifth too much.  Both
-    # sides of the cut began with full buckets and the whole rate for a second.
+    # Regression: both sides of the cut began with full buckets and the whole rate
+    # for a second.
     world = AllowanceWorld(7)
     rng = random.Random(6)
     world.cut_links = {frozenset(('c0', 'c1')), frozenset(('c0', 'c2'))}
@@ -205,3 +206,13 @@
     free = CustomerAccount(name='f', keys=())
     node = LeasedAllowance(started_ms=1)
     assert node.take(free, 1e9, 0.0) == 0
+
+
+@pytest.mark.parametrize('rate_per_s', [5e-324, 1e-300, 1e-9])
+def test_a_request_beyond_the_smallest_of_rates_is_told_to_wait(rate_per_s):
+    customer = attrs.evolve(CUSTOMER, rate_per_s=rate_per_s, burst=0.0)
+    entry = LeasedAllowance(started_ms=1)
+    entry.set_known_entries(3)
+    entry.adopt((customer,), 0.0)
+    entry.take(customer, 1.0, 0.1)
+    assert entry.take(customer, 1.0, 0.2) > 0
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.harness.document_faults import OTHERS, SEEDS, run_random_faults
+from tests.harness.document_faults import MANY_PARTS, OTHERS, SEEDS, run_random_faults
 from tests.harness.document_world import DocumentWorld
 
 from .worlds import formed_world
@@ -149,3 +149,8 @@
 @pytest.mark.parametrize('seed', range(60))
 def test_two_losses_at_once_lose_nothing_under_random_faults(seed):
     run_random_faults(seed, others=OTHERS, tolerated=2)
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_records_sent_in_parts_are_not_lost_under_random_faults(seed):
+    run_random_faults(seed, others=OTHERS, tolerated=2, timing=MANY_PARTS)
--- a/tests/test_relay/test_version_mutations.py
+++ b/tests/test_relay/test_version_mutations.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from pistachiopath.document.noted_streams import NotedStreams
+from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.grants.begun_streams import BegunStreams
+from pistachiopath.relay.open_streams import OpenStreams
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.work import Work
 from tests.harness.mutations import check_fails, each
 
+from . import test_open_streams as note_checks
 from . import test_stream_versions as version_checks
 
 
@@ -63,6 +67,27 @@
     )
 
 
+def control_nodes_do_not_remember(patch):
+    """Keeps no streams where no gate holds them."""
+    patch.setattr(NotedStreams, 'note', lambda *_: None)
+    return note_checks.test_streams_of_two_versions_are_mixed_up
+
+
+def a_new_holder_is_told_only_new_streams(patch):
+    """Takes a control node to remember what it was told before the link was lost."""
+    patch.setattr(OpenStreams, 'handle_lost', lambda *_: None)
+    check = note_checks
+    return check.test_open_streams_are_forgotten_when_their_control_node_starts_again
+
+
+def idle_connections_are_not_looked_at(patch):
+    """Opens a new connection in place of one that the replica closed early."""
+    patch.setattr(ConnectionPool, 'drop_closed', lambda *_: None)
+    return with_a_gate(
+        version_checks.test_a_stream_goes_on_at_a_replica_that_closed_an_idle_connection_early
+    )
+
+
 def with_a_gate(check):
     """Return a check that is given the address of a gate of its own."""
     return lambda: check(version_checks.start_gate())
@@ -74,6 +99,9 @@
     the_fallback_takes_all_versions,
     a_guess_when_nobody_knows,
     gates_do_not_remember,
+    control_nodes_do_not_remember,
+    a_new_holder_is_told_only_new_streams,
+    idle_connections_are_not_looked_at,
 )
 def test_a_check_fails_without_its_mechanism(monkeypatch, mutation):
     check_fails(mutation(monkeypatch))
