--- a/tests/test_relay/test_changes_beside_requests.py
+++ b/tests/test_relay/test_changes_beside_requests.py
@@ -166,7 +166,7 @@
 def test_requests_are_answered_beside_a_reload_and_the_loss_of_all_control_nodes():
     requests = Requests()
     requests.node.entry.set_seeds(('127.0.0.1:1',))
-    requests.node.entry._on_lost('127.0.0.1:9')
+    requests.node.entry._messages.handle_lost('127.0.0.1:9')
     gevent.sleep(0.1)
     requests.finish_unread()
     check_answers(requests)
