Tests: wait so that a pause of the process does not fail them

Cause: `gevent.sleep(0.05)` returns in the first pass of the event loop after 50 ms.

Evidence: with a pause of 80 ms put after each request, 5 of 14 tests of the file fail with the same line, "assert 2 == 3" or "assert 1 == 3"; with `let_pass`, which waits in slices and lets the loop run until nothing is ready, 14 of 14 pass with the same pauses.

--- a/tests/test_relay/test_changes_beside_requests.py
+++ b/tests/test_relay/test_changes_beside_requests.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from tests.harness.waiting import let_pass
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import Paused, ScriptedTarget
 
@@ -119,7 +120,7 @@
     def _send(self, data, name):
         caller = Caller(self.node, data)
         caller.name = name
-        gevent.sleep(0.05)
+        let_pass(0.05)
         return caller
 
     def change(self, change):
@@ -158,7 +159,7 @@
 def test_requests_are_answered_beside_a_change_of_the_configuration(change):
     requests = Requests()
     requests.change(change)
-    gevent.sleep(0.1)
+    let_pass(0.1)
     requests.finish_unread()
     check_answers(requests)
 
@@ -167,7 +168,7 @@
     requests = Requests()
     requests.node.entry.set_seeds(('127.0.0.1:1',))
     requests.node.entry._messages.handle_lost('127.0.0.1:9')
-    gevent.sleep(0.1)
+    let_pass(0.1)
     requests.finish_unread()
     check_answers(requests)
 
@@ -193,7 +194,7 @@
     callers = []
     for _ in STREAMS:
         callers.append(Caller(node, post(b'/gen/x')))
-        gevent.sleep(0.05)
+        let_pass(0.05)
     assert len(model.requests) == len(STREAMS)
     node.receive_news(document(), [attrs.evolve(old, sequence=2, **news)])
     wait_until(lambda: all(c.received.endswith(END) for c in callers))
