--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -23,13 +23,12 @@
     RestoreState,
     SaveSnapshot,
     SaveVote,
-    TruncateFrom,
     WriteSnapshotPart,
 )
 from .election_clock import ElectionClock
 from .entry_kind import EntryKind
 from .log import Log
-from .part_buffer import PartBuffer
+from .log_follower import LogFollower
 from .replicator import Replicator
 from .role import Role
 from .timing import Timing
@@ -85,9 +84,8 @@
         self._votes: set[str] = set()
         self._pre_voting = False
         self._replicator = Replicator(replica=self, timing=self._timing)
+        self._follower = LogFollower(replica=self)
         self._leader_contact_at = -self._timing.election_max_s
-        self._snapshot_parts = PartBuffer()
-        self._record_parts = PartBuffer()
         self._effects: list[Effect] = []
         self._election_clock = ElectionClock(timing=self._timing, rng=rng)
         self._election_at = now + self._election_clock.draw_timeout_s()
@@ -151,7 +149,7 @@
             **content,
         )
         self.log.append(entry)
-        self._effects.append(AppendEntries(entries=(entry,)))
+        self.add_effect(AppendEntries(entries=(entry,)))
         if kind is EntryKind.MEMBERS:
             self._replicator.update_members(now)
         return entry.index, self._take_effects()
@@ -196,11 +194,11 @@
         handlers = {
             VoteRequest: self._on_vote_request,
             VoteReply: self._on_vote_reply,
-            Append: self._on_append,
+            Append: self._follower.on_append,
             AppendReply: self._on_append_reply,
-            InstallSnapshot: self._on_install,
+            InstallSnapshot: self._follower.on_install,
             SnapshotReply: self._on_part_reply,
-            AppendPart: self._on_append_part,
+            AppendPart: self._follower.on_append_part,
             AppendPartReply: self._on_part_reply,
         }
         handlers[type(body)](sender, body, now)
@@ -327,7 +325,7 @@
             time_ms=0,
         )
         self.log.append(noop)
-        self._effects.append(AppendEntries(entries=(noop,)))
+        self.add_effect(AppendEntries(entries=(noop,)))
         self._replicator.replicate_all(now)
 
     def _follow(self, term: int, leader: str, now: float) -> None:
@@ -365,155 +363,42 @@
     def _advance_commit(self) -> None:
         index = self._replicator.majority_match(self._durable_index)
         if index > self.commit and self.log.term_at(index) == self.term:
-            self._commit_up_to(index)
+            self.commit_up_to(index)
 
-    def _commit_up_to(self, index: int) -> None:
+    def commit_up_to(self, index: int) -> None:
+        """Commit and apply the records up to an index that are not committed yet."""
         for position in range(self.commit + 1, index + 1):
             entry = self.log.get(position)
-            self._effects.append(Apply(entry=entry))
-        self.commit = index
+            self.add_effect(Apply(entry=entry))
+        self.commit = max(self.commit, index)
 
-    # Replication on followers
+    # What the follower side needs
 
-    def _on_append(self, sender: str, msg: Append, now: float) -> None:
-        if self._follows_log(sender, msg, msg.previous_index, now):
-            self._append_entries(sender, msg, now)
-
-    def _follows_log(
-        self, sender: str, msg: Append | AppendPart, previous_index: int, now: float
-    ) -> bool:
-        """Tell whether records that a leader sent follow this log; refuse others."""
-        if msg.term < self.term:
-            self._reply_append(sender, msg, success=False, match=0)
-            return False
-        self._accept_leader(sender, msg.term, now)
-        if self._leader_commit is None:
-            self._leader_commit = msg.commit
-        if previous_index < self.commit:
-            # Committed records always match, so the previous term is not checked.
-            # The records that a snapshot covers are skipped.
-            return True
-        if self.log.term_at(previous_index) != msg.previous_term:
-            hint = min(self.log.last_index, previous_index - 1)
-            self._reply_append(sender, msg, success=False, match=hint)
-            return False
-        return True
-
-    def _on_append_part(self, sender: str, msg: AppendPart, now: float) -> None:
-        previous_index = msg.index - 1
-        if not self._follows_log(sender, msg, previous_index, now):
-            return
-        is_held = self.log.term_at(msg.index) == msg.entry_term
-        if msg.index <= self.commit or is_held:
-            self._reply_append(sender, msg, success=True, match=msg.index)
-            return
-        self._commit_up_to(max(self.commit, min(msg.commit, previous_index)))
-        received_bytes = self._record_parts.add(msg)
-        if received_bytes < msg.total:
-            reply = AppendPartReply(
-                member=self.member,
-                term=self.term,
-                round=msg.round,
-                index=msg.index,
-                offset=received_bytes,
-            )
-            self.send(sender, reply)
-            return
-        self._append_entries(sender, self._joined(msg), now)
-
-    def _joined(self, msg: AppendPart) -> Append:
-        """Return the message with the whole record whose last part has arrived."""
-        entry = Entry(
-            index=msg.index,
-            term=msg.entry_term,
-            kind=msg.kind,
-            time_ms=msg.time_ms,
-            command=self._record_parts.take(),
-        )
-        return Append(
-            to_member=msg.to_member,
-            term=msg.term,
-            round=msg.round,
-            previous_index=msg.index - 1,
-            previous_term=msg.previous_term,
-            commit=msg.commit,
-            entries=(entry,),
-        )
-
-    def _append_entries(self, sender: str, msg: Append, now: float) -> None:
-        added = []
-        for entry in msg.entries:
-            if entry.index <= self.commit:
-                continue
-            term = self.log.term_at(entry.index)
-            if term == entry.term:
-                continue
-            if term is not None:
-                self.log.truncate_from(entry.index)
-                self._effects.append(TruncateFrom(index=entry.index))
-            self.log.append(entry)
-            added.append(entry)
-        if added:
-            self._effects.append(AppendEntries(entries=tuple(added)))
-        match = msg.previous_index + len(msg.entries)
-        self._commit_up_to(max(self.commit, min(msg.commit, match)))
-        self._reply_append(sender, msg, success=True, match=match)
-
-    def _reply_append(
-        self, to: str, msg: Append | AppendPart, *, success: bool, match: int
+    def accept_leader(
+        self, sender: str, term: int, now: float, *, commit: int | None = None
     ) -> None:
-        reply = AppendReply(
-            member=self.member,
-            term=self.term,
-            round=msg.round,
-            success=success,
-            match=match,
-        )
-        self.send(to, reply)
-
-    def _on_install(self, sender: str, msg: InstallSnapshot, now: float) -> None:
-        if msg.term < self.term:
-            return
-        self._accept_leader(sender, msg.term, now)
-        if msg.index <= self.commit:
-            self._reply_snapshot(sender, msg, msg.total)
-            return
-        received_bytes = self._snapshot_parts.add(msg)
-        if received_bytes >= msg.total:
-            self._install(msg, self._snapshot_parts.take())
-        self._reply_snapshot(sender, msg, received_bytes)
+        """Follow the sender, the leader of a term; keep its first commit index."""
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(term, sender, now)
+        self._pre_voting = False
+        self._votes = set()
+        self._leader_contact_at = now
+        self._election_clock.end_short_timeouts()
+        self._reset_election(now)
+        if self._leader_commit is None:
+            self._leader_commit = commit
 
-    def _install(self, msg: InstallSnapshot, data: bytes) -> None:
+    def install(self, msg: InstallSnapshot, data: bytes) -> None:
+        """Replace log and state by a snapshot of the leader."""
         self.log.reset(msg.index, msg.index_term, msg.members)
         self.commit = msg.index
         self.snapshot = data
-        self._effects.append(
+        self.add_effect(
             SaveSnapshot(
                 index=msg.index, term=msg.index_term, members=msg.members, data=data
             )
         )
-        self._effects.append(RestoreState(index=msg.index, data=data))
-
-    def _reply_snapshot(
-        self, to: str, msg: InstallSnapshot, received_bytes: int
-    ) -> None:
-        reply = SnapshotReply(
-            member=self.member,
-            term=self.term,
-            round=msg.round,
-            index=msg.index,
-            offset=received_bytes,
-        )
-        self.send(to, reply)
-
-    def _accept_leader(self, sender: str, term: int, now: float) -> None:
-        if self.role is not Role.FOLLOWER or self.leader != sender:
-            self._follow(term, sender, now)
-        self._pre_voting = False
-        self._votes = set()
-        self._leader_contact_at = now
-        self._election_clock.end_short_timeouts()
-        self._reset_election(now)
+        self.add_effect(RestoreState(index=msg.index, data=data))
 
     # Helpers
 
@@ -533,11 +418,15 @@
         self._election_at = now + self._election_clock.draw_timeout_s()
 
     def _save_vote(self) -> None:
-        self._effects.append(SaveVote(term=self.term, voted_for=self._voted_for))
+        self.add_effect(SaveVote(term=self.term, voted_for=self._voted_for))
 
     def send(self, to: str, body: Message) -> None:
         """Add a message to the effects of the current call."""
-        self._effects.append(Send(to=to, call=0, body=body))
+        self.add_effect(Send(to=to, call=0, body=body))
+
+    def add_effect(self, effect: Effect) -> None:
+        """Add an effect to those of the current call."""
+        self._effects.append(effect)
 
     def _take_effects(self) -> list[Effect]:
         effects = self._effects
