A server that stops accepts what waits in its backlog before it closes its socket

Callers see: a connection is reset, without an answer, although the whole request had been sent on it, when the kernel has completed the connection and the entry (or a control node) that stops has not accepted it yet. That time is short in a process that runs, and as long as the pause in one that was paused.

Cause: stop_accepting closed the listening socket at once. The kernel resets what is in its backlog. A connection that had been accepted in the same pass of the event loop was not counted either, as its greenlet had not begun.

Why it works: accept_waiting accepts until there is nothing left, at most as many as the backlog holds, then the socket is closed without a switch to another greenlet; one pass of the event loop lets the greenlets begin, and so the stop waits for them as for others: an entry refuses with 503, other servers answer.

Not covered: what the kernel completes between the last accept and the close; a connection on which nothing has arrived yet, which is closed as idle. Links of transport/network.py are dialled anew whether reset or closed; readiness listens until the process ends; a stand-in cuts what it serves when it stops.

--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -11,6 +11,7 @@
 from gevent.server import StreamServer
 
 from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
+from ..util.backlog import accept_waiting
 from ..util.early_listener import take_listener
 from .server_connection import ServerConnection
 
@@ -76,10 +77,17 @@
             conn.closes_after_response = True
 
     def stop_accepting(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Accept no more connections and close the idle ones.
+
+        Requests on connections that wait to be accepted are served.
+        """
         self.announce_stop()
-        if self._server is not None:
-            self._server.stop(timeout=0)
+        server, self._server = self._server, None
+        if server is not None:
+            accept_waiting(server)
+            server.stop(timeout=0)
+            # The greenlets of accepted connections count them once they have begun.
+            gevent.sleep(0)
         self.close_idle()
 
     def close_idle(self) -> None:
--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import gevent
 import gevent.socket as gsocket
 
@@ -47,6 +49,13 @@
         return read_all(sock)
 
 
+def connect_unaccepted(port, data):
+    """Send bytes on a new connection while no greenlet runs that could accept it."""
+    sock = socket.create_connection((LOOPBACK, port))
+    sock.sendall(data)
+    return gsocket.socket(fileno=sock.detach())
+
+
 def read_all(sock):
     parts = []
     while True:
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -10,7 +10,7 @@
 from pistachiopath.exchange.server_connection import LINGER_S
 
 from .sample_requests import POST, POST_AND_CLOSE
-from .sockets import EchoServer, read_all
+from .sockets import EchoServer, connect_unaccepted, read_all
 
 
 def test_requests_on_one_connection_are_answered_in_order():
@@ -174,6 +174,19 @@
     assert b'connection: close' in response.lower()
 
 
+@pytest.mark.parametrize('number', [1, 300])
+def test_connections_that_were_not_accepted_yet_are_answered_at_a_stop(number):
+    # Regression: the kernel reset them when the listening socket was closed.
+    server = EchoServer()
+    callers = [connect_unaccepted(server.port, POST) for _ in range(number)]
+    server.server.stop_accepting()
+    assert server.server.connections == number
+    with gevent.Timeout(ExchangeLimits().idle_timeout_s / 3):
+        responses = [read_all(caller) for caller in callers]
+    assert all(r.startswith(b'HTTP/1.1 200') for r in responses)
+    assert all(b'connection: close' in r.lower() for r in responses)
+
+
 def test_a_response_cut_short_is_never_followed_by_another():
     # Regression: a timeout during a write left the connection open for the next.
     size = 8 * 1024 * 1024
--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -13,7 +13,13 @@
 from pistachiopath.relay import planned_stop
 from pistachiopath.relay.departure import Departure
 from tests.test_directory.records import record
-from tests.test_exchange.sockets import MUTE, Paused, ScriptedTarget
+from tests.test_exchange.sockets import (
+    MUTE,
+    Paused,
+    ScriptedTarget,
+    connect_unaccepted,
+    read_all,
+)
 from tests.test_platform.test_configuration import VALID
 
 from .parts import answer, chunk, events, stream_head
@@ -226,3 +232,23 @@
     gevent.sleep(0.1)
     stop(node, caller)
     assert caller.statuses == [502]
+
+
+def test_a_request_on_a_connection_that_waits_for_its_accept_is_refused(
+    node, monkeypatch
+):
+    # Regression: the kernel reset it when the listening socket was closed.
+    node.receive_news(document())
+    port = int(node.callers.rpartition(':')[2])
+    waiting = []
+
+    def connect_and_close(departure):
+        waiting.append(connect_unaccepted(port, post(b'/pay')))
+        close(departure)
+
+    close = Departure.close
+    monkeypatch.setattr(Departure, 'close', connect_and_close)
+    stop(node)
+    received = read_all(waiting[0])
+    assert received.startswith(b'HTTP/1.1 503')
+    assert b'retry-after' in received
