An entry of the classic path leaves no caller in its backlog while it stops

Callers see: a connection that is made after SIGTERM hangs while the entry finishes its open calls (drain_s, 120 s by default), and is then reset with the request on it; so is one that had waited to be accepted.

Cause: the stop no longer accepted, but left the socket listening until the calls had ended. What had been accepted was not waited for either, as the server keeps no count of its connections without a pool.

Evidence: the three tests of tests/test_entry/test_planned_stop.py failed with the old order (ConnectionResetError with 1 and 200 connections; no ConnectionRefusedError for a caller that connects meanwhile) and pass now.

Why it works: what waits is accepted, the socket is closed at once, so that later callers are refused and can go elsewhere; draining entries answer 503; the stop of the server waits up to 1 s for the connections in its pool. A kept connection that is idle may take that second.

Failed try: 300 connections in the test, where this server's backlog holds 256: connect waited for its own timeout. It is 200 now.

--- a/pistachiopath/entry/main.py
+++ b/pistachiopath/entry/main.py
@@ -13,6 +13,7 @@
 from ..util.listen import make_server
 from ..util.program import parse_settings, run_until_stopped, starting
 from .http import CallerApp
+from .planned_stop import stop_entry
 from .settings import EntrySettings
 from .shell import EntryShell
 
@@ -29,16 +30,13 @@
     caller_app = CallerApp(cfg=cfg, shell=shell)
     report_greenlet_errors(shell.failures)
     with starting():
-        server = make_server(cfg.http, caller_app.app)
+        server = make_server(cfg.http, caller_app.app, waits_at_stop=True)
         shell.start()
         server.start()
 
-    def stop() -> None:
-        server.stop_accepting()
-        shell.drain(cfg.drain_s)
-        server.stop(timeout=1)
-
-    run_until_stopped(stop)
+    run_until_stopped(
+        lambda: stop_entry(server=server, shell=shell, drain_s=cfg.drain_s)
+    )
 
 
 if __name__ == '__main__':
--- a/pistachiopath/util/listen.py
+++ b/pistachiopath/util/listen.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import gevent.socket as gsocket
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
 from ..errors.transport import ListenFailed
@@ -16,10 +17,13 @@
 BACKLOG = 256
 
 
-def make_server(address: str, app: bottle.Bottle) -> WSGIServer:
+def make_server(
+    address: str, app: bottle.Bottle, *, waits_at_stop: bool = False
+) -> WSGIServer:
     """Return an HTTP server that sends small parts of answers without delay.
 
-    Accepted sockets inherit `TCP_NODELAY` from the listening socket.  Raises
+    Accepted sockets inherit `TCP_NODELAY` from the listening socket.  With
+    `waits_at_stop`, `stop` waits for the connections up to its timeout.  Raises
     `ListenFailed`.
     """
     host, port = split_address(address)
@@ -29,4 +33,5 @@
     except OSError as exc:
         raise ListenFailed(address=address, reason=str(exc)) from exc
     listener.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
-    return WSGIServer(listener, app, log=None)
+    spawn = Pool() if waits_at_stop else 'default'
+    return WSGIServer(listener, app, log=None, spawn=spawn)
--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -11,6 +11,7 @@
 from pistachiopath.exchange.server import HttpServer
 
 LOOPBACK = '127.0.0.1'
+CONNECT_TIMEOUT_S = 5.0
 
 
 class EchoServer:
@@ -51,7 +52,7 @@
 
 def connect_unaccepted(port, data):
     """Send bytes on a new connection while no greenlet runs that could accept it."""
-    sock = socket.create_connection((LOOPBACK, port))
+    sock = socket.create_connection((LOOPBACK, port), CONNECT_TIMEOUT_S)
     sock.sendall(data)
     return gsocket.socket(fileno=sock.detach())
 
