--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import gevent
 import gevent.socket as gsocket
 
@@ -9,6 +11,7 @@
 from pistachiopath.exchange.server import HttpServer
 
 LOOPBACK = '127.0.0.1'
+CONNECT_TIMEOUT_S = 5.0
 
 
 class EchoServer:
@@ -47,6 +50,13 @@
         return read_all(sock)
 
 
+def connect_unaccepted(port, data):
+    """Send bytes on a new connection while no greenlet runs that could accept it."""
+    sock = socket.create_connection((LOOPBACK, port), CONNECT_TIMEOUT_S)
+    sock.sendall(data)
+    return gsocket.socket(fileno=sock.detach())
+
+
 def read_all(sock):
     parts = []
     while True:
