Log an error of a connection that waits for its accept

An error of `accept` while a stop empties the backlog was skipped without a log line (seen when the merge was read). It concerns one connection; the next are accepted.

--- a/pistachiopath/util/backlog.py
+++ b/pistachiopath/util/backlog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
+import logging
 from typing import TYPE_CHECKING
 
 from .early_listener import BACKLOG
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from gevent.server import StreamServer
 
+logger = logging.getLogger(__name__)
+
 # The kernel completes one connection more than the backlog.
 MAX_WAITING = BACKLOG + 1
 
@@ -22,8 +24,11 @@
     connection, and does not keep the others from being accepted.
     """
     for _ in range(MAX_WAITING):
-        with contextlib.suppress(OSError):
+        try:
             accepted = server.do_read()
-            if not accepted:
-                return
-            server.do_handle(*accepted)
+        except OSError as exc:
+            logger.warning('accept_failed', extra={'error': str(exc)})
+            continue
+        if not accepted:
+            return
+        server.do_handle(*accepted)
