Entries name the places they still hold to a gate that has lost their link

Callers see: requests that run beside more others than their engine has places, and are slower, after its gate stood still for some seconds.

Cause: an entry closes its link to a gate that is silent for 1.5 s. The gate sees the end of the link when it goes on, takes the entry for lost, and frees its places LOST_ENTRY_HOLD_S later, although the entry has connected again and its runs go on.

Why it works: the entry knows what it holds. From the loss of a link on it names what it held then, each 0.5 s until that is released, as messages may be lost. The gate no longer counts these places as lost. A place that was released, or whose entry has come back without its memory, is not named, and is freed as before. The names are a field of WatchLoad, which a gate of an older build answers with its load.

Weighed: no hold for an entry that has connected again: one that was started again at the same address would block places until their deadlines. Asking again for the same places: a gate that has freed them would queue or deny the ask.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -124,7 +124,8 @@
     def entry_lost(self, entry: str, now: float) -> list[Send]:
         """Drop the waiting requests of an unreachable entry.
 
-        Its running requests keep their places for `LOST_ENTRY_HOLD_S`.
+        Its running requests keep their places for `LOST_ENTRY_HOLD_S`, and longer if
+        it names them to `keep` by then.
         """
         self._watchers.remove(entry)
         for key in [k for k in self._queue.waiting if k[0] == entry]:
@@ -135,6 +136,17 @@
         self._load_version += 1
         return []
 
+    def keep(self, entry: str, held: tuple[str, ...], now: float) -> list[Send]:
+        """Keep the places that a reachable entry still holds.
+
+        One that has been freed meanwhile stays free.
+        """
+        for request in held:
+            place = self._queue.running.get((entry, request))
+            if place is not None:
+                place.lost_at = 0.0
+        return [self._load_for(entry, now)]
+
     def tick(self, now: float) -> list[Send]:
         """Run periodic work: expiry, places of lost entries, load reports."""
         effects = self._deny_infeasible(now)
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -101,6 +101,8 @@
                 return self.gate.ask(sender, body, now)
             case ReleasePlace():
                 return self.gate.release(sender, body, now)
+            case WatchLoad(held=held) if held:
+                return self.gate.keep(sender, held, now)
             case WatchLoad(streams=()):
                 return self.gate.watch(sender, body, now)
             case WatchLoad(streams=streams):
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -77,12 +77,16 @@
     message of a type that it does not know.  For the same reason a control node is
     sent `notes` of streams with it, and asked for their origins.  One of an older
     build ignores both.
+
+    With `held` it names requests that still have their places, to a gate that may
+    have lost the link to the entry and would free them.
     """
 
     slots: int
     period_ms: int = 0
     streams: tuple[str, ...] = ()
     notes: tuple[StreamNotes, ...] = independent_items(factory=tuple)
+    held: tuple[str, ...] = ()
 
 
 @message
--- a/pistachiopath/relay/gate_link.py
+++ b/pistachiopath/relay/gate_link.py
@@ -6,6 +6,7 @@
 
 from ..grants.watch import LoadWatch
 from ..messages.grants import GateLoad
+from .held_places import HeldPlaces
 from .own_gates import OwnGates
 from .places import Places
 
@@ -34,15 +35,21 @@
         self._send = send
         self._own_gates = OwnGates(deliver=self._deliver, log=log)
         self.loads = LoadWatch(own_address=own_address)
-        self.places = Places(send=self._send_to_gate, on_silent=self.loads.mark_lost)
+        self._held = HeldPlaces()
+        self.places = Places(
+            send=self._send_to_gate, on_silent=self.loads.mark_lost, held=self._held
+        )
 
     def tick_own_gates(self, now: float) -> None:
         """Run the timers of the gates in this entry."""
         self._own_gates.tick(now)
 
     def watch(self, gates: dict[str, int], now: float) -> list[Send]:
-        """Renew watches; `gates` maps the addresses in use to their places."""
-        return self.loads.tick(gates, now)
+        """Renew watches, and name held places to gates that may have lost them.
+
+        `gates` maps the addresses in use to their places.
+        """
+        return self.loads.tick(gates, now) + self._held.tick(now)
 
     def receive(self, gate: str, body: Message, now: float) -> None:
         """Handle a message of the gate beside an engine."""
@@ -54,6 +61,7 @@
         """Handle a lost connection to a gate."""
         self.loads.mark_lost(gate)
         self.places.handle_lost(gate)
+        self._held.handle_lost(gate)
 
     def _send_to_gate(self, gate: str, call: int, body: Message) -> None:
         if self._own_gates.handles(gate):
--- a/pistachiopath/relay/places.py
+++ b/pistachiopath/relay/places.py
@@ -10,6 +10,7 @@
 
 from ..errors.relay import GateLost, PlaceDenied
 from ..messages.grants import Ask, Denied, Granted, ReleasePlace
+from .held_places import HeldPlaces
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,7 +60,8 @@
 
     `send` sends a message to a gate without a delivery guarantee; a repeated
     ask is idempotent.  `on_silent` is called with the address of a gate that
-    has sent nothing within `FIRST_REPLY_TIMEOUT_S`.
+    has sent nothing within `FIRST_REPLY_TIMEOUT_S`.  The places in use are recorded
+    in `held`.
     """
 
     def __init__(
@@ -67,7 +69,9 @@
         *,
         send: Callable[[str, int, Message], None],
         on_silent: Callable[[str], None] = lambda gate: None,
+        held: HeldPlaces | None = None,
     ) -> None:
+        self._held = held or HeldPlaces()
         self._send = send
         self._on_silent = on_silent
         self._waiting: dict[str, _Wait] = {}
@@ -102,10 +106,12 @@
             del self._waiting[ask.request]
             if not granted:
                 self._release(gate, ask.request, 0, ok=False)
+        self._held.add(gate, ask.request)
         return Grant(gate=gate, request=ask.request, granted_at=time.monotonic())
 
     def release(self, grant: Grant, first_ms: int, *, ok: bool) -> None:
         """Release a granted place."""
+        self._held.remove(grant.gate, grant.request)
         self._release(grant.gate, grant.request, first_ms, ok=ok)
 
     def handle_reply(self, gate: str, body: Granted | Denied) -> None:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -477,6 +477,7 @@
   periodMs @1 :Int64;
   streams @2 :List(Text);
   notes @3 :List(StreamNotes);
+  held @4 :List(Text);
 }
 
 struct GateLoad {
--- a/tests/test_grants/test_gate.py
+++ b/tests/test_grants/test_gate.py
@@ -223,3 +223,18 @@
     gate.ask('e', ask('report', tier=0, slots=1), 0.0)
     gate.ask('e', ask('tag0', tier=2, slots=1), 0.0)
     assert denied(gate.ask('e', ask('tag1', tier=2, slots=1), 0.1)) == []
+
+
+def test_a_lost_entry_keeps_the_places_that_it_names_in_time():
+    gate = GrantGate()
+    for name in 'ab':
+        gate.ask('e', ask(name), 0.0)
+    gate.entry_lost('e', 0.5)
+    gate.keep('e', ('a', 'unknown'), 0.5 + LOST_ENTRY_HOLD_S / 2)
+    gate.tick(0.6 + LOST_ENTRY_HOLD_S)
+    assert gate.running == 1
+    gate.keep('e', ('b',), 1.0 + LOST_ENTRY_HOLD_S)
+    assert gate.running == 1
+    gate.entry_lost('e', 3.0)
+    gate.tick(3.0 + LOST_ENTRY_HOLD_S)
+    assert gate.running == 0
--- a/tests/test_grants/test_shell.py
+++ b/tests/test_grants/test_shell.py
@@ -2,12 +2,13 @@
 
 import pytest
 
+from pistachiopath.grants.gate import LOST_ENTRY_HOLD_S
 from pistachiopath.grants.shell import GateShell
 from pistachiopath.messages.grants import Ask, GateLoad, Granted, WatchLoad
 from pistachiopath.telemetry.metrics import Metrics
 from tests.harness.failing import FailingMethod
 from tests.harness.recording_peer import RecordingPeer
-from tests.harness.waiting import wait_until
+from tests.harness.waiting import let_pass, wait_until
 from tools.free_address import free_address
 
 SECRET = b's'
@@ -90,3 +91,21 @@
     loads = agent.entry.peer.number(GateLoad)
     wait_until(lambda: agent.entry.peer.number(GateLoad) > loads)
     assert agent.entry.peer.lost == []
+
+
+def test_an_entry_that_has_connected_again_keeps_the_places_that_it_names(agent):
+    # Regression: they were freed although their runs went on.
+    agent.entry.ask('first')
+    wait_until(lambda: agent.entry.granted == ['first'])
+    gate = agent.shell.gate
+    place = next(iter(gate._queue.running.values()))
+    for link in list(agent.shell._network._links.values()):
+        link.close()
+    assert place.lost_at
+    wait_until(lambda: agent.entry.peer.lost)
+    agent.entry.send(WatchLoad(slots=0, held=('first',)))
+    wait_until(lambda: not place.lost_at)
+    agent.entry.ask('second')
+    let_pass(LOST_ENTRY_HOLD_S + 0.3)
+    assert agent.entry.granted == ['first']
+    assert gate.waiting == 1
