Entries renew their watches before a gate takes them for gone

Callers see: as with a gate that stood still, requests that run beside more others than their engine has places; here without any pause.

Cause: a gate closes the link of an entry from which it has received nothing for 1.5 s since it sent something. An entry that watches the load, and has long runs but no new requests, sent a watch each 2 s, and loads are not answered. So each time the load changed between 1.5 and 2 s after a watch, the link was closed, and 1 s later the entry's places were freed.

Why it works: watches are renewed each second, so a gate hears a sound entry in 1.5 s, also after a pause of 0.4 s.

Weighed: a longer silence at the gate. The watch of an entry that is gone ends after 3 s, and with it what the gate sends, so its link might never be closed and its places stay.

--- a/pistachiopath/grants/watch.py
+++ b/pistachiopath/grants/watch.py
@@ -10,7 +10,8 @@
 from ..messages.grants import GateLoad, WatchLoad
 from ..util.rendezvous import by_weight
 
-WATCH_RENEWAL_S = 2.0
+# A gate takes an entry for gone that sends nothing for 1.5 s.
+WATCH_RENEWAL_S = 1.0
 # A watched gate that sends nothing for this long is unreachable.
 SILENCE_TIMEOUT_S = 4.5
 # Runs end within a second, so an older load is of little use.
--- a/tests/test_grants/test_shell.py
+++ b/tests/test_grants/test_shell.py
@@ -1,10 +1,19 @@
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from pistachiopath.grants.gate import LOST_ENTRY_HOLD_S
 from pistachiopath.grants.shell import GateShell
-from pistachiopath.messages.grants import Ask, GateLoad, Granted, WatchLoad
+from pistachiopath.grants.watch import WATCH_RENEWAL_S, LoadWatch
+from pistachiopath.messages.grants import (
+    Ask,
+    GateLoad,
+    Granted,
+    ReleasePlace,
+    WatchLoad,
+)
 from pistachiopath.telemetry.metrics import Metrics
 from tests.harness.failing import FailingMethod
 from tests.harness.recording_peer import RecordingPeer
@@ -49,10 +58,12 @@
 
     def __init__(self):
         self.metrics = Metrics()
-        address = free_address()
-        self.shell = GateShell(address=address, secret=SECRET, metrics=self.metrics)
+        self.address = free_address()
+        self.shell = GateShell(
+            address=self.address, secret=SECRET, metrics=self.metrics
+        )
         self.shell.start()
-        self.entry = Entry(address)
+        self.entry = Entry(self.address)
 
     def stop(self):
         self.shell.stop()
@@ -109,3 +120,20 @@
     let_pass(LOST_ENTRY_HOLD_S + 0.3)
     assert agent.entry.granted == ['first']
     assert gate.waiting == 1
+
+
+def test_a_watching_entry_without_requests_is_not_taken_for_silent(agent):
+    # Regression: its link was closed as the load of others changed.
+    watch = LoadWatch()
+    watching = RecordingPeer(secret=SECRET)
+    try:
+        until = time.monotonic() + 2 * WATCH_RENEWAL_S
+        while time.monotonic() < until:
+            watching.send_all(watch.tick({agent.address: 1}, time.monotonic()))
+            agent.entry.ask('first')
+            agent.entry.send(ReleasePlace(request='first', first_ms=0, ok=False))
+            let_pass(0.05)
+        assert watching.number(GateLoad) > 2
+        assert watching.lost == []
+    finally:
+        watching.stop()
