Entries: accept what arrived in a pause before a planned stop closes the server

A caller whose connection reached a stopping entry while the entry's process stood still got a reset instead of an answer.

Cause: `PlannedStop.run` sleeps until the load balancer has removed the entry and then stops the server. After a pause the sleep ends in the first pass of the event loop, before the server has accepted what arrived meanwhile; closing the listener resets it.

Now some passes of the event loop, 20 ms, lie between the sleep and the close.

Tried and dropped: the same passes before unfinished requests are ended.

--- a/pistachiopath/relay/planned_stop.py
+++ b/pistachiopath/relay/planned_stop.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from ..util.arrivals import handle_arrivals
 from .departure import LEAVE_ROTATION_S
 
 if TYPE_CHECKING:
@@ -34,6 +35,8 @@
         self._departure.begin(time.monotonic())
         self._server.announce_stop()
         gevent.sleep(min(LEAVE_ROTATION_S, self._remaining_s()))
+        # Connections that are not accepted yet are reset when the server stops.
+        handle_arrivals()
         self._departure.close()
         self._server.stop_accepting()
         self._wait_until_idle()
--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -4,6 +4,7 @@
 
 import copy
 import gc
+import socket
 import time
 
 import gevent
@@ -12,6 +13,7 @@
 
 from pistachiopath.relay import planned_stop
 from pistachiopath.relay.departure import Departure
+from tests.harness.waiting import wait_until
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import MUTE, Paused, ScriptedTarget
 from tests.test_platform.test_configuration import VALID
@@ -226,3 +228,29 @@
     gevent.sleep(0.1)
     stop(node, caller)
     assert caller.statuses == [502]
+
+
+def connect_unread(node, data):
+    """Send a request whose answer is left in the socket."""
+    host, _, port = node.callers.partition(':')
+    sock = socket.create_connection((host, int(port)), timeout=LIMIT_S)
+    sock.sendall(data)
+    return sock
+
+
+def begin_stop(node):
+    """Begin to stop the entry in the background."""
+    stopping = gevent.spawn(node.entry.stop)
+    wait_until(lambda: node.entry._departure.is_stopping)
+    return stopping
+
+
+def test_a_request_that_arrives_while_the_stopping_entry_stands_still_is_answered(node):
+    # Its connection, which was not accepted yet, was reset.
+    target = ScriptedTarget([answer()])
+    node.receive_news(document(), [plain(target)])
+    stopping = begin_stop(node)
+    sock = connect_unread(node, post(b'/pay'))
+    time.sleep(0.2)
+    stopping.get(timeout=LIMIT_S)
+    assert sock.recv(65536).startswith((b'HTTP/1.1 200', b'HTTP/1.1 503'))
