Entries: write the answers of a planned stop also after a pause until its end

A caller of a stopping entry got no answer, if the entry's process stood still until the time for writing answers was over.

Cause: `HttpServer.end_unfinished` ends the unfinished requests and then waits until `timeout_s` for their answers. After a pause `timeout_s` is 0: it returned before any of the ended requests had run, and the process ended.

Evidence: an entry with a grace of 1 s that stands still for 1 s after its stop began had written nothing when `stop` returned, in 3 of 3 runs of the new test (BlockingIOError, no byte); with the change the caller had its 502 in 3 of 3. tests/test_relay/test_planned_stop.py and tests/test_exchange/test_server*.py: 2 of 2 runs pass.

Now it waits at least three polls of 10 ms while connections are left. The platform may kill the process earlier; nothing can be done about that.

Failed try: a test that stops the entry in a greenlet of its own passed without the change, as the answers were written while the test waited for that greenlet.

--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -24,6 +25,8 @@
 
 IDLE_POLL_S = 0.05
 END_POLL_S = 0.01
+# After a pause of the process, answers are written though their time is over.
+MIN_END_POLLS = 3
 STATUS_FAILED = 500
 STATUS_UNKNOWN_OUTCOME = 502
 STATUS_NOT_RUN = 503
@@ -100,7 +103,7 @@
     def end_unfinished(self, timeout_s: float) -> int:
         """Have all requests in progress answered now; return their number.
 
-        Waits up to `timeout_s` until the answers are written.
+        Waits up to `timeout_s`, and some polls at least, until the answers are written.
         """
         self._ending = True
         unfinished = [
@@ -116,7 +119,10 @@
         for greenlet in unfinished:
             greenlet.kill(ServerStopping(), block=False)
         deadline = time.monotonic() + timeout_s
-        while self._connections and time.monotonic() < deadline:
+        for poll in itertools.count():
+            is_over = poll >= MIN_END_POLLS and time.monotonic() >= deadline
+            if is_over or not self._connections:
+                break
             gevent.sleep(END_POLL_S)
         return len(unfinished)
 
--- a/tests/test_relay/test_planned_stop.py
+++ b/tests/test_relay/test_planned_stop.py
@@ -254,3 +254,15 @@
     time.sleep(0.2)
     stopping.get(timeout=LIMIT_S)
     assert sock.recv(65536).startswith((b'HTTP/1.1 200', b'HTTP/1.1 503'))
+
+
+def test_an_entry_that_stands_still_until_its_grace_ends_answers_before_it_stops(node):
+    # The process ended before the answer was written.
+    target = ScriptedTarget([MUTE])
+    node.receive_news(document(), [plain(target)])
+    sock = connect_unread(node, post(b'/pay'))
+    wait_until(lambda: target.requests)
+    gevent.spawn_later(0.1, time.sleep, GRACE_S)
+    node.entry.stop()
+    sock.setblocking(False)
+    assert sock.recv(65536).startswith(b'HTTP/1.1 502')
