Entries: look for a replica once more after a pause before a request is refused

A caller whose request found no replica was refused with 503 `no_target` although a replica had announced itself in time, if the entry's process stood still meanwhile.

Cause: `Placer.choose` waits for a share of the objective with `gevent.sleep`. After a pause that time is over in the first pass of the event loop, and a timer comes before the bytes that arrived.

Not chosen: a least number of polls, which a pause at the end of a longer wait would not leave.

Ruled out on the way: `StreamFinder.find` gives up after a number of checks and is right to.

--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -12,6 +12,7 @@
 from ..errors.relay import GateLost, PlaceDenied, TurnedAway
 from ..messages.grants import Ask
 from ..streams.service_version import version_of
+from ..util.arrivals import handle_arrivals
 from .own_gates import OwnGates
 from .patience import patience_s
 from .retry_after import retry_after_s
@@ -77,6 +78,7 @@
         """Return a replica; wait up to a share of the objective if there is none."""
         wait_s = NO_TARGET_WAIT_SHARE * work.admitted.route.objective_s
         until = time.monotonic() + wait_s
+        is_last_look = False
         while True:
             now = time.monotonic()
             self._check_wait(work, now)
@@ -87,13 +89,17 @@
             back_at = self._targets.first_backoff_end(work.admitted.service, now)
             if back_at is not None and back_at > until:
                 raise self._all_back_off(back_at - now)
-            if now >= until:
+            if is_last_look:
                 raise TurnedAway(
                     status=503,
                     reason='no_target',
                     retry_after_s=NO_TARGET_RETRY_AFTER_S,
                 )
-            gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
+            if now >= until:
+                handle_arrivals()
+                is_last_look = True
+            else:
+                gevent.sleep(NO_TARGET_POLL_INTERVAL_S)
 
     def _check_version(self, work: Work, now: float) -> None:
         """Raise `TurnedAway` if no replica can go on with the stream."""
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -4,12 +4,18 @@
 import time
 
 import attrs
+import gevent
+import gevent.socket as gsocket
 import pytest
 
 from pistachiopath.errors.relay import PlaceDenied, TurnedAway
 from pistachiopath.grants.watch import KnownLoad
 from pistachiopath.messages.grants import GateLoad, TierLoad
-from pistachiopath.relay.placer import MAX_UNKNOWN_LOAD_MOVES, Placer
+from pistachiopath.relay.placer import (
+    MAX_UNKNOWN_LOAD_MOVES,
+    NO_TARGET_WAIT_SHARE,
+    Placer,
+)
 from pistachiopath.routing.placement import Candidate, Placement
 from tests.test_directory.records import record
 
@@ -239,3 +245,23 @@
     work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
     placer._placement.add_request('r1', work.need, time.monotonic())
     assert placer.acquire(work, waiting) == 'own:model'
+
+
+@pytest.mark.parametrize('wait_s', [0.0, 0.3])
+def test_a_replica_that_is_announced_during_a_pause_of_this_process_is_chosen(wait_s):
+    # The request was refused before the announcement was read.
+    targets = []
+    placer = placer_for(targets, Gates())
+    work = stream_work(time.monotonic(), timeout_s=6.0)
+    here, there = gsocket.socketpair()
+
+    def read_announcement():
+        here.recv(1)
+        targets.append(candidate('r1', running=0))
+
+    gevent.spawn(read_announcement)
+    choosing = gevent.spawn(placer.choose, work)
+    gevent.sleep(wait_s)
+    there.send(b'x')
+    time.sleep(NO_TARGET_WAIT_SHARE * work.admitted.route.objective_s)
+    assert choosing.get(timeout=5.0).record.replica == 'r1'
