Tests: a target that gets moved requests accepts one connection for each

Cause, by a trace: the change moves the three unread requests to the same target as the waiting one, which accepted one connection besides its streams. Without stalls the waiting request came first, and the others got what was left, which the test allows. After a stall of 0.27 s over the end of a stream another one was first, the target closed its listener and the kernel reset the connection of the waiting request. No fault of the entry, and the deadline of 9 s plays no part.

Now it accepts four. The assertions are unchanged.

--- a/tests/test_relay/test_changes_beside_requests.py
+++ b/tests/test_relay/test_changes_beside_requests.py
@@ -101,8 +101,9 @@
             [PLAIN],
             [PLAIN],
         )
+        # The unread requests may be moved to it, and may come before the waiting one.
         model = ScriptedTarget(
-            *[[Paused(*parts)] for parts in STREAMS.values()], [PLAIN]
+            *[[Paused(*parts)] for parts in STREAMS.values()], *[[PLAIN]] * 4
         )
         self._records = [
             record(replica='p', service='plain', address=plain.address),
