A server that stops answers the connections that wait to be accepted

Callers whose connections were opened while an entry or a control node was paused just before it stopped accepting got a reset instead of an answer.

Cause: `stop_accepting` closed the listening socket with what waited in its accept queue; the kernel resets these connections, also if their requests have arrived.

The new test failed before.

Why it works: the queue is emptied by calls that do not wait, each connection registers in the same pass of the event loop, and the step that closes idle connections reads the sockets first. What remains are the microseconds between the last look and the close. Accepted connections are at most one more than the queue holds, so that callers who keep connecting do not delay the stop. The WSGI server of `pistachiopath.entry` is not changed.

--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -11,7 +11,7 @@
 from gevent.server import StreamServer
 
 from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
-from ..util.early_listener import take_listener
+from ..util.early_listener import BACKLOG, take_listener
 from .server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -76,10 +76,18 @@
             conn.closes_after_response = True
 
     def stop_accepting(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Accept no more connections and close the idle ones.
+
+        Those that wait to be accepted are served: their requests may have arrived
+        while this process was paused.
+        """
         self.announce_stop()
-        if self._server is not None:
-            self._server.stop(timeout=0)
+        server, self._server = self._server, None
+        if server is not None:
+            self._accept_waiting(server)
+            server.stop(timeout=0)
+            # Let the accepted connections register before idle ones are closed.
+            gevent.sleep(0)
         self.close_idle()
 
     def close_idle(self) -> None:
@@ -120,6 +128,19 @@
             gevent.sleep(END_POLL_S)
         return len(unfinished)
 
+    def _accept_waiting(self, server: StreamServer) -> None:
+        """Begin to serve the connections in the accept queue."""
+        try:
+            for _ in range(BACKLOG + 1):
+                accepted = server.do_read()
+                if accepted is None:
+                    return
+                server.do_handle(*accepted)
+        except OSError as exc:
+            logger.warning(
+                'accept_failed', extra={'server': self._name, 'error': repr(exc)}
+            )
+
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         conn = ServerConnection(sock=sock, get_limits=self._limits)
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import socket
+
 import gevent
 import gevent.event
 import pytest
@@ -8,9 +10,10 @@
 from pistachiopath.exchange.inbound import InboundBytes
 from pistachiopath.exchange.limits import ExchangeLimits
 from pistachiopath.exchange.server_connection import LINGER_S
+from tests.harness.waiting import let_pass
 
 from .sample_requests import POST, POST_AND_CLOSE
-from .sockets import EchoServer, read_all
+from .sockets import LOOPBACK, EchoServer, read_all
 
 
 def test_requests_on_one_connection_are_answered_in_order():
@@ -174,6 +177,23 @@
     assert b'connection: close' in response.lower()
 
 
+def test_requests_that_wait_to_be_accepted_are_answered_at_a_stop():
+    # Regression: connections opened while the process was paused were reset.
+    server = EchoServer()
+    let_pass(0.05)
+    callers = [
+        socket.create_connection((LOOPBACK, server.port), timeout=5.0) for _ in range(3)
+    ]
+    for sock in callers:
+        sock.sendall(POST)
+    server.server.stop_accepting()
+    server.server.wait_until_idle(5.0)
+    for sock in callers:
+        response = read_all(sock)
+        assert b'hello' in response
+        assert b'connection: close' in response.lower()
+
+
 def test_a_response_cut_short_is_never_followed_by_another():
     # Regression: a timeout during a write left the connection open for the next.
     size = 8 * 1024 * 1024
