A pause while a link's silence is checked does not close the link

A process that stood still for 0.1 s or more while it checked whether a link is silent closed the link and dropped its queued messages, though the peer's answer had arrived. Requests whose messages were lost waited for the protocols above to send them again.

Cause: the check was one sleep of `SILENCE_CHECK_S`. After a pause, its end and the input are ready in the same pass of the event loop, which handles timers first.

Why it works: the check sleeps in five steps, so that the reader runs in the step after a pause. `gevent.idle` instead of steps was ruled out by reasoning, not by a run: a busy process need not become idle. A peer whose first bytes in more than `silence_s` arrive during a pause in the last 20 ms is still given up.

--- a/pistachiopath/transport/link.py
+++ b/pistachiopath/transport/link.py
@@ -13,7 +13,6 @@
 
 from ..errors.base import PistachiopathError
 from ..errors.transport import FrameTooLarge, LinkClosed
-from ..util.later import call_later
 from .codec import decode
 from .frames import MAX_FRAME_BYTES
 
@@ -29,8 +28,10 @@
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 MAX_BATCH_FRAMES = 64
 SILENCE_S = 5.0
-# Time to read what arrived while this process was paused.
+# Time to read what arrived while this process was paused, in steps of the event
+# loop: a pause within one step leaves the others.
 SILENCE_CHECK_S = 0.1
+SILENCE_CHECK_STEPS = 5
 
 
 class Link:
@@ -134,9 +135,11 @@
         """Close the link soon, unless something has been read by then."""
         if not self._is_checking_silence:
             self._is_checking_silence = True
-            call_later(SILENCE_CHECK_S, self._close_if_silent, self._unanswered_since)
+            gevent.spawn(self._close_if_silent, self._unanswered_since)
 
     def _close_if_silent(self, unanswered_since: float) -> None:
+        for _ in range(SILENCE_CHECK_STEPS):
+            gevent.sleep(SILENCE_CHECK_S / SILENCE_CHECK_STEPS)
         self._is_checking_silence = False
         if self._unanswered_since == unanswered_since:
             self.close()
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -15,6 +15,7 @@
 from pistachiopath.transport.frames import MAX_FRAME_BYTES, pack
 from pistachiopath.transport.link import SILENCE_CHECK_S, SILENCE_S, Link
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.waiting import let_pass
 
 READ = encode(Envelope(call=1, body=ReadDocument()))
 REPLY = encode(Envelope(call=2, body=PutReply(version=3)))
@@ -183,6 +184,24 @@
     reader.get(timeout=5)
 
 
+def test_a_link_is_not_closed_because_of_a_pause_while_its_silence_is_checked():
+    # Regression: the end of the check was due together with the input and won.
+    arrived = Arrival()
+    test = LinkUnderTest(silence_s=0.05, arrived=arrived, reads=[REPLY])
+    reader = gevent.spawn(test.link.read)
+    let_pass(0.01)
+    test.link.send(READ)
+    time.sleep(0.1)
+    arrived.set()
+    test.link.send(READ)
+    gevent.spawn(time.sleep, 2 * SILENCE_CHECK_S)
+    let_pass(2 * SILENCE_CHECK_S)
+    assert test.received == [2]
+    assert not test.closed
+    test.link.close()
+    reader.get(timeout=5)
+
+
 def test_a_link_whose_peer_is_silent_is_closed():
     test = LinkUnderTest(silence_s=0.05)
     test.link.send(READ)
