Gates: the turn of a tier goes to a request in time before a late one

Cause: a waiting tier that was passed over 24 times has a turn. Everywhere else those in time go before those that are late; within a turn lateness did not count, so it went to the lowest tag of fair order, under overload the one that had waited longest. A turn's place was held by an answer that came too late anyway, while one in time waited.

The tier gets as many turns as before and uses them for callers who can still be served in time. The test failed before: the late request was granted.

--- a/pistachiopath/grants/place_queue.py
+++ b/pistachiopath/grants/place_queue.py
@@ -14,8 +14,9 @@
     from ..messages.grants import Ask
 
 DEFAULT_SLOTS = 4
-TURN_RANK = -1
-RESUMED_RANK = -2
+LATE_TURN_RANK = -1
+TURN_RANK = -2
+RESUMED_RANK = -3
 
 
 class PlaceQueue:
@@ -100,10 +101,11 @@
         replicas, whereas a new one can begin at any.
         """
         tier = place.ask.tier
+        is_late = place.is_late(now)
         tie_break = (place.ask.customer_tier, place.fair_tag, place.order)
         if place.ask.is_resumed:
             return (RESUMED_RANK, *tie_break)
         if self.tiers.has_turn(tier):
-            return (TURN_RANK, *tie_break)
-        rank = self.tiers.rank(tier, late=place.is_late(now))
+            return (LATE_TURN_RANK if is_late else TURN_RANK, *tie_break)
+        rank = self.tiers.rank(tier, late=is_late)
         return (rank, *tie_break)
--- a/tests/test_grants/test_gate.py
+++ b/tests/test_grants/test_gate.py
@@ -3,6 +3,7 @@
 import random
 
 from pistachiopath.grants.gate import LOST_ENTRY_HOLD_S, GrantGate
+from pistachiopath.grants.tiers import GRANTS_PER_TURN
 
 from .asks import ask, denied, granted, release
 
@@ -98,6 +99,20 @@
     assert number > 5
 
 
+def test_the_turn_of_a_tier_is_not_spent_on_a_late_request():
+    gate = GrantGate()
+    gate.ask('e', ask('u0', tier=0, slots=1), 0.0)
+    gate.ask('e', ask('late', tier=2, slots=1, objective_ms=100), 0.0)
+    running = 'u0'
+    for number in range(1, GRANTS_PER_TURN + 1):
+        gate.ask('e', ask(f'u{number}', tier=0, slots=1), 0.5)
+        running = granted(gate.release('e', release(running), 0.5))[0]
+    assert running == f'u{GRANTS_PER_TURN}'
+    gate.ask('e', ask('urgent', tier=0, slots=1), 0.5)
+    gate.ask('e', ask('in_time', tier=2, slots=1), 0.5)
+    assert granted(gate.release('e', release(running), 0.6)) == ['in_time']
+
+
 def test_a_request_that_cannot_be_served_in_time_is_denied_at_once():
     gate = GrantGate()
     for number in range(12):
