A link whose socket can't be closed is reported as closed

Callers see: nothing known. A process would drop all that it sends to one peer, for as long as it is up.

Cause: an error of the close kept the link from being reported, so it stayed in use, while it took nothing more.

Evidence: test_a_link_whose_socket_cannot_be_closed_is_reported_as_closed failed before with the injected error; tests/test_transport pass now.

Why it works: the error is counted as loop="link", part="close", and the link is reported, so the next message dials anew. No way to such an error is known.

--- a/pistachiopath/transport/link.py
+++ b/pistachiopath/transport/link.py
@@ -127,7 +127,11 @@
             return
         self._closed = True
         self._queue.put(None)
-        self._frames.close()
+        try:
+            self._frames.close()
+        except Exception as exc:
+            # Without a report, all that is sent to the peer would be dropped.
+            self._failures.record('link', 'close', exc)
         self._on_closed(self)
 
     def _check_silence(self) -> None:
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -15,6 +15,7 @@
 from pistachiopath.transport.frames import MAX_FRAME_BYTES, pack
 from pistachiopath.transport.link import SILENCE_CHECK_S, SILENCE_S, Link
 from pistachiopath.util.loop_failures import LoopFailures
+from tests.harness.failing import FailingMethod
 
 READ = encode(Envelope(call=1, body=ReadDocument()))
 REPLY = encode(Envelope(call=2, body=PutReply(version=3)))
@@ -190,3 +191,13 @@
     test.link.send(READ)
     gevent.sleep(2 * SILENCE_CHECK_S)
     assert test.closed == 1
+
+
+def test_a_link_whose_socket_cannot_be_closed_is_reported_as_closed():
+    # Regression: it stayed in use, and dropped all that was sent on it.
+    tested = LinkUnderTest()
+    failing = FailingMethod(tested.frames, 'close')
+    tested.link.close()
+    assert failing.failed == 1
+    assert tested.closed == 1
+    assert tested.failures(loop='link', part='close')
