A dial that fails after its handshake leaves no queue behind

Callers see: nothing known. A process would queue all that it sends to one peer, without a bound and for as long as it is up.

Cause: the queue of a dial was taken away after the link had been added; an error there ended the greenlet and left the queue, which stands for a dial under way.

Evidence: test_messages_are_not_queued_for_a_link_that_could_not_be_added failed before (the queue was still there); tests/test_transport pass now.

Why it works: the queue is taken first, so the next message dials anew. The error is logged as that of any greenlet. No way to such an error is known.

--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -149,8 +149,9 @@
             self._record_failed_dial(to, exc)
             return
         self._failed_at.pop(to, None)
+        payloads = self._dialling.pop(to, ())
         link = self._add_link(to, ROLE_NODE, frames)
-        for payload in self._dialling.pop(to, ()):
+        for payload in payloads:
             link.send(payload)
         link.read()
 
--- a/tests/test_transport/test_network.py
+++ b/tests/test_transport/test_network.py
@@ -93,6 +93,18 @@
     assert 'part="dial"} 2' in process.metrics.render()
 
 
+def test_messages_are_not_queued_for_a_link_that_could_not_be_added(pair):
+    # Regression: the queue of the dial was left, and all later messages joined it.
+    sender, receiver = pair
+    failing = FailingMethod(sender.network, '_add_link')
+    sender.network.send(receiver.address, 1, ReadDocument())
+    wait_until(lambda: failing.failed)
+    assert sender.network._dialling == {}
+    sender.network.send(receiver.address, 2, ReadDocument())
+    receiver.wait_for(1)
+    assert receiver.received == [2]
+
+
 def test_an_unexpected_error_while_a_link_is_accepted_is_counted(pair, monkeypatch):
     def fail(*_):
         raise RuntimeError
