--- a/tests/test_relay/test_stream_finder.py
+++ b/tests/test_relay/test_stream_finder.py
@@ -9,6 +9,7 @@
 from pistachiopath.messages.grants import Ask
 from pistachiopath.messages.streams import StreamOrigin, StreamOrigins
 from pistachiopath.relay.stream_finder import StreamFinder
+from tests.harness.failing import FailingMethod
 
 GATES = ('g1', 'g2', 'g3')
 
@@ -153,3 +154,10 @@
         deadline_ms=5000,
         slots=30,
     )
+
+
+def test_a_stream_is_found_after_a_batch_of_questions_has_failed():
+    gates = Gates({'g1': [origin('v1')]})
+    failing = FailingMethod(gates.finder, '_send')
+    assert gates.find(gates=('g1',), wait_s=5.0).version.version == 'v1'
+    assert failing.failed == 1
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -16,6 +16,7 @@
 from pistachiopath.transport.link import SILENCE_CHECK_S, SILENCE_S, Link
 from pistachiopath.util.loop_failures import LoopFailures
 from tests.harness.failing import FailingMethod
+from tests.harness.waiting import wait_until
 
 READ = encode(Envelope(call=1, body=ReadDocument()))
 REPLY = encode(Envelope(call=2, body=PutReply(version=3)))
@@ -201,3 +202,15 @@
     assert failing.failed == 1
     assert tested.closed == 1
     assert tested.failures(loop='link', part='close')
+
+
+def test_a_silent_link_is_closed_after_a_check_of_its_silence_has_failed():
+    tested = LinkUnderTest(silence_s=0.0)
+    failing = FailingMethod(tested.link, 'close')
+
+    def is_closed_after_a_send():
+        tested.link.send(READ)
+        return tested.closed
+
+    wait_until(is_closed_after_a_send)
+    assert failing.failed == 1
