--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -15,7 +15,8 @@
 from pistachiopath.transport.frames import MAX_FRAME_BYTES, pack
 from pistachiopath.transport.link import SILENCE_CHECK_S, SILENCE_S, Link
 from pistachiopath.util.loop_failures import LoopFailures
-from tests.harness.waiting import let_pass
+from tests.harness.failing import FailingMethod
+from tests.harness.waiting import let_pass, wait_until
 
 READ = encode(Envelope(call=1, body=ReadDocument()))
 REPLY = encode(Envelope(call=2, body=PutReply(version=3)))
@@ -209,3 +210,25 @@
     test.link.send(READ)
     gevent.sleep(2 * SILENCE_CHECK_S)
     assert test.closed == 1
+
+
+def test_a_link_whose_socket_cannot_be_closed_is_reported_as_closed():
+    # Regression: it stayed in use, and dropped all that was sent on it.
+    tested = LinkUnderTest()
+    failing = FailingMethod(tested.frames, 'close')
+    tested.link.close()
+    assert failing.failed == 1
+    assert tested.closed == 1
+    assert tested.failures(loop='link', part='close')
+
+
+def test_a_silent_link_is_closed_after_a_check_of_its_silence_has_failed():
+    tested = LinkUnderTest(silence_s=0.0)
+    failing = FailingMethod(tested.link, 'close')
+
+    def is_closed_after_a_send():
+        tested.link.send(READ)
+        return tested.closed
+
+    wait_until(is_closed_after_a_send)
+    assert failing.failed == 1
