--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gevent
+import gevent.event
 import gevent.socket as gsocket
 
 from pistachiopath.exchange.limits import ExchangeLimits
@@ -120,6 +121,21 @@
                 gevent.sleep(part)
 
 
+class Held(Paused):
+    """A response that is sent once it is released."""
+
+    def __init__(self, response):
+        super().__init__(response)
+        self._released = gevent.event.Event()
+
+    def release(self):
+        self._released.set()
+
+    def send(self, sock):
+        self._released.wait()
+        super().send(sock)
+
+
 CLOSE = object()
 RESET = object()
 MUTE = object()
