--- a/tests/test_relay/test_notices.py
+++ b/tests/test_relay/test_notices.py
@@ -53,7 +53,9 @@
     assert received.startswith(b'HTTP/1.1 200')
     assert node.send_request().startswith(b'HTTP/1.1 503')
     while LAST_CHUNK not in received:
-        received += caller.recv(65536)
+        part = caller.recv(65536)
+        assert part
+        received += part
     assert b'id: 3' in received
     assert len(target.requests) == 1
 
