Entries: do not take the main control node for silent after an own pause

After a pause of 0.8 s or more an entry could be without a lender until the next reply: it left the control node that lends it allowances, dropped its leases, and refused what it would have borrowed for with 429, without asking.

Cause: `Subscriber.main` leaves a control node from which nothing was heard for 1.2 s. The entry asks every 0.4 s, but not while its process stands still.

The new test of the pause (1.2 s, four phases) fails 4 of 4 before and passes after; it also checks that a node that does not reply is left 0.8 s after it was asked. Without a pause it is left after 1.2 s as before (second test, also passes before). Tests of directory, admission and grants, and of the entry's link, timers and targets pass.

Now the main control node is left if nothing was heard for 1.2 s and a request is unanswered for 0.8 s, which is the same without a pause. A lost link counts at once. To become the main one, a control node must have been heard within 1.2 s, as before.

Not covered: a pause that begins in the milliseconds in which a reply is on its way.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -30,6 +30,8 @@
 INITIAL_FOLLOW_INTERVAL_S = 0.05
 CONTROL_TIMEOUT_S = 3.0
 MAIN_CONTROL_TIMEOUT_S = 1.2
+# The main control node replies within this time to a request that is due.
+MAIN_REPLY_TIMEOUT_S = MAIN_CONTROL_TIMEOUT_S - FOLLOW_INTERVAL_S
 CONTROL_RETENTION_S = 30.0
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
@@ -41,13 +43,16 @@
     """A followed control node and the state of its feed.
 
     `newer_version_since` is when it offered a newer configuration without the
-    content, or when that was last requested.  `silent` holds the replicas that
+    content, or when that was last requested.  `asked_at` is when the first follow
+    request was sent that it has not answered, infinity if there is none, and
+    -infinity before the first message over a link.  `silent` holds the replicas that
     it reported as silent, and `directory_since` is when its directory begins.
     """
 
     last_listed_at: float
     last_message_at: float = -CONTROL_TIMEOUT_S
     next_follow_at: float = 0.0
+    asked_at: float = -math.inf
     newer_version_since: float = math.inf
     feed: int = 0
     change: int = 0
@@ -135,7 +140,7 @@
         It stays the same while it is alive.
         """
         source = self._sources.get(self._main)
-        if source is None or now - source.last_message_at >= MAIN_CONTROL_TIMEOUT_S:
+        if source is None or _is_main_silent(source, now):
             live = [
                 address
                 for address, other in self._sources.items()
@@ -149,6 +154,7 @@
         source = self._sources.get(address)
         if source is not None:
             source.last_message_at = -CONTROL_TIMEOUT_S
+            source.asked_at = -math.inf
 
     def tick(self, now: float) -> list[Send]:
         """Return the follow requests that are due."""
@@ -167,6 +173,7 @@
             source.next_follow_at = now + self._follow_interval_s(
                 address, main, has_no_contact=has_no_contact
             )
+            source.asked_at = min(source.asked_at, now)
             effects.append(self._follow(address, source, wants_content=is_content_late))
         return effects
 
@@ -198,6 +205,7 @@
         if source is None:
             return []
         source.last_message_at = now
+        source.asked_at = math.inf
         source.silent = frozenset(body.silent)
         source.directory_since = now - body.directory_age_ms / 1000
         if now - self._news_at >= MAX_NEWS_GAP_S:
@@ -251,3 +259,12 @@
             wants_content=self._is_entry and (wants_content or is_supplier),
         )
         return Send(to=address, call=0, body=body)
+
+
+def _is_main_silent(source: _Source, now: float) -> bool:
+    """Return whether the main control node has not replied for too long.
+
+    A node that was paused has asked it for nothing meanwhile.
+    """
+    is_old = now - source.last_message_at >= MAIN_CONTROL_TIMEOUT_S
+    return is_old and now - source.asked_at >= MAIN_REPLY_TIMEOUT_S
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+import pytest
+
 from pistachiopath.directory.subscriber import (
     CONTROL_RETENTION_S,
     FOLLOW_INTERVAL_S,
     INITIAL_FOLLOW_INTERVAL_S,
+    MAIN_CONTROL_TIMEOUT_S,
+    MAIN_REPLY_TIMEOUT_S,
     MAX_NEWS_GAP_S,
     Subscriber,
 )
@@ -99,3 +103,31 @@
     late = CONTROL_RETENTION_S + 1
     subscriber.on_news(CONTROL, news_message(1), late)
     assert subscriber.heard_controls(late) == 1.0
+
+
+@pytest.mark.parametrize('phase_s', [0.0, 0.1, 0.2, 0.3])
+def test_a_control_node_is_not_taken_for_silent_because_this_node_was_paused(phase_s):
+    subscriber = subscriber_with_seed()
+    now = reply_until(subscriber, 0.0, 5.0 + phase_s)
+    now += MAIN_CONTROL_TIMEOUT_S
+    subscriber.tick(now)
+    assert subscriber.main(now) == CONTROL
+    poll_times(subscriber, now, now + MAIN_REPLY_TIMEOUT_S + 0.02)
+    assert subscriber.main(now + MAIN_REPLY_TIMEOUT_S + 0.02) == ''
+
+
+def test_a_control_node_that_does_not_reply_is_left_in_time():
+    subscriber = subscriber_with_seed()
+    now = reply_until(subscriber, 0.0, 5.0)
+    heard_at = subscriber._sources[CONTROL].last_message_at
+    poll_times(subscriber, now, heard_at + MAIN_CONTROL_TIMEOUT_S + 0.05)
+    assert subscriber.main(heard_at + MAIN_CONTROL_TIMEOUT_S + 0.05) == ''
+
+
+def reply_until(subscriber, now, until):
+    """Let the control node reply to each request; return the time."""
+    while now < until:
+        for _ in subscriber.tick(now):
+            subscriber.on_news(CONTROL, news_message(1), now + 0.002)
+        now += 0.01
+    return now
