Tests: a silent target stays silent until a place elsewhere was asked for

Now the target goes on once the entry has asked, and the assertions are as before. One of the tests is split into its two cases.

--- a/tests/test_relay/test_silent_targets.py
+++ b/tests/test_relay/test_silent_targets.py
@@ -14,6 +14,7 @@
 from tests.test_exchange.sockets import (
     CLOSE,
     MUTE,
+    Held,
     Paused,
     ScriptedTarget,
     read_request,
@@ -166,14 +167,27 @@
     assert all(other.requests == [] for other in others)
 
 
-def test_every_place_that_was_asked_for_beside_a_silent_target_is_released():
-    for gate in (DenyingGate(), FullGate()):
-        target = ScriptedTarget([Paused(SILENCE_S, answer())])
-        serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
-        asked = [b.request for b in gate.received if isinstance(b, Ask)]
-        released = [b.request for b in gate.received if isinstance(b, ReleasePlace)]
-        assert len(asked) > 1
-        assert set(asked) == set(released)
+def silent_until(condition):
+    """Return a target that is silent until the condition holds."""
+    held = Held(answer())
+
+    def release():
+        wait_until(condition)
+        held.release()
+
+    gevent.spawn(release)
+    return ScriptedTarget([held])
+
+
+@pytest.mark.parametrize('gate_class', [DenyingGate, FullGate])
+def test_every_place_that_was_asked_for_beside_a_silent_target_is_released(gate_class):
+    gate = gate_class()
+    target = silent_until(lambda: sum(isinstance(b, Ask) for b in gate.received) > 1)
+    serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
+    asked = [b.request for b in gate.received if isinstance(b, Ask)]
+    released = [b.request for b in gate.received if isinstance(b, ReleasePlace)]
+    assert len(asked) > 1
+    assert set(asked) == set(released)
 
 
 def test_a_silent_target_does_not_hold_up_a_request_that_another_can_serve():
@@ -224,7 +238,7 @@
 
 def test_a_place_at_a_target_that_accepts_no_connection_is_released():
     gate = AllGranted()
-    target = ScriptedTarget([Paused(SILENCE_S, answer())])
+    target = silent_until(lambda: len(gate.received) > 2)
     serve_slowly([target, ScriptedTarget()], IDEMPOTENT, gate=gate)
     assert len(gate.received) > 2
     # The search may end after the answer.
