Tests: short waits let the event loop handle what a pause has left

A plain sleep before a look returns at once after a pause of the process, before what became ready was handled. With a pause of 0.4 s put at each sleep of the tests, these failed: test_unfinished_requests_are_answered_when_a_server_ends (its first request was not read yet), test_a_response_cut_short_is_never_followed_by_another, and both variants of test_a_link_is_not_closed_because_its_own_process_was_paused.

`let_pass` replaces sleeps before an assertion; the link's test waits twice as long as its check, so it is stricter.

--- a/tests/test_control/test_replica_loop.py
+++ b/tests/test_control/test_replica_loop.py
@@ -14,7 +14,7 @@
 from pistachiopath.replication.role import Role
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.util.loop_failures import LoopFailures
-from tests.harness.waiting import wait_until
+from tests.harness.waiting import let_pass, wait_until
 
 
 class FakeFolder:
@@ -169,7 +169,7 @@
 def test_a_planned_stop_writes_nothing_to_the_closed_folder(exits):
     # Regression: a process that stopped as planned could end with status 1.
     loop = make_loop(FakeCore(), folder=ClosedFolder({'full': False, 'written': 0}))
-    gevent.sleep(0.05)
+    let_pass(0.05)
     loop.stop()
-    gevent.sleep(2 * replica_loop.TICK_INTERVAL_S)
+    let_pass(2 * replica_loop.TICK_INTERVAL_S)
     assert exits == []
--- a/tests/test_exchange/test_inbound.py
+++ b/tests/test_exchange/test_inbound.py
@@ -1,8 +1,7 @@
 from __future__ import annotations
 
-import gevent
-
 from pistachiopath.exchange.inbound import InboundBytes
+from tests.harness.waiting import let_pass
 
 
 class FailingSocket:
@@ -20,7 +19,7 @@
 def test_a_reader_that_fails_unexpectedly_ends_the_connection(caplog):
     ends = []
     inbound = InboundBytes(sock=FailingSocket(), on_end=lambda: ends.append(1))
-    gevent.sleep(0.01)
+    let_pass(0.01)
     assert inbound.take(0.0) == b'ab'
     assert inbound.take(0.1) == b''
     assert ends == [1]
@@ -31,5 +30,5 @@
     ends = []
     inbound = InboundBytes(sock=FailingSocket(), on_end=lambda: ends.append(1))
     inbound.stop()
-    gevent.sleep(0.01)
+    let_pass(0.01)
     assert ends == []
--- a/tests/test_exchange/test_request_reader.py
+++ b/tests/test_exchange/test_request_reader.py
@@ -3,10 +3,10 @@
 import time
 
 import gevent
-import gevent.event
 import pytest
 
 from pistachiopath.exchange.limits import ExchangeLimits
+from tests.harness.waiting import let_pass
 
 from .sample_requests import POST, POST_AND_CLOSE
 from .sockets import EchoServer
@@ -83,9 +83,9 @@
 
 
 def test_the_first_request_of_a_connection_may_come_later_than_the_idle_timeout():
-    server = EchoServer(ExchangeLimits(header_timeout_s=1.0, idle_timeout_s=0.05))
+    server = EchoServer(ExchangeLimits(header_timeout_s=30.0, idle_timeout_s=0.05))
     sock = server.connect()
-    gevent.sleep(0.2)
+    let_pass(0.2)
     sock.sendall(POST)
     assert sock.recv(65536).startswith(b'HTTP/1.1 200')
     # Between requests the connection is idle.
@@ -100,11 +100,11 @@
     sock.sendall(POST)
     assert b'hello' in sock.recv(65536)
     limits[0] = ExchangeLimits(idle_timeout_s=30.0)
-    gevent.sleep(0.2)
+    let_pass(0.2)
     sock.sendall(POST)
     assert b'hello' in sock.recv(65536)
     limits[0] = ExchangeLimits(idle_timeout_s=0.1)
-    gevent.sleep(0.2)
+    let_pass(0.2)
     sock.sendall(POST)
     assert b'hello' in sock.recv(65536)
     assert sock.recv(65536) == b''
@@ -123,7 +123,7 @@
     limits[0] = after
     long_head = POST.replace(b'Host: h', b'Host: h\r\nX: ' + b'y' * 500)
     sock.sendall(long_head[:400])
-    gevent.sleep(0.05)
+    let_pass(0.05)
     if not smaller_first:
         assert sock.recv(65536).startswith(b'HTTP/1.1 431')
         return
@@ -156,6 +156,7 @@
     server = EchoServer(limits)
     sock = server.connect()
     sock.sendall(POST[:-2])
+    # Not `let_pass`: after a pause the rest must be sent before timers are handled.
     gevent.sleep(0.05)
     sock.sendall(POST[-2:])
     block_loop(0.5)
--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -37,7 +37,7 @@
     server = EchoServer(handle=handle)
     sock = server.connect()
     sock.sendall(POST)
-    gevent.sleep(0.05)
+    let_pass(0.05)
     sock.close()
     assert left.wait(10)
 
@@ -47,7 +47,7 @@
     busy, idle = server.connect(), server.connect()
     busy.sendall(POST)
     assert b'hello' in busy.recv(65536)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     server.server.announce_stop()
     busy.sendall(POST)
     assert b'connection: close' in busy.recv(65536).lower()
@@ -90,7 +90,7 @@
     server = EchoServer(handle=handle)
     sock = server.connect()
     sock.sendall(POST)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     server.server.stop_accepting()
     server.server.wait_until_idle(0.05)
     assert server.server.connections == 1
@@ -125,9 +125,9 @@
     server.server.announce_stop()
     sock = server.connect()
     sock.sendall(POST)
-    gevent.sleep(0.05)
+    let_pass(0.05)
     sock.sendall(POST)
-    gevent.sleep(0.05)
+    let_pass(0.05)
     assert len(read_all(sock)) > len(large)
 
 
@@ -137,7 +137,7 @@
     serving, reading, idle = server.connect(), server.connect(), server.connect()
     serving.sendall(POST + POST)
     reading.sendall(POST[:-1])
-    gevent.sleep(0.01)
+    let_pass(0.01)
     server.server.stop_accepting()
     assert server.server.end_unfinished(0.1) == 2
     response = read_all(serving)
@@ -154,7 +154,7 @@
     server = EchoServer(handle=handle)
     sock = server.connect()
     sock.sendall(POST)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     server.server.stop_accepting()
     assert server.server.end_unfinished(0.1) == 1
     response = read_all(sock)
@@ -168,7 +168,7 @@
     sock = server.connect()
     sock.sendall(POST)
     assert b'hello' in sock.recv(65536)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     sock.sendall(POST)
     server.server.stop_accepting()
     with gevent.Timeout(ExchangeLimits().idle_timeout_s / 3):
@@ -208,7 +208,7 @@
     server = EchoServer(handle=handle)
     sock = server.connect()
     sock.sendall(POST.replace(b'/a?b=c', b'/large') + POST)
-    gevent.sleep(0.3)
+    let_pass(0.3)
     assert b'next' not in read_all(sock)
 
 
@@ -240,6 +240,7 @@
     assert sock.recv(65536).startswith(b'HTTP/1.1 413')
     monkeypatch.setattr(InboundBytes, 'take', endless)
     sock.sendall(b'x')
-    with gevent.Timeout(1.5 * LINGER_S):
-        while server.server.connections:
-            gevent.sleep(0.05)
+    for _ in range(30):
+        if server.server.connections:
+            gevent.sleep(1.5 * LINGER_S / 30)
+    assert not server.server.connections
--- a/tests/test_platform/test_control_program.py
+++ b/tests/test_platform/test_control_program.py
@@ -9,13 +9,13 @@
 import gevent.socket as gsocket
 import pytest
 
-from pistachiopath.document.saved_replicas import SAVE_INTERVAL_S
 from pistachiopath.platform import control_program as control_module
 from pistachiopath.platform.control_program import HTTP_LIMITS, ControlProgram
 from pistachiopath.platform.decoded_accounts import DecodedAccounts
 from pistachiopath.platform.settings import PlatformSettings
 from pistachiopath.storage.record_file import RecordFile
 from pistachiopath.telemetry.metrics import Metrics
+from tests.harness.waiting import let_pass, wait_until
 from tools.free_address import free_address
 
 from .test_configuration import VALID, encode
@@ -128,7 +128,7 @@
     host, _, port = control.rpartition(':')
     sock = gsocket.create_connection((host, int(port)))
     sock.sendall(b'PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{')
-    gevent.sleep(0.05)
+    let_pass(0.05)
     program.stop()
     assert sock.recv(65536).startswith(b'HTTP/1.1 503')
 
@@ -148,8 +148,9 @@
             assert call(address, 'PUT', f'/replicas/odd{number}', odd) == 400
         assert call(address, 'DELETE', '/replicas/odd%00', b'') == 400
         assert call(address, 'PUT', '/replicas/live', announcement()) == 200
-        gevent.sleep(2 * SAVE_INTERVAL_S)
-        (saved,) = RecordFile(path=tmp_path / 'replicas').load()
+        file = RecordFile(path=tmp_path / 'replicas')
+        wait_until(file.load)
+        (saved,) = file.load()
         assert saved.replica == 'live'
         assert program._shell.announcer.silent(time.monotonic()) == ()
     finally:
--- a/tests/test_soak/test_proxy.py
+++ b/tests/test_soak/test_proxy.py
@@ -4,6 +4,7 @@
 import gevent.server
 import pytest
 
+from tests.harness.waiting import wait_until
 from tools.free_address import free_address
 from tools.soak.http_stream import HttpStream
 from tools.soak.partition import Partition
@@ -75,8 +76,7 @@
     stream = HttpStream.connect(address, 5.0)
     assert stream.is_open()
     proxy.stop()
-    gevent.sleep(0.05)
-    assert not stream.is_open()
+    wait_until(lambda: not stream.is_open())
 
 
 def programs(address):
@@ -104,7 +104,7 @@
     assert receives(sock, 5.0) == HELLO
     proxy.partition.begin(cut_off)
     sock.sendall(b'x')
-    assert (receives(sock, 0.2) == b'x') is passes
+    assert receives(sock, 5.0 if passes else 0.2) == (b'x' if passes else None)
     proxy.partition.end()
     if not passes:
         assert receives(sock, 5.0) == b'x'
--- a/tests/test_transport/test_link.py
+++ b/tests/test_transport/test_link.py
@@ -97,7 +97,7 @@
 
     test = LinkUnderTest(handle=handle, reads=[READ, REPLY])
     reader = gevent.spawn(test.link.read)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     assert test.received == [1, 2]
     assert not test.closed
     assert test.failures(loop='message', part='ReadDocument')
@@ -139,7 +139,7 @@
 def test_a_writer_that_ends_with_an_unexpected_error_closes_its_link():
     test = LinkUnderTest(writes=[RuntimeError()])
     test.link.send(READ)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     assert test.closed == 1
     assert test.failures(loop='link', part='write')
 
@@ -148,7 +148,7 @@
     test = LinkUnderTest()
     test.link.send(b'x' * (MAX_FRAME_BYTES + 1))
     test.link.send(REPLY)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     assert test.frames.written == [REPLY]
     assert not test.closed
     assert test.failures(loop='link', part='send')
@@ -172,12 +172,12 @@
     arrived = Arrival()
     test = LinkUnderTest(silence_s=0.05, arrived=arrived, reads=[REPLY])
     reader = gevent.spawn(test.link.read)
-    gevent.sleep(0.01)
+    let_pass(0.01)
     test.link.send(READ)
     time.sleep(pause_s)
     arrived.set()
     test.link.send(READ)
-    gevent.sleep(0.1)
+    let_pass(2 * SILENCE_CHECK_S)
     assert test.received == [2]
     assert not test.closed
     test.link.close()
@@ -205,7 +205,7 @@
 def test_a_link_whose_peer_is_silent_is_closed():
     test = LinkUnderTest(silence_s=0.05)
     test.link.send(READ)
-    gevent.sleep(0.1)
+    let_pass(0.1)
     test.link.send(READ)
-    gevent.sleep(2 * SILENCE_CHECK_S)
+    let_pass(2 * SILENCE_CHECK_S)
     assert test.closed == 1
--- a/tests/test_transport/test_network.py
+++ b/tests/test_transport/test_network.py
@@ -10,7 +10,7 @@
 from pistachiopath.transport.network import Network
 from pistachiopath.util.loop_failures import LoopFailures
 from tests.harness.failing import FailingMethod
-from tests.harness.waiting import wait_until
+from tests.harness.waiting import let_pass, wait_until
 from tools.free_address import free_address
 
 
@@ -87,7 +87,7 @@
     monkeypatch.setattr(network_module, 'split_address', fail)
     for call in (1, 2):
         process.network.send('127.0.0.1:1', call, ReadDocument())
-        gevent.sleep(0.01)
+        let_pass(0.01)
     assert process.lost == ['127.0.0.1:1'] * 2
     assert process.network._dialling == {}
     assert 'part="dial"} 2' in process.metrics.render()
--- a/tests/test_util/test_later.py
+++ b/tests/test_util/test_later.py
@@ -5,6 +5,7 @@
 import gevent
 
 from pistachiopath.util.later import call_later
+from tests.harness.waiting import let_pass
 
 DELAY_S = 0.1
 
@@ -15,7 +16,7 @@
     time.sleep(3 * DELAY_S)
     started_at = time.monotonic()
     call_later(DELAY_S, lambda: called_after.append(time.monotonic() - started_at))
-    gevent.sleep(2 * DELAY_S)
+    let_pass(2 * DELAY_S)
     assert len(called_after) == 1
     assert called_after[0] >= DELAY_S
 
