--- a/tests/test_exchange/test_server.py
+++ b/tests/test_exchange/test_server.py
@@ -8,6 +8,7 @@
 from pistachiopath.exchange.inbound import InboundBytes
 from pistachiopath.exchange.limits import ExchangeLimits
 from pistachiopath.exchange.server_connection import LINGER_S
+from tests.harness.waiting import let_pass
 
 from .sample_requests import POST, POST_AND_CLOSE
 from .sockets import EchoServer, connect_unaccepted, read_all
