Tests: running answers go on only after the configuration has changed

Cause: its streams go on 1.5 s after they were sent, and stalls while the other requests were sent took longer than that. The place that got free was given to the request that waits for one, as it should be, but before the test had looked.

Now each answer waits for the change, and is then silent for 1.5 s as before. The assertions are unchanged.

--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -108,7 +108,10 @@
 
 
 class Paused:
-    """A response in parts: bytes, and silences in seconds between them."""
+    """A response in parts: bytes, and silences between them.
+
+    A silence is a number of seconds, or lasts until a `gevent.event.Event` is set.
+    """
 
     def __init__(self, *parts):
         self._parts = parts
@@ -117,6 +120,8 @@
         for part in self._parts:
             if isinstance(part, bytes):
                 sock.sendall(part)
+            elif isinstance(part, gevent.event.Event):
+                part.wait()
             else:
                 gevent.sleep(part)
 
@@ -125,16 +130,12 @@
     """A response that is sent once it is released."""
 
     def __init__(self, response):
-        super().__init__(response)
         self._released = gevent.event.Event()
+        super().__init__(self._released, response)
 
     def release(self):
         self._released.set()
 
-    def send(self, sock):
-        self._released.wait()
-        super().send(sock)
-
 
 CLOSE = object()
 RESET = object()
--- a/tests/test_relay/test_changes_beside_requests.py
+++ b/tests/test_relay/test_changes_beside_requests.py
@@ -4,6 +4,7 @@
 
 import attrs
 import gevent
+import gevent.event
 import pytest
 
 from tests.harness.waiting import let_pass
@@ -94,16 +95,17 @@
 
     def __init__(self):
         self.node = Node()
+        self._is_changed = gevent.event.Event()
         plain = ScriptedTarget(
             [PLAIN],
-            *[[Paused(*parts)] for parts in PLAIN_ANSWERS.values()],
+            *[[self._paused(parts)] for parts in PLAIN_ANSWERS.values()],
             [PLAIN],
             [PLAIN],
             [PLAIN],
         )
         # The unread requests may be moved to it, and may come before the waiting one.
         model = ScriptedTarget(
-            *[[Paused(*parts)] for parts in STREAMS.values()], *[[PLAIN]] * 4
+            *[[self._paused(parts)] for parts in STREAMS.values()], *[[PLAIN]] * 4
         )
         self._records = [
             record(replica='p', service='plain', address=plain.address),
@@ -118,6 +120,11 @@
         self.in_body = self._send(post(b'/pay')[:-1], 'in the body')
         assert len(model.requests) == len(STREAMS)
 
+    def _paused(self, parts):
+        """Return an answer that does not go on before the configuration changes."""
+        first = parts.index(SILENCE_S)
+        return Paused(*parts[:first], self._is_changed, *parts[first:])
+
     def _send(self, data, name):
         caller = Caller(self.node, data)
         caller.name = name
@@ -131,6 +138,7 @@
         self.node.receive_news(changed, self._records)
 
     def finish_unread(self):
+        self._is_changed.set()
         self.kept.received = b''
         self.kept.send(post(b'/pay'))
         self.in_head.send(post(b'/pay')[30:])
