--- a/pistachiopath/replication/log_follower.py
+++ b/pistachiopath/replication/log_follower.py
@@ -15,19 +15,34 @@
 from .part_buffer import PartBuffer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..messages.replication import AppendPart, InstallSnapshot
+    from .effects import Effect
     from .replica import Replica
 
 
 class LogFollower:
     """Adds what a leader sends, records or a snapshot, to the log of its replica.
 
-    It changes the log, the commit index and the snapshot of the replica, and replies
-    through it.
+    It changes the log of the replica and replies through it.  The replica itself
+    follows the leader, commits, and installs snapshots.
     """
 
-    def __init__(self, *, replica: Replica) -> None:
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        accept_leader: Callable[..., None],
+        commit_up_to: Callable[[int], None],
+        install: Callable[[InstallSnapshot, bytes], None],
+        add_effect: Callable[[Effect], None],
+    ) -> None:
         self._replica = replica
+        self._accept_leader = accept_leader
+        self._commit_up_to = commit_up_to
+        self._install = install
+        self._add_effect = add_effect
         self._snapshot_parts = PartBuffer()
         self._record_parts = PartBuffer()
 
@@ -46,7 +61,7 @@
         if msg.index <= replica.commit or is_held:
             self._reply_append(sender, msg, success=True, match=msg.index)
             return
-        replica.commit_up_to(min(msg.commit, previous_index))
+        self._commit_up_to(min(msg.commit, previous_index))
         received_bytes = self._record_parts.add(msg)
         if received_bytes < msg.total:
             self._reply_part(sender, msg, received_bytes)
@@ -58,13 +73,13 @@
         replica = self._replica
         if msg.term < replica.term:
             return
-        replica.accept_leader(sender, msg.term, now)
+        self._accept_leader(sender, msg.term, now)
         if msg.index <= replica.commit:
             self._reply_snapshot(sender, msg, msg.total)
             return
         received_bytes = self._snapshot_parts.add(msg)
         if received_bytes >= msg.total:
-            replica.install(msg, self._snapshot_parts.take())
+            self._install(msg, self._snapshot_parts.take())
         self._reply_snapshot(sender, msg, received_bytes)
 
     def _follows_log(
@@ -75,7 +90,7 @@
         if msg.term < replica.term:
             self._reply_append(sender, msg, success=False, match=0)
             return False
-        replica.accept_leader(sender, msg.term, now, commit=msg.commit)
+        self._accept_leader(sender, msg.term, now, commit=msg.commit)
         if previous_index < replica.commit:
             # Committed records always match, so the previous term is not checked.
             # The records that a snapshot covers are skipped.
@@ -106,12 +121,11 @@
         )
 
     def _append_entries(self, sender: str, msg: Append) -> None:
-        replica = self._replica
         added = tuple(entry for entry in msg.entries if self._add(entry))
         if added:
-            replica.add_effect(AppendEntries(entries=added))
+            self._add_effect(AppendEntries(entries=added))
         match = msg.previous_index + len(msg.entries)
-        replica.commit_up_to(min(msg.commit, match))
+        self._commit_up_to(min(msg.commit, match))
         self._reply_append(sender, msg, success=True, match=match)
 
     def _add(self, entry: Entry) -> bool:
@@ -124,7 +138,7 @@
             return False
         if term is not None:
             replica.log.truncate_from(entry.index)
-            replica.add_effect(TruncateFrom(index=entry.index))
+            self._add_effect(TruncateFrom(index=entry.index))
         replica.log.append(entry)
         return True
 
--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -84,7 +84,13 @@
         self._votes: set[str] = set()
         self._pre_voting = False
         self._replicator = Replicator(replica=self, timing=self._timing)
-        self._follower = LogFollower(replica=self)
+        self._follower = LogFollower(
+            replica=self,
+            accept_leader=self._accept_leader,
+            commit_up_to=self._commit_up_to,
+            install=self._install,
+            add_effect=self._add_effect,
+        )
         self._leader_contact_at = -self._timing.election_max_s
         self._effects: list[Effect] = []
         self._election_clock = ElectionClock(timing=self._timing, rng=rng)
@@ -149,7 +155,7 @@
             **content,
         )
         self.log.append(entry)
-        self.add_effect(AppendEntries(entries=(entry,)))
+        self._add_effect(AppendEntries(entries=(entry,)))
         if kind is EntryKind.MEMBERS:
             self._replicator.update_members(now)
         return entry.index, self._take_effects()
@@ -325,7 +331,7 @@
             time_ms=0,
         )
         self.log.append(noop)
-        self.add_effect(AppendEntries(entries=(noop,)))
+        self._add_effect(AppendEntries(entries=(noop,)))
         self._replicator.replicate_all(now)
 
     def _follow(self, term: int, leader: str, now: float) -> None:
@@ -363,18 +369,18 @@
     def _advance_commit(self) -> None:
         index = self._replicator.majority_match(self._durable_index)
         if index > self.commit and self.log.term_at(index) == self.term:
-            self.commit_up_to(index)
+            self._commit_up_to(index)
 
-    def commit_up_to(self, index: int) -> None:
+    def _commit_up_to(self, index: int) -> None:
         """Commit and apply the records up to an index that are not committed yet."""
         for position in range(self.commit + 1, index + 1):
             entry = self.log.get(position)
-            self.add_effect(Apply(entry=entry))
+            self._add_effect(Apply(entry=entry))
         self.commit = max(self.commit, index)
 
     # What the follower side needs
 
-    def accept_leader(
+    def _accept_leader(
         self, sender: str, term: int, now: float, *, commit: int | None = None
     ) -> None:
         """Follow the sender, the leader of a term; keep its first commit index."""
@@ -388,17 +394,17 @@
         if self._leader_commit is None:
             self._leader_commit = commit
 
-    def install(self, msg: InstallSnapshot, data: bytes) -> None:
+    def _install(self, msg: InstallSnapshot, data: bytes) -> None:
         """Replace log and state by a snapshot of the leader."""
         self.log.reset(msg.index, msg.index_term, msg.members)
         self.commit = msg.index
         self.snapshot = data
-        self.add_effect(
+        self._add_effect(
             SaveSnapshot(
                 index=msg.index, term=msg.index_term, members=msg.members, data=data
             )
         )
-        self.add_effect(RestoreState(index=msg.index, data=data))
+        self._add_effect(RestoreState(index=msg.index, data=data))
 
     # Helpers
 
@@ -418,14 +424,13 @@
         self._election_at = now + self._election_clock.draw_timeout_s()
 
     def _save_vote(self) -> None:
-        self.add_effect(SaveVote(term=self.term, voted_for=self._voted_for))
+        self._add_effect(SaveVote(term=self.term, voted_for=self._voted_for))
 
     def send(self, to: str, body: Message) -> None:
         """Add a message to the effects of the current call."""
-        self.add_effect(Send(to=to, call=0, body=body))
+        self._add_effect(Send(to=to, call=0, body=body))
 
-    def add_effect(self, effect: Effect) -> None:
-        """Add an effect to those of the current call."""
+    def _add_effect(self, effect: Effect) -> None:
         self._effects.append(effect)
 
     def _take_effects(self) -> list[Effect]:
