--- a/pistachiopath/util/arrivals.py
+++ b/pistachiopath/util/arrivals.py
@@ -18,9 +18,9 @@
 
     Example::
 
-        gevent.sleep(grace_s)
+        gevent.sleep(wait_s)
         handle_arrivals()
-        end_unfinished()
+        target = find_target()
     """
     for _ in range(PASSES):
         gevent.sleep(PASS_S)
