--- /dev/null
+++ b/tools/soak/checks/__init__.py
@@ -0,0 +1,49 @@
+"""Checks of a soak's history.
+
+Each check is a function that yields what it finds wrong; its name is the name of the
+check.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .answers import answered, ended_early, one_version, whole_answers
+from .configuration import configuration_in_force, configuration_kept
+from .left_alone import backoff_kept, departure_kept, notice_kept
+from .requests import at_most_once, truthful_refusals, unchanged_requests
+from .service import level_resources, no_own_ends, recovery
+
+if TYPE_CHECKING:
+    from ..history import History
+    from .violation import Violation
+
+CHECKS = (
+    at_most_once,
+    truthful_refusals,
+    unchanged_requests,
+    whole_answers,
+    one_version,
+    answered,
+    ended_early,
+    departure_kept,
+    notice_kept,
+    backoff_kept,
+    configuration_kept,
+    configuration_in_force,
+    recovery,
+    level_resources,
+    no_own_ends,
+)
+
+
+def violations(history: History) -> list[Violation]:
+    """Return what all checks find, in the order of time."""
+    found = [
+        attrs.evolve(violation, check=check.__name__)
+        for check in CHECKS
+        for violation in check(history)
+    ]
+    return sorted(found, key=lambda violation: violation.at)
--- /dev/null
+++ b/tools/soak/checks/left_alone.py
@@ -0,0 +1,96 @@
+"""Checks that a replica which leaves or asks for a backoff gets no more requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .violation import Violation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..arrival import Arrival
+    from ..attempt import Attempt
+    from ..history import History
+
+MISDIRECTED = 421
+BACKOFF_MARGIN_S = 0.5
+MAX_DURING_BACKOFF = 2
+
+
+def departure_kept(history: History) -> Iterator[Violation]:
+    """Yield requests to a replica whose departure was acknowledged before."""
+    for departure in history.departures:
+        since = departure.acked_at
+        for arrival, attempt in _sent_to(history, departure.replica):
+            is_late = arrival.at > since + history.bounds.drain_s
+            if (
+                is_late
+                and history.is_core_calm(since, arrival.at)
+                and _is_calm(history, attempt, arrival, attempt.began_at)
+            ):
+                yield _violation(arrival, since, 'its departure was acknowledged')
+
+
+def notice_kept(history: History) -> Iterator[Violation]:
+    """Yield requests that an entry sent though it had passed on a notice."""
+    for told, notices in history.requests():
+        if not told.is_leaving:
+            continue
+        since = told.ended_at
+        for notice in notices:
+            for arrival, attempt in _sent_to(history, notice.replica):
+                is_late = attempt.began_at > since + history.bounds.drain_s
+                if (
+                    is_late
+                    and notice.says_leaving
+                    and _same_process(attempt, told)
+                    and _is_calm(history, attempt, arrival, since)
+                ):
+                    yield _violation(arrival, since, 'its entry passed on a notice')
+
+
+def backoff_kept(history: History) -> Iterator[Violation]:
+    """Yield the third request that an entry sends to a replica within a backoff."""
+    for told, refusals in history.requests():
+        for refusal in refusals:
+            since = refusal.ended_at
+            found = [
+                arrival
+                for arrival, attempt in _sent_to(history, refusal.replica)
+                if BACKOFF_MARGIN_S < arrival.at - since < refusal.backoff_s
+                and _same_process(attempt, told)
+                and _is_calm(history, attempt, arrival, since)
+            ]
+            if len(found) > MAX_DURING_BACKOFF:
+                yield _violation(found[MAX_DURING_BACKOFF], since, 'it asked for time')
+
+
+def _sent_to(history: History, replica: str) -> Iterator[tuple[Arrival, Attempt]]:
+    """Yield what reached a lifetime of a replica, with the caller's attempt."""
+    attempts = history.attempts_by_request()
+    for arrival in history.arrivals:
+        is_there = arrival.replica == replica and arrival.status != MISDIRECTED
+        if is_there and arrival.request in attempts:
+            yield arrival, attempts[arrival.request]
+
+
+def _violation(arrival: Arrival, since: float, why: str) -> Violation:
+    return Violation(
+        at=arrival.at,
+        request=arrival.request,
+        text=f'reaches {arrival.replica} {arrival.at - since:.2f} s after {why}',
+    )
+
+
+def _is_calm(
+    history: History, attempt: Attempt, arrival: Arrival, since: float
+) -> bool:
+    """Return whether the entry and its way to the replica were not disturbed."""
+    link = (f'link-{arrival.place}',)
+    is_disturbed = history.disturbances(link, since, arrival.at)
+    return not is_disturbed and history.is_entry_calm(attempt.entry, since, arrival.at)
+
+
+def _same_process(attempt: Attempt, other: Attempt) -> bool:
+    return (attempt.entry, attempt.lifetime) == (other.entry, other.lifetime)
--- /dev/null
+++ b/tools/soak/deployment.py
@@ -0,0 +1,150 @@
+"""A deployment under test: programs, links, replicas, operator and callers."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import gevent
+
+from .announcer import Announcer
+from .caller import Caller
+from .fleet import Fleet
+from .guard import Guard
+from .operator import Operator
+from .proxy import Proxy
+from .replica import Replica
+from .rotation import Rotation
+from .sampler import Sampler
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .history import History
+    from .topology import Topology
+
+CALLERS_PER_ENTRY = 6
+START_TIMEOUT_S = 60.0
+POLL_INTERVAL_S = 0.1
+FIRST_SOFTWARE = 'v1'
+
+
+class NotStarted(Exception):
+    """The programs are not ready in time."""
+
+
+class Deployment:
+    """Builds and runs everything on one machine; use as a context manager."""
+
+    def __init__(
+        self, *, topology: Topology, folder: Path, history: History, seed: int
+    ) -> None:
+        self.topology = topology
+        self.history = history
+        self._seed = seed
+        self._guard = Guard()
+        self.fleet = Fleet(
+            topology=topology, folder=folder, guard=self._guard, history=history
+        )
+        self.links = {
+            name: Proxy(address=topology.link(name), target=topology.address(name))
+            for name in topology.linked_names
+        }
+        self.controls = {name: topology.link(name) for name in topology.control_names}
+        self.replicas = {
+            name: Replica(
+                place=name,
+                address=topology.address(name),
+                history=history,
+                rng=self.rng(name),
+            )
+            for name in topology.replica_names
+        }
+        self.announcers = {
+            name: Announcer(
+                replica=replica,
+                address=topology.link(name),
+                controls=tuple(self.controls.values()),
+                period_s=history.bounds.announce_s,
+                history=history,
+                rng=self.rng(f'announcer-{name}'),
+            )
+            for name, replica in self.replicas.items()
+        }
+        self.operator = Operator(
+            controls=self.controls, history=history, rng=self.rng('operator')
+        )
+        self.rotation = Rotation(
+            readiness={name: topology.readiness(name) for name in topology.entry_names},
+            rng=self.rng('rotation'),
+        )
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def __enter__(self) -> Deployment:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        gevent.killall(self._greenlets)
+        for replica in self.replicas.values():
+            replica.end()
+        for link in self.links.values():
+            link.stop()
+        self.fleet.close()
+        self._guard.close()
+
+    def start(self) -> None:
+        """Start everything but the callers; raises `NotStarted`."""
+        sampler = Sampler(fleet=self.fleet, history=self.history)
+        for link in self.links.values():
+            link.start()
+        for replica in self.replicas.values():
+            replica.start(FIRST_SOFTWARE)
+        self.fleet.start()
+        self._spawn(self.fleet.watch)
+        self._spawn(sampler.run)
+        self._spawn(sampler.watch_itself)
+        self._spawn(self.rotation.run)
+        for announcer in self.announcers.values():
+            self._spawn(announcer.run)
+        self.operator.change()
+        self._wait_ready()
+        self._spawn(self.operator.read_forever)
+        self._spawn(self.operator.change_forever)
+
+    def start_callers(self) -> None:
+        """Start the callers, which send requests until the end of the run."""
+        links = {name: self.topology.link(name) for name in self.topology.entry_names}
+        for number in range(CALLERS_PER_ENTRY * len(links)):
+            caller = Caller(
+                name=f'c{number}',
+                links=links,
+                rotation=self.rotation,
+                lifetime=self.fleet.starts,
+                configuration=lambda: self.operator.version,
+                history=self.history,
+                rng=self.rng(f'caller-{number}'),
+            )
+            self._spawn(caller.run)
+
+    def replicas_of(self, name: str) -> list[Replica]:
+        """Return the replica at a VM, or all replicas of a service."""
+        return [r for r in self.replicas.values() if name in (r.place, r.service)]
+
+    def check_greenlets(self) -> None:
+        """Raise the error of any part of the soak that has failed."""
+        for greenlet in self._greenlets:
+            if greenlet.dead:
+                greenlet.get()
+
+    def _wait_ready(self) -> None:
+        """Wait until all entries are in the rotation."""
+        with gevent.Timeout(START_TIMEOUT_S, NotStarted()):
+            while len(self.rotation.ready) < len(self.topology.entry_names):
+                gevent.sleep(POLL_INTERVAL_S)
+
+    def rng(self, name: str) -> random.Random:
+        """Return a source of random numbers that depends on the seed and a name."""
+        return random.Random(f'{self._seed} {name}')
+
+    def _spawn(self, function: object) -> None:
+        self._greenlets.append(gevent.spawn(function))
--- /dev/null
+++ b/tools/soak/injector.py
@@ -0,0 +1,129 @@
+"""Carries out the faults of a plan."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from .fault import FaultRecord
+from .fault_kind import FaultKind
+from .replica_faults import ReplicaFaults
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from .deployment import Deployment
+    from .fault import Fault
+    from .plan import Plan
+
+logger = logging.getLogger(__name__)
+
+DELAY_S = 0.15
+
+
+class Injector:
+    """Runs each fault in a greenlet of its own and records when it was in effect."""
+
+    def __init__(self, *, deployment: Deployment, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._fleet = deployment.fleet
+        self._topology = deployment.topology
+        self._history = deployment.history
+        self._rng = rng
+        self._replicas = ReplicaFaults(deployment=deployment, rng=rng)
+
+    def run(self, plan: Plan) -> None:
+        """Carry out a plan and return after the end of its last fault."""
+        began_at = time.monotonic()
+        greenlets = []
+        for fault in plan.faults:
+            gevent.sleep(max(0.0, began_at + fault.at_s - time.monotonic()))
+            greenlets.append(gevent.spawn(self._carry_out, fault))
+        gevent.joinall(greenlets, raise_error=True)
+
+    def _carry_out(self, fault: Fault) -> None:
+        logger.info('fault', extra={'kind': fault.kind, 'target': fault.target})
+        record = FaultRecord(
+            kind=fault.kind, target=fault.target, began_at=time.monotonic()
+        )
+        self._history.faults.append(record)
+        try:
+            self._action(fault.kind)(fault)
+        finally:
+            record.ended_at = time.monotonic()
+
+    def _action(self, kind: FaultKind) -> Callable[[Fault], object]:
+        operator = self._deployment.operator
+        actions = {
+            FaultKind.ENTRY_STOPPED: self._stop,
+            FaultKind.CONTROL_STOPPED: self._stop,
+            FaultKind.ENTRY_PAUSED: self._pause,
+            FaultKind.CONTROL_PAUSED: self._pause,
+            FaultKind.AGENT_PAUSED: self._pause,
+            FaultKind.ENTRY_KILLED: self._kill,
+            FaultKind.CONTROL_KILLED: self._kill,
+            FaultKind.CORE_KILLED: self._kill,
+            FaultKind.AGENT_KILLED: self._kill,
+            FaultKind.SETTINGS_CHANGED: self._change_settings,
+            FaultKind.CONFIGURATION_CHANGED: lambda _: operator.change(),
+            FaultKind.CONFIGURATION_INVALID: lambda _: operator.send_invalid(),
+        }
+        if kind.group == 'link':
+            return self._disturb_link
+        return actions.get(kind, self._replicas.carry_out)
+
+    # Programs
+
+    def _kill(self, fault: Fault) -> None:
+        """Kill a program, or all control nodes, and start it again."""
+        names = (fault.target,) if fault.target else self._topology.control_names
+        programs = [self._fleet.programs[name] for name in names]
+        for program in programs:
+            program.is_down = True
+            program.signal(signal.SIGKILL)
+        for program in programs:
+            program.kill()
+        gevent.sleep(fault.for_s)
+        for program in programs:
+            program.start()
+
+    def _pause(self, fault: Fault) -> None:
+        program = self._fleet.programs[fault.target]
+        program.signal(signal.SIGSTOP)
+        gevent.sleep(fault.for_s)
+        program.signal(signal.SIGCONT)
+
+    def _stop(self, fault: Fault) -> None:
+        self._fleet.stop_gracefully(fault.target, self._history.bounds.grace_s)
+        gevent.sleep(fault.for_s)
+        self._fleet.programs[fault.target].start()
+
+    def _change_settings(self, fault: Fault) -> None:
+        """Change the order of the seeds, and sometimes leave one out."""
+        names = self._topology.control_names
+        seeds = [self._topology.address(name) for name in names]
+        self._rng.shuffle(seeds)
+        kept = self._rng.randint(2, len(seeds))
+        self._fleet.programs[fault.target].change_settings(seeds=seeds[:kept])
+
+    # Links
+
+    def _disturb_link(self, fault: Fault) -> None:
+        proxy = self._deployment.links[fault.target.removeprefix('link-')]
+        match fault.kind:
+            case FaultKind.LINK_RESET:
+                proxy.reset()
+            case FaultKind.LINK_DELAYED:
+                proxy.delay_s = DELAY_S
+            case FaultKind.LINK_ONE_WAY:
+                proxy.hold(self._rng.choice(('in', 'out')))
+            case FaultKind.LINK_SILENT:
+                proxy.hold('in', 'out')
+        gevent.sleep(fault.for_s)
+        proxy.delay_s = 0.0
+        proxy.release()
--- /dev/null
+++ b/tools/soak/operator.py
@@ -0,0 +1,112 @@
+"""The operator: sends configurations and reads them back."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from . import wire
+from .client import Reply, call
+from .documents import document, invalid_document
+from .operations import Put, Read
+
+if TYPE_CHECKING:
+    import random
+
+    from .history import History
+
+CHANGE_INTERVAL_S = (2.0, 7.0)
+READ_INTERVAL_S = 0.5
+RESEND_INTERVAL_S = 0.3
+RESEND_FOR_S = 30.0
+# These answers end a call at once.
+FINAL_STATUSES = frozenset({400, 409, 412, 413, 422})
+
+
+class Operator:
+    """Calls the control nodes at their addresses, one node after the other."""
+
+    def __init__(
+        self, *, controls: dict[str, str], history: History, rng: random.Random
+    ) -> None:
+        self.version = 0
+        self._controls = controls
+        self._history = history
+        self._rng = rng
+
+    def change(self) -> Put:
+        """Send the next configuration until it has a clear answer."""
+        self.version += 1
+        content = json.dumps(document(self.version), separators=(',', ':'))
+        put = Put(version=self.version, content=content, sent_at=time.monotonic())
+        self._history.puts.append(put)
+        self._send(put)
+        return put
+
+    def send_invalid(self) -> Put:
+        """Send a configuration that must be refused."""
+        version = self.version + 1
+        content = json.dumps(invalid_document(version))
+        put = Put(
+            version=version, content=content, sent_at=time.monotonic(), is_valid=False
+        )
+        self._history.puts.append(put)
+        self._send(put)
+        return put
+
+    def _send(self, put: Put) -> None:
+        until = time.monotonic() + RESEND_FOR_S
+        while time.monotonic() < until:
+            _, address = self._pick()
+            reply = call(address, 'PUT', wire.CONFIGURATION_PATH, put.content.encode())
+            put.status = reply.status
+            if reply.is_success:
+                put.acked_at = time.monotonic()
+                return
+            if reply.status in FINAL_STATUSES:
+                return
+            gevent.sleep(RESEND_INTERVAL_S)
+
+    def change_forever(self) -> None:
+        """Send the next configuration every few seconds."""
+        while True:
+            gevent.sleep(self._rng.uniform(*CHANGE_INTERVAL_S))
+            gevent.spawn(self.change)
+
+    def read_forever(self) -> None:
+        """Read the configuration back at one node after the other."""
+        while True:
+            self.read()
+            gevent.sleep(READ_INTERVAL_S)
+
+    def read(self) -> Read:
+        """Read the configuration back at some node."""
+        node, address = self._pick()
+        sent_at = time.monotonic()
+        reply = call(address, 'GET', wire.CONFIGURATION_PATH)
+        read = Read(
+            node=node,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            status=reply.status,
+            version=_version(reply),
+            content=reply.body.decode('utf-8', 'replace') if reply.is_success else '',
+        )
+        self._history.reads.append(read)
+        return read
+
+    def _pick(self) -> tuple[str, str]:
+        return self._rng.choice(list(self._controls.items()))
+
+
+def _version(reply: Reply) -> int:
+    """Return the version of a configuration that was read, 0 if there is none."""
+    if not reply.is_success:
+        return 0
+    try:
+        return int(json.loads(reply.body)['version'])
+    except (ValueError, KeyError, TypeError):
+        return -1
--- /dev/null
+++ b/tools/soak/program.py
@@ -0,0 +1,104 @@
+"""One program of the platform as a process."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import tomli_w
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .guard import Guard
+
+SETTINGS_VARIABLE = 'PISTACHIOPATH_SETTINGS'
+
+
+class Program:
+    """Starts a program, sends it signals and starts it again.
+
+    `is_down` tells that somebody has ended it on purpose.
+    """
+
+    def __init__(
+        self, *, name: str, role: str, settings: dict, folder: Path, guard: Guard
+    ) -> None:
+        self.name = name
+        self.settings = settings
+        self.starts = 0
+        self.is_down = True
+        self._role = role
+        self._folder = folder
+        self._guard = guard
+        self._path = folder / f'{name}.toml'
+        self._process: subprocess.Popen | None = None
+        self._is_guarded = False
+
+    @property
+    def pid(self) -> int:
+        """Id of the newest process."""
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start a process unless one runs.
+
+        Only the first start is that of a new deployment.
+        """
+        if self._process is not None and self.code() is None:
+            return
+        self.starts += 1
+        is_first = self.starts == 1 and self._role == 'control'
+        self._write(self.settings | {'is_first_start': is_first})
+        command = [sys.executable, '-m', 'pistachiopath.platform', self._role]
+        with (self._folder / f'{self.name}.log').open('ab') as log:
+            self._process = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {SETTINGS_VARIABLE: str(self._path)},
+                process_group=0,
+            )
+        self._guard.add(self.pid)
+        self._is_guarded = True
+        self.is_down = False
+
+    def change_settings(self, **changes: object) -> None:
+        """Write changed settings and tell the program by a signal."""
+        self.settings |= changes
+        self._write(self.settings | {'is_first_start': False})
+        self.signal(signal.SIGHUP)
+
+    def _write(self, settings: dict) -> None:
+        """Replace the settings file as a whole."""
+        new = self._path.with_suffix('.new')
+        new.write_text(tomli_w.dumps(settings))
+        new.replace(self._path)
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process still runs."""
+        if self.code() is None:
+            self._process.send_signal(number)
+
+    def code(self) -> int | None:
+        """Return the exit code of the newest process, None while it runs."""
+        if self._process is None:
+            return None
+        code = self._process.poll()
+        if code is not None and self._is_guarded:
+            self._is_guarded = False
+            self._guard.remove(self.pid)
+        return code
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.is_down = True
+        if self._process is None:
+            return
+        self.signal(signal.SIGKILL)
+        self._process.wait()
+        self.code()
