--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 
 # A control node replaces its log by a snapshot at 400 records.  The cut begins shortly
 # before that, so that the snapshot falls into the cut.
-RECORDS_BEFORE_CUT = 396
+RECORDS_BEFORE_CUT = 395
 ORDERS_AT_ONCE = 8
 CUT_S = 4.0
 
@@ -66,9 +66,9 @@
 
     async def many_orders(self):
         """Send changes and reads one after the other, as on a day of many changes."""
-        # The first members and the first leader take one record each.
-        self.records += 2
         name = await self.leader()
+        # The first members and each new leader take one record.
+        self.records += 1 + self.elections()
         while self.records < RECORDS_BEFORE_CUT:
             if self.records % 4 == 0:
                 await self.change([name])
@@ -76,8 +76,18 @@
                 raise CannotRun('a read failed in calm time')
             else:
                 self.records += 1
+        if self.elections() > 1:
+            raise CannotRun('the leader changed in calm time')
         self.world.record.note(f'{self.version} changes so far, the rest reads')
 
+    def elections(self):
+        lines = [
+            line
+            for name in self.controls
+            for line in self.world.programs[name].log_lines('role_changed')
+        ]
+        return sum('leader' in line for line in lines)
+
     async def leader(self):
         """Return the control node that says last that it leads."""
         for _ in range(100):
