--- a/review/common/streams.py
+++ b/review/common/streams.py
@@ -16,14 +16,14 @@
     It announces itself at the control nodes in turn, as the protocol says.
     """
 
-    def __init__(self, world, controls, service, name, address, version):
+    def __init__(self, world, controls, service, name, address, version, slots=20):
         self.world = world
         self.controls = controls
         self.service = service
         self.name = name
         self.address = address
         self.version = version
-        self.ends = 0
+        self.slots = slots
         self._server = None
         self._writers = set()
         self._beats = None
@@ -38,17 +38,17 @@
 
     async def end(self):
         """End the lifetime as a crash does: all connections are reset."""
-        self.ends += 1
         self._beats.cancel()
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
         self.world.record.note(f'{self.name} ends with software {self.version}')
 
-    async def restart(self, version, down_s=0.5):
+    async def restart(self, version, down_s=0.5, name=''):
         await self.end()
         await asyncio.sleep(down_s)
         self.version = version
+        self.name = name or self.name
         await self.start()
 
     async def _announce(self):
@@ -61,7 +61,7 @@
                     'address': self.address,
                     'zone': 'zone-a',
                     'version': self.version,
-                    'slots': 20,
+                    'slots': self.slots,
                     'state': 'ready',
                     'warmup_left_ms': 0,
                     'sequence': self.sequence,
@@ -120,8 +120,13 @@
         return True
 
 
-async def read_stream(world, entry, path, request, events, seen, timeout_s=15.0):
-    """Send a request for a stream; append the version of each event to `seen`."""
+async def read_stream(
+    world, entry, path, request, events, seen, timeout_s=15.0, more=()
+):
+    """Send a request for a stream; append the version of each event to `seen`.
+
+    Returns the status, or `no answer`.
+    """
     host, _, port = entry.rpartition(':')
     writer = None
     body = str(events).encode()
@@ -132,6 +137,7 @@
         f'Authorization: Token {KEY}',
         f'Deadline-Ms: {int(timeout_s * 1000)}',
         f'Content-Length: {len(body)}',
+        *more,
     ]
     status = 'no answer'
     try:
@@ -152,3 +158,4 @@
                 writer.close()
     versions = ' '.join(f'{seen.count(v)} of {v}' for v in sorted(set(seen)))
     world.record.note(f'{request}: {status}, events: {versions}')
+    return status
