Review, case 5: a replica that crashes before its late first report mixes versions

What is broken: ORDER. A stream gets the software version of the record by which its replica was chosen (pistachiopath/relay/stream_versions.py, begun). If the replica has started again under its id with other software, and its first report is late, the streams that it begins are taken for the earlier version, and go on there when it crashes.

Nothing is mended.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -411,6 +412,8 @@
 
 def run_case(main, case_folder):
     """Run a case and exit with its code: 0 held, 1 broken, 2 could not run."""
+    # Whoever ends the script early ends all that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     world = World(case_folder)
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     code = 2
--- a/review/common/streams.py
+++ b/review/common/streams.py
@@ -24,6 +24,7 @@
         self.address = address
         self.version = version
         self.slots = slots
+        self.first_report_after_s = 0.0
         self._server = None
         self._writers = set()
         self._beats = None
@@ -53,6 +54,7 @@
 
     async def _announce(self):
         number = sum(self.name.encode())
+        await asyncio.sleep(self.first_report_after_s)
         while True:
             self.sequence += 1
             body = json.dumps(
