--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,6 +21,8 @@
 RECORDS_BEFORE_CUT = 395
 ORDERS_AT_ONCE = 8
 CUT_S = 4.0
+DOWN_S = 3.0
+READ_S = 10.0
 
 
 class Case:
@@ -53,10 +55,11 @@
         self.world.record.note(f'{leader} leads')
         if self.has_trouble:
             self.world.programs[leader].kill()
-        is_broken = await self.read_all([n for n in self.controls if n != leader], 6.0)
+        others = [name for name in self.controls if name != leader]
+        is_broken = await self.read_all(others, DOWN_S)
         if self.has_trouble:
             self.world.programs[leader].start()
-        return await self.read_all(list(self.controls), 6.0) or is_broken
+        return await self.read_all(list(self.controls), READ_S) or is_broken
 
     async def change(self, nodes=None):
         self.version += 1
