Reading: a target that writes without end stops nobody but itself (CONFIG, hang)

Cause: a socket that has data returns it without a switch to another greenlet, and none of the loops above it waited. So no timer ran, not even that of the request. In lines of one event without end, each read also copied all that was held before.

Now readers take turns of 5 ms (util/turns): of targets, of callers and of links. Those that never have to wait share a part of the processor together. Interim heads and late bodies are bounded in number and bytes. What all answers hold is bounded (answer_memory): 64 KiB each, 12 MiB and one answer in all; the others are not read meanwhile, and the longest holder never waits, so that none waits for ever. An answer above 8 MiB goes on to its caller in place of ending as garbled; bodies are held in one buffer, as an object for each short chunk took 50 MB for 8 MiB. A thread in each program reports an event loop that stands still, with its frames (hub_stalled), and the soak fails on it.

--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -8,6 +8,7 @@
 import h11
 
 from ..errors.exchange import BadHttp, CallerLeft
+from ..util.turns import Turns
 from .request import HttpRequest
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
         self._send_continue = send_continue
         self._limits = get_limits()
         self._has_read_request = False
+        self._turns = Turns()
         self.http = self._new_parser()
 
     @property
@@ -108,7 +110,7 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            data = self._inbound.take(max(0.0, deadline - time.monotonic()))
+            data = self._take(max(0.0, deadline - time.monotonic()))
             if data is None:
                 raise BadHttp(status=408, reason='header_timeout')
             if not data:
@@ -130,7 +132,7 @@
         while True:
             timeout_s = max(first_timeout_s, self._get_limits().idle_timeout_s)
             remaining_s = idle_since + timeout_s - time.monotonic()
-            data = self._inbound.take(max(0.0, remaining_s))
+            data = self._take(max(0.0, remaining_s))
             if data is not None or remaining_s <= 0:
                 return data
 
@@ -151,26 +153,24 @@
 
     def _read_body(self, head: h11.Request) -> bytes:
         self._check_length(head)
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
                 self._receive_body()
                 continue
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise BadHttp(status=400, reason='body_cut')
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
                 raise BadHttp(status=413, reason='body_too_large')
-            parts.append(bytes(event.data))
 
     def _receive_body(self) -> None:
         if self.http.they_are_waiting_for_100_continue:
             self._send_continue()
-        data = self._inbound.take(self._limits.header_timeout_s)
+        data = self._take(self._limits.header_timeout_s)
         if data is None:
             raise BadHttp(status=408, reason='body_timeout')
         if not data:
@@ -192,7 +192,15 @@
             if name == b'content-length' and int(value) > self._limits.max_body_bytes:
                 raise BadHttp(status=413, reason='body_too_large')
 
+    def _take(self, timeout_s: float) -> bytes | None:
+        """Return the bytes that have arrived, as `InboundBytes.take` does."""
+        began_at = time.monotonic()
+        data = self._inbound.take(timeout_s)
+        self._turns.received(len(data or b''), began_at)
+        return data
+
     def _next_event(self) -> object:
+        self._turns.take()
         try:
             return self.http.next_event()
         except h11.RemoteProtocolError as exc:
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -26,6 +26,8 @@
 LINGER_S = 1.0
 # `struct linger` with a timeout of 0.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+# Larger responses are written piece by piece, without a copy of the whole.
+MAX_JOINED_BYTES = 64 * 1024
 
 
 class ServerConnection:
@@ -182,13 +184,16 @@
         self._write_all([h11.InformationalResponse(status_code=100, headers=[])])
 
     def _write_all(self, events: list) -> None:
+        pieces: list[bytes] = []
         try:
-            data = b''.join(self._http.send(event) or b'' for event in events)
+            for event in events:
+                pieces += self._http.send_with_data_passthrough(event) or ()
         except h11.LocalProtocolError as exc:
             raise BadHttp(status=502, reason=str(exc)) from exc
         self._is_cut = True
         try:
-            self._sock.sendall(data)
+            for data in _joined(pieces):
+                self._sock.sendall(data)
         except OSError as exc:
             raise CallerLeft from exc
         self._is_cut = False
@@ -197,3 +202,10 @@
         worker = self._worker
         if worker is not None:
             worker.kill(CallerLeft(), block=False)
+
+
+def _joined(pieces: list[bytes]) -> list[bytes]:
+    """Return the pieces of a response as they are to be written."""
+    if sum(len(piece) for piece in pieces) > MAX_JOINED_BYTES:
+        return pieces
+    return [b''.join(pieces)]
--- a/pistachiopath/exchange/sse.py
+++ b/pistachiopath/exchange/sse.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self) -> None:
-        self._partial = b''
+        self._partial = bytearray()
 
     @property
     def is_between_events(self) -> bool:
@@ -52,7 +52,13 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
-        *complete, self._partial = (self._partial + data).split(EVENT_END)
+        # An event may end with the last byte that is held and the first new one.
+        searched = max(0, len(self._partial) - 1)
+        self._partial += data
+        if self._partial.find(EVENT_END, searched) < 0:
+            return []
+        *complete, rest = bytes(self._partial).split(EVENT_END)
+        self._partial = bytearray(rest)
         return [
             StreamEvent(
                 data=part + EVENT_END,
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -11,6 +12,7 @@
 
 from ..errors.exchange import BrokenOff, ConnectFailed, Garbled, NumberTooLarge
 from ..transport.network import CONNECT_ERRORS, split_address
+from ..util.turns import Turns
 from .answer import AnswerHead
 from .decimal import parse_decimal
 
@@ -34,6 +36,10 @@
 MAX_IDLE_TIMEOUT_S = 3600
 # Requests whose responses may still be repeated.
 MAX_REMEMBERED_IDS = 64
+# Interim heads before one response.
+MAX_INTERIM_HEADS = 100
+# Bodies of late responses before the right one, all together.
+MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 
 
 class TargetConnection:
@@ -62,6 +68,9 @@
         self._writer: gevent.Greenlet | None = None
         self._ended = False
         self._is_discarding = False
+        self._discarded_bytes = 0
+        self._interim_heads = 0
+        self._turns = Turns()
 
     @staticmethod
     def _new_parser() -> h11.Connection:
@@ -129,6 +138,8 @@
         it as late as it wants.
         """
         self.requests += 1
+        self._discarded_bytes = 0
+        self._interim_heads = 0
         self._request_id = _header_value(headers, self._id_header)
         if self._request_id:
             self._carried_ids.append(self._request_id)
@@ -173,13 +184,14 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                self._count_interim_head()
                 continue
             if not isinstance(event, h11.Response):
                 raise self._broken_off(None)
             head = AnswerHead(status=event.status_code, headers=list(event.headers))
             echoed = _header_value(head.headers, self._id_header)
             if not echoed and self._request_id and self.requests > 1:
-                raise Garbled(address=self.address, reason='no_request_id', sent=True)
+                raise self._garbled('no_request_id')
             if not echoed or echoed == self._request_id:
                 return head
             self._discard_response()
@@ -222,8 +234,10 @@
     def _discard_response(self) -> None:
         """Discard the response to another request and expect the right one."""
         self._is_discarding = True
-        while self.read_part():
-            pass
+        while part := self.read_part():
+            self._discarded_bytes += len(part)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                raise self._garbled('late_answer_size')
         self._is_discarding = False
         trailing = self._http.trailing_data[0]
         self._http = self._new_parser()
@@ -234,25 +248,36 @@
 
     def _next_event(self) -> object:
         while True:
+            self._turns.take()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
                 if self._ended:
                     raise self._broken_off(exc) from exc
-                raise Garbled(address=self.address, reason=str(exc), sent=True) from exc
+                raise self._garbled(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
             self._receive()
 
     def _receive(self) -> None:
+        began_at = time.monotonic()
         try:
             data = self._sock.recv(READ_BYTES)
         except OSError as exc:
             raise self._broken_off(exc) from exc
+        self._turns.received(len(data), began_at)
         if not data:
             self._ended = True
         self._http.receive_data(data)
 
+    def _count_interim_head(self) -> None:
+        self._interim_heads += 1
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            raise self._garbled('interim_heads')
+
+    def _garbled(self, reason: str) -> Garbled:
+        return Garbled(address=self.address, reason=reason, sent=True)
+
     def _broken_off(self, exc: Exception | None) -> BrokenOff:
         reason = _reason(exc) if exc else 'closed'
         return BrokenOff(address=self.address, reason=reason, sent=True)
--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -19,6 +19,7 @@
 from ..telemetry.logs import configure_logging
 from ..telemetry.metrics import Metrics
 from ..util.greenlet_errors import report_greenlet_errors
+from ..util.hub_watch import HubWatch
 from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_USAGE, starting
 from .early import SETTINGS_VARIABLE
@@ -50,6 +51,7 @@
             metrics_server(f'{cfg.ip}:{args.metrics_port}', metrics).start()
         program = program_class(args.program)(cfg, metrics)
         program.start()
+    HubWatch().start()
     SettingsWatch(path=path, cfg=cfg, program=program, failures=failures).start()
     stop_requested.wait()
     logger.info('stopping', extra={'role': cfg.role})
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -9,6 +9,7 @@
 import gevent
 
 from ..errors.relay import TurnedAway
+from ..exchange.answer_memory import AnswerMemory
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .exchange_run import OTHER_REPLICA, ExchangeRun
 from .hedges import Hedges
@@ -56,6 +57,7 @@
         notices: Notices,
         versions: StreamVersions,
     ) -> None:
+        self._answers = AnswerMemory()
         self._dialect = dialect
         self._pool = pool
         self._places = places
@@ -81,7 +83,7 @@
         """
         self._retries.record_request(work)
         timeout = gevent.Timeout(work.remaining_s(time.monotonic()))
-        with timeout:
+        with self._answers.hold() as work.held, timeout:
             try:
                 self._serve(conn, work)
             except gevent.Timeout as exc:
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -169,7 +169,11 @@
         verdict = self._dialect.verdict(head)
         if verdict is Verdict.SUCCESS and self._work.admitted.route.is_stream:
             return self._relay_stream(target, head)
-        body = self._read_body(target)
+        body, is_whole = self._read_body(target)
+        if not is_whole and verdict is Verdict.SUCCESS:
+            return self._relay_rest(target, head, body)
+        if not is_whole:
+            raise self._garbled('too_large')
         match verdict:
             case Verdict.NOT_RUN:
                 return NotRun(reason=f'target_{head.status}', arrived=True)
@@ -185,19 +189,33 @@
         self._conn.respond(head.status, headers, body)
         return Delivered()
 
-    def _read_body(self, target: TargetConnection) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
+    def _read_body(self, target: TargetConnection) -> tuple[bytes, bool]:
+        """Return the body and whether it is whole: it is held up to a limit."""
+        body = bytearray()
+        while len(body) <= MAX_ANSWER_BYTES:
             part = self._await_data(target.read_part)
             if not part:
-                return b''.join(parts)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                raise Garbled(
-                    address=self._record.address, reason='too_large', sent=True
-                )
-            parts.append(part)
+                return bytes(body), True
+            self._work.held.resize(len(body) + len(part))
+            body += part
+        return bytes(body), False
+
+    def _relay_rest(
+        self, target: TargetConnection, head: AnswerHead, body: bytes
+    ) -> ExchangeResult:
+        """Deliver an answer that is too long to be held.
+
+        What follows is read as fast as the caller takes it.
+        """
+        self._record_progress()
+        self._work.status = head.status
+        self._conn.begin(head.status, self._dialect.caller_headers(head), body)
+        self._work.held.resize(0)
+        while part := self._await_data(target.read_part):
+            self._record_progress()
+            self._conn.write(part)
+        self._conn.finish()
+        return Delivered()
 
     def _relay_stream(
         self, target: TargetConnection, head: AnswerHead
@@ -207,11 +225,10 @@
             part = self._await_data(target.read_part)
             if not part:
                 break
+            self._work.held.resize(splitter.held_bytes + len(part))
             events = splitter.feed(part)
             if splitter.held_bytes > MAX_EVENT_BYTES:
-                raise Garbled(
-                    address=self._record.address, reason='event_size', sent=True
-                )
+                raise self._garbled('event_size')
             if events:
                 self._deliver(head, events)
         if not splitter.is_between_events:
@@ -252,14 +269,12 @@
     def _check_version(self) -> None:
         """Raise `Garbled` if another version began the stream."""
         if not self._work.may_run_at(self._record):
-            raise Garbled(
-                address=self._record.address, reason='other_version', sent=True
-            )
+            raise self._garbled('other_version')
 
     def _check_order(self, event: StreamEvent) -> None:
         work = self._work
         if event.number == UNUSABLE_NUMBER:
-            raise Garbled(address=self._record.address, reason='event_id', sent=True)
+            raise self._garbled('event_id')
         if event.number == NO_NUMBER:
             work.has_unnumbered_events |= event.has_data
             return
@@ -267,9 +282,12 @@
         if work.last_event is not None:
             expected = work.last_event + 1
         if expected is not None and event.number != expected:
-            raise Garbled(address=self._record.address, reason='order', sent=True)
+            raise self._garbled('order')
         work.last_event = event.number
 
+    def _garbled(self, reason: str) -> Garbled:
+        return Garbled(address=self._record.address, reason=reason, sent=True)
+
     def _record_progress(self) -> None:
         now = time.monotonic()
         self._work.last_event_at = now
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..claims.identity import fingerprint
+from ..exchange.answer_memory import HeldAnswer
 from ..quarantine.content import Content, shared_parts
 from ..routes.repetition import Repetition
 from ..routing.placement import Need
@@ -34,8 +35,9 @@
     gates denied a place.  The request waited for places for `waited_s` seconds in
     all, and `unknown_load_moves` counts its moves to gates whose load was not known.
     `reservation` is the place to which it moves from a replica that has fallen
-    silent.  `may_have_run` is true once a target may have started the request, and
-    `has_lived` once the last run has been writing its answer for a while.
+    silent, and `held` what the entry holds of its answer.  `may_have_run` is true
+    once a target may have started the request, and `has_lived` once the last run has
+    been writing its answer for a while.
 
     `last_event` is the last event that the caller has, or the one after which it
     asked to resume, and `last_event_at` when it was last sent one.
@@ -66,6 +68,7 @@
     unknown_load_moves: int = 0
     replica: str = ''
     reservation: Reservation | None = None
+    held: HeldAnswer | None = None
     shared_parts: tuple[Content, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
--- a/pistachiopath/transport/frames.py
+++ b/pistachiopath/transport/frames.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import struct
+import time
 import zlib
 from typing import TYPE_CHECKING
 
 from ..errors.transport import FrameTooLarge, LinkClosed, MalformedFrame
+from ..util.turns import Turns
 
 if TYPE_CHECKING:
     import socket
@@ -63,12 +65,16 @@
         self._sock = sock
         self._peer = peer
         self._buffer = FrameBuffer()
+        self._turns = Turns(is_limited=False)
 
     def read(self) -> bytes:
         """Return the next payload; raises `LinkClosed` at the end of the stream."""
+        self._turns.take()
         payload = self._buffer.next()
         while payload is None:
+            began_at = time.monotonic()
             data = self._sock.recv(READ_BYTES)
+            self._turns.received(len(data), began_at)
             if not data:
                 raise LinkClosed(peer=self._peer)
             self._buffer.feed(data)
--- a/tests/test_soak/test_program.py
+++ b/tests/test_soak/test_program.py
@@ -24,3 +24,14 @@
     )
     (error,) = program.uncaught_errors()
     assert error.text == 'OverflowError: too large'
+
+
+def test_an_event_loop_that_stands_still_is_an_error(tmp_path):
+    # A replica that wrote without end stopped an entry, which no soak noticed.
+    line = 'at=4 level=error msg=hub_stalled stalled_ms=1200 frames="a.py:1:read"\n'
+    (tmp_path / 'entry-1.log').write_text(LOG.splitlines()[0] + '\n' + line)
+    program = Program(
+        name='entry-1', role='entry', settings={}, folder=tmp_path, guard=None
+    )
+    (error,) = program.uncaught_errors()
+    assert error.text == 'hub_stalled "a.py:1:read"'
--- a/tools/soak/program.py
+++ b/tools/soak/program.py
@@ -25,6 +25,9 @@
 POLL_INTERVAL_S = 0.02
 # From the start of the interpreter to that of a program's first module.
 MAIN_MODULE_S = 0.4
+# Log line of an event loop that stands still.
+STALLED = 'hub_stalled'
+MAX_FRAMES_TEXT = 180
 
 
 class Program:
@@ -129,7 +132,7 @@
         return code
 
     def uncaught_errors(self) -> list[UncaughtError]:
-        """Return the errors that tracebacks in the log end with.
+        """Return the errors that tracebacks in the log end with, and stalls.
 
         A traceback is cut, and left out, if the process was killed within it.
         """
@@ -137,6 +140,10 @@
         is_in_traceback = False
         for line in self._log.read_text(errors='replace').splitlines():
             is_cut = line.startswith('at=')
+            if is_cut and f'msg={STALLED}' in line:
+                frames = line.partition('frames=')[2][-MAX_FRAMES_TEXT:]
+                text = f'{STALLED} {frames}'
+                errors.append(UncaughtError(program=self.name, text=text))
             if is_in_traceback and not line.startswith(' ') and not is_cut:
                 errors.append(UncaughtError(program=self.name, text=line[:200]))
             is_in_traceback = line.startswith('Traceback') or (
