--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -29,9 +29,9 @@
 class _Follower:
     """A node that follows this one, and what it has received.
 
-    `since` is the last change of the directory that was sent to it.  While it
-    receives the configuration of version `sent_version`, until it confirms it
-    or `sent_until`, it is sent no other.
+    `since` is the last change of the directory that was sent to it, and `confirmed`
+    the last one that it said it has.  While it receives the configuration of version
+    `sent_version`, until it confirms it or `sent_until`, it is sent no other.
     """
 
     last_follow_at: float
@@ -39,6 +39,7 @@
     wants_content: bool
     version: int = 0
     since: int = 0
+    confirmed: int = 0
     sent_version: int = 0
     sent_until: float = 0.0
 
@@ -164,6 +165,7 @@
             wants_content=body.wants_content,
             version=body.version,
             since=since,
+            confirmed=since,
         )
         previous = self._followers.get(sender)
         if previous is not None:
@@ -177,10 +179,11 @@
         ]
 
     def link_lost(self, address: str) -> None:
-        """Forget what was on its way to a follower; its next poll is answered."""
+        """Take what a follower has not confirmed for lost; send it again."""
         follower = self._followers.get(address)
         if follower is not None:
             follower.sent_version = 0
+            follower.since = follower.confirmed
 
     def all_entries_hold(self, version: int, now: float) -> bool:
         """Return whether every live entry that follows has this version or a newer."""
@@ -256,6 +259,7 @@
             entries=self.entries(now),
             silent=self.silent(now),
             directory_age_ms=int(self._directory_age_s(now) * 1000),
+            first_change=follower.since + 1,
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,11 @@
 if TYPE_CHECKING:
     from ..messages.directory import News
 
+logger = logging.getLogger(__name__)
+
 FOLLOW_INTERVAL_S = 0.4
+# A node that missed changes asks for them this soon.
+REPAIR_INTERVAL_S = 0.05
 # Control nodes push changes at once, so an entry polls those other than its main
 # one only to see that they are alive.
 FOLLOW_OTHERS_INTERVAL_S = 1.2
@@ -33,6 +38,8 @@
 # The main control node replies within this time to a request that is due.
 MAIN_REPLY_TIMEOUT_S = MAIN_CONTROL_TIMEOUT_S - FOLLOW_INTERVAL_S
 CONTROL_RETENTION_S = 30.0
+# Of the requests after a new link, the reply to the first has come by the last.
+FULL_POLLS = 2
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
 MAX_NEWS_GAP_S = 60.0
@@ -47,6 +54,9 @@
     request was sent that it has not answered, infinity if there is none, and
     -infinity before the first message over a link.  `silent` holds the replicas that
     it reported as silent, and `directory_since` is when its directory begins.
+    All changes of `feed` up to `change` were received.  `states_first` tells whether
+    it says where its news begin.  If it does not, `full_polls` requests ask for all
+    changes after a new link, before its news are believed.
     """
 
     last_listed_at: float
@@ -56,9 +66,18 @@
     newer_version_since: float = math.inf
     feed: int = 0
     change: int = 0
+    full_polls: int = FULL_POLLS
+    states_first: bool = False
     silent: frozenset[str] = frozenset()
     directory_since: float = math.inf
 
+    def has_all_before(self, news: News) -> bool:
+        """Return whether all changes before those of a message were received."""
+        if not news.first_change:
+            return not self.full_polls
+        is_same_feed = news.feed == self.feed
+        return news.first_change <= (self.change if is_same_feed else 0) + 1
+
 
 class Subscriber:
     """Polls every known control node for changes and merges the replies.
@@ -155,6 +174,7 @@
         if source is not None:
             source.last_message_at = -CONTROL_TIMEOUT_S
             source.asked_at = -math.inf
+            source.full_polls = 0 if source.states_first else FULL_POLLS
 
     def tick(self, now: float) -> list[Send]:
         """Return the follow requests that are due."""
@@ -211,8 +231,7 @@
         if now - self._news_at >= MAX_NEWS_GAP_S:
             self._directory_since = now
         self._news_at = now
-        source.feed = body.feed
-        source.change = body.change
+        self._follow_changes(sender, source, body, now)
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
@@ -228,6 +247,33 @@
         self.content = body.content
         return [self._follow(a, s) for a, s in self._sources.items()]
 
+    def _follow_changes(
+        self, sender: str, source: _Source, body: News, now: float
+    ) -> None:
+        """Record the changes that were received without a gap; ask for missing ones."""
+        if body.first_change:
+            source.states_first = True
+            source.full_polls = 0
+        elif source.states_first:
+            source.states_first = False
+            source.full_polls = FULL_POLLS
+        if source.has_all_before(body):
+            source.feed = body.feed
+            source.change = body.change
+            return
+        source.next_follow_at = min(source.next_follow_at, now + REPAIR_INTERVAL_S)
+        if body.first_change:
+            logger.info(
+                'news_missed',
+                extra={
+                    'sender': sender,
+                    'held': source.change,
+                    'first': body.first_change,
+                    'newest': body.change,
+                    'is_same_feed': body.feed == source.feed,
+                },
+            )
+
     def is_silent(self, replica: str, now: float) -> bool:
         """Return whether all control nodes that are alive report a replica as silent.
 
@@ -251,10 +297,12 @@
         self, address: str, source: _Source, *, wants_content: bool = False
     ) -> Send:
         is_supplier = address == self._main or not self.version
+        is_full = source.full_polls > 0
+        source.full_polls = max(0, source.full_polls - 1)
         body = Follow(
             version=self.version,
             feed=source.feed,
-            since=source.change,
+            since=0 if is_full else source.change,
             is_entry=self._is_entry,
             wants_content=self._is_entry and (wants_content or is_supplier),
         )
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -53,6 +53,8 @@
     control nodes, and `entries` the number of entries, from which messages
     arrived recently.  `silent` names the replicas that have not sent an
     announcement recently.  The sender's directory goes back for `directory_age_ms`.
+    `records` holds all changes from `first_change` to `change`, both inclusive; it is
+    0 from older nodes, which do not say where their news begin.
     """
 
     feed: int
@@ -64,6 +66,7 @@
     entries: int
     silent: tuple[str, ...] = independent_items()
     directory_age_ms: int = 0
+    first_change: int = 0
 
 
 @message
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -416,6 +416,7 @@
   entries @6 :Int64;
   silent @7 :List(Text);
   directoryAgeMs @8 :Int64;
+  firstChange @9 :Int64;
 }
 
 struct Announcements {
