Quarantine: a run that has been writing for a second is no suspect (LOST)

Cause: a crash marks the requests that ran, and two marks put a request into quarantine. has_lived spared the parts of the prompt, not the whole request. A request that crashes replicas does so as its answer begins, so one that has been writing for a second is innocent of that crash. Such a run is not marked now, and clears earlier marks of its request at all entries. On a related path, a replica that has announced its leave and ends with work counted as crashed.

Each broken-off run has a log line now.

Not mended: requests without a stream show no life, so two retries of one GET under two crashes still refuse its path for up to 599 s.

--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -100,19 +100,14 @@
             case Delivered():
                 self._record_delivered(work, now)
             case Lost(broken_off=True):
-                self._records[lifetime] = record
-                parts = () if work.has_lived else work.shared_parts
-                self._watch.broke_off(
-                    lifetime, work.fingerprint, work.sent_at, now, parts=parts
-                )
-                self._check_replica(record)
+                self._record_broken_off(work, record, now)
             case NotRun(reason=reason) if reason == REFUSED:
                 self._record_crash(lifetime, now, 'refused')
 
     def run_lived(self, work: Work, now: float) -> None:
         """Record that a run has been writing for a while, so it crashes nothing."""
         work.has_lived = True
-        self._record_proof(work, now)
+        self._record_delivered(work, now)
 
     def tick(self, now: float) -> None:
         """Check whether replicas that broke off runs have ended."""
@@ -171,6 +166,40 @@
         reason = 'quarantined_part' if depth else 'quarantined'
         return TurnedAway(status=503, reason=reason, retry_after_s=remaining_s)
 
+    def _record_broken_off(self, work: Work, record: ReplicaRecord, now: float) -> None:
+        """Record a run that may have crashed its replica.
+
+        What crashes a replica does so when its answer begins, so a run that was
+        writing for a while has not.  A replica that leaves as planned may end with
+        work in progress.
+        """
+        is_leaving = self._is_leaving(record)
+        logger.info(
+            'run_broken_off',
+            extra={
+                'request': work.req.request_id,
+                'lifetime': _lifetime(record),
+                'ran_ms': int((now - work.sent_at) * 1000),
+                'has_lived': work.has_lived,
+                'is_leaving': is_leaving,
+            },
+        )
+        if work.has_lived or is_leaving:
+            return
+        lifetime = _lifetime(record)
+        self._records[lifetime] = record
+        self._watch.broke_off(
+            lifetime, work.fingerprint, work.sent_at, now, parts=work.shared_parts
+        )
+        self._check_replica(record)
+
+    def _is_leaving(self, record: ReplicaRecord) -> bool:
+        """Return whether this lifetime has said that it leaves."""
+        current = self._subscriber.directory.get(record.replica)
+        if current is None or current.born_ms != record.born_ms:
+            return False
+        return current.state == ReplicaState.DRAINING
+
     def _record_delivered(self, work: Work, now: float) -> None:
         self._record_proof(work, now)
         if not self._watch.has_marks:
--- a/tests/test_relay/test_crashes.py
+++ b/tests/test_relay/test_crashes.py
@@ -16,7 +16,7 @@
 from pistachiopath.relay.ended import Delivered
 from tests.harness.waiting import let_pass
 from tests.test_directory.records import record
-from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
+from tests.test_exchange.sockets import CLOSE, MUTE, RESET, Paused, ScriptedTarget
 
 from .parts import (
     IDEMPOTENT,
@@ -285,3 +285,61 @@
     entry.sent_marks.clear()
     entry.crashes.check_send(work, over_at)
     assert entry.sent_marks == []
+
+
+LIVED_S = 1.05
+
+
+def cut_stream(entry, prefix, *, pause_s=LIVED_S):
+    """Let a replica write events for a while, then end with all its connections."""
+    first = stream_head() + chunk(events(1, 1))
+    target = ScriptedTarget([Paused(first, pause_s, chunk(events(2, 2))), RESET])
+    _, work = serve(
+        [target],
+        RESUMABLE,
+        stream=True,
+        attempts=1,
+        crashes=entry.crashes,
+        prefix=prefix,
+    )
+    entry.silent.add(f'{prefix}0')
+    entry.crashes.tick(time.monotonic())
+    entry.silent.clear()
+    return work
+
+
+def test_a_stream_that_two_crashes_cut_midway_is_served_again():
+    # Regression: two unrelated crashes under one long stream put it into
+    # quarantine for ten minutes, though it had run well for seconds.
+    entry = FakeEntry(['r0', 's0'])
+    for prefix in 'rs':
+        work = cut_stream(entry, prefix)
+    assert not entry.crashes.is_quarantined(work, time.monotonic())
+    entry.crashes.check(work, time.monotonic())
+
+
+def test_a_run_that_lived_clears_an_earlier_crash_at_its_beginning():
+    # The first crash came as the stream began, the second one under a run of seconds.
+    entry = FakeEntry(['r0', 's0', 't0'])
+    crash_replica(entry, 'r')
+    cut_stream(entry, 's')
+    work = crash_replica(entry, 't')
+    assert not entry.crashes.is_quarantined(work, time.monotonic())
+
+
+def test_streams_that_crash_replicas_as_they_begin_are_still_quarantined():
+    entry = FakeEntry(['r0', 's0'])
+    for prefix in 'rs':
+        work = cut_stream(entry, prefix, pause_s=0.05)
+    assert entry.crashes.is_quarantined(work, time.monotonic())
+
+
+def test_a_planned_leave_is_no_crash():
+    # Regression: a replica that ended with work in progress counted as crashed.
+    entry = FakeEntry(['r0', 's0'])
+    for prefix in 'rs':
+        leaving = record(replica=f'{prefix}0', sequence=5, state='draining')
+        entry.directory.merge(leaving, 0.0)
+        work = crash_replica(entry, prefix)
+    assert entry.sent_marks == []
+    assert not entry.crashes.is_quarantined(work, time.monotonic())
