Storage: a full disk while the log is rewritten does not end the process (test)

The log's descriptor was closed before the step that failed, so closing the folder, which the replica does before it opens it anew, failed with EBADF outside of what the loop catches.

--- a/tests/test_storage/test_data_folder.py
+++ b/tests/test_storage/test_data_folder.py
@@ -223,3 +223,31 @@
         (tmp_path / name).write_bytes(bytes(1000))
     DataFolder(path=tmp_path).load()
     assert not list(tmp_path.glob('*.new'))
+
+
+@pytest.mark.parametrize('number', range(2))
+def test_a_snapshot_that_a_full_disk_refuses_leaves_a_folder_to_close(
+    tmp_path, monkeypatch, number
+):
+    # Regression: the log's descriptor was closed before the step that failed, so
+    # closing the folder failed as well and ended the process.
+    write_log(tmp_path)
+    folder = DataFolder(path=tmp_path)
+    before = folder.load()
+    replaced = []
+    replace = os.replace
+
+    def fail(source, target):
+        if len(replaced) == number:
+            raise OSError(errno.ENOSPC, 'no space')
+        replaced.append(target)
+        replace(source, target)
+
+    monkeypatch.setattr(os, 'replace', fail)
+    with pytest.raises(StorageFailed):
+        folder.write(SaveSnapshot(index=2, term=1, members=MEMBERS, data=b'state'))
+    monkeypatch.undo()
+    folder.close()
+    after = DataFolder(path=tmp_path).load()
+    expected = before.entries if number == 0 else before.entries[2:]
+    assert after.entries == expected
