Group: a kill during the first start does not keep the group from forming (Acks)

Cause: only the lowest address forms the first group, so that no two do, and only a first process may, as a later one can't tell its empty folder from a lost one. The others waited for a member that may not form it any more.

Now replies to probes say whether a member may form the group, and of those that may the lowest does. All configured addresses still have to answer that they are empty, so a group that has formed is always found.

--- a/pistachiopath/messages/replication.py
+++ b/pistachiopath/messages/replication.py
@@ -153,12 +153,17 @@
 
 @message
 class ProbeReply(Message):
-    """Reply to a Probe; `blank` is true if the sender's log is empty."""
+    """Reply to a Probe; `blank` is true if the sender's log is empty.
+
+    `forms` tells whether it may form the first group, as it runs since the system
+    was first started; it is false from older nodes.
+    """
 
     member: str
     address: str
     blank: bool
     diskless: bool = False
+    forms: bool = False
 
 
 @message
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -41,7 +41,8 @@
     learners.  A voter that has been silent for `REPLACE_VOTER_AFTER_S` is
     replaced if a learner is ready for promotion.  Members change one at a time.
 
-    This member takes part in forming a first group only if `forms` is true.  With
+    Of the members that may form the first group, which `forms` tells, the one with
+    the lowest address does.  With
     `diskless` it is never a voter: it follows the log and passes requests on.
     """
 
@@ -137,6 +138,7 @@
             address=self.replica.address,
             blank=self.is_blank,
             diskless=self._diskless,
+            forms=self._can_form,
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
@@ -171,10 +173,9 @@
         if not (self.is_blank and self._can_form and all_blank):
             return []
         replies = [self._blank_replies[a][1] for a in self._other_addresses]
-        others = [_member_of(reply) for reply in replies]
-        if any(m.voter and m.address < self.replica.address for m in others):
+        if any(r.forms and r.address < self.replica.address for r in replies):
             return []
-        return self._form(tuple(others))
+        return self._form(tuple(_member_of(reply) for reply in replies))
 
     def _form(self, others: tuple[Member, ...]) -> list[Effect]:
         own = Member(member=self.replica.member, address=self.replica.address)
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -269,6 +269,7 @@
   address @1 :Text;
   blank @2 :Bool;
   diskless @3 :Bool;
+  forms @4 :Bool;
 }
 
 struct Form {
--- a/tests/test_document/test_core.py
+++ b/tests/test_document/test_core.py
@@ -199,3 +199,20 @@
     leader.start()
     world.run(2.0)
     assert all(node.core.version == acked for node in world.nodes.values())
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_a_kill_during_the_first_start_does_not_keep_the_group_from_forming(seed):
+    # Regression: only the member with the lowest address formed the first group, and
+    # only in its first process, so all control nodes ran and answered 503 for ever.
+    world = DocumentWorld(seed=seed)
+    name = world.rng.choice(['c0', 'c0', 'c1', 'c2'])
+    world.run(world.rng.choice([0.0, 0.001, 0.01, 0.1, 0.5]))
+    world.nodes[name].kill(power=world.rng.random() < 0.5)
+    world.run(world.rng.uniform(0.0, 1.0))
+    world.nodes[name].start()
+    world.run(4.0)
+    version = world.put()
+    world.run(1.0)
+    assert world.acked == version
+    assert len({node.replica.members for node in world.nodes.values()}) == 1
