--- a/pistachiopath/util/turns.py
+++ b/pistachiopath/util/turns.py
@@ -38,8 +38,8 @@
     A socket that has data returns it without a switch to another greenlet, so a
     peer that writes without end would stop the process.  `take` is called before
     each piece of work, and `received` after each read.  With `is_limited`, readers
-    that never wait get a fifth of the time together, however many they are, so that
-    the rest is left for the others.
+    that never wait get a quarter of the time together, however many they are, so
+    that the rest is left for the others.
 
     >>> turns = Turns()
     >>> turns.take()
