--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -18,6 +18,7 @@
 from ..util.loop_failures import LoopFailures
 from ..util.loop_part import LoopPart
 from ..util.periodic_loop import PeriodicLoop
+from ..util.turn_clock import TurnClock
 from .admitter import Admitter
 from .crashes import Crashes
 from .departure import Departure
@@ -97,6 +98,7 @@
             send=self._network.send,
             log=GateLog(metrics=metrics),
         )
+        self._turns = TurnClock()
         self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
         self._pool = ConnectionPool(
             request_id_header=dialect.request_id_header,
@@ -116,6 +118,7 @@
             agent_port=cfg.agent_port,
             routes=lambda: self._routes.current,
             health=self._placement.health,
+            turns=self._turns,
             drain_s=cfg.drain_s,
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
@@ -248,6 +251,7 @@
 
     def _tick_parts(self) -> list[LoopPart]:
         return [
+            LoopPart(name='turns', run=self._turns.turn),
             LoopPart(name='controls', run=self._messages.follow_controls),
             LoopPart(name='gates', run=self._messages.watch_gates),
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
--- a/pistachiopath/relay/lifetime_doubts.py
+++ b/pistachiopath/relay/lifetime_doubts.py
@@ -23,8 +23,8 @@
 
     @property
     def is_late(self) -> bool:
-        """Return whether the lifetime may have ended before it was doubted."""
-        return self.since < self.noted_at
+        """Return whether there was time for a restart before it was doubted."""
+        return self.noted_at - self.since >= RESTART_MIN_S
 
 
 class LifetimeDoubts:
@@ -42,7 +42,7 @@
     def note(
         self, record: ReplicaRecord, now: float, *, since: float | None = None
     ) -> None:
-        """Record a connection that broke, `since` some time ago if that is given."""
+        """Record a connection that broke, maybe as early as `since`."""
         key = (record.replica, record.born_ms)
         known = self._doubts.pop(key, None)
         if known is not None and known.is_late and now - known.noted_at < self._doubt_s:
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -23,6 +23,7 @@
     from ..routes.service import Service
     from ..routing.replica_health import ReplicaHealth
     from ..streams.service_version import ServiceVersion
+    from ..util.turn_clock import TurnClock
 
 logger = logging.getLogger(__name__)
 
@@ -43,7 +44,8 @@
 
     The agent beside a replica listens at the replica's own IP address.  A replica
     that drains serves for `drain_s` after it was heard, and one whose connection
-    broke takes no resumed stream for `doubt_s`.
+    broke takes no resumed stream for `doubt_s`, or until it shows that it has not
+    started again.  `turns` tells when a break that is read now may have been.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         agent_port: int,
         routes: Callable[[], RouteSet | None],
         health: ReplicaHealth,
+        turns: TurnClock,
         drain_s: float = DRAIN_S,
         doubt_s: float = DOUBT_S,
     ) -> None:
@@ -62,6 +65,7 @@
         self._agent_port = agent_port
         self._routes = routes
         self._health = health
+        self._turns = turns
         self._drain_s = drain_s
         self._doubts = LifetimeDoubts(doubt_s=doubt_s)
         self._left: set[tuple[str, int]] = set()
@@ -162,8 +166,7 @@
 
         It may not while the replica may have started again with another version.
         """
-        versions = self._subscriber.directory.versions(record.service)
-        if len(versions) > 1 and self._doubts.holds(record, now):
+        if self._doubts.holds(record, now):
             return False
         current = self._subscriber.directory.get(record.replica)
         if current is None or current.born_ms != record.born_ms:
@@ -175,7 +178,8 @@
 
     def doubt(self, record: ReplicaRecord, now: float) -> None:
         """Record that a replica's connection broke or was refused."""
-        self._doubts.note(record, now)
+        since = min(now, self._turns.may_have_come_at(now))
+        self._doubts.note(record, now, since=since)
 
     def closed_early(self, address: str, since: float, now: float) -> None:
         """Record that a connection that was idle since then was closed before its time.
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -12,6 +12,7 @@
 from pistachiopath.routes.route_set import RouteSet
 from pistachiopath.routes.service import Service
 from pistachiopath.routing.replica_health import ReplicaHealth
+from pistachiopath.util.turn_clock import TurnClock
 from tests.harness.waiting import let_pass
 from tests.test_directory.records import record
 from tests.test_grants.asks import ask
@@ -75,6 +76,7 @@
         agent_port=7002,
         routes=lambda: routes,
         health=ReplicaHealth(),
+        turns=TurnClock(),
     )
 
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 from pistachiopath.grants.watch import LoadWatch
 from pistachiopath.platform.configuration import decode_configuration
@@ -14,7 +15,7 @@
 from .parts import FakeEntry
 
 
-def make_targets(*replicas, routes=lambda: None, health=None):
+def make_targets(*replicas, routes=lambda: None, health=None, turns=None):
     entry = FakeEntry(replicas)
     return entry, Targets(
         subscriber=entry,
@@ -22,9 +23,20 @@
         agent_port=7002,
         routes=routes,
         health=health or ReplicaHealth(),
+        turns=turns or Turns(),
     )
 
 
+class Turns:
+    """Clock of a process that stood still since `stood_since`, or never did."""
+
+    def __init__(self, stood_since=math.inf):
+        self.stood_since = stood_since
+
+    def may_have_come_at(self, now):
+        return min(now, self.stood_since)
+
+
 def names(targets):
     return [r.replica for r in targets.ready()]
 
@@ -115,12 +127,22 @@
     assert targets.may_resume(record(), 11.2 + DOUBT_S)
 
 
-def test_while_one_version_serves_a_broken_connection_stops_no_stream():
+def test_a_break_stops_no_stream_while_one_version_is_known():
+    # The second version is announced only after the first replica of it has served.
     _, targets = make_targets('r1', 'r2')
     targets.doubt(record(), 10.0)
+    assert not targets.may_resume(record(), 10.1)
+    targets.accepted('10.0.0.1:80', 10.1)
     assert targets.may_resume(record(), 10.1)
 
 
+def test_a_break_that_is_read_after_a_standstill_counts_as_if_it_were_new():
+    _, targets = make_targets('r1', turns=Turns(stood_since=8.0))
+    targets.doubt(record(), 10.0)
+    targets.accepted('10.0.0.1:80', 10.01)
+    assert not targets.may_resume(record(), 10.1)
+
+
 def test_an_entry_that_has_just_started_cannot_tell_that_a_version_is_gone():
     _, targets = make_targets()
     assert not targets.is_version_gone(V1, 1.0)
