Soak: replicas come back with the next software version while entries stand still

Until now a replica that kept its id kept its version too, and one with another version always had a new id, so `Expect-Replica` told them apart; announcements after a crash were never late, and streams of 0.3 to 2.1 s seldom outlast a pause of 0.5 to 3 s.

The kind release_in_pause starts 16 readers of streams of 3 to 6 s, stops one or two entries for 0.4 to 2.5 s, and lets one or two replicas crash at that moment and come back after 0.1 to 0.6 s with the next version, four of five under their ids, at once or up to 3 s late in the directory. The others follow one after another. Two more replicas of the engine have no agent. The kind is in OPEN_KINDS until the programs bear it.

The report now also tells which share of new streams begins and of returns goes on while two replicas of their version serve.

--- a/tests/test_soak/test_plan.py
+++ b/tests/test_soak/test_plan.py
@@ -38,6 +38,16 @@
     assert {fault.kind for plan in plans for fault in plan.faults} == kinds
 
 
+def test_releases_in_a_pause_do_not_end_the_pause_of_another():
+    for seed in range(20):
+        faults = make_plan(
+            seed, LENGTH_S, TOPOLOGY, {FaultKind.RELEASE_IN_PAUSE}
+        ).faults
+        assert len(faults) > 3
+        for first, second in zip(faults, faults[1:], strict=False):
+            assert second.at_s >= first.at_s + first.for_s
+
+
 def test_most_of_the_core_is_never_disturbed_by_two_faults_of_a_group():
     for seed in range(50):
         faults = make_plan(seed, LENGTH_S, TOPOLOGY, PLANNED_KINDS).faults
--- a/tools/soak/announcer.py
+++ b/tools/soak/announcer.py
@@ -58,8 +58,9 @@
             gevent.sleep(self._period_s * self._rng.uniform(0.9, 1.1))
 
     def announce(self, lifetime: Lifetime) -> None:
-        """Announce the state of a lifetime, unless it has said that it is gone."""
-        if lifetime.state is LifetimeState.GONE:
+        """Announce the state of a lifetime, unless it is gone or too young for that."""
+        is_early = time.monotonic() < lifetime.announces_from
+        if is_early or lifetime.state is LifetimeState.GONE:
             return
         lifetime.sequence += 1
         self._call('PUT', lifetime, self._body(lifetime))
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -27,6 +27,8 @@
 MAX_RETRIES = 3
 RETRY_PAUSE_S = 0.1
 EVENT_COUNTS = (4, 40)
+# Streams of readers, which last from 3 to 6 s.
+LONG_EVENT_COUNTS = (60, 120)
 GIVE_UP_SHARE = 0.05
 GIVE_UP_S = (0.2, 1.2)
 KINDS = (
@@ -77,11 +79,17 @@
             gevent.sleep(self._rng.uniform(*PAUSE_S))
             if self._rng.random() < NEW_CONNECTION_SHARE:
                 self._drop_connection()
-            self._request(self._rng.choices(kinds, weights)[0])
+            self._follow(self._new_attempt(self._rng.choices(kinds, weights)[0]))
 
-    def _request(self, kind: RequestKind) -> None:
+    def read_long_stream(self) -> None:
+        """Ask for one long stream, follow it to its end and leave."""
+        kind = RequestKind.RESUMABLE_STREAM
+        events = self._rng.randint(*LONG_EVENT_COUNTS)
+        self._follow(self._attempt(kind, f'{kind.prefix}{self._name}/1/{events}'))
+        self._drop_connection()
+
+    def _follow(self, attempt: Attempt) -> None:
         """Send a request, and again on new connections while that is allowed."""
-        attempt = self._new_attempt(kind)
         self._send(attempt)
         for _ in range(MAX_RETRIES):
             retry = self._retry(attempt)
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -96,6 +96,7 @@
             rng=self.rng('rotation'),
         )
         self._greenlets: list[gevent.Greenlet] = []
+        self._readers = 0
 
     def __enter__(self) -> Deployment:
         return self
@@ -129,21 +130,29 @@
 
     def start_callers(self) -> None:
         """Start the callers, which send requests until the end of the run."""
-        links = {name: self.topology.link(name) for name in self.topology.entry_names}
-        callers = min(MAX_CALLERS, CALLERS_PER_ENTRY * len(links))
+        callers = min(MAX_CALLERS, CALLERS_PER_ENTRY * len(self.topology.entry_names))
         customers = [CUSTOMER] * callers + [METERED_CUSTOMER] * METERED_CALLERS
         for number, customer in enumerate(customers):
-            caller = Caller(
-                name=f'c{number}',
-                customer=customer,
-                links=links,
-                rotation=self.rotation,
-                lifetime=self.fleet.starts,
-                configuration=lambda: self.operator.version,
-                history=self.history,
-                rng=self.rng(f'caller-{number}'),
-            )
-            self._spawn(caller.run)
+            self._spawn(self._caller(f'c{number}', customer).run)
+
+    def start_readers(self, count: int) -> None:
+        """Start callers that ask for one long stream each."""
+        for number in range(self._readers, self._readers + count):
+            self._spawn(self._caller(f'r{number}', CUSTOMER).read_long_stream)
+        self._readers += count
+
+    def _caller(self, name: str, customer: str) -> Caller:
+        topology = self.topology
+        return Caller(
+            name=name,
+            customer=customer,
+            links={entry: topology.link(entry) for entry in topology.entry_names},
+            rotation=self.rotation,
+            lifetime=self.fleet.starts,
+            configuration=lambda: self.operator.version,
+            history=self.history,
+            rng=self.rng(name),
+        )
 
     def replicas_of(self, name: str) -> list[Replica]:
         """Return the replica at a VM, or all replicas of a service."""
--- a/tools/soak/fault_kind.py
+++ b/tools/soak/fault_kind.py
@@ -48,6 +48,7 @@
     REPLICA_LEAVES_FALSELY = 'replica_leaves_falsely', 'replica', 4.0, 6.0
     REPLICA_SILENT = 'replica_silent', 'replica or service', 2.0, 4.0
     RELEASE = 'release', 'engines', 1.0, 3.0
+    RELEASE_IN_PAUSE = 'release_in_pause', 'engines', 4.0, 6.0
     ODD_ANNOUNCEMENTS = 'odd_announcements', '', 1.0, 2.0
 
     # Not planned; the soak notices them.
@@ -65,7 +66,7 @@
 
 # Faults that the programs are known not to bear yet.  They are planned only if they
 # are asked for; a kind that is borne is taken out of this set.
-OPEN_KINDS: frozenset[FaultKind] = frozenset()
+OPEN_KINDS = frozenset({FaultKind.RELEASE_IN_PAUSE})
 NOTICED_KINDS = frozenset({FaultKind.PROGRAM_STARVED, FaultKind.SOAK_LATE})
 PLANNED_KINDS = frozenset(FaultKind) - NOTICED_KINDS
 USUAL_KINDS = PLANNED_KINDS - OPEN_KINDS
@@ -78,6 +79,8 @@
         FaultKind.CONFIGURATION_INVALID,
     }
 )
+# While one of these takes place, no other fault restarts a replica.
+RELEASE_KINDS = frozenset({FaultKind.RELEASE, FaultKind.RELEASE_IN_PAUSE})
 # Of these at most one takes place at a time.
 CORE_KINDS = frozenset(
     {
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,8 +13,9 @@
 from .bounds import Bounds
 from .fault import FaultRecord
 from .fault_kind import PLANNED_WORK, FaultKind
-from .operations import Departure, OwnEnd, Put, Read, UncaughtError, Usage
+from .operations import Departure, OwnEnd, Put, Read, SoftwareSpan, UncaughtError, Usage
 from .request_kind import RequestKind
+from .topology import ENGINE_SERVICE, service_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,6 +37,7 @@
     puts: list[Put] = attrs.field(factory=list)
     reads: list[Read] = attrs.field(factory=list)
     departures: list[Departure] = attrs.field(factory=list)
+    software: list[SoftwareSpan] = attrs.field(factory=list)
     own_ends: list[OwnEnd] = attrs.field(factory=list)
     errors: list[UncaughtError] = attrs.field(factory=list)
     usages: list[Usage] = attrs.field(factory=list)
@@ -88,6 +90,16 @@
                 return fault
         return None
 
+    def versions_served(self, at: float, replicas: int) -> set[str]:
+        """Return the engine's versions of which so many replicas ran at a moment."""
+        counts = Counter(
+            span.version
+            for span in self.software
+            if service_of(span.place) == ENGINE_SERVICE
+            and span.began_at <= at < span.ended_at
+        )
+        return {version for version, count in counts.items() if count >= replicas}
+
     def around(self, at: float, span_s: float = 5.0) -> list[FaultRecord]:
         """Return all faults within `span_s` before a moment, or 1 s after it."""
         return [f for f in self.faults if f.overlaps(at - span_s, at + 1.0)]
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -13,6 +13,7 @@
 from .disturbed_program import Disturbance
 from .fault import FaultRecord
 from .fault_kind import FaultKind
+from .paused_release import PausedRelease
 from .replica_faults import ReplicaFaults
 
 if TYPE_CHECKING:
@@ -42,6 +43,9 @@
         self._history = deployment.history
         self._rng = rng
         self._replicas = ReplicaFaults(deployment=deployment, rng=rng)
+        self._paused_release = PausedRelease(
+            deployment=deployment, rng=rng, recorded=self._recorded
+        )
 
     def run(self, plan: Plan) -> None:
         """Carry out a plan and return after the end of its last fault."""
@@ -84,6 +88,7 @@
             FaultKind.STORAGE_FULL: self._disturb_program,
             FaultKind.CLOCK_STEPPED: self._disturb_program,
             FaultKind.SETTINGS_CHANGED: self._change_settings,
+            FaultKind.RELEASE_IN_PAUSE: self._paused_release.carry_out,
             FaultKind.CONFIGURATION_CHANGED: lambda _: operator.change(),
             FaultKind.CONFIGURATION_INVALID: lambda _: operator.send_invalid(),
         }
--- a/tools/soak/lifetime.py
+++ b/tools/soak/lifetime.py
@@ -20,7 +20,8 @@
 class Lifetime:
     """Identity and state of a replica between a start and an end.
 
-    `sequence` counts its announcements and `runs` the requests that it ran;
+    It announces itself from `announces_from` on, monotonic seconds.  `sequence` counts
+    its announcements and `runs` the requests that it ran;
     `waiting` requests wait for one of its `slots`.
     """
 
@@ -34,5 +35,6 @@
     state: LifetimeState = LifetimeState.READY
     sequence: int = 0
     runs: int = 0
+    announces_from: float = 0.0
     says_leaving: bool = False
     is_ended: bool = False
--- a/tools/soak/operations.py
+++ b/tools/soak/operations.py
@@ -42,6 +42,16 @@
     born_ms: int = 0
 
 
+@attrs.define(kw_only=True)
+class SoftwareSpan:
+    """The time in which a place had a replica of a software version."""
+
+    place: str
+    version: str
+    began_at: float
+    ended_at: float = math.inf
+
+
 @attrs.define(kw_only=True, frozen=True)
 class OwnEnd:
     """A program that ended though nobody ended it."""
--- a/tools/soak/replica.py
+++ b/tools/soak/replica.py
@@ -11,6 +11,7 @@
 from .behaviour import Behaviour
 from .http_stream import BadMessage, CutOff, HttpStream, reset
 from .lifetime import Lifetime
+from .operations import SoftwareSpan
 from .replica_run import ReplicaRun, RunEnded
 from .topology import service_of, split_address
 
@@ -42,6 +43,7 @@
         self._history = history
         self._rng = rng
         self._server: gevent.server.StreamServer | None = None
+        self._span: SoftwareSpan | None = None
         self._streams: set[HttpStream] = set()
 
     def start(self, version: str, *, keeps_id: bool = False) -> None:
@@ -62,12 +64,17 @@
         self.behaviour = Behaviour()
         self._server = gevent.server.StreamServer(self._address, self._serve)
         self._server.start()
+        self._span = SoftwareSpan(
+            place=self.place, version=version, began_at=time.monotonic()
+        )
+        self._history.software.append(self._span)
 
     def end(self) -> None:
         """End the lifetime: reset all connections and stop listening."""
         if self.lifetime is None or self.lifetime.is_ended:
             return
         self.lifetime.is_ended = True
+        self._span.ended_at = time.monotonic()
         self.behaviour.reset()
         self._server.stop(timeout=0)
         for stream in list(self._streams):
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .fault_kind import NOTICED_KINDS
+from .returns import StreamShares
 
 if TYPE_CHECKING:
     from .checks.violation import Violation
@@ -26,6 +27,7 @@
         f'seed {seed}, {span_s:.0f} s: {verdict}',
         *_violations(history, violations),
         *_requests(history),
+        *_streams(history),
         *_faults(history),
         *_recovery(history),
         *_waits(history),
@@ -66,6 +68,15 @@
     return lines
 
 
+def _streams(history: History) -> list[str]:
+    """Return how many streams begin and go on while two replicas could serve them."""
+    lines = ['streams, while two replicas of their version serve:']
+    for where, is_calm in (('all entries', False), ('undisturbed entries', True)):
+        shares = StreamShares.of_history(history, is_calm=is_calm)
+        lines.append(f'  {where}: new {shares.new}, returns {shares.returns}')
+    return lines
+
+
 def _faults(history: History) -> list[str]:
     counts = Counter(fault.kind for fault in history.faults)
     shown = ', '.join(f'{kind} {n}' for kind, n in sorted(counts.items()))
--- a/tools/soak/topology.py
+++ b/tools/soak/topology.py
@@ -12,6 +12,8 @@
 ENGINE_SERVICE = 'model'
 PLAIN_SERVICES = ('desk', 'ledger')
 PLAIN_REPLICAS = 2
+# Replicas of the engine that have no agent beside them.
+BARE_ENGINES = 2
 CONTROLS = 3
 
 # Blocks of 256 addresses: VMs of each kind, the proxies before them, and unused ones.
@@ -42,7 +44,7 @@
     reach entries, replicas and operators reach control nodes, and entries reach
     replicas through it.  Entries and control nodes reach one another through proxies
     too, at the addresses that they advertise.  An agent is on the VM where its
-    replica's link listens, because entries look for it there.
+    replica's link listens, because entries look for it there; some have none.
     """
 
     network: str
@@ -65,13 +67,13 @@
             network=f'127.{FIRST_NETWORK + pid % NETWORKS}',
             first_block=FIRST_BLOCKS[pid // NETWORKS % len(FIRST_BLOCKS)],
             entry_names=_names('entry', CONTROLS + 2 * (size - 1)),
-            engine_names=_names(ENGINE_SERVICE, 3 * size),
+            engine_names=_names(ENGINE_SERVICE, 3 * size + BARE_ENGINES),
         )
 
     @property
     def agent_names(self) -> tuple[str, ...]:
         """Names of the agents."""
-        return tuple(f'agent-{name}' for name in self.engine_names)
+        return tuple(f'agent-{name}' for name in self.engine_names[:-BARE_ENGINES])
 
     @property
     def replica_names(self) -> tuple[str, ...]:
