--- a/tools/soak/topology.py
+++ b/tools/soak/topology.py
@@ -12,8 +12,8 @@
 ENGINE_SERVICE = 'model'
 PLAIN_SERVICES = ('desk', 'ledger')
 PLAIN_REPLICAS = 2
-# Replicas of the engine that have no agent beside them.
-BARE_ENGINES = 2
+# So many replicas of the engine have no agent beside them.
+BARE_ENGINES = 1
 CONTROLS = 3
 
 # Blocks of 256 addresses: VMs of each kind, the proxies before them, and unused ones.
