Streams go on only where the lifetime at the other end is proven (ORDER)

A stream was begun or taken up at a process that had started again, under its id and address, before its announcement.

Cause: a stream's version was that of the record by which its replica was chosen. What an entry knows of a replica is as old as its last report, as the way of the news, and as the entry's own standstill. Class: when something is seen is taken for when it was.

Now a lifetime is tied to a connection. ProcessSpans joins connections to an address that overlap: bytes that arrive, with the connection still open, show that one process ran since the oldest of them. KnownLifetimes proves that process to be the lifetime of the record if that lifetime announced itself after it was reached (asked of control nodes when it matters; all times count from the question, not from the reading), or if it has run for three periods of announcements, the news of that time are in, and no other lifetime can be meant. What is not proven is not joined: the answer ends, the return gets 503 version_unknown, and no control node is told.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,6 +10,7 @@
 from ..effects import Send
 from ..messages.directory import Announcements, News
 from .directory import GONE_RETENTION_S, Directory
+from .heard_lifetimes import HeardLifetimes
 
 if TYPE_CHECKING:
     from ..messages.directory import Follow, ReplicaRecord
@@ -23,6 +25,8 @@
 # At most this much of configurations is on its way to all followers together, but
 # one configuration at least.
 MAX_CONTENT_BYTES_SENT = 2 * 1024 * 1024
+# Replicas that a follower may ask for in one message.
+MAX_ASKED = 200
 
 
 @attrs.define(kw_only=True)
@@ -89,6 +93,7 @@
         self._waiting: set[str] = set()
         self._controls: dict[str, float] = {}
         self._last_announced_at: dict[str, float] = {}
+        self._heard = HeardLifetimes()
 
     def controls(self, now: float) -> tuple[str, ...]:
         """Return the control nodes seen within `CONTROL_RETENTION_S`.
@@ -111,8 +116,14 @@
         """Record that another control node sent a message."""
         self._controls[address] = now
 
-    def announce(self, record: ReplicaRecord, now: float) -> list[Send]:
-        """Merge an announcement of a replica and forward it."""
+    def announce(
+        self, record: ReplicaRecord, now: float, *, sent_after: float = -math.inf
+    ) -> list[Send]:
+        """Merge an announcement of a replica and forward it.
+
+        It did not arrive before `sent_after`.
+        """
+        self._heard.heard(record, sent_after)
         return self._merge((record,), now, forward=True)
 
     def depart(self, replica: str, now: float) -> list[Send]:
@@ -173,9 +184,15 @@
             follower.sent_until = previous.sent_until
         self._followers[sender] = follower
         chosen = self._choose_receivers({*self._waiting, sender}, now)
+        reply = self._push_to(sender, now, with_content=sender in chosen)
+        answers = tuple(self._heard.find(body.asked[:MAX_ASKED], now))
+        news = attrs.evolve(reply.body, question=body.question, heard=answers)
         return [
-            self._push_to(name, now, with_content=name in chosen)
-            for name in (sender, *sorted(chosen - {sender}))
+            attrs.evolve(reply, body=news),
+            *(
+                self._push_to(name, now, with_content=True)
+                for name in sorted(chosen - {sender})
+            ),
         ]
 
     def link_lost(self, address: str) -> None:
@@ -199,6 +216,7 @@
             if now - follower.last_follow_at >= FOLLOWER_RETENTION_S:
                 del self._followers[name]
         self.directory.prune(now)
+        self._heard.prune(now)
         for replica in list(self._last_announced_at):
             if self.directory.get(replica) is None:
                 del self._last_announced_at[replica]
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -14,6 +14,8 @@
 from .directory import Directory
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..messages.directory import News
 
 logger = logging.getLogger(__name__)
@@ -43,6 +45,8 @@
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
 MAX_NEWS_GAP_S = 60.0
+# Unanswered requests to one control node whose times are kept.
+MAX_QUESTIONS = 64
 
 
 @attrs.define(kw_only=True)
@@ -56,7 +60,9 @@
     it reported as silent, and `directory_since` is when its directory begins.
     All changes of `feed` up to `change` were received.  `states_first` tells whether
     it says where its news begin.  If it does not, `full_polls` requests ask for all
-    changes after a new link, before its news are believed.
+    changes after a new link, before its news are believed.  `questions` holds when
+    each unanswered request was sent, and all that was known at `covered_at` was
+    received.
     """
 
     last_listed_at: float
@@ -70,6 +76,8 @@
     states_first: bool = False
     silent: frozenset[str] = frozenset()
     directory_since: float = math.inf
+    questions: dict[int, float] = attrs.field(factory=dict)
+    covered_at: float = -math.inf
 
     def has_all_before(self, news: News) -> bool:
         """Return whether all changes before those of a message were received."""
@@ -101,6 +109,7 @@
         self._main = ''
         self._directory_since = math.inf
         self._news_at = -math.inf
+        self._last_question = 0
 
     def set_seeds(self, seeds: tuple[str, ...], now: float) -> None:
         """Follow the control nodes at these addresses in addition to others."""
@@ -149,6 +158,31 @@
         ]
         return max(0.0, now - min([self._directory_since, *begins]))
 
+    def covered_at(self) -> float:
+        """Return a time until which all announcements were received.
+
+        More than half of the control nodes have answered a request that was sent
+        later: when an answer is read does not tell how old it is.
+        """
+        covered = sorted((s.covered_at for s in self._sources.values()), reverse=True)
+        return covered[len(covered) // 2] if covered else -math.inf
+
+    def asked_at(self, sender: str, body: News) -> float:
+        """Return when the request was sent that a message answers.
+
+        It is -infinity if the message answers none, or one of before a lost link.
+        """
+        source = self._sources.get(sender)
+        return source.questions.get(body.question, -math.inf) if source else -math.inf
+
+    def ask(self, replicas: Iterable[str], now: float) -> list[Send]:
+        """Return requests for when lifetimes of replicas announced themselves last."""
+        asked = tuple(sorted(replicas))
+        return [
+            self._follow(address, self._sources[address], now, asked=asked)
+            for address in self.heard(now)
+        ]
+
     def contact_s(self, now: float) -> float:
         """Return for how many seconds this node has heard of control nodes."""
         return max(0.0, now - self._directory_since)
@@ -174,6 +208,7 @@
         if source is not None:
             source.last_message_at = -CONTROL_TIMEOUT_S
             source.asked_at = -math.inf
+            source.questions.clear()
             source.full_polls = 0 if source.states_first else FULL_POLLS
 
     def tick(self, now: float) -> list[Send]:
@@ -194,7 +229,9 @@
                 address, main, has_no_contact=has_no_contact
             )
             source.asked_at = min(source.asked_at, now)
-            effects.append(self._follow(address, source, wants_content=is_content_late))
+            effects.append(
+                self._follow(address, source, now, wants_content=is_content_late)
+            )
         return effects
 
     def _content_timeout_s(self, address: str, main: str) -> float:
@@ -231,7 +268,8 @@
         if now - self._news_at >= MAX_NEWS_GAP_S:
             self._directory_since = now
         self._news_at = now
-        self._follow_changes(sender, source, body, now)
+        asked_at = source.questions.pop(body.question, -math.inf)
+        self._follow_changes(sender, source, body, asked_at, now)
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
@@ -245,10 +283,10 @@
             return []
         self.version = body.version
         self.content = body.content
-        return [self._follow(a, s) for a, s in self._sources.items()]
+        return [self._follow(a, s, now) for a, s in self._sources.items()]
 
     def _follow_changes(
-        self, sender: str, source: _Source, body: News, now: float
+        self, sender: str, source: _Source, body: News, asked_at: float, now: float
     ) -> None:
         """Record the changes that were received without a gap; ask for missing ones."""
         if body.first_change:
@@ -260,6 +298,7 @@
         if source.has_all_before(body):
             source.feed = body.feed
             source.change = body.change
+            source.covered_at = max(source.covered_at, asked_at)
             return
         source.next_follow_at = min(source.next_follow_at, now + REPAIR_INTERVAL_S)
         if body.first_change:
@@ -294,8 +333,18 @@
         return source
 
     def _follow(
-        self, address: str, source: _Source, *, wants_content: bool = False
+        self,
+        address: str,
+        source: _Source,
+        now: float,
+        *,
+        wants_content: bool = False,
+        asked: tuple[str, ...] = (),
     ) -> Send:
+        self._last_question += 1
+        source.questions[self._last_question] = now
+        if len(source.questions) > MAX_QUESTIONS:
+            del source.questions[next(iter(source.questions))]
         is_supplier = address == self._main or not self.version
         is_full = source.full_polls > 0
         source.full_polls = max(0, source.full_polls - 1)
@@ -305,6 +354,8 @@
             since=0 if is_full else source.change,
             is_entry=self._is_entry,
             wants_content=self._is_entry and (wants_content or is_supplier),
+            question=self._last_question,
+            asked=asked,
         )
         return Send(to=address, call=0, body=body)
 
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -21,6 +21,7 @@
 from ..transport.network import Network
 from ..util.loop_part import LoopPart
 from ..util.periodic_loop import PeriodicLoop
+from ..util.turn_clock import TurnClock
 from .client import DocumentClient
 from .core import DocumentCore
 from .lending import Lending
@@ -118,10 +119,12 @@
             send_all=self._network.send_all,
         )
         self._adopted_version = 0
+        self._turns = TurnClock()
         self._timers = PeriodicLoop(
             name='control_timers',
             interval_s=TICK_INTERVAL_S,
             parts=[
+                LoopPart(name='turns', run=self._turns.turn),
                 LoopPart(name='peers', run=self._follow_peers),
                 LoopPart(name='calls', run=self.requests.resend),
                 LoopPart(name='customers', run=self._adopt_customers),
@@ -179,7 +182,10 @@
 
     def announce(self, record: ReplicaRecord) -> None:
         """Merge a replica's announcement and forward it."""
-        self._network.send_all(self.announcer.announce(record, time.monotonic()))
+        now = time.monotonic()
+        sent_after = self._turns.may_have_come_at(now)
+        effects = self.announcer.announce(record, now, sent_after=sent_after)
+        self._network.send_all(effects)
 
     def depart(self, replica: str) -> None:
         """Mark a replica as departed and forward the change."""
--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -22,6 +22,7 @@
     `on_accepted` is called with the address of a target that accepted the connection
     of a check, and `on_closed_early` with that of a target that closed an idle
     connection before the time it had stated, and the time since when it was idle.
+    `on_heard` is that of `TargetConnection`.
     """
 
     def __init__(
@@ -30,10 +31,12 @@
         request_id_header: bytes,
         on_accepted: Callable[[str], None] = lambda address: None,
         on_closed_early: Callable[[str, float], None] = lambda address, since: None,
+        on_heard: Callable[[str, float], None] = lambda address, opened_at: None,
     ) -> None:
         self._id_header = request_id_header
         self._on_accepted = on_accepted
         self._on_closed_early = on_closed_early
+        self._on_heard = on_heard
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -85,7 +88,11 @@
             self._on_closed_early(address, conn.idle_since)
 
     def _open(self, address: str, connect_timeout_s: float) -> TargetConnection:
-        conn = TargetConnection(address=address, request_id_header=self._id_header)
+        conn = TargetConnection(
+            address=address,
+            request_id_header=self._id_header,
+            on_heard=self._on_heard,
+        )
         conn.connect(connect_timeout_s)
         self.opened += 1
         return conn
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -17,6 +17,8 @@
 from .decimal import parse_decimal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .request import Headers
 
 READ_BYTES = 64 * 1024
@@ -38,6 +40,8 @@
 MAX_REMEMBERED_IDS = 64
 # Interim heads before one response.
 MAX_INTERIM_HEADS = 100
+# Interval at which arriving bytes are reported.
+HEARD_INTERVAL_S = 0.05
 # Bodies of late responses before the right one, all together.
 MAX_DISCARDED_BYTES = 8 * 1024 * 1024
 
@@ -48,10 +52,22 @@
     A response with the request id of another request is late: it is read and
     discarded.  One without an id may be late as well, unless it is the first on
     the connection.
+
+    `on_heard` is called with the address and the time of the opening when bytes have
+    arrived and the target has not closed the connection since.
     """
 
-    def __init__(self, *, address: str, request_id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        request_id_header: bytes,
+        on_heard: Callable[[str, float], None] = lambda address, opened_at: None,
+    ) -> None:
         self.address = address
+        self.opened_at = 0.0
+        self._on_heard = on_heard
+        self._report_heard_at = 0.0
         self.idle_since = 0.0
         self.idle_until = 0.0
         self._has_stated_timeout = False
@@ -67,6 +83,7 @@
         )
         self._writer: gevent.Greenlet | None = None
         self._ended = False
+        self._reset: OSError | None = None
         self._is_discarding = False
         self._discarded_bytes = 0
         self._interim_heads = 0
@@ -87,6 +104,7 @@
         sock.settimeout(None)
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         self._sock = sock
+        self.opened_at = time.monotonic()
 
     def keep_idle(self, now: float) -> None:
         """Prepare a new connection for its first request later on."""
@@ -101,12 +119,18 @@
         """
         if now >= self.idle_until or self._sock is None:
             return False
+        return self.is_quiet()
+
+    def is_quiet(self) -> bool:
+        """Return whether no bytes wait to be read, and the target has not closed."""
         self._sock.settimeout(0.0)
         try:
-            self._sock.recv(1)
+            self._sock.recv(1, gsocket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
+        except OSError as exc:
+            # The kernel tells of a reset once; later reads look like a normal end.
+            self._reset = exc
             return False
         finally:
             self._sock.settimeout(None)
@@ -261,6 +285,8 @@
 
     def _receive(self) -> None:
         began_at = time.monotonic()
+        if self._reset is not None:
+            raise self._broken_off(self._reset) from self._reset
         try:
             data = self._sock.recv(READ_BYTES)
         except OSError as exc:
@@ -268,8 +294,16 @@
         self._turns.received(len(data), began_at)
         if not data:
             self._ended = True
+        else:
+            self._report_heard(time.monotonic())
         self._http.receive_data(data)
 
+    def _report_heard(self, now: float) -> None:
+        """Report that the target runs, unless the bytes are what it left behind."""
+        if now >= self._report_heard_at and self.is_quiet():
+            self._report_heard_at = now + HEARD_INTERVAL_S
+            self._on_heard(self.address, self.opened_at)
+
     def _count_interim_head(self) -> None:
         self._interim_heads += 1
         if self._interim_heads > MAX_INTERIM_HEADS:
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -10,8 +10,9 @@
 
 from ..errors.relay import TurnedAway
 from ..exchange.answer_memory import AnswerMemory
+from ..util.arrivals import handle_arrivals
 from .ended import Delivered, Lost, NotRun, TargetFailed
-from .exchange_run import OTHER_REPLICA, ExchangeRun
+from .exchange_run import OTHER_REPLICA, UNPROVEN_LIFETIME, ExchangeRun
 from .hedges import Hedges
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
     from ..exchange.server_connection import ServerConnection
     from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
+    from .continuations import Continuations
     from .crashes import Crashes
     from .dialect import Dialect
     from .ended import ExchangeResult
@@ -34,6 +36,8 @@
 MAX_FAILURES = 5
 # Reason of a try that ended before anything was sent, to choose another replica.
 MOVED = 'moved'
+# Reasons that tell nothing of the replica.
+NOT_TRIED = frozenset({MOVED, UNPROVEN_LIFETIME})
 UNREACHABLE_RETRY_PAUSE_S = 0.02
 RECHOOSE_PAUSE_S = 0.005
 # A request with less time left is not tried again.
@@ -56,6 +60,7 @@
         crashes: Crashes,
         notices: Notices,
         versions: StreamVersions,
+        continuations: Continuations,
     ) -> None:
         self._answers = AnswerMemory()
         self._dialect = dialect
@@ -67,6 +72,7 @@
         self._crashes = crashes
         self._notices = notices
         self._versions = versions
+        self._continuations = continuations
         self._hedges = Hedges(
             placer=placer,
             places=places,
@@ -168,6 +174,7 @@
             pool=self._pool,
             notices=self._notices,
             hedges=self._hedges,
+            continuations=self._continuations,
             on_lived=self._crashes.run_lived,
             on_begun=self._versions.begun,
         )
@@ -184,7 +191,7 @@
             case Delivered():
                 health.succeeded(replica, now)
                 self._placement.memory.record_prompt(replica, work.req.parts, now)
-            case NotRun(reason=reason, arrived=False) if reason != MOVED:
+            case NotRun(reason=reason, arrived=False) if reason not in NOT_TRIED:
                 health.unreachable(replica, now)
                 self._pool.forget(candidate.record.address)
             case NotRun(reason=reason) if reason == OTHER_REPLICA:
@@ -228,6 +235,11 @@
             work.sends -= 1
             gevent.sleep(UNREACHABLE_RETRY_PAUSE_S)
             return True
+        if work.stream_version is not None:
+            # A pause may have broken other connections too.
+            handle_arrivals()
+            if not self._versions.is_settled(work):
+                return False
         is_allowed = isinstance(result, NotRun) or self._may_repeat(work, result)
         return is_allowed and self._retries.take_budget(work)
 
@@ -281,5 +293,5 @@
 def _is_break(result: ExchangeResult) -> bool:
     """Return whether a connection broke or was refused."""
     if isinstance(result, NotRun):
-        return not result.arrived and result.reason != MOVED
+        return not result.arrived and result.reason not in NOT_TRIED
     return isinstance(result, Lost) and result.broken_off
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -20,16 +20,19 @@
 from ..util.periodic_loop import PeriodicLoop
 from ..util.turn_clock import TurnClock
 from .admitter import Admitter
+from .continuations import Continuations
 from .crashes import Crashes
 from .departure import Departure
 from .dispatcher import Dispatcher
 from .gate_link import GateLink
+from .known_lifetimes import KnownLifetimes
 from .lender_link import LenderLink
 from .message_handler import MessageHandler
 from .notices import Notices
 from .open_streams import NOTE_INTERVAL_S, OpenStreams
 from .placer import Placer
 from .planned_stop import PlannedStop
+from .process_spans import ProcessSpans
 from .request_handler import RequestHandler
 from .request_log import RequestLog
 from .retries import Retries
@@ -99,6 +102,7 @@
             log=GateLog(metrics=metrics),
         )
         self._turns = TurnClock()
+        self._process_spans = ProcessSpans()
         self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
         self._pool = ConnectionPool(
             request_id_header=dialect.request_id_header,
@@ -108,6 +112,9 @@
             on_closed_early=lambda address, since: self._targets.closed_early(
                 address, since, time.monotonic()
             ),
+            on_heard=lambda address, opened_at: self._process_spans.heard(
+                address, opened_at, time.monotonic()
+            ),
         )
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
@@ -122,6 +129,17 @@
             drain_s=cfg.drain_s,
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
+        self._lifetimes = KnownLifetimes(
+            subscriber=self._subscriber,
+            spans=self._process_spans,
+            announced_s=DOUBT_PERIODS * cfg.announce_s,
+        )
+        self._continuations = Continuations(
+            lifetimes=self._lifetimes,
+            ask=lambda replicas, now: self._network.send_all(
+                self._subscriber.ask(replicas, now)
+            ),
+        )
         self._finder = StreamFinder(send=self._network.send)
         self._open_streams = OpenStreams(
             own_address=cfg.node_address,
@@ -134,6 +152,7 @@
             targets=self._targets,
             finder=self._finder,
             open_streams=self._open_streams,
+            continuations=self._continuations,
             metrics=metrics,
         )
         self._notices = Notices(
@@ -164,6 +183,7 @@
             open_streams=self._open_streams,
             lender=self._lender,
             crashes=self._crashes,
+            lifetimes=self._lifetimes,
             send_all=self._network.send_all,
         )
         dispatcher = Dispatcher(
@@ -178,6 +198,7 @@
                 is_quarantined=self._crashes.is_quarantined,
                 rng=rng,
                 check_wait=self._departure.check_unsent,
+                is_at_work=self._lifetimes.is_at_work,
             ),
             retries=Retries(
                 limits=cfg.retry_budget,
@@ -187,6 +208,7 @@
             crashes=self._crashes,
             notices=self._notices,
             versions=self._versions,
+            continuations=self._continuations,
         )
         self._handler = RequestHandler(
             dialect=dialect,
@@ -257,6 +279,7 @@
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
             LoopPart(name='lender', run=self._lender.tick),
             LoopPart(name='crashes', run=self._crashes.tick),
+            LoopPart(name='continuations', run=self._continuations.tick),
             LoopPart(
                 name='open_streams',
                 run=self._open_streams.tick,
@@ -268,6 +291,8 @@
         run_by_name = {
             'metrics': self._set_metrics,
             'pool': self._pool.prune,
+            'process_spans': self._process_spans.prune,
+            'lifetimes': self._lifetimes.prune,
             'placement': self._prune_placement,
             'notices': self._notices.prune,
             'directory': self._subscriber.directory.prune,
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -26,6 +26,7 @@
     from ..exchange.sse import StreamEvent
     from ..exchange.target_connection import TargetConnection
     from ..messages.directory import ReplicaRecord
+    from .continuations import Continuations
     from .dialect import Dialect
     from .ended import ExchangeResult
     from .hedge import Hedge
@@ -50,6 +51,7 @@
 STALLED = 'stalled'
 REFUSED = 'connect_ConnectionRefusedError'
 OTHER_REPLICA = 'other_replica'
+UNPROVEN_LIFETIME = 'unproven_lifetime'
 
 
 class ExchangeRun:
@@ -70,8 +72,9 @@
         pool: ConnectionPool,
         notices: Notices,
         hedges: Hedges,
+        continuations: Continuations,
         on_lived: Callable[[Work, float], None],
-        on_begun: Callable[[Work, ReplicaRecord], None],
+        on_begun: Callable[[Work, ReplicaRecord, float], None],
     ) -> None:
         self.first_event_ms = 0
         self._conn = conn
@@ -81,10 +84,12 @@
         self._pool = pool
         self._notices = notices
         self._hedges = hedges
+        self._continuations = continuations
         self._on_lived = on_lived
         self._on_begun = on_begun
         self._sent_at = 0.0
         self._first_event_at = 0.0
+        self._opened_at = 0.0
 
     def run(self) -> ExchangeResult:
         """Send the request, and deliver the answer."""
@@ -96,6 +101,10 @@
             )
         except ConnectFailed as exc:
             return NotRun(reason=f'connect_{exc.reason}', arrived=False)
+        self._opened_at = target.opened_at
+        if not self._may_go_on(target):
+            target.close()
+            return NotRun(reason=UNPROVEN_LIFETIME, arrived=False)
         is_reusable = False
         try:
             self._send(target)
@@ -116,6 +125,11 @@
             else:
                 target.close()
 
+    def _may_go_on(self, target: TargetConnection) -> bool:
+        if self._work.stream_version is None:
+            return True
+        return self._continuations.may_go_on(self._work, self._record, target)
+
     def _send(self, target: TargetConnection) -> None:
         work = self._work
         now = time.monotonic()
@@ -256,7 +270,7 @@
 
     def _write_events(self, head: AnswerHead, events: list[StreamEvent]) -> None:
         if events and self._work.stream_version is None:
-            self._on_begun(self._work, self._record)
+            self._on_begun(self._work, self._record, self._opened_at)
         data = b''.join(event.data for event in events)
         self._record_progress()
         if self._conn.has_begun:
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -20,6 +20,7 @@
     from ..messages.base import Message
     from .crashes import Crashes
     from .gate_link import GateLink
+    from .known_lifetimes import KnownLifetimes
     from .lender_link import LenderLink
     from .open_streams import OpenStreams
     from .routes_in_force import RoutesInForce
@@ -46,6 +47,7 @@
         open_streams: OpenStreams,
         lender: LenderLink,
         crashes: Crashes,
+        lifetimes: KnownLifetimes,
         send_all: Callable[[list[Send]], None],
     ) -> None:
         self._subscriber = subscriber
@@ -57,6 +59,7 @@
         self._open_streams = open_streams
         self._lender = lender
         self._crashes = crashes
+        self._lifetimes = lifetimes
         self._send_all = send_all
 
     def handle(self, sender: str, call: int, body: Message) -> None:
@@ -97,6 +100,9 @@
 
     def _handle_news(self, sender: str, body: News, now: float) -> None:
         version = self._subscriber.version
+        self._lifetimes.heard(body.records, self._subscriber.covered_at(), now)
+        asked_at = self._subscriber.asked_at(sender, body)
+        self._lifetimes.answered(body.heard, asked_at)
         effects = self._subscriber.on_news(sender, body, now)
         self._allowance.set_known_entries(self._subscriber.entries)
         if self._subscriber.version != version:
--- a/pistachiopath/relay/open_streams.py
+++ b/pistachiopath/relay/open_streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,7 +17,7 @@
 from ..util.rendezvous import by_weight
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from ..directory.subscriber import Subscriber
     from ..messages.base import Message
@@ -34,13 +36,15 @@
 class _OpenStream:
     """A stream, and when and where it was noted last.
 
-    `has_ended` is true if its answer ended before the stream was complete.
+    `is_settled` returns whether the version is certain.  At `ended_at` its answer
+    ended before the stream was complete.
     """
 
     version: ServiceVersion
+    is_settled: Callable[[], bool]
     holder: str = ''
     noted_at: float = 0.0
-    has_ended: bool = False
+    ended_at: float = math.inf
 
 
 class OpenStreams:
@@ -70,18 +74,23 @@
     def __len__(self) -> int:
         return len(self._streams)
 
-    def begun(self, stream: str, version: ServiceVersion) -> None:
-        """Record a stream that has begun, or goes on, and that no gate holds."""
-        self._streams[stream] = _OpenStream(version=version)
+    def begun(
+        self, stream: str, version: ServiceVersion, is_settled: Callable[[], bool]
+    ) -> None:
+        """Record a stream that has begun, or goes on, and that no gate holds.
+
+        It is noted once `is_settled` returns that the version is certain.
+        """
+        self._streams[stream] = _OpenStream(version=version, is_settled=is_settled)
         if len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
 
-    def ended(self, stream: str, *, is_complete: bool) -> None:
+    def ended(self, stream: str, *, is_complete: bool, now: float) -> None:
         """Record the end of an answer; after a part of a stream its caller returns."""
         if is_complete:
             self._streams.pop(stream, None)
         elif stream in self._streams:
-            self._streams[stream].has_ended = True
+            self._streams[stream].ended_at = now
 
     def handle_lost(self, peer: str) -> None:
         """Note the open streams again if the link to their holder was lost.
@@ -99,7 +108,7 @@
         if self._holder:
             for start in range(0, len(due), MAX_STREAMS_PER_MESSAGE):
                 self._note(due[start : start + MAX_STREAMS_PER_MESSAGE], now)
-        self._drop_ended()
+        self._drop_ended(now)
 
     def _choose_holder(self, now: float) -> None:
         """Keep the control node while it is heard."""
@@ -118,7 +127,7 @@
         if len(self._subscriber.directory.versions(noted.version.service)) <= 1:
             return False
         is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
-        return is_old or noted.holder != self._holder
+        return (is_old or noted.holder != self._holder) and noted.is_settled()
 
     def _note(self, streams: Iterable[str], now: float) -> None:
         by_version: dict[ServiceVersion, list[str]] = {}
@@ -139,12 +148,16 @@
         self._metrics.count('streams_noted_total', count)
         logger.info('streams_noted', extra={'holder': self._holder, 'streams': count})
 
-    def _drop_ended(self) -> None:
-        """Remove the ended streams that are noted, or of a service with one version."""
+    def _drop_ended(self, now: float) -> None:
+        """Remove the ended streams that are noted, or of a service with one version.
+
+        What is never settled is dropped once its caller can't come back any more.
+        """
         for name, noted in list(self._streams.items()):
             versions = self._subscriber.directory.versions(noted.version.service)
             is_noted = noted.holder == self._holder or len(versions) <= 1
-            if noted.has_ended and is_noted:
+            is_old = now - noted.ended_at >= STREAM_RETENTION_S
+            if is_old or (noted.ended_at < math.inf and is_noted):
                 del self._streams[name]
 
 
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -53,7 +53,8 @@
 
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
-    raises `TurnedAway` for one that must not wait any longer.
+    raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
+    whether a replica was heard of at its present lifetime just now.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         is_quarantined: Callable[[Work, float], bool],
         rng: random.Random,
         check_wait: Callable[[Work, float], None] = lambda work, now: None,
+        is_at_work: Callable[[ReplicaRecord, float], bool] = lambda record, now: True,
     ) -> None:
         self._places = places
         self._placement = placement
@@ -72,6 +74,7 @@
         self._is_quarantined = is_quarantined
         self._rng = rng
         self._check_wait = check_wait
+        self._is_at_work = is_at_work
         self._serials = itertools.count(1)
 
     def choose(self, work: Work) -> Candidate:
@@ -169,11 +172,17 @@
     def _of_same_version(
         self, work: Work, candidates: list[Candidate], now: float
     ) -> list[Candidate]:
-        return [
+        """Return the replicas that may go on with a stream.
+
+        Those are preferred of which their other answers prove the version at once.
+        """
+        same = [
             c
             for c in candidates
             if work.may_run_at(c.record) and self._targets.may_resume(c.record, now)
         ]
+        at_work = [c for c in same if self._is_at_work(c.record, now)]
+        return at_work or same
 
     def mark_superseded(self, record: ReplicaRecord, now: float) -> None:
         """Mark the lifetime of a replica as ended."""
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -8,18 +8,20 @@
 
 from ..directory.directory import GONE_RETENTION_S
 from ..errors.relay import TurnedAway
-from ..streams.memory import StreamMemory
+from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
 from ..streams.origin import Origin
 from ..streams.service_version import version_of
 from .origin_source import OriginSource
 from .patience import patience_s
 from .retry_after import retry_after_s
+from .stream_start import StreamStart
 from .targets import DIRECTORY_FILL_S
 
 if TYPE_CHECKING:
     from ..directory.subscriber import Subscriber
     from ..messages.directory import ReplicaRecord
     from ..telemetry.metrics import Metrics
+    from .continuations import Continuations
     from .open_streams import OpenStreams
     from .stream_finder import StreamFinder
     from .targets import Targets
@@ -45,6 +47,7 @@
     What this entry delivered itself is known.  If a service has had one version
     for long enough, each of its streams is of that version.  Otherwise the gates
     and the control nodes are asked.  A stream whose version nobody knows is refused.
+    So is one of which it is not settled which lifetime of its replica began it.
     """
 
     def __init__(
@@ -54,14 +57,18 @@
         targets: Targets,
         finder: StreamFinder,
         open_streams: OpenStreams,
+        continuations: Continuations,
         metrics: Metrics,
     ) -> None:
         self._subscriber = subscriber
         self._targets = targets
         self._finder = finder
         self._open_streams = open_streams
+        self._continuations = continuations
         self._metrics = metrics
         self._memory = StreamMemory()
+        # Ordered by the time of the first event.
+        self._starts: dict[str, StreamStart] = {}
 
     def resolve(self, work: Work) -> None:
         """Set the version of a resumed stream; raises `TurnedAway`."""
@@ -79,16 +86,57 @@
     def goes_on(self, work: Work) -> None:
         """Record that a stream is about to go on at a replica."""
         if work.stream and work.stream_version is not None and not work.has_gate:
-            self._open_streams.begun(work.stream, work.stream_version)
+            self._note_open(work)
 
-    def begun(self, work: Work, record: ReplicaRecord) -> None:
-        """Record the replica that brought the first event of a stream."""
+    def begun(self, work: Work, record: ReplicaRecord, opened_at: float) -> None:
+        """Record the replica that brought the first event of a stream.
+
+        The connection to it was opened at `opened_at`.
+        """
+        now = time.monotonic()
         work.stream_version = version_of(record)
+        work.start = StreamStart(record=record, opened_at=opened_at, begun_at=now)
         if not work.stream:
             return
+        self._starts[work.stream] = work.start
+        self._prune_starts(now)
         self._note(work)
         if not work.has_gate:
-            self._open_streams.begun(work.stream, work.stream_version)
+            self._note_open(work)
+
+    def is_settled(self, work: Work) -> bool:
+        """Return whether it is known which lifetime began the stream."""
+        is_settled = work.start is None or self._continuations.settle(work.start)
+        if not is_settled:
+            logger.info(
+                'stream_unsettled',
+                extra={
+                    'request': work.req.request_id,
+                    'stream': work.stream,
+                    'replica': work.start.record.replica,
+                    'born_ms': work.start.record.born_ms,
+                    'opened_ms': int(
+                        (work.start.begun_at - work.start.opened_at) * 1000
+                    ),
+                },
+            )
+        return is_settled
+
+    def _note_open(self, work: Work) -> None:
+        start = work.start
+        self._open_streams.begun(
+            work.stream,
+            work.stream_version,
+            lambda: start is None or self._continuations.is_known(start),
+        )
+
+    def _prune_starts(self, now: float) -> None:
+        while self._starts:
+            stream, start = next(iter(self._starts.items()))
+            is_old = now - start.begun_at >= 2 * STREAM_RETENTION_S
+            if not is_old and len(self._starts) <= MAX_STREAMS:
+                return
+            del self._starts[stream]
 
     def ended(self, work: Work) -> None:
         """Remember a stream from its end on, as its caller may come back."""
@@ -96,7 +144,9 @@
             return
         self._note(work)
         is_complete = work.outcome == 'delivered'
-        self._open_streams.ended(work.stream, is_complete=is_complete)
+        self._open_streams.ended(
+            work.stream, is_complete=is_complete, now=time.monotonic()
+        )
 
     def _note(self, work: Work) -> None:
         self._memory.note(
@@ -111,7 +161,9 @@
         now = time.monotonic()
         origin = self._memory.find(work.stream, now)
         if origin is not None:
-            return origin, OriginSource.OWN
+            start = self._starts.get(work.stream)
+            is_settled = start is None or self._continuations.settle(start)
+            return origin if is_settled else None, OriginSource.OWN
         # Of several services, it is not known which one began the stream.
         has_one_service = len(work.admitted.route.shares) == 1
         heard = self._subscriber.heard_controls(now)
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -16,6 +16,7 @@
 from .admitter import Admitted
 from .caller_request import CallerRequest
 from .reservation import Reservation
+from .stream_start import StreamStart
 
 if TYPE_CHECKING:
     from ..messages.directory import ReplicaRecord
@@ -43,7 +44,8 @@
     asked to resume, and `last_event_at` when it was last sent one.
     `has_unnumbered_events` tells whether it has events without a number.
     `stream_version` is the version that began the stream, from its first event on;
-    only replicas of that version may go on with it.  `has_gate` tells whether the
+    only replicas of that version may go on with it.  `start` is where this request
+    brought that event, None if another one did.  `has_gate` tells whether the
     gate beside its replica granted the place of the last attempt.
     """
 
@@ -58,6 +60,7 @@
     may_have_run: bool = False
     last_event: int | None = None
     stream_version: ServiceVersion | None = None
+    start: StreamStart | None = None
     has_gate: bool = False
     has_unnumbered_events: bool = False
     first_event_at: float = 0.0
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -405,6 +405,8 @@
   since @2 :Int64;
   isEntry @3 :Bool;
   wantsContent @4 :Bool;
+  question @5 :Int64;
+  asked @6 :List(Text);
 }
 
 struct News {
@@ -418,6 +420,8 @@
   silent @7 :List(Text);
   directoryAgeMs @8 :Int64;
   firstChange @9 :Int64;
+  question @10 :Int64;
+  heard @11 :List(HeardLifetime);
 }
 
 struct Announcements {
@@ -603,6 +607,12 @@
   slot @2 :Int64;
 }
 
+struct HeardLifetime {
+  replica @0 :Text;
+  bornMs @1 :Int64;
+  ageMs @2 :Int64;
+}
+
 struct StreamNotes {
   service @0 :Text;
   softwareVersion @1 :Text;
--- /dev/null
+++ b/tests/test_directory/test_heard_lifetimes.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import math
+
+from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.heard_lifetimes import RETENTION_S, HeardLifetimes
+from pistachiopath.messages.directory import Announcements, Follow
+
+from .records import record
+
+
+def ages(heard, replica, now):
+    return {h.born_ms: h.age_ms for h in heard.find([replica], now)}
+
+
+def test_the_time_of_a_lifetime_is_that_of_a_later_one():
+    heard = HeardLifetimes()
+    heard.heard(record(replica='r1', born_ms=1), 1.0)
+    heard.heard(record(replica='r1', born_ms=2), 4.0)
+    assert ages(heard, 'r1', 5.0) == {1: 4001, 2: 1001}
+    heard.prune(1.0 + RETENTION_S)
+    assert ages(heard, 'r1', 5.0) == {2: 1001}
+
+
+def test_an_announcement_that_waited_for_an_unknown_time_counts():
+    heard = HeardLifetimes()
+    heard.heard(record(replica='r1'), -math.inf)
+    assert ages(heard, 'r1', 5.0) == {}
+
+
+def reply(announcer, asked, now):
+    follow = Follow(
+        version=0, feed=0, since=0, is_entry=True, question=7, asked=(asked,)
+    )
+    return announcer.follow('entry', follow, now)[0].body
+
+
+def test_announcements_that_others_forward_count_as_heard():
+    announcer = Announcer(address='c', feed=1, silent_after_s=5.0, now=0.0)
+    announcer.merge_announcements(Announcements(records=(record(replica='r1'),)), 1.0)
+    assert reply(announcer, 'r1', 2.0).heard == ()
+    announcer.announce(record(replica='r1', sequence=2), 3.0, sent_after=2.9)
+    news = reply(announcer, 'r1', 4.0)
+    assert news.question == 7
+    assert [h.age_ms for h in news.heard] == [1101]
+
+
+def test_news_that_nobody_asked_for_count_as_an_answer():
+    announcer = Announcer(address='c', feed=1, silent_after_s=5.0, now=0.0)
+    reply(announcer, 'r1', 1.0)
+    [pushed] = [
+        s.body for s in announcer.announce(record(replica='r1'), 1.1) if s.to == 'entry'
+    ]
+    assert pushed.question == 0
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -29,7 +29,7 @@
 from pistachiopath.telemetry.metrics import Metrics
 from tests.test_directory.records import record
 
-from .streams import NoNotes
+from .streams import NoNotes, certain_continuations
 
 SIGNED = b'Request-Id: abc\r\nReplica-Signature: s\r\n'
 
@@ -277,8 +277,10 @@
             targets=fake_targets,
             finder=None,
             open_streams=NoNotes(),
+            continuations=certain_continuations(),
             metrics=Metrics(),
         ),
+        continuations=certain_continuations(),
     )
     caller = caller or FakeCaller()
     dispatcher.serve(caller, work)
--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -4,6 +4,7 @@
 
 from pistachiopath.relay.admitter import Admitted
 from pistachiopath.relay.caller_request import CallerRequest
+from pistachiopath.relay.continuations import Continuations
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
@@ -54,8 +55,23 @@
 class NoNotes:
     """Notes that go nowhere."""
 
-    def begun(self, stream, version):
+    def begun(self, stream, version, is_settled):
         pass
 
-    def ended(self, stream, *, is_complete):
+    def ended(self, stream, *, is_complete, now):
         pass
+
+
+class ProvenLifetimes:
+    """Proof of each lifetime, as if all connections were old."""
+
+    def is_proven(self, record, opened_at):
+        return True
+
+    def span_s(self, record, opened_at):
+        return 0.0
+
+
+def certain_continuations():
+    """Return continuations for which all lifetimes are proven."""
+    return Continuations(lifetimes=ProvenLifetimes(), ask=lambda replicas, now: None)
--- a/tests/test_relay/test_known_versions.py
+++ b/tests/test_relay/test_known_versions.py
@@ -14,7 +14,7 @@
 from pistachiopath.telemetry.metrics import Metrics
 from tests.test_directory.records import record
 
-from .streams import NoNotes, stream_work
+from .streams import NoNotes, certain_continuations, stream_work
 
 
 class KnownDirectory:
@@ -73,6 +73,7 @@
         targets=None,
         finder=Gates(at_gates),
         open_streams=NoNotes(),
+        continuations=certain_continuations(),
         metrics=Metrics(),
     )
     work = stream_work(time.monotonic())
@@ -94,10 +95,11 @@
         targets=None,
         finder=Gates(),
         open_streams=NoNotes(),
+        continuations=certain_continuations(),
         metrics=Metrics(),
     )
     begun = stream_work(time.monotonic())
-    stream_versions.begun(begun, record(service='other'))
+    stream_versions.begun(begun, record(service='other'), 0.0)
     assert begun.stream_version == gone
     work = stream_work(time.monotonic())
     work.req = attrs.evolve(work.req, last_event=3)
--- a/tests/test_relay/test_open_streams.py
+++ b/tests/test_relay/test_open_streams.py
@@ -9,7 +9,7 @@
     REPEAT_INTERVAL_S,
     OpenStreams,
 )
-from pistachiopath.streams.memory import MAX_STREAMS
+from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from pistachiopath.streams.name import DIGEST_BYTES
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.telemetry.metrics import Metrics
@@ -19,12 +19,18 @@
 V2 = ServiceVersion(service='model', version='v2')
 
 
+def settled():
+    """Tell that the version of a stream is certain."""
+    return True
+
+
 class Controls:
     """Control nodes that hold notes, and the versions that an entry knows of."""
 
     def __init__(self, *addresses, versions=(V1, V2)):
         self.addresses = addresses
         self.known = versions
+        self.now = 0.0
         self.directory = self
         self.sent = []
         self.nodes = {address: NotedStreams() for address in addresses}
@@ -54,7 +60,7 @@
 
 def test_streams_of_a_service_with_one_version_cost_messages():
     controls = Controls('10.0.0.2:7682', versions=(V1,))
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     controls.tick()
     assert controls.sent == []
     controls.known = (V1, V2)
@@ -64,16 +70,16 @@
 
 def test_a_stream_that_is_complete_costs_a_message():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
-    controls.streams.ended('c/a', is_complete=True)
+    controls.streams.begun('c/a', V1, settled)
+    controls.streams.ended('c/a', is_complete=True, now=controls.now)
     controls.tick()
     assert controls.sent == []
 
 
 def test_a_stream_whose_answer_broke_off_before_it_was_noted_is_forgotten():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
-    controls.streams.ended('c/a', is_complete=False)
+    controls.streams.begun('c/a', V1, settled)
+    controls.streams.ended('c/a', is_complete=False, now=controls.now)
     controls.tick()
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
     assert len(controls.streams) == 0
@@ -82,14 +88,14 @@
 def test_what_the_entry_notes_ends_with_its_own_vm():
     here, elsewhere = '10.0.0.1:7682', '10.0.0.2:7682'
     controls = Controls(here, elsewhere)
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     controls.tick()
     assert [effect.to for effect in controls.sent] == [elsewhere]
 
 
 def test_open_streams_are_forgotten_with_a_lost_control_node():
     controls = Controls('10.0.0.2:7682', '10.0.0.3:7682')
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     controls.tick()
     first = controls.sent[0].to
     (other,) = set(controls.nodes) - {first}
@@ -101,7 +107,7 @@
 def test_open_streams_are_forgotten_when_their_control_node_starts_again():
     address = '10.0.0.2:7682'
     controls = Controls(address)
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     controls.tick()
     controls.nodes[address] = NotedStreams()
     controls.streams.handle_lost(address)
@@ -111,7 +117,7 @@
 
 def test_a_stream_is_noted_again_and_again():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     for step in range(50):
         controls.tick(step * 0.4)
     assert len(controls.sent) == 1
@@ -119,7 +125,7 @@
 
 def test_a_stream_that_lasts_longer_than_the_memory_of_its_holder_is_forgotten():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     for step in range(4):
         now = step * REPEAT_INTERVAL_S
         controls.tick(now)
@@ -128,8 +134,8 @@
 
 def test_streams_of_two_versions_are_mixed_up():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
-    controls.streams.begun('c/b', V2)
+    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/b', V2, settled)
     controls.tick()
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
     assert controls.version('10.0.0.2:7682', 'c/b') == 'v2'
@@ -139,7 +145,7 @@
 def test_memory_grows_without_bound_while_no_control_node_is_heard():
     controls = Controls()
     for number in range(MAX_STREAMS + 10):
-        controls.streams.begun(f'c/{number}', V1)
+        controls.streams.begun(f'c/{number}', V1, settled)
     controls.tick()
     assert len(controls.streams) == MAX_STREAMS
 
@@ -147,7 +153,7 @@
 def test_a_message_grows_with_the_number_of_streams():
     controls = Controls('10.0.0.2:7682')
     for number in range(MAX_STREAMS_PER_MESSAGE + 1):
-        controls.streams.begun(f'c/{number}', V1)
+        controls.streams.begun(f'c/{number}', V1, settled)
     controls.tick()
     sizes = [len(effect.body.notes[0].digests) for effect in controls.sent]
     assert sizes == [MAX_STREAMS_PER_MESSAGE * DIGEST_BYTES, DIGEST_BYTES]
@@ -156,9 +162,31 @@
 @pytest.mark.parametrize('size', [0, 1, DIGEST_BYTES - 1, DIGEST_BYTES + 1])
 def test_notes_of_an_odd_length_end_the_control_node(size):
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1)
+    controls.streams.begun('c/a', V1, settled)
     controls.tick()
     notes = controls.sent[0].body.notes[0]
     node = NotedStreams()
     node.note((type(notes)(service='s', software_version='v', digests=b'x' * size),), 0)
     assert len(node) == size // DIGEST_BYTES
+
+
+def test_a_stream_is_noted_before_it_is_certain_which_lifetime_began_it():
+    controls = Controls('10.0.0.2:7682')
+    certain = []
+    controls.streams.begun('c/a', V1, lambda: bool(certain))
+    controls.streams.ended('c/a', is_complete=False, now=0.1)
+    controls.tick(0.4)
+    assert controls.version('10.0.0.2:7682', 'c/a') == ''
+    certain.append(True)
+    controls.tick(0.8)
+    assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
+
+
+def test_a_stream_that_is_never_certain_is_kept_for_ever():
+    controls = Controls('10.0.0.2:7682')
+    controls.streams.begun('c/a', V1, lambda: False)
+    controls.streams.ended('c/a', is_complete=False, now=0.1)
+    controls.tick(STREAM_RETENTION_S)
+    assert len(controls.streams) == 1
+    controls.tick(STREAM_RETENTION_S + 0.2)
+    assert len(controls.streams) == 0
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -119,6 +119,25 @@
     sock.close()
 
 
+def test_a_stream_of_a_replica_that_has_not_reported_since_goes_on_elsewhere():
+    # It may have started again, with other software, just before the stream began.
+    scripts = [half(), RESET], [rest('abc')]
+    targets = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
+    entry = Entry(free_address(), announces=False)
+    entry.hear(announced('r1', targets[0]), announced('r2', targets[1]))
+    assert b'id: 5' not in read_to_end(entry.open_stream('abc'))
+    assert entry.resume('again', resumes='abc').startswith(b'HTTP/1.1 503')
+    assert not (targets[0].requests and targets[1].requests)
+
+
+def test_without_agents_a_stream_goes_on_at_a_replica_that_reports():
+    scripts = [half(), RESET], [rest('abc')]
+    targets = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
+    entry = Entry(free_address())
+    entry.hear(announced('r1', targets[0]), announced('r2', targets[1]))
+    assert b'id: 5' in read_to_end(entry.open_stream('abc'))
+
+
 def test_a_return_that_nobody_knows_is_refused_while_two_versions_serve(gate_address):
     targets = ScriptedTarget([rest()]), ScriptedTarget([rest()])
     entry = Entry(gate_address)
--- a/tests/test_relay/test_version_mutations.py
+++ b/tests/test_relay/test_version_mutations.py
@@ -25,7 +25,7 @@
 
 def versions_are_not_looked_at_in_a_retry(patch):
     """Forgets who began a stream when it breaks."""
-    patch.setattr(StreamVersions, 'begun', lambda self, work, record: None)
+    patch.setattr(StreamVersions, 'begun', lambda self, work, record, opened_at: None)
     return with_a_gate(
         version_checks.test_a_broken_stream_goes_on_at_another_version_within_one_answer
     )
--- a/tests/test_relay/version_entries.py
+++ b/tests/test_relay/version_entries.py
@@ -4,13 +4,14 @@
 
 import json
 import random
+import time
 
 import gevent
 import gevent.socket as gsocket
 
 from pistachiopath.admission.retry_budget import RetryBudgetLimits
 from pistachiopath.grants.shell import GateShell
-from pistachiopath.messages.directory import News
+from pistachiopath.messages.directory import HeardLifetime, News
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.platform.registration import decode_announcement
@@ -86,10 +87,16 @@
     return [announced(f'new{number}', target, 'v2') for number in range(8)]
 
 
+ANNOUNCE_INTERVAL_S = 0.1
+
+
 class Entry:
-    """An entry that begins with empty memory."""
+    """An entry that begins with empty memory.
+
+    Without `announces` it learns nothing more of replicas after their first report.
+    """
 
-    def __init__(self, gate_address):
+    def __init__(self, gate_address, *, announces=True):
         self.callers = free_address()
         self._entry = RelayEntry(
             cfg=RelaySettings(
@@ -110,9 +117,23 @@
             rng=random.Random(1),
         )
         self._entry.start()
+        self._heard = {}
+        if announces:
+            gevent.spawn(self._announce)
+
+    def _announce(self):
+        """Tell the entry all the time that the last lifetimes have just reported."""
+        while True:
+            heard = [
+                HeardLifetime(replica=r.replica, born_ms=r.born_ms, age_ms=0)
+                for r in self._heard.values()
+            ]
+            self._entry._lifetimes.answered(heard, time.monotonic())
+            gevent.sleep(ANNOUNCE_INTERVAL_S)
 
     def hear(self, *records, control=CONTROL, directory_age_ms=0):
         """Receive the records from a control node."""
+        self._heard |= {r.replica: r for r in records}
         news = News(
             feed=1,
             change=len(records),
