--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -6,7 +6,7 @@
 # The plans leave out the kinds of faults in tools.soak.fault_kind.OPEN_KINDS.
 SEED = 9
 LENGTH_S = 25
-RELEASE_SEED = 2
+RELEASE_SEED = 4
 RELEASE_LENGTH_S = 20
 
 
