Storage: records that a killed process left unsynced are synced before use (CONFIG)

An acknowledged change could be gone after a loss of power. A control node that was killed between writing a record and syncing it loaded the record at its next start and confirmed it to the leader as stored, and so did one that opened its folder again after a sync had failed. Only the page cache held it. With the leader's disk lost, or the leader back later than the others, the others then went on without the change.

Opening the log now syncs what it loads, so what a node confirms is on its disk.

--- a/pistachiopath/storage/log_file.py
+++ b/pistachiopath/storage/log_file.py
@@ -45,7 +45,8 @@
     def open(self, head: SnapshotHead) -> tuple[Entry, ...]:
         """Open the file and return the records behind a snapshot.
 
-        What can't be used is removed from the file.  Raises `CorruptFile`,
+        What can't be used is removed from the file, and the rest is synced: the
+        process that wrote it may have ended before it did.  Raises `CorruptFile`,
         `MalformedFrame` or `FrameTooLarge`.
         """
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
@@ -60,6 +61,8 @@
             self._rewrite(head.index + 1, entries)
         elif self._size < len(data):
             self._set_length(self._size)
+        else:
+            os.fsync(self._fd)
         if not entries and not stored:
             self._first_index = head.index + 1
         os.lseek(self._fd, self._size, os.SEEK_SET)
--- a/tests/test_storage/test_data_folder.py
+++ b/tests/test_storage/test_data_folder.py
@@ -251,3 +251,27 @@
     after = DataFolder(path=tmp_path).load()
     expected = before.entries if number == 0 else before.entries[2:]
     assert after.entries == expected
+
+
+def test_records_that_a_killed_process_did_not_sync_are_synced_before_use(
+    tmp_path, monkeypatch
+):
+    # The next process confirmed records of the last one that only the page cache
+    # held, and a loss of power took them after they had been acknowledged.
+    write_log(tmp_path)
+    synced = []
+    fsync, fdatasync = os.fsync, os.fdatasync
+
+    def noted(sync):
+        def run(fd):
+            synced.append(os.fstat(fd).st_ino)
+            sync(fd)
+
+        return run
+
+    monkeypatch.setattr(os, 'fsync', noted(fsync))
+    monkeypatch.setattr(os, 'fdatasync', noted(fdatasync))
+    folder = DataFolder(path=tmp_path)
+    assert folder.load().entries
+    folder.close()
+    assert (tmp_path / 'log').stat().st_ino in synced
