Storage: a replaced file is written with the calls that full disks are played on

The vote, the member file and the shortened log were written by a buffered file, whose writes neither the soak's full storage nor the tests' crashes and full disks see: only the sync after them failed.

--- a/pistachiopath/storage/atomic_file.py
+++ b/pistachiopath/storage/atomic_file.py
@@ -29,10 +29,12 @@
 def replace_file(path: Path, data: bytes) -> None:
     """Replace a file by one with this data, and sync it."""
     temporary = path.with_suffix('.new')
-    with temporary.open('wb') as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
+    fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+    try:
+        write_all(fd, data)
+        os.fsync(fd)
+    finally:
+        os.close(fd)
     temporary.replace(path)
     sync_folder(path.parent)
 
