Control: messages that arrive while the disk is full don't fill memory

A node whose disk was full kept every message until the disk had room, only to drop them all then: records of the leader, and configurations of some megabytes that are sent again every 0.3 s. A disk that stays full for hours filled the memory. They are now dropped at each try to open the folder.

--- a/pistachiopath/control/replica_loop.py
+++ b/pistachiopath/control/replica_loop.py
@@ -117,7 +117,10 @@
                 self._on_storage_failed(exc)
 
     def _on_storage_failed(self, exc: StorageFailed) -> None:
-        """Reopen the folder, retrying until the disk works, or exit."""
+        """Reopen the folder, retrying until the disk works, or exit.
+
+        Messages that arrive meanwhile count as lost, so they don't fill memory.
+        """
         logger.critical(
             'storage_failed',
             extra={'operation': exc.operation, 'reason': exc.reason},
@@ -127,12 +130,12 @@
         while not self._stopping:
             gevent.sleep(REOPEN_INTERVAL_S)
             self._folder.close()
+            self._inbox = []
             try:
                 self._core, self._folder = self._reopen()
             except (StorageFailed, CorruptFile) as failure:
                 logger.warning('storage_still_fails', extra={'error': repr(failure)})
                 continue
-            self._inbox = []
             logger.info('storage_reopened')
             return
 
--- a/tests/test_control/test_replica_loop.py
+++ b/tests/test_control/test_replica_loop.py
@@ -89,6 +89,25 @@
     loop.stop()
 
 
+def test_messages_that_arrive_while_the_disk_is_full_are_not_kept(monkeypatch):
+    # Configurations of some megabytes, sent again each 0.3 s, filled the memory.
+    monkeypatch.setattr(replica_loop, 'REOPEN_INTERVAL_S', 0.01)
+    tries = []
+
+    def reopen():
+        tries.append(len(loop._inbox))
+        raise StorageFailed(operation='load', reason='28')
+
+    loop = make_loop(
+        FakeCore(), folder=FakeFolder({'full': True, 'written': 0}), reopen=reopen
+    )
+    while len(tries) < 20:
+        loop.post('a', 1, ReadDocument())
+        gevent.sleep(0.002)
+    loop.stop()
+    assert max(tries[-5:]) <= max(tries[:5]) + 5
+
+
 class ClosedFolder(FakeFolder):
     """Data folder that fails once it is closed, as a closed file does."""
 
@@ -133,12 +152,13 @@
     return statuses
 
 
-def make_loop(core, *, network=None, metrics=None, folder=None):
+def make_loop(core, *, network=None, metrics=None, folder=None, reopen=None):
     loop = ReplicaLoop(
         core=core,
         folder=folder or FakeFolder({'full': False, 'written': 0}),
         network=network,
         failures=LoopFailures(metrics=metrics or Metrics()),
+        reopen=reopen,
     )
     loop.start()
     return loop
