--- a/pistachiopath/storage/log_file.py
+++ b/pistachiopath/storage/log_file.py
@@ -45,9 +45,8 @@
     def open(self, head: SnapshotHead) -> tuple[Entry, ...]:
         """Open the file and return the records behind a snapshot.
 
-        What can't be used is removed from the file, and the rest is synced: the
-        process that wrote it may have ended before it did.  Raises `CorruptFile`,
-        `MalformedFrame` or `FrameTooLarge`.
+        What can't be used is removed from the file, and the rest is made durable.
+        Raises `CorruptFile`, `MalformedFrame` or `FrameTooLarge`.
         """
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
         sync_folder(self._path.parent)
@@ -59,10 +58,10 @@
         if not _is_run(stored, entries):
             self._log_repair(head, stored, entries)
             self._rewrite(head.index + 1, entries)
-        elif self._size < len(data):
-            self._set_length(self._size)
         else:
-            os.fsync(self._fd)
+            if self._size < len(data):
+                self._set_length(self._size)
+            self._write_again(data[: self._size])
         if not entries and not stored:
             self._first_index = head.index + 1
         os.lseek(self._fd, self._size, os.SEEK_SET)
@@ -193,6 +192,19 @@
         self._size = len(data)
         self._is_dirty = False
 
+    def _write_again(self, data: bytes) -> None:
+        """Make what was read from the file durable.
+
+        The process that wrote it may have ended before it was synced.  After a
+        sync that failed it may be in the page cache alone, and the next sync
+        would not store it unless it is written once more.
+        """
+        if not data:
+            return
+        os.lseek(self._fd, 0, os.SEEK_SET)
+        write_all(self._fd, data)
+        os.fsync(self._fd)
+
     def _set_length(self, size: int) -> None:
         os.ftruncate(self._fd, size)
         os.fsync(self._fd)
--- a/tests/harness/stored_disk.py
+++ b/tests/harness/stored_disk.py
@@ -21,8 +21,10 @@
     """Has the methods of `Disk`, but stores the effects in files.
 
     A full disk takes the bytes for which there is room and refuses the rest, as file
-    systems do.  With `refuses_sync` it has taken bytes for which there is none.
-    Nothing is synced but in the model: `crash` reverts each file to what was.
+    systems do.  With `refuses_sync` it has taken bytes for which there is none: a
+    refused sync drops them, and a later one does not store them either, though they
+    can be read until the power is lost.  Nothing is synced but in the model: `crash`
+    reverts each file to what was.
     """
 
     def __init__(self, *, path):
@@ -31,6 +33,7 @@
         self.operations_left = None
         self._capacity = None
         self._synced = {}
+        self._unsynced = {}
         self._folder = None
         self._has_removed = False
 
@@ -110,25 +113,40 @@
             raise Killed
         self.operations_left -= 1
 
-    def accepted(self, data):
-        """Return the bytes that there is room for; raises `OSError` without any."""
+    def accepted(self, fd, offset, data):
+        """Return the bytes that there is room for; raises `OSError` without any.
+
+        Those that replace others need no room.
+        """
         if self._capacity is None:
             return data
-        room = max(0, self._capacity - self._used())
+        replaced = max(0, os.fstat(fd).st_size - offset)
+        room = replaced + max(0, self._capacity - self._used())
         if data and not room:
             raise OSError(errno.ENOSPC, 'full')
         return data[:room]
 
+    def on_written(self, fd, offset, data):
+        changes = self._unsynced.setdefault(os.fstat(fd).st_ino, [])
+        changes.append((offset, data))
+
     def on_sync(self, fd):
+        status = os.fstat(fd)
+        changes = self._unsynced.pop(status.st_ino, [])
         if self.refuses_sync:
             raise OSError(errno.ENOSPC, 'full')
-        status = os.fstat(fd)
-        if stat.S_ISREG(status.st_mode):
-            with open(f'/proc/self/fd/{fd}', 'rb') as file:
-                self._synced[status.st_ino] = file.read()
+        if not stat.S_ISREG(status.st_mode):
+            return
+        stored = bytearray(self._synced.get(status.st_ino, b''))
+        stored += bytes(max(0, status.st_size - len(stored)))
+        for offset, data in changes:
+            stored[offset : offset + len(data)] = data
+        self._synced[status.st_ino] = bytes(stored[: status.st_size])
 
     def on_created(self, fd):
-        self._synced[os.fstat(fd).st_ino] = b''
+        inode = os.fstat(fd).st_ino
+        self._synced[inode] = b''
+        self._unsynced.pop(inode, None)
 
 
 _active = [None]
@@ -163,7 +181,10 @@
         if disk is None:
             return real_write(fd, data)
         disk.on_operation()
-        return real_write(fd, disk.accepted(data))
+        offset = os.lseek(fd, 0, os.SEEK_CUR)
+        size = real_write(fd, disk.accepted(fd, offset, data))
+        disk.on_written(fd, offset, bytes(data[:size]))
+        return size
 
     def synced(fd):
         disk = _active[0]
