--- a/tests/harness/full_disks.py
+++ b/tests/harness/full_disks.py
@@ -7,6 +7,7 @@
 from pistachiopath.control.replica_loop import REOPEN_INTERVAL_S
 from pistachiopath.document.timing import DOCUMENT_TIMING
 from pistachiopath.errors.storage import StorageFailed
+from pistachiopath.messages.document import ReadDocument
 
 from .document_world import DocumentNode, DocumentWorld
 from .stored_disk import Killed, StoredDisk, stored_disks
@@ -16,6 +17,8 @@
 ACK_S = 4.0
 MAX_ROOM_BYTES = 600
 MAX_OPERATIONS = 12
+BURST_SHARE = 0.2
+MAX_BURST = 12
 
 
 class StoredNode(DocumentNode):
@@ -50,6 +53,16 @@
         except Killed:
             self.kill()
 
+    def receive_reads(self, number):
+        """Handle so many reads in one batch, whose records are written at once."""
+        if not self.alive:
+            return
+        effects = []
+        for _ in range(number):
+            now = self.world.net.now
+            effects += self.core.receive('operator', 0, ReadDocument(), now, 0)
+        self._handle(effects)
+
     def _reopen_later(self):
         self.alive = False
         self._generation += 1
@@ -68,6 +81,8 @@
     def __init__(self, *, folder, **changes):
         self.folder = folder
         super().__init__(**changes)
+        # Reads in a batch share this call, and no version is asked of them.
+        self.min_versions[0] = 0
 
     def add(self, name, *, forms=False, seeds=None, diskless=False):
         node = StoredNode(
@@ -87,6 +102,9 @@
         while self.net.now < end:
             self.put(self.rng.choice([None, *self.nodes]))
             self.read(self.rng.choice([None, *self.nodes]))
+            leader = self.leader()
+            if leader is not None and self.rng.random() < BURST_SHARE:
+                leader.receive_reads(self.rng.randrange(2, MAX_BURST))
             self.run(self.rng.choice([0.0, 0.003, 0.02, 0.1]))
 
 
