Known red: an unframed stream whose replica ends after its head looks complete (ORDER)

Callers saw 200 and a complete, empty stream when a replica answered with neither length nor chunks and ended after the head, before its first event. The entry takes the end of the connection for the end of the stream unless it is within an event; an answer without any event is no stream, so its replica has broken off.

--- a/tests/test_relay/test_caller_bytes.py
+++ b/tests/test_relay/test_caller_bytes.py
@@ -129,3 +129,11 @@
 def test_an_answer_without_a_length_is_framed_for_the_caller():
     target = ScriptedTarget([UNFRAMED_HEAD + events(0, 2), CLOSE])
     assert body_of(caller_bytes([target], RESUMABLE)) == (events(0, 2), True)
+
+
+def test_an_answer_without_a_length_that_ends_before_its_first_event_is_cut():
+    # A replica that ends after its head closes its connection like one that is done.
+    first = ScriptedTarget([UNFRAMED_HEAD, CLOSE])
+    second = ScriptedTarget([stream_head() + chunk(events(0, 4)) + END])
+    data = caller_bytes([first, second], RESUMABLE)
+    assert body_of(data) == (events(0, 4), True)
