Directory: a late departure of an earlier lifetime does not end the later one

A replica may start again under its id. A departure of the lifetime before that reaches a control node late, or again after a call without an answer, marked the new lifetime as gone, for good: within a lifetime the state never goes back, so its own reports could not make it ready again. If the departure says when its lifetime began, as announcements do, one that began later now stays. Without that, or unreadably, it ends the lifetime that is known, as before.

Found by reading; the new test failed before the change (gone instead of ready), and the 627 tests of the platform, directory and document pass. Not shown: that replicas send their start with a departure, as the pages print none with a body.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -115,10 +115,13 @@
         """Merge an announcement of a replica and forward it."""
         return self._merge((record,), now, forward=True)
 
-    def depart(self, replica: str, now: float) -> list[Send]:
-        """Mark a replica as gone and forward its record."""
+    def depart(self, replica: str, now: float, *, born_ms: int = 0) -> list[Send]:
+        """Mark a replica as gone and forward its record.
+
+        `born_ms` is the start of the lifetime that ends, 0 if it is not known.
+        """
         previous = self.directory.get(replica)
-        record = self.directory.depart(replica, now)
+        record = self.directory.depart(replica, now, born_ms=born_ms)
         if record is None or record == previous:
             return []
         return self._forward((record,), now) + self._push(now)
--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -90,11 +90,16 @@
         has_kept = self._keep_earlier_lifetime(current, record, now)
         return self._update(current, _merged(current, record), now) or has_kept
 
-    def depart(self, replica: str, now: float) -> ReplicaRecord | None:
-        """Mark a replica as gone; return its record, or None if it is unknown."""
+    def depart(
+        self, replica: str, now: float, *, born_ms: int = 0
+    ) -> ReplicaRecord | None:
+        """Mark a replica as gone; return its record, or None if it is unknown.
+
+        A lifetime that began after `born_ms` stays; 0 means any lifetime.
+        """
         current = self._records.get(replica)
-        if current is None:
-            return None
+        if current is None or 0 < born_ms < current.born_ms:
+            return current
         self.merge(attrs.evolve(current, state=ReplicaState.GONE), now)
         return self._records[replica]
 
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -181,9 +181,13 @@
         """Merge a replica's announcement and forward it."""
         self._network.send_all(self.announcer.announce(record, time.monotonic()))
 
-    def depart(self, replica: str) -> None:
-        """Mark a replica as departed and forward the change."""
-        self._network.send_all(self.announcer.depart(replica, time.monotonic()))
+    def depart(self, replica: str, *, born_ms: int = 0) -> None:
+        """Mark a replica as departed and forward the change.
+
+        `born_ms` is the start of the lifetime that ends, 0 if it is not known.
+        """
+        now = time.monotonic()
+        self._network.send_all(self.announcer.depart(replica, now, born_ms=born_ms))
 
     # Messages and timers
 
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -12,7 +12,7 @@
 from ..util.plain_text import shortened
 from . import names
 from .configuration import decode_configuration
-from .registration import decode_announcement
+from .registration import decode_announcement, decode_departure
 
 if TYPE_CHECKING:
     from ..document.shell import DocumentShell
@@ -94,7 +94,7 @@
             if req.method == b'PUT':
                 self._announce(replica, req.body)
             else:
-                self._shell.depart(replica)
+                self._shell.depart(replica, born_ms=decode_departure(req.body))
         except InvalidConfiguration as exc:
             self._log_refused(req, quoted_id, exc)
             return 400, INVALID_BODY
--- a/pistachiopath/platform/registration.py
+++ b/pistachiopath/platform/registration.py
@@ -1,4 +1,4 @@
-"""Decodes replicas' announcements."""
+"""Decodes what replicas announce of themselves."""
 
 from __future__ import annotations
 
@@ -19,13 +19,7 @@
 
 def decode_announcement(replica: str, content: bytes) -> ReplicaRecord:
     """Return the record of an announcement; raises `InvalidConfiguration`."""
-    if len(content) > MAX_ANNOUNCEMENT_BYTES:
-        raise InvalidConfiguration(where=WHERE, reason='too_long')
-    try:
-        data = json.loads(content)
-    except (ValueError, RecursionError) as exc:
-        raise InvalidConfiguration(where=WHERE, reason='unreadable') from exc
-    fields = WireFields(data=data, where=WHERE)
+    fields = _fields(content)
     state = fields.text('state')
     if state not in STATES:
         raise InvalidConfiguration(where=WHERE, reason='unknown_state')
@@ -47,3 +41,25 @@
     )
     check_record(record)
     return record
+
+
+def decode_departure(content: bytes) -> int:
+    """Return when the lifetime that departs began, in Unix milliseconds.
+
+    Returns 0 if its replica does not say so, or not readably.
+    """
+    try:
+        return _fields(content).integer('born', 0)
+    except InvalidConfiguration:
+        return 0
+
+
+def _fields(content: bytes) -> WireFields:
+    """Return the fields that a replica sent; raises `InvalidConfiguration`."""
+    if len(content) > MAX_ANNOUNCEMENT_BYTES:
+        raise InvalidConfiguration(where=WHERE, reason='too_long')
+    try:
+        data = json.loads(content)
+    except (ValueError, RecursionError) as exc:
+        raise InvalidConfiguration(where=WHERE, reason='unreadable') from exc
+    return WireFields(data=data, where=WHERE)
--- a/tests/test_platform/test_control_api.py
+++ b/tests/test_platform/test_control_api.py
@@ -45,8 +45,8 @@
     def announce(self, record):
         self._send(self.announcer.announce(record, NOW))
 
-    def depart(self, replica):
-        self._send(self.announcer.depart(replica, NOW))
+    def depart(self, replica, *, born_ms=0):
+        self._send(self.announcer.depart(replica, NOW, born_ms=born_ms))
 
     def state(self, replica):
         record = self.announcer.directory.get(replica)
@@ -173,6 +173,23 @@
     assert node.shell.state('live') == ReplicaState.GONE
 
 
+def test_a_late_departure_of_an_earlier_lifetime_does_not_end_the_later_one():
+    node = Node()
+    assert node.put('live', born=2000) == 200
+    assert node.call(b'DELETE', 'live', announcement(born=1000)) == 200
+    assert node.shell.state('live') == ReplicaState.READY
+    assert node.call(b'DELETE', 'live', announcement(born=2000)) == 200
+    assert node.shell.state('live') == ReplicaState.GONE
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'[]', b'{"born":"1"}', b'{"born":-1}'])
+def test_a_departure_that_names_no_lifetime_ends_the_one_that_is_known(body):
+    node = Node()
+    assert node.put('live', born=2000) == 200
+    assert node.call(b'DELETE', 'live', body) == 200
+    assert node.shell.state('live') == ReplicaState.GONE
+
+
 @pytest.mark.parametrize('body', ODD_BODIES, ids=lambda b: str(b[:20]))
 def test_an_unreadable_announcement_is_refused(body):
     node = Node()
