--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -187,9 +187,13 @@
         effects = self.announcer.announce(record, now, sent_after=sent_after)
         self._network.send_all(effects)
 
-    def depart(self, replica: str) -> None:
-        """Mark a replica as departed and forward the change."""
-        self._network.send_all(self.announcer.depart(replica, time.monotonic()))
+    def depart(self, replica: str, *, born_ms: int = 0) -> None:
+        """Mark a replica as departed and forward the change.
+
+        `born_ms` is the start of the lifetime that ends, 0 if it is not known.
+        """
+        now = time.monotonic()
+        self._network.send_all(self.announcer.depart(replica, now, born_ms=born_ms))
 
     # Messages and timers
 
