Log: a process that stood still says so

Nothing in the log of a program told that it had been stopped, had no processor or sat on a VM that moved: hub_stalled leaves such spans out on purpose, as they are no fault of the program. So requests that ended at one moment after a standstill could only be explained from outside.

Each program of the platform now times its turns (0.1 s) and writes one line 'standstill' when it goes on, from 0.25 s, with the length (stood_ms) and the processor time in it (cpu_ms), which tells a stop from a greenlet that never waited. The clock is the one that also runs while a VM is suspended.

--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -22,6 +22,7 @@
 from ..util.hub_watch import HubWatch
 from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_USAGE, starting
+from ..util.standstill_watch import StandstillWatch
 from .early import SETTINGS_VARIABLE
 from .metrics_page import metrics_server
 from .programs import PROGRAMS, program_class
@@ -52,6 +53,7 @@
         program = program_class(args.program)(cfg, metrics)
         program.start()
     HubWatch().start()
+    StandstillWatch().start()
     SettingsWatch(path=path, cfg=cfg, program=program, failures=failures).start()
     stop_requested.wait()
     logger.info('stopping', extra={'role': cfg.role})
