Quarantine: a crash in a standstill is no proof that a run lived

Seen: an entry that stood still for 1.3 s while a replica crashed 0.3 s after its first event broadcast a proof that the content runs well. All entries then took back the marks of that content and asked for one crash more (4 instead of 3), so a part that crashes replicas stayed out of quarantine.

Cause: a run counts as having lived once it writes an event a second after its first, by the time of reading. After a standstill everything is read late.

An entry now counts the second from the end of its last standstill, which the turns of its own timer show (util/listening_span.py). A run that had begun to write before the standstill and is broken off without having lived blames nothing either: nobody saw when it broke. Otherwise two unrelated crashes in standstills would put a request that had written for a while into quarantine for ten minutes.

The crash world's requests got the field that the new check reads.

--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -11,8 +11,10 @@
 from ..directory.replica_state import ReplicaState
 from ..errors.relay import TurnedAway
 from ..messages.quarantine import CrashMarks
+from ..util.listening_span import ListeningSpan
 from .ended import Delivered, Lost, NotRun
-from .exchange_run import REFUSED
+from .exchange_run import LIVED_S, REFUSED
+from .quarantine_log import QuarantineLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -58,9 +60,10 @@
         self._refuses = refuses
         self._records: dict[str, ReplicaRecord] = {}
         self._being_checked: set[str] = set()
-        self._quarantined: frozenset[bytes] = frozenset()
+        self._log = QuarantineLog()
         self._news_at = -RECENT_NEWS_S
         self._resend_at = 0.0
+        self._listening = ListeningSpan()
 
     def check(self, work: Work, now: float) -> None:
         """Raise `TurnedAway` for a request with content in quarantine."""
@@ -105,12 +108,18 @@
                 self._record_crash(lifetime, now, 'refused')
 
     def run_lived(self, work: Work, now: float) -> None:
-        """Record that a run has been writing for a while, so it crashes nothing."""
+        """Record that a run has been writing for a while, so it crashes nothing.
+
+        What it wrote while this process stood still may be read much later.
+        """
+        if now - self._listening.since < LIVED_S:
+            return
         work.has_lived = True
         self._record_delivered(work, now)
 
     def tick(self, now: float) -> None:
         """Check whether replicas that broke off runs have ended."""
+        self._listening.turn(now)
         pending = self._watch.pending()
         for lifetime in pending:
             evidence = self._evidence(self._records[lifetime], now)
@@ -121,7 +130,7 @@
         proofs = self._watch.take_proofs(now)
         if proofs:
             self._broadcast(CrashMarks(proofs=proofs))
-        self._log_quarantine()
+        self._log.update(self._watch.blamed)
         if now >= self._resend_at:
             self._resend(now)
 
@@ -170,8 +179,8 @@
         """Record a run that may have crashed its replica.
 
         What crashes a replica does so when its answer begins, so a run that was
-        writing for a while has not.  A replica that leaves as planned may end with
-        work in progress.
+        writing for a while has not; it may have been if this process stood still
+        meanwhile.  A replica that leaves as planned may end with work in progress.
         """
         is_leaving = self._is_leaving(record)
         logger.info(
@@ -184,7 +193,9 @@
                 'is_leaving': is_leaving,
             },
         )
-        if work.has_lived or is_leaving:
+        has_begun = work.last_event_at >= work.sent_at
+        may_have_lived = has_begun and work.sent_at < self._listening.since
+        if work.has_lived or may_have_lived or is_leaving:
             return
         lifetime = _lifetime(record)
         self._records[lifetime] = record
@@ -255,27 +266,6 @@
         )
         self._broadcast(CrashMarks(marks=marks))
 
-    def _log_quarantine(self) -> None:
-        """Log the contents whose quarantine has begun or ended."""
-        blamed = self._watch.blamed
-        quarantined = frozenset(blamed)
-        if quarantined == self._quarantined:
-            return
-        for key in sorted(quarantined - self._quarantined):
-            history = blamed[key]
-            logger.warning(
-                'quarantine_begun',
-                extra={
-                    'content': key.hex(),
-                    'depth': history.content.depth,
-                    'ran_well_before': history.is_proven,
-                    'crashes': ','.join(sorted(history.runs)),
-                },
-            )
-        for key in sorted(self._quarantined - quarantined):
-            logger.warning('quarantine_ended', extra={'content': key.hex()})
-        self._quarantined = quarantined
-
     def _resend(self, now: float) -> None:
         is_recent = now - self._news_at < RECENT_NEWS_S
         interval_s = RECENT_RESEND_INTERVAL_S if is_recent else RESEND_INTERVAL_S
--- a/tests/harness/crash_world.py
+++ b/tests/harness/crash_world.py
@@ -153,6 +153,7 @@
                 parts=[SimpleNamespace(part_id=p) for p in parts],
             ),
             sent_at=0.0,
+            last_event_at=0.0,
             has_lived=False,
         )
         entry = self.rng.choice(self.entries)
