Control nodes: nobody is silent for having spoken during a standstill

Seen: a control node that stood still for 5 s reported all replicas as silent until each had announced itself again; after 4 s it took a configuration for held by all entries, as none counted as alive; after 25 s it told entries that there was one of them, and each then took the whole of every allowance for its own share; an announcement went to no other control node until it had heard of one. An entry that hears of no other control node believes all that: silence is evidence of a crash, and the content that ran there is blamed.

Cause: ages are counted from the last message that was read, and the timers of a woken process run before what arrived meanwhile is read.

The announcer now notices a standstill of its own (1 s or more between two turns of its timer): followers and control nodes count as heard just then, and silence is counted anew, as after a start. Shorter delays of a busy node hide no silent replica (test).

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..effects import Send
 from ..messages.directory import Announcements, News
+from ..util.listening_span import ListeningSpan
 from .directory import GONE_RETENTION_S, Directory
+from .follower import Follower
 
 if TYPE_CHECKING:
     from ..messages.directory import Follow, ReplicaRecord
@@ -16,6 +16,8 @@
 FOLLOWER_LEASE_S = 3.0
 FOLLOWER_RETENTION_S = 20.0
 CONTROL_RETENTION_S = 20.0
+# A node that stands still for less is sent all the same, and reads it afterwards.
+STANDSTILL_S = 1.0
 # A configuration that a follower has not confirmed in this time, and at this
 # rate, is taken to be lost.  Links of small VMs carry 0.6 MB/s or more.
 CONFIRM_TIMEOUT_S = 0.5
@@ -25,35 +27,6 @@
 MAX_CONTENT_BYTES_SENT = 2 * 1024 * 1024
 
 
-@attrs.define(kw_only=True)
-class _Follower:
-    """A node that follows this one, and what it has received.
-
-    `since` is the last change of the directory that was sent to it, and `confirmed`
-    the last one that it said it has.  While it receives the configuration of version
-    `sent_version`, until it confirms it or `sent_until`, it is sent no other.
-    """
-
-    last_follow_at: float
-    is_entry: bool
-    wants_content: bool
-    version: int = 0
-    since: int = 0
-    confirmed: int = 0
-    sent_version: int = 0
-    sent_until: float = 0.0
-
-    def is_receiving(self, now: float) -> bool:
-        """Return whether a configuration is on its way."""
-        return self.sent_version > self.version and now < self.sent_until
-
-    def needs_content(self, version: int, now: float) -> bool:
-        """Return whether to send the configuration of a version now."""
-        if not self.wants_content or version <= self.version:
-            return False
-        return not self.is_receiving(now)
-
-
 class Announcer:
     """Merges announcements of replicas and sends changes to followers.
 
@@ -84,11 +57,12 @@
         self._started_at = now
         self._is_first_start = is_first_start
         self._has_stored_records = False
-        self._followers: dict[str, _Follower] = {}
+        self._followers: dict[str, Follower] = {}
         self._receiving: set[str] = set()
         self._waiting: set[str] = set()
         self._controls: dict[str, float] = {}
         self._last_announced_at: dict[str, float] = {}
+        self._listening = ListeningSpan(standstill_s=STANDSTILL_S, since=now)
 
     def controls(self, now: float) -> tuple[str, ...]:
         """Return the control nodes seen within `CONTROL_RETENTION_S`.
@@ -159,7 +133,7 @@
         if not body.is_entry:
             self.control_seen(sender, now)
         since = body.since if body.feed == self._feed else 0
-        follower = _Follower(
+        follower = Follower(
             last_follow_at=now,
             is_entry=body.is_entry,
             wants_content=body.wants_content,
@@ -195,6 +169,8 @@
 
     def prune(self, now: float) -> None:
         """Delete followers and replicas whose retention time is over."""
+        if self._listening.turn(now):
+            self._end_standstill(now)
         for name, follower in list(self._followers.items()):
             if now - follower.last_follow_at >= FOLLOWER_RETENTION_S:
                 del self._followers[name]
@@ -203,13 +179,19 @@
             if self.directory.get(replica) is None:
                 del self._last_announced_at[replica]
 
+    def _end_standstill(self, now: float) -> None:
+        """Count those that could not be heard for a while as heard just now."""
+        for follower in self._followers.values():
+            follower.last_follow_at = now
+        self._controls = dict.fromkeys(self._controls, now)
+
     def silent(self, now: float) -> tuple[str, ...]:
         """Return the replicas that announced nothing within `silent_after_s`.
 
         Announcements at other control nodes count.  The result is empty until
-        this node has run for that long.
+        this node has run for that long without a standstill.
         """
-        if now - self._started_at < self._silent_after_s:
+        if now - self._listening.since < self._silent_after_s:
             return ()
         return tuple(
             record.replica
@@ -290,7 +272,7 @@
         self._waiting = set(needing) - self._receiving
         return set(chosen)
 
-    def _start_sending(self, follower: _Follower, now: float) -> None:
+    def _start_sending(self, follower: Follower, now: float) -> None:
         follower.sent_version = self.version
         transfer_s = len(self.content) / MIN_BYTES_PER_S
         follower.sent_until = now + CONFIRM_TIMEOUT_S + transfer_s
