Control replica: heartbeats that were not read yet keep their targets

Seen: a deployment with one control replica that stands still for 12 s retires every target as it goes on, though their heartbeats lie in its sockets: all get new incarnations and what was bound to the old ones is lost to its callers.

Cause: the timers of a woken process run before what arrived meanwhile is read.

Retirement now waits 2 s after a standstill of its own (1 s or more between two of its turns), four heartbeats; what ended in the standstill is retired then.

--- a/pistachiopath/control/retirement.py
+++ b/pistachiopath/control/retirement.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..messages.membership import Retire
+from ..util.listening_span import ListeningSpan
 from .registry import RETIRE_S
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
 
 CHECK_INTERVAL_S = 1.0
 COMMON_FAILURE_WINDOW_S = 2.0
+STANDSTILL_S = 1.0
+# Targets that are alive are heard within this time after a standstill.
+HEARTBEATS_S = 2.0
 
 
 class Retirement:
@@ -22,19 +26,23 @@
 
     A single silent incarnation counts as crashed.  Several that fall silent
     within `COMMON_FAILURE_WINDOW_S` are attributed to a lost rack or a network
-    partition, so that no request content becomes suspect because of them.
+    partition, so that no request content becomes suspect because of them.  Nothing
+    is retired right after a standstill of this process, before it has read the
+    heartbeats that arrived meanwhile.
     """
 
     def __init__(self, *, registry: Registry, now: float) -> None:
         self._registry = registry
         self._check_at = now
         self._retired_at = now - 2 * COMMON_FAILURE_WINDOW_S
+        self._listening = ListeningSpan(standstill_s=STANDSTILL_S)
 
     def due(
         self, records: Iterable[TargetRecord], led_since: float, now: float
     ) -> list[Retire]:
         """Return the due commands; silence before `led_since` doesn't count."""
-        if now < self._check_at:
+        self._listening.turn(now)
+        if now < self._check_at or now - self._listening.since < HEARTBEATS_S:
             return []
         self._check_at = now + CHECK_INTERVAL_S
         live = [record for record in records if not record.retired]
