Gates: a lost entry's places outlast a standstill of the gate

Seen: the link of an entry is lost, the gate stands still for longer than the second for which it keeps that entry's places, and as it goes on it gives them to others, although the entry's message that names them lies in its socket. Places that are freed once stay free, so the engine then runs more requests than it has places, and callers wait behind its own queue.

Cause: the gate's timer runs before what arrived meanwhile is read.

Those of an entry that is gone are freed a second later, as before (test).

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -5,16 +5,12 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
-from ..messages.grants import (
-    Denied,
-    GateLoad,
-    Granted,
-    TierLoad,
-)
+from ..messages.grants import GateLoad, TierLoad
 from .begun_streams import BegunStreams
 from .denial_cause import DenialCause
 from .gate_log import GateLog
 from .place_queue import PlaceQueue
+from .replies import denied, granted
 from .speed import EngineSpeed
 from .wait_estimate import WaitEstimate
 from .watchers import Watchers
@@ -28,7 +24,6 @@
 RECHECK_PERIOD_S = 0.2
 # The runs of an unreachable entry may continue on the engine for a while.
 LOST_ENTRY_HOLD_S = 1.0
-MIN_RETRY_AFTER_MS = 200
 # Lower bound for the grant rate in wait estimates: a tier without recent
 # requests has a measured rate near zero.
 MIN_GRANTS_PER_S = 0.7
@@ -78,7 +73,7 @@
         """
         key = (entry, ask.request)
         if key in self._queue.running:
-            return [_granted(self._queue.running[key])]
+            return [granted(self._queue.running[key])]
         if key in self._queue.waiting:
             return [self._load_for(entry, now)]
         self._queue.slots = ask.slots or self.slots
@@ -147,14 +142,15 @@
                 place.lost_at = 0.0
         return [self._load_for(entry, now)]
 
+    def end_standstill(self, now: float) -> None:
+        """Leave lost entries time to be heard that sent something meanwhile."""
+        self._queue.count_as_lost(now)
+
     def tick(self, now: float) -> list[Send]:
         """Run periodic work: expiry, places of lost entries, load reports."""
         effects = self._deny_infeasible(now)
-        for key, place in list(self._queue.running.items()):
-            is_lost = place.lost_at and now - place.lost_at >= LOST_ENTRY_HOLD_S
-            if is_lost or now >= place.deadline_at:
-                del self._queue.running[key]
-                self._load_version += 1
+        lost_until = now - LOST_ENTRY_HOLD_S
+        self._load_version += self._queue.free_ended(now, lost_until)
         return effects + self._grant_due(now) + self._notify_watchers(now)
 
     def load(self, now: float) -> GateLoad:
@@ -193,7 +189,7 @@
         self, place: Place, cause: DenialCause, estimate: WaitEstimate, now: float
     ) -> Send:
         self._log.denied(place, cause, estimate, self._queue.occupancy(place, now), now)
-        return _denied(place, int(estimate.wait_ms) - place.ask.objective_ms)
+        return denied(place, int(estimate.wait_ms) - place.ask.objective_ms)
 
     def _denial_cause(
         self, place: Place, estimate: WaitEstimate, now: float
@@ -227,7 +223,7 @@
             queue.start(key, place, now)
             self._streams.granted(place.ask, now)
             self._load_version += 1
-            effects.append(_granted(place))
+            effects.append(granted(place))
 
     def _estimate_wait(self, place: Place, now: float) -> WaitEstimate:
         """Estimate how long a request waits behind those of higher priority."""
@@ -295,15 +291,3 @@
             self._load_for(name, now)
             for name in self._watchers.due(self._load_version, now)
         ]
-
-
-def _granted(place: Place) -> Send:
-    return Send(to=place.entry, call=0, body=Granted(request=place.ask.request))
-
-
-def _denied(place: Place, retry_after_ms: int) -> Send:
-    body = Denied(
-        request=place.ask.request,
-        retry_after_ms=max(MIN_RETRY_AFTER_MS, retry_after_ms),
-    )
-    return Send(to=place.entry, call=0, body=body)
--- a/pistachiopath/grants/place_queue.py
+++ b/pistachiopath/grants/place_queue.py
@@ -63,6 +63,26 @@
         self.running[key] = place
         self._fair_tags.started(tier, place.fair_tag)
 
+    def free_ended(self, now: float, lost_until: float) -> int:
+        """Free the places whose time is over; return their number.
+
+        So is that of a place whose entry was lost at `lost_until` or before.
+        """
+        ended = [
+            key
+            for key, place in self.running.items()
+            if now >= place.deadline_at or 0.0 < place.lost_at <= lost_until
+        ]
+        for key in ended:
+            del self.running[key]
+        return len(ended)
+
+    def count_as_lost(self, now: float) -> None:
+        """Count the places of lost entries as those of entries lost just now."""
+        for place in self.running.values():
+            if place.lost_at:
+                place.lost_at = now
+
     def ahead_of(self, place: Place, now: float) -> list[Place]:
         """Return the waiting requests of higher priority."""
         priority = self._priority(place, now)
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -9,6 +9,7 @@
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
+from ..util.listening_span import ListeningSpan
 from ..util.loop_failures import LoopFailures
 from ..util.loop_part import LoopPart
 from ..util.periodic_loop import PeriodicLoop
@@ -41,6 +42,7 @@
         self.gate = GrantGate(log=GateLog(metrics=metrics))
         self._listen_address = listen_address or address
         self._metrics = metrics
+        self._listening = ListeningSpan()
         failures = LoopFailures(metrics=metrics)
         self._network = Network(
             identity=Identity(
@@ -74,6 +76,8 @@
         self._timers.stop()
 
     def _tick_gate(self, now: float) -> None:
+        if self._listening.turn(now):
+            self.gate.end_standstill(now)
         self._network.send_all(self.gate.tick(now))
 
     def _report_load(self, _now: float) -> None:
