--- a/tests/test_relay/test_mutations.py
+++ b/tests/test_relay/test_mutations.py
@@ -101,7 +101,7 @@
     def needs_content(self, version, now):
         return self.wants_content and version > self.version
 
-    patch.setattr(announcer._Follower, 'needs_content', needs_content)
+    patch.setattr(announcer.Follower, 'needs_content', needs_content)
     control = announcer.Announcer(address='c1', feed=1, silent_after_s=3.6, now=0.0)
     check = content_checks
     return lambda: (
