Streams: without a length, a stream with no event is not complete (ORDER)

What callers saw: 200 and a complete stream without events (or, taken up again, without further events), where the replica had ended after the head.

Cause: where an answer has neither length nor chunks the end of the connection was the end of the stream unless it fell within an event. A process that ends closes its connection in the same way.

Now a run without framing that brings no event is lost: another replica goes on, or the answer breaks off. A stream whose last event had arrived already is then not finished; that is the safer side, as nothing tells the two apart. An end between two events stays undetectable without framing.

--- a/pistachiopath/exchange/answer.py
+++ b/pistachiopath/exchange/answer.py
@@ -6,6 +6,8 @@
 
 from .request import Headers, first_value
 
+STATUS_NO_CONTENT = 204
+
 
 @attrs.define(kw_only=True, frozen=True)
 class AnswerHead:
@@ -19,6 +21,15 @@
         """Whether the status is 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body does not depend on that of the connection."""
+        return (
+            self.status == STATUS_NO_CONTENT
+            or self.has(b'content-length')
+            or self.has(b'transfer-encoding')
+        )
+
     def header(self, name: bytes) -> str:
         """Return the first value of a header, or an empty string."""
         return first_value(self.headers, name)
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -235,6 +235,7 @@
         self, target: TargetConnection, head: AnswerHead
     ) -> ExchangeResult:
         splitter = EventSplitter()
+        has_events = False
         while True:
             part = self._await_data(target.read_part)
             if not part:
@@ -244,9 +245,13 @@
             if splitter.held_bytes > MAX_EVENT_BYTES:
                 raise self._garbled('event_size')
             if events:
+                has_events = True
                 self._deliver(head, events)
         if not splitter.is_between_events:
             return Lost(reason='cut_in_event', delivered=self._conn.has_begun)
+        if not has_events and not head.is_framed:
+            # A replica that ended after the head leaves the same bytes.
+            return Lost(reason='cut_before_event', delivered=self._conn.has_begun)
         if not self._conn.has_begun:
             self._deliver(head, [])
         self._conn.finish()
