Directory: the age of a reply is told by its call number, not by a field of news

Follow and News grew by 16 bytes each with the question's number, and an entry's news of 10 control nodes no longer fitted its 3,000 B/s (3,120). The envelope has a number already: 2,960 now, with the list of asked replicas and what was heard (2,800 before both).

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -144,7 +144,9 @@
         self.content = content
         return self._push(now)
 
-    def follow(self, sender: str, body: Follow, now: float) -> list[Send]:
+    def follow(
+        self, sender: str, body: Follow, now: float, *, call: int = 0
+    ) -> list[Send]:
         """Record what a follower has and reply with the changes since then."""
         if not body.is_entry:
             self.control_seen(sender, now)
@@ -165,9 +167,9 @@
         chosen = self._choose_receivers({*self._waiting, sender}, now)
         reply = self._push_to(sender, now, with_content=sender in chosen)
         answers = tuple(self._heard.find(body.asked[:MAX_ASKED], now))
-        news = attrs.evolve(reply.body, question=body.question, heard=answers)
+        news = attrs.evolve(reply.body, heard=answers)
         return [
-            attrs.evolve(reply, body=news),
+            attrs.evolve(reply, call=call, body=news),
             *(
                 self._push_to(name, now, with_content=True)
                 for name in sorted(chosen - {sender})
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -167,13 +167,13 @@
         covered = sorted((s.covered_at for s in self._sources.values()), reverse=True)
         return covered[len(covered) // 2] if covered else -math.inf
 
-    def asked_at(self, sender: str, body: News) -> float:
-        """Return when the request was sent that a message answers.
+    def asked_at(self, sender: str, call: int) -> float:
+        """Return when the request was sent that a message of this call answers.
 
         It is -infinity if the message answers none, or one of before a lost link.
         """
         source = self._sources.get(sender)
-        return source.questions.get(body.question, -math.inf) if source else -math.inf
+        return source.questions.get(call, -math.inf) if source else -math.inf
 
     def ask(self, replicas: Iterable[str], now: float) -> list[Send]:
         """Return requests for when lifetimes of replicas announced themselves last."""
@@ -256,7 +256,9 @@
             if is_unlisted and address not in self._seeds:
                 del self._sources[address]
 
-    def on_news(self, sender: str, body: News, now: float) -> list[Send]:
+    def on_news(
+        self, sender: str, body: News, now: float, *, call: int = 0
+    ) -> list[Send]:
         """Merge a reply or push; return acknowledgements of a new version."""
         source = self._add_source(sender, now)
         if source is None:
@@ -268,7 +270,7 @@
         if now - self._news_at >= MAX_NEWS_GAP_S:
             self._directory_since = now
         self._news_at = now
-        asked_at = source.questions.pop(body.question, -math.inf)
+        asked_at = source.questions.pop(call, -math.inf)
         self._follow_changes(sender, source, body, asked_at, now)
         for record in body.records:
             self.directory.merge(record, now)
@@ -354,10 +356,9 @@
             since=0 if is_full else source.change,
             is_entry=self._is_entry,
             wants_content=self._is_entry and (wants_content or is_supplier),
-            question=self._last_question,
             asked=asked,
         )
-        return Send(to=address, call=0, body=body)
+        return Send(to=address, call=self._last_question, body=body)
 
 
 def _is_main_silent(source: _Source, now: float) -> bool:
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -201,7 +201,8 @@
         now = time.monotonic()
         match body:
             case Follow():
-                self._network.send_all(self.announcer.follow(sender, body, now))
+                effects = self.announcer.follow(sender, body, now, call=call)
+                self._network.send_all(effects)
             case Announcements():
                 self._network.send_all(self.announcer.merge_announcements(body, now))
             case UseReport():
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -34,9 +34,9 @@
     from this control node's change feed, zero if none.  `version` is the
     version of the configuration that it holds.  `is_entry` is true for a node
     that serves callers.  A newer configuration is sent only if `wants_content`
-    is true: each node fetches it from a single control node.  The reply states the
-    `question` number, and when the lifetimes of the replicas in `asked` announced
-    themselves last.  Older nodes ignore both.
+    is true: each node fetches it from a single control node.  The reply has the same
+    call number, and states when the lifetimes of the replicas in `asked` announced
+    themselves last.  Older nodes reply without either.
     """
 
     version: int
@@ -44,7 +44,6 @@
     since: int
     is_entry: bool
     wants_content: bool = True
-    question: int = 0
     asked: tuple[str, ...] = ()
 
 
@@ -70,8 +69,8 @@
     arrived recently.  `silent` names the replicas that have not sent an
     announcement recently.  The sender's directory goes back for `directory_age_ms`.
     `records` holds all changes from `first_change` to `change`, both inclusive; it is
-    0 from older nodes, which do not say where their news begin.  A reply holds the
-    number of its `question`, and what is known of the replicas that it asked for.
+    0 from older nodes, which do not say where their news begin.  `heard` tells what
+    is known of the replicas that the follower asked for.
     """
 
     feed: int
@@ -84,7 +83,6 @@
     silent: tuple[str, ...] = independent_items()
     directory_age_ms: int = 0
     first_change: int = 0
-    question: int = 0
     heard: tuple[HeardLifetime, ...] = independent_items(factory=tuple)
 
 
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -67,7 +67,7 @@
         now = time.monotonic()
         match body:
             case News():
-                self._handle_news(sender, body, now)
+                self._handle_news(sender, call, body, now)
             case Granted() | Denied() | GateLoad():
                 self._gates.receive(sender, body, now)
             case StreamOrigins():
@@ -98,12 +98,12 @@
             gates = self._targets.gates(routes)
             self._send_all(self._gates.watch(gates, now))
 
-    def _handle_news(self, sender: str, body: News, now: float) -> None:
+    def _handle_news(self, sender: str, call: int, body: News, now: float) -> None:
         version = self._subscriber.version
         self._lifetimes.heard(body.records, self._subscriber.covered_at(), now)
-        asked_at = self._subscriber.asked_at(sender, body)
+        asked_at = self._subscriber.asked_at(sender, call)
         self._lifetimes.answered(body.heard, asked_at)
-        effects = self._subscriber.on_news(sender, body, now)
+        effects = self._subscriber.on_news(sender, body, now, call=call)
         self._allowance.set_known_entries(self._subscriber.entries)
         if self._subscriber.version != version:
             routes = self._routes.adopt(
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -405,8 +405,7 @@
   since @2 :Int64;
   isEntry @3 :Bool;
   wantsContent @4 :Bool;
-  question @5 :Int64;
-  asked @6 :List(Text);
+  asked @5 :List(Text);
 }
 
 struct News {
@@ -420,8 +419,7 @@
   silent @7 :List(Text);
   directoryAgeMs @8 :Int64;
   firstChange @9 :Int64;
-  question @10 :Int64;
-  heard @11 :List(HeardLifetime);
+  heard @10 :List(HeardLifetime);
 }
 
 struct Announcements {
--- a/tests/test_directory/test_heard_lifetimes.py
+++ b/tests/test_directory/test_heard_lifetimes.py
@@ -29,26 +29,24 @@
 
 
 def reply(announcer, asked, now):
-    follow = Follow(
-        version=0, feed=0, since=0, is_entry=True, question=7, asked=(asked,)
-    )
-    return announcer.follow('entry', follow, now)[0].body
+    follow = Follow(version=0, feed=0, since=0, is_entry=True, asked=(asked,))
+    return announcer.follow('entry', follow, now, call=7)[0]
 
 
 def test_announcements_that_others_forward_count_as_heard():
     announcer = Announcer(address='c', feed=1, silent_after_s=5.0, now=0.0)
     announcer.merge_announcements(Announcements(records=(record(replica='r1'),)), 1.0)
-    assert reply(announcer, 'r1', 2.0).heard == ()
+    assert reply(announcer, 'r1', 2.0).body.heard == ()
     announcer.announce(record(replica='r1', sequence=2), 3.0, sent_after=2.9)
-    news = reply(announcer, 'r1', 4.0)
-    assert news.question == 7
-    assert [h.age_ms for h in news.heard] == [1101]
+    sent = reply(announcer, 'r1', 4.0)
+    assert sent.call == 7
+    assert [h.age_ms for h in sent.body.heard] == [1101]
 
 
 def test_news_that_nobody_asked_for_count_as_an_answer():
     announcer = Announcer(address='c', feed=1, silent_after_s=5.0, now=0.0)
     reply(announcer, 'r1', 1.0)
     [pushed] = [
-        s.body for s in announcer.announce(record(replica='r1'), 1.1) if s.to == 'entry'
+        s for s in announcer.announce(record(replica='r1'), 1.1) if s.to == 'entry'
     ]
-    assert pushed.question == 0
+    assert pushed.call == 0
