Dispatch: a request whose time passed in a standstill is not sent

What callers saw: 504 for a request that a replica ran, though its time had passed before it was sent; with a non-idempotent one, work that nobody waits for.

The time left is looked at right before the send; it is refused as not run. The test failed before.

--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -139,6 +139,7 @@
                 gevent.sleep(RECHOOSE_PAUSE_S)
                 return NotRun(reason=MOVED, arrived=False)
             self._crashes.check_send(work, time.monotonic())
+            _check_time(work)
             work.sends += 1
             work.has_gate = candidate.is_gated
             self._versions.goes_on(work)
@@ -290,6 +291,14 @@
         conn.respond(504, self._dialect.own_headers(work.req, None), b'')
 
 
+def _check_time(work: Work) -> None:
+    """Raise `TurnedAway` for a request whose time has passed, as in a standstill."""
+    if not work.remaining_s(time.monotonic()):
+        raise TurnedAway(
+            status=503, reason='timeout', retry_after_s=FAILURE_RETRY_AFTER_S
+        )
+
+
 def _is_break(result: ExchangeResult) -> bool:
     """Return whether a connection broke or was refused."""
     if isinstance(result, NotRun):
--- a/tests/test_relay/test_dispatcher.py
+++ b/tests/test_relay/test_dispatcher.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
+import time
+
+import gevent
 import pytest
 
 from pistachiopath.errors.relay import TurnedAway
+from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.messages.grants import Ask, ReleasePlace
 from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
 
@@ -228,3 +232,23 @@
     assert caller.body == events(0, 2)
     assert not caller.finished
     assert work.outcome == 'broken_off'
+
+
+def test_a_request_whose_time_passed_in_a_standstill_is_not_sent():
+    pool = ConnectionPool(request_id_header=b'request-id')
+    target = ScriptedTarget([answer()])
+    pool.open_another(target.address, 0.3)
+    gevent.sleep(0.05)
+    # The standstill begins in the pause after the first target has refused.
+    gevent.spawn_later(0.012, time.sleep, 1.0)
+    with pytest.raises(TurnedAway) as caught:
+        serve([RefusingTarget(), target], ONCE, pool=pool, wait_s=0.3)
+    assert caught.value.status == 503
+    assert target.requests == []
+
+
+class RefusingTarget:
+    """A target that does not listen."""
+
+    address = '127.0.0.1:1'
+    requests = ()
