--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -61,8 +61,7 @@
     All changes of `feed` up to `change` were received.  `states_first` tells whether
     it says where its news begin.  If it does not, `full_polls` requests ask for all
     changes after a new link, before its news are believed.  `questions` holds when
-    each unanswered request was sent, and all that was known at `covered_at` was
-    received.
+    each unanswered request was sent.
     """
 
     last_listed_at: float
@@ -77,7 +76,6 @@
     silent: frozenset[str] = frozenset()
     directory_since: float = math.inf
     questions: dict[int, float] = attrs.field(factory=dict)
-    covered_at: float = -math.inf
 
     def has_all_before(self, news: News) -> bool:
         """Return whether all changes before those of a message were received."""
@@ -158,15 +156,6 @@
         ]
         return max(0.0, now - min([self._directory_since, *begins]))
 
-    def covered_at(self) -> float:
-        """Return a time until which all announcements were received.
-
-        More than half of the control nodes have answered a request that was sent
-        later: when an answer is read does not tell how old it is.
-        """
-        covered = sorted((s.covered_at for s in self._sources.values()), reverse=True)
-        return covered[len(covered) // 2] if covered else -math.inf
-
     def asked_at(self, sender: str, call: int) -> float:
         """Return when the request was sent that a message of this call answers.
 
@@ -270,8 +259,8 @@
         if now - self._news_at >= MAX_NEWS_GAP_S:
             self._directory_since = now
         self._news_at = now
-        asked_at = source.questions.pop(call, -math.inf)
-        self._follow_changes(sender, source, body, asked_at, now)
+        source.questions.pop(call, None)
+        self._follow_changes(sender, source, body, now)
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
@@ -288,7 +277,7 @@
         return [self._follow(a, s, now) for a, s in self._sources.items()]
 
     def _follow_changes(
-        self, sender: str, source: _Source, body: News, asked_at: float, now: float
+        self, sender: str, source: _Source, body: News, now: float
     ) -> None:
         """Record the changes that were received without a gap; ask for missing ones."""
         if body.first_change:
@@ -300,7 +289,6 @@
         if source.has_all_before(body):
             source.feed = body.feed
             source.change = body.change
-            source.covered_at = max(source.covered_at, asked_at)
             return
         source.next_follow_at = min(source.next_follow_at, now + REPAIR_INTERVAL_S)
         if body.first_change:
--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -31,7 +31,7 @@
         request_id_header: bytes,
         on_accepted: Callable[[str], None] = lambda address: None,
         on_closed_early: Callable[[str, float], None] = lambda address, since: None,
-        on_heard: Callable[[str, float], None] = lambda address, opened_at: None,
+        on_heard: Callable[[str, float, float], None] = lambda *_: None,
     ) -> None:
         self._id_header = request_id_header
         self._on_accepted = on_accepted
@@ -58,7 +58,7 @@
             conn.close()
         return self._open(address, connect_timeout_s)
 
-    def open_another(self, address: str, connect_timeout_s: float) -> None:
+    def open_another(self, address: str, connect_timeout_s: float) -> TargetConnection:
         """Open a connection for the next request; raises `ConnectFailed`.
 
         An idle connection does not show that its target still answers.
@@ -66,6 +66,7 @@
         conn = self._open(address, connect_timeout_s)
         conn.keep_idle(time.monotonic())
         self.give_back(conn)
+        return conn
 
     def refuses(self, address: str) -> bool:
         """Return whether a target refuses connections.
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -53,8 +53,8 @@
     discarded.  One without an id may be late as well, unless it is the first on
     the connection.
 
-    `on_heard` is called with the address and the time of the opening when bytes have
-    arrived and the target has not closed the connection since.
+    `on_heard` is called with the address, the time of the opening and the present time
+    when bytes have arrived and the target has not closed the connection since.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         *,
         address: str,
         request_id_header: bytes,
-        on_heard: Callable[[str, float], None] = lambda address, opened_at: None,
+        on_heard: Callable[[str, float, float], None] = lambda *_: None,
     ) -> None:
         self.address = address
         self.opened_at = 0.0
@@ -302,7 +302,7 @@
         """Report that the target runs, unless the bytes are what it left behind."""
         if now >= self._report_heard_at and self.is_quiet():
             self._report_heard_at = now + HEARD_INTERVAL_S
-            self._on_heard(self.address, self.opened_at)
+            self._on_heard(self.address, self.opened_at, now)
 
     def _count_interim_head(self) -> None:
         self._interim_heads += 1
--- a/pistachiopath/relay/continuations.py
+++ b/pistachiopath/relay/continuations.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import time
 from typing import TYPE_CHECKING
 
 import gevent
 
+from ..directory.announcer import MAX_ASKED
 from ..streams.service_version import version_of
 
 if TYPE_CHECKING:
@@ -21,10 +23,10 @@
 
 logger = logging.getLogger(__name__)
 
-# A replica announces itself within this time, if nothing shows sooner that the
-# process behind a new connection is the one that was there before.  The caller
-# waits for the next event meanwhile.
-PROOF_WAIT_S = 1.4
+# Time beyond one period of announcements for which a proof is awaited.  The caller
+# waits for the next event meanwhile, so there is a limit.
+PROOF_MARGIN_S = 0.2
+MAX_PROOF_WAIT_S = 1.8
 PROOF_POLL_INTERVAL_S = 0.02
 # Control nodes reply within this time.
 REPLY_WAIT_S = 0.2
@@ -36,14 +38,19 @@
     """Looks for proof of the software version at the other end of a connection.
 
     Where there is none yet, control nodes are asked with `ask` when lifetimes of the
-    named replicas announced themselves.
+    named replicas announced themselves, which they do each `announce_s`.
     """
 
     def __init__(
-        self, *, lifetimes: KnownLifetimes, ask: Callable[[set[str], float], None]
+        self,
+        *,
+        lifetimes: KnownLifetimes,
+        ask: Callable[[set[str], float], None],
+        announce_s: float,
     ) -> None:
         self._lifetimes = lifetimes
         self._ask = ask
+        self._proof_wait_s = min(MAX_PROOF_WAIT_S, announce_s + PROOF_MARGIN_S)
         self._wanted: set[str] = set()
         self._asked_at: dict[str, float] = {}
 
@@ -52,10 +59,12 @@
 
         If it is not, the next `tick` asks for it.
         """
-        is_known = self._lifetimes.is_proven(start.record, start.opened_at)
-        if not is_known:
-            self._wanted.add(start.record.replica)
-        return is_known
+        record, opened_at = start.record, start.opened_at
+        if self._lifetimes.is_proven(record, opened_at):
+            return True
+        if self._lifetimes.may_be_proven(record, opened_at):
+            self._wanted.add(record.replica)
+        return False
 
     def settle(self, start: StreamStart) -> bool:
         """Return whether the lifetime that began a stream is known; ask if it isn't."""
@@ -73,8 +82,9 @@
         for replica, asked_at in list(self._asked_at.items()):
             if now - asked_at >= ASK_INTERVAL_S:
                 del self._asked_at[replica]
-        due = {r for r in self._wanted if r not in self._asked_at}
-        self._wanted.clear()
+        self._wanted -= self._asked_at.keys()
+        due = set(itertools.islice(self._wanted, MAX_ASKED))
+        self._wanted -= due
         if due:
             self._asked_at.update(dict.fromkeys(due, now))
             self._ask(due, now)
@@ -87,7 +97,7 @@
         Waits for a short time, in which other connections may show it.
         """
         asked_at = time.monotonic()
-        is_proven = self._await_proof(record, target, asked_at + PROOF_WAIT_S)
+        is_proven = self.await_proof(record, target)
         now = time.monotonic()
         logger.info(
             'stream_goes_on',
@@ -108,9 +118,9 @@
         )
         return is_proven
 
-    def _await_proof(
-        self, record: ReplicaRecord, target: TargetConnection, until: float
-    ) -> bool:
+    def await_proof(self, record: ReplicaRecord, target: TargetConnection) -> bool:
+        """Return whether an idle connection leads to a lifetime; wait for proof."""
+        until = time.monotonic() + self._proof_wait_s
         while not self._lifetimes.is_proven(record, target.opened_at):
             now = time.monotonic()
             if now >= until or not target.is_quiet():
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -80,6 +80,7 @@
             pool=pool,
             crashes=crashes,
             retries=retries,
+            continuations=continuations,
         )
 
     def serve(self, conn: ServerConnection, work: Work) -> None:
@@ -126,6 +127,7 @@
         self._placement.add_request(record.replica, work.need, time.monotonic())
         run: ExchangeRun | None = None
         result: ExchangeResult | None = None
+        is_certain = True
         try:
             if grant is None and candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
@@ -144,22 +146,24 @@
             work.has_gate = candidate.is_gated
             self._versions.goes_on(work)
             run = self._new_run(conn, work, record)
-            # If the caller disconnects or the timeout expires during the
-            # exchange, the request may or may not have run.
             may_have_run = work.may_have_run
-            work.may_have_run = True
             result = run.run()
             work.may_have_run = may_have_run or not isinstance(result, NotRun)
+            # Otherwise the gate would tell other entries the version of the record.
+            is_certain = not isinstance(result, Lost) or self._is_certain(work)
             return result
         finally:
             self._placement.remove_request(record.replica)
             if grant is not None:
-                first_ms = run.first_event_ms if run else 0
+                first_ms = run.first_event_ms if run and is_certain else 0
                 ok = isinstance(result, Delivered)
                 self._places.release(grant, first_ms, ok=ok)
             if result is not None:
                 self._record_result(work, candidate, result)
 
+    def _is_certain(self, work: Work) -> bool:
+        return work.start is None or self._continuations.settle(work.start)
+
     def _choose(self, work: Work) -> Candidate:
         self._crashes.check(work, time.monotonic())
         return self._placer.choose(work)
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -112,9 +112,7 @@
             on_closed_early=lambda address, since: self._targets.closed_early(
                 address, since, time.monotonic()
             ),
-            on_heard=lambda address, opened_at: self._process_spans.heard(
-                address, opened_at, time.monotonic()
-            ),
+            on_heard=self._process_spans.heard,
         )
         self._placement = Placement(
             zone=cfg.zone, rng=rng, known_entries=lambda: self._subscriber.entries
@@ -130,15 +128,14 @@
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
         self._lifetimes = KnownLifetimes(
-            subscriber=self._subscriber,
-            spans=self._process_spans,
-            announced_s=DOUBT_PERIODS * cfg.announce_s,
+            subscriber=self._subscriber, spans=self._process_spans
         )
         self._continuations = Continuations(
             lifetimes=self._lifetimes,
             ask=lambda replicas, now: self._network.send_all(
                 self._subscriber.ask(replicas, now)
             ),
+            announce_s=cfg.announce_s,
         )
         self._finder = StreamFinder(send=self._network.send)
         self._open_streams = OpenStreams(
@@ -153,6 +150,7 @@
             finder=self._finder,
             open_streams=self._open_streams,
             continuations=self._continuations,
+            turns=self._turns,
             metrics=metrics,
         )
         self._notices = Notices(
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -102,11 +102,10 @@
         except ConnectFailed as exc:
             return NotRun(reason=f'connect_{exc.reason}', arrived=False)
         self._opened_at = target.opened_at
-        if not self._may_go_on(target):
-            target.close()
-            return NotRun(reason=UNPROVEN_LIFETIME, arrived=False)
         is_reusable = False
         try:
+            if not self._may_go_on(target):
+                return NotRun(reason=UNPROVEN_LIFETIME, arrived=False)
             self._send(target)
             head = self._read_head(target)
             result = self._relay_answer(target, head)
@@ -141,6 +140,7 @@
             remaining_s=work.remaining_s(now),
             last_event=work.last_event,
         )
+        work.may_have_run = True
         self._sent_at = work.sent_at = now
         work.has_lived = False
         http = work.req.http
--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from ..exchange.pool import ConnectionPool
     from ..routing.placement import Candidate, Placement
+    from .continuations import Continuations
     from .crashes import Crashes
     from .placer import Placer
     from .places import Grant, Places
@@ -42,6 +43,7 @@
         pool: ConnectionPool,
         crashes: Crashes,
         retries: Retries,
+        continuations: Continuations,
     ) -> None:
         self._placer = placer
         self._places = places
@@ -49,6 +51,7 @@
         self._pool = pool
         self._crashes = crashes
         self._retries = retries
+        self._continuations = continuations
 
     def begin(self, work: Work, *, delivered: bool) -> Hedge | None:
         """Return a running search, or None if the request has to stay.
@@ -80,6 +83,8 @@
             work
         ):
             return None
+        if work.start is not None and not self._continuations.settle(work.start):
+            return None
         work.tries += 1
         moved = attrs.evolve(work, excluded=set(excluded), denied=set())
         candidate = self._placer.choose_other(moved)
@@ -128,10 +133,13 @@
         return Reservation(candidate=candidate, grant=grant)
 
     def _connects(self, work: Work, candidate: Candidate) -> bool:
-        """Return whether the replica accepts a connection, which the pool keeps."""
+        """Return whether the replica accepts a connection, which the pool keeps.
+
+        A stream goes on there only with proof of its lifetime.
+        """
         record = candidate.record
         try:
-            self._pool.open_another(record.address, CONNECT_TIMEOUT_S)
+            conn = self._pool.open_another(record.address, CONNECT_TIMEOUT_S)
         except ConnectFailed as exc:
             self._placement.health.unreachable(record.replica, time.monotonic())
             logger.info(
@@ -143,7 +151,9 @@
                 },
             )
             return False
-        return True
+        if work.stream_version is None:
+            return True
+        return self._continuations.await_proof(record, conn)
 
     def _release(self, found: Reservation) -> None:
         if found.grant is not None:
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -100,7 +100,7 @@
 
     def _handle_news(self, sender: str, call: int, body: News, now: float) -> None:
         version = self._subscriber.version
-        self._lifetimes.heard(body.records, self._subscriber.covered_at(), now)
+        self._lifetimes.heard(body.records, now)
         asked_at = self._subscriber.asked_at(sender, call)
         self._lifetimes.answered(body.heard, asked_at)
         effects = self._subscriber.on_news(sender, body, now, call=call)
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -11,6 +11,7 @@
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
 from ..streams.origin import Origin
 from ..streams.service_version import version_of
+from ..util.arrivals import handle_arrivals
 from .origin_source import OriginSource
 from .patience import patience_s
 from .retry_after import retry_after_s
@@ -21,6 +22,7 @@
     from ..directory.subscriber import Subscriber
     from ..messages.directory import ReplicaRecord
     from ..telemetry.metrics import Metrics
+    from ..util.turn_clock import TurnClock
     from .continuations import Continuations
     from .open_streams import OpenStreams
     from .stream_finder import StreamFinder
@@ -58,6 +60,7 @@
         finder: StreamFinder,
         open_streams: OpenStreams,
         continuations: Continuations,
+        turns: TurnClock,
         metrics: Metrics,
     ) -> None:
         self._subscriber = subscriber
@@ -65,15 +68,19 @@
         self._finder = finder
         self._open_streams = open_streams
         self._continuations = continuations
+        self._turns = turns
         self._metrics = metrics
         self._memory = StreamMemory()
-        # Ordered by the time of the first event.
-        self._starts: dict[str, StreamStart] = {}
+        # Kept at least as long as what `_memory` has of a stream, in the same order.
+        self._starts: dict[str, tuple[StreamStart, float]] = {}
 
     def resolve(self, work: Work) -> None:
         """Set the version of a resumed stream; raises `TurnedAway`."""
         if not work.is_return:
             return
+        if self._turns.has_stood_still(time.monotonic()):
+            # The return may have been read before the news of a new version.
+            handle_arrivals()
         origin, source = self._find(work)
         if origin is None:
             self._log(work, None, source, refused='version_unknown')
@@ -98,8 +105,6 @@
         work.start = StreamStart(record=record, opened_at=opened_at, begun_at=now)
         if not work.stream:
             return
-        self._starts[work.stream] = work.start
-        self._prune_starts(now)
         self._note(work)
         if not work.has_gate:
             self._note_open(work)
@@ -130,10 +135,12 @@
             lambda: start is None or self._continuations.is_known(start),
         )
 
-    def _prune_starts(self, now: float) -> None:
+    def _note_start(self, stream: str, start: StreamStart, now: float) -> None:
+        self._starts.pop(stream, None)
+        self._starts[stream] = (start, now)
         while self._starts:
-            stream, start = next(iter(self._starts.items()))
-            is_old = now - start.begun_at >= 2 * STREAM_RETENTION_S
+            stream, (_, noted_at) = next(iter(self._starts.items()))
+            is_old = now - noted_at >= 2 * STREAM_RETENTION_S
             if not is_old and len(self._starts) <= MAX_STREAMS:
                 return
             del self._starts[stream]
@@ -149,6 +156,8 @@
         )
 
     def _note(self, work: Work) -> None:
+        if work.start is not None:
+            self._note_start(work.stream, work.start, time.monotonic())
         self._memory.note(
             work.stream,
             work.stream_version,
@@ -161,7 +170,7 @@
         now = time.monotonic()
         origin = self._memory.find(work.stream, now)
         if origin is not None:
-            start = self._starts.get(work.stream)
+            start, _ = self._starts.get(work.stream, (None, 0.0))
             is_settled = start is None or self._continuations.settle(start)
             return origin if is_settled else None, OriginSource.OWN
         # Of several services, it is not known which one began the stream.
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -166,7 +166,8 @@
 
         It may not while the replica may have started again with another version.
         """
-        if self._doubts.holds(record, now):
+        versions = self._subscriber.directory.versions(record.service)
+        if len(versions) > 1 and self._doubts.holds(record, now):
             return False
         current = self._subscriber.directory.get(record.replica)
         if current is None or current.born_ms != record.born_ms:
--- a/pistachiopath/util/turn_clock.py
+++ b/pistachiopath/util/turn_clock.py
@@ -47,3 +47,7 @@
         if now - self._woke_at < CATCH_UP_S:
             return self._stood_since
         return min(now, self._turned_at)
+
+    def has_stood_still(self, now: float) -> bool:
+        """Return whether what is read now may have waited for a standstill."""
+        return now - self.may_have_come_at(now) >= MIN_STANDSTILL_S
--- a/tests/test_relay/parts.py
+++ b/tests/test_relay/parts.py
@@ -27,6 +27,7 @@
 from pistachiopath.routing.placement import Candidate, Placement
 from pistachiopath.routing.prompt_part import PromptPart
 from pistachiopath.telemetry.metrics import Metrics
+from pistachiopath.util.turn_clock import TurnClock
 from tests.test_directory.records import record
 
 from .streams import NoNotes, certain_continuations
@@ -278,6 +279,7 @@
             finder=None,
             open_streams=NoNotes(),
             continuations=certain_continuations(),
+            turns=TurnClock(),
             metrics=Metrics(),
         ),
         continuations=certain_continuations(),
--- a/tests/test_relay/test_known_versions.py
+++ b/tests/test_relay/test_known_versions.py
@@ -12,6 +12,7 @@
 from pistachiopath.streams.origin import Origin
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.telemetry.metrics import Metrics
+from pistachiopath.util.turn_clock import TurnClock
 from tests.test_directory.records import record
 
 from .streams import NoNotes, certain_continuations, stream_work
@@ -74,6 +75,7 @@
         finder=Gates(at_gates),
         open_streams=NoNotes(),
         continuations=certain_continuations(),
+        turns=TurnClock(),
         metrics=Metrics(),
     )
     work = stream_work(time.monotonic())
@@ -96,6 +98,7 @@
         finder=Gates(),
         open_streams=NoNotes(),
         continuations=certain_continuations(),
+        turns=TurnClock(),
         metrics=Metrics(),
     )
     begun = stream_work(time.monotonic())
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -130,6 +130,20 @@
     assert not (targets[0].requests and targets[1].requests)
 
 
+def test_a_stream_of_a_silent_replica_that_has_not_reported_since_moves_elsewhere():
+    script = [half(), MUTE]
+    targets = (
+        ScriptedTarget(script, [rest('abc')]),
+        ScriptedTarget(script, [rest('abc')]),
+    )
+    entry = Entry(free_address(), announces=False)
+    entry.hear(announced('r1', targets[0]), announced('r2', targets[1]))
+    sock = entry.open_stream('abc')
+    gevent.sleep(exchange_run.STALL_MIN_S + 1.0)
+    assert not (targets[0].requests and targets[1].requests)
+    sock.close()
+
+
 def test_without_agents_a_stream_goes_on_at_a_replica_that_reports():
     scripts = [half(), RESET], [rest('abc')]
     targets = ScriptedTarget(*scripts), ScriptedTarget(*scripts)
