Logs: which lifetime began a stream, and when a lifetime was first heard of

After the loss of an entry nothing told where its streams had begun, nor since when control nodes knew of a version, so a right deduction looked like a wrong one, and a gate's certain origin like one that an entry had only named. One line for each resumable stream (stream_begun), one for each new lifetime at a control node (lifetime_announced), and is_confirmed and attempt in stream_return. No logic is changed.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from ..effects import Send
 from ..messages.directory import Announcements, News
 from ..util.listening_span import ListeningSpan
+from ..util.plain_text import shortened
 from .directory import GONE_RETENTION_S, Directory
 from .follower import Follower
 from .heard_lifetimes import HeardLifetimes
@@ -17,6 +19,8 @@
 if TYPE_CHECKING:
     from ..messages.directory import Follow, ReplicaRecord
 
+logger = logging.getLogger(__name__)
+
 FOLLOWER_LEASE_S = 3.0
 FOLLOWER_RETENTION_S = 20.0
 CONTROL_RETENTION_S = 20.0
@@ -231,10 +235,29 @@
         changed = False
         for record in records:
             self._last_announced_at[record.replica] = now
+            self._log_first(record, is_forwarded=not forward)
             changed |= self.directory.merge(record, now)
         effects = self._forward(records, now) if forward else []
         return effects + (self._push(now) if changed else [])
 
+    def _log_first(self, record: ReplicaRecord, *, is_forwarded: bool) -> None:
+        """Log the first announcement of a lifetime."""
+        current = self.directory.get(record.replica)
+        if current is not None and record.born_ms <= current.born_ms:
+            return
+        logger.info(
+            'lifetime_announced',
+            extra={
+                'replica': shortened(record.replica),
+                'born_ms': record.born_ms,
+                'earlier_born_ms': current.born_ms if current else 0,
+                'software_version': shortened(record.software_version),
+                'state': record.state,
+                'sequence': record.sequence,
+                'is_forwarded': is_forwarded,
+            },
+        )
+
     def _forward(self, records: tuple[ReplicaRecord, ...], now: float) -> list[Send]:
         body = Announcements(records=records)
         others = self.controls(now)[1:]
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -105,6 +105,18 @@
         work.start = StreamStart(record=record, opened_at=opened_at, begun_at=now)
         if not work.stream:
             return
+        logger.info(
+            'stream_begun',
+            extra={
+                'request': work.req.request_id,
+                'stream': work.stream,
+                'replica': record.replica,
+                'born_ms': record.born_ms,
+                'software_version': work.stream_version.version,
+                'has_gate': work.has_gate,
+                'opened_ms': int((now - opened_at) * 1000),
+            },
+        )
         self._note(work)
         if not work.has_gate:
             self._note_open(work)
@@ -244,6 +256,8 @@
                 'software_version': origin.version.version if origin else '',
                 'source': source.value,
                 'holder': origin.holder if origin else '',
+                'is_confirmed': origin.is_confirmed if origin else False,
+                'attempt': origin.attempt if origin else -1,
                 'age_ms': int((now - origin.noted_at) * 1000) if origin else -1,
                 'searched_ms': int((now - work.started_at) * 1000),
                 'refused': refused,
