--- /dev/null
+++ b/tests/test_relay/test_late_first_reports.py
@@ -0,0 +1,59 @@
+"""Returns while a replica may have started again and not have reported yet."""
+
+from __future__ import annotations
+
+from tests.test_exchange.sockets import MUTE, ScriptedTarget
+from tools.free_address import free_address
+
+from .parts import chunk, events
+from .version_entries import (
+    LAST_CHUNK,
+    Entry,
+    announced,
+    begin_stream,
+    half,
+    newer,
+    read_to_end,
+    rest,
+    start_gate,
+    start_silent_control,
+)
+
+
+def test_a_return_is_deduced_though_a_replica_has_not_reported_since():
+    late, sound = ScriptedTarget(), ScriptedTarget([rest()])
+    entry = Entry(free_address(), announces=['sound'])
+    entry.hear(
+        announced('late', late),
+        announced('sound', sound),
+        control=start_silent_control(),
+        directory_age_ms=60_000,
+    )
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert sound.requests == []
+
+
+def test_a_return_goes_on_at_the_version_that_a_lost_entry_named_to_the_gate():
+    gate_address = start_gate()
+    late, sound = ScriptedTarget([half(), MUTE]), ScriptedTarget([rest()])
+    records = announced('late', late), announced('sound', sound)
+    begun = begin_stream(Entry(gate_address, announces=False), late, name='late')
+    entry = Entry(gate_address, announces=['sound'])
+    entry.hear(*records, *newer(ScriptedTarget([rest()])))
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert sound.requests == []
+    begun.close()
+
+
+def test_a_whole_answer_makes_the_gate_certain_of_a_version_that_nobody_proved():
+    gate_address = start_gate()
+    whole = [half() + chunk(events(3, 5)) + LAST_CHUNK]
+    late, sound = ScriptedTarget(whole), ScriptedTarget([rest()])
+    records = announced('late', late), announced('sound', sound)
+    first = Entry(gate_address, announces=False)
+    first.hear(announced('late', late))
+    assert b'id: 5' in read_to_end(first.open_stream('abc'))
+    entry = Entry(gate_address, announces=['sound'])
+    entry.hear(*records, *newer(ScriptedTarget([rest()])))
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert sound.requests == []
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -8,11 +8,6 @@
 
 from pistachiopath.relay import exchange_run
 from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
-from pistachiopath.relay.settings import LINK_SECRET
-from pistachiopath.telemetry.metrics import Metrics
-from pistachiopath.transport.handshake import ROLE_NODE, Identity
-from pistachiopath.transport.network import Network
-from pistachiopath.util.loop_failures import LoopFailures
 from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
 from tools.free_address import free_address
 
@@ -27,22 +22,14 @@
     read_to_end,
     rest,
     start_gate,
+    start_silent_control,
 )
 
 
 @pytest.fixture
 def control():
     """Address of a control node that is alive."""
-    address = free_address()
-    identity = Identity(name=address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET})
-    network = Network(
-        identity=identity,
-        on_message=lambda *_: None,
-        on_lost=lambda _: None,
-        failures=LoopFailures(metrics=Metrics()),
-    )
-    network.listen(address)
-    return address
+    return start_silent_control()
 
 
 @pytest.fixture
--- a/tests/test_relay/version_entries.py
+++ b/tests/test_relay/version_entries.py
@@ -19,6 +19,9 @@
 from pistachiopath.relay.settings import LINK_SECRET, RelaySettings
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.telemetry.spans import NoSpans
+from pistachiopath.transport.handshake import ROLE_NODE, Identity
+from pistachiopath.transport.network import Network
+from pistachiopath.util.loop_failures import LoopFailures
 from tools.free_address import free_address
 
 from .parts import chunk, events
@@ -93,7 +96,8 @@
 class Entry:
     """An entry that begins with empty memory.
 
-    Without `announces` it learns nothing more of replicas after their first report.
+    Without `announces` it learns nothing more of replicas after their first report, and
+    with a list of names only of those.
     """
 
     def __init__(self, gate_address, *, announces=True):
@@ -118,6 +122,7 @@
         )
         self._entry.start()
         self._heard = {}
+        self._announces = announces
         if announces:
             gevent.spawn(self._announce)
 
@@ -127,6 +132,7 @@
             heard = [
                 HeardLifetime(replica=r.replica, born_ms=r.born_ms, age_ms=0)
                 for r in self._heard.values()
+                if self._announces is True or r.replica in self._announces
             ]
             self._entry._lifetimes.answered(heard, time.monotonic())
             gevent.sleep(ANNOUNCE_INTERVAL_S)
@@ -172,6 +178,20 @@
     return address
 
 
+def start_silent_control():
+    """Start a control node that is alive and answers nothing."""
+    address = free_address()
+    identity = Identity(name=address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET})
+    network = Network(
+        identity=identity,
+        on_message=lambda *_: None,
+        on_lost=lambda _: None,
+        failures=LoopFailures(metrics=Metrics()),
+    )
+    network.listen(address)
+    return address
+
+
 def read_to_end(sock):
     """Read an answer until it is complete or the connection is closed."""
     data = b''
@@ -183,9 +203,9 @@
     return data
 
 
-def begin_stream(entry, old, request_id='abc'):
+def begin_stream(entry, old, request_id='abc', *, name='old'):
     """Begin a stream at the only replica; return once its first events are read."""
-    entry.hear(announced('old', old))
+    entry.hear(announced(name, old))
     sock = entry.open_stream(request_id)
     with gevent.Timeout(4.5):
         data = sock.recv(65536)
