Soak: a connection is served by the lifetime that accepted it

A handler of the soak's stand-in took the lifetime that was current when it began to run. No run of the soak is known to have shown it.

--- a/tools/soak/replica.py
+++ b/tools/soak/replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from typing import TYPE_CHECKING
 
@@ -62,7 +63,9 @@
             slots=gevent.lock.Semaphore(SLOTS),
         )
         self.behaviour = Behaviour()
-        self._server = gevent.server.StreamServer(self._address, self._serve)
+        self._server = gevent.server.StreamServer(
+            self._address, functools.partial(self._serve, self.lifetime)
+        )
         self._server.start()
         self._span = SoftwareSpan(
             place=self.place, version=version, began_at=time.monotonic()
@@ -80,9 +83,8 @@
         for stream in list(self._streams):
             reset(stream.sock)
 
-    def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
+    def _serve(self, lifetime: Lifetime, sock: gsocket.socket, _address: tuple) -> None:
         stream = HttpStream(sock=sock)
-        lifetime = self.lifetime
         self._streams.add(stream)
         try:
             while not lifetime.is_ended:
