--- a/tests/test_soak/test_plan.py
+++ b/tests/test_soak/test_plan.py
@@ -3,7 +3,12 @@
 import attrs
 import pytest
 
-from tools.soak.fault_kind import PLANNED_KINDS, USUAL_KINDS, FaultKind
+from tools.soak.fault_kind import (
+    PLANNED_KINDS,
+    USUAL_KINDS,
+    WHOLE_RELEASES,
+    FaultKind,
+)
 from tools.soak.plan import make_plan
 from tools.soak.topology import Topology
 
@@ -38,11 +43,9 @@
     assert {fault.kind for plan in plans for fault in plan.faults} == kinds
 
 
-def test_releases_in_a_pause_do_not_end_the_pause_of_another():
+def test_releases_of_a_whole_service_do_not_overlap():
     for seed in range(20):
-        faults = make_plan(
-            seed, LENGTH_S, TOPOLOGY, {FaultKind.RELEASE_IN_PAUSE}
-        ).faults
+        faults = make_plan(seed, LENGTH_S, TOPOLOGY, WHOLE_RELEASES).faults
         assert len(faults) > 3
         for first, second in zip(faults, faults[1:], strict=False):
             assert second.at_s >= first.at_s + first.for_s
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -8,6 +8,8 @@
 LENGTH_S = 25
 RELEASE_SEED = 4
 RELEASE_LENGTH_S = 20
+UNREPORTED_SEED = 2
+UNREPORTED_LENGTH_S = 16
 
 
 def run_soak(folder, seed, length_s, *options):
@@ -28,3 +30,8 @@
 ):
     only = ('--only', 'release_in_pause')
     assert run_soak(tmp_path, RELEASE_SEED, RELEASE_LENGTH_S, *only) == 0
+
+
+def test_no_stream_is_joined_of_two_versions_while_first_reports_are_late(tmp_path):
+    only = ('--only', 'release_unreported')
+    assert run_soak(tmp_path, UNREPORTED_SEED, UNREPORTED_LENGTH_S, *only) == 0
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -158,6 +159,31 @@
         """Return the replica at a VM, or all replicas of a service."""
         return [r for r in self.replicas.values() if name in (r.place, r.service)]
 
+    def next_version(self, service: str) -> str:
+        """Return the software version after the newest one that a service runs."""
+        replicas = self.replicas_of(service)
+        newest = max(int(replica.lifetime.version[1:]) for replica in replicas)
+        return f'v{newest + 1}'
+
+    def restart(
+        self,
+        replica: Replica,
+        version: str,
+        *,
+        down_s: float,
+        keeps_id: bool,
+        late_s: float = 0.0,
+    ) -> None:
+        """Crash a replica, and start it again with another version.
+
+        Its first report comes `late_s` after it serves.
+        """
+        replica.end()
+        gevent.sleep(down_s)
+        replica.start(version, keeps_id=keeps_id)
+        replica.lifetime.announces_from = time.monotonic() + late_s
+        self.announcers[replica.place].announce(replica.lifetime)
+
     def check_greenlets(self) -> None:
         """Raise the error of any part of the soak that has failed."""
         for greenlet in self._greenlets:
--- a/tools/soak/fault_kind.py
+++ b/tools/soak/fault_kind.py
@@ -49,6 +49,7 @@
     REPLICA_SILENT = 'replica_silent', 'replica or service', 2.0, 4.0
     RELEASE = 'release', 'engines', 1.0, 3.0
     RELEASE_IN_PAUSE = 'release_in_pause', 'engines', 4.0, 6.0
+    RELEASE_UNREPORTED = 'release_unreported', 'engines', 5.0, 7.0
     ODD_ANNOUNCEMENTS = 'odd_announcements', '', 1.0, 2.0
 
     # Not planned; the soak notices them.
@@ -80,7 +81,15 @@
     }
 )
 # While one of these takes place, no other fault restarts a replica.
-RELEASE_KINDS = frozenset({FaultKind.RELEASE, FaultKind.RELEASE_IN_PAUSE})
+RELEASE_KINDS = frozenset(
+    {
+        FaultKind.RELEASE,
+        FaultKind.RELEASE_IN_PAUSE,
+        FaultKind.RELEASE_UNREPORTED,
+    }
+)
+# These restart all replicas of a service, so one follows the other.
+WHOLE_RELEASES = frozenset({FaultKind.RELEASE_IN_PAUSE, FaultKind.RELEASE_UNREPORTED})
 # Of these at most one takes place at a time.
 CORE_KINDS = frozenset(
     {
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -15,6 +15,7 @@
 from .fault_kind import FaultKind
 from .paused_release import PausedRelease
 from .replica_faults import ReplicaFaults
+from .unreported_release import UnreportedRelease
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +47,9 @@
         self._paused_release = PausedRelease(
             deployment=deployment, rng=rng, recorded=self._recorded
         )
+        self._unreported_release = UnreportedRelease(
+            deployment=deployment, rng=rng, recorded=self._recorded
+        )
 
     def run(self, plan: Plan) -> None:
         """Carry out a plan and return after the end of its last fault."""
@@ -89,6 +93,7 @@
             FaultKind.CLOCK_STEPPED: self._disturb_program,
             FaultKind.SETTINGS_CHANGED: self._change_settings,
             FaultKind.RELEASE_IN_PAUSE: self._paused_release.carry_out,
+            FaultKind.RELEASE_UNREPORTED: self._unreported_release.carry_out,
             FaultKind.CONFIGURATION_CHANGED: lambda _: operator.change(),
             FaultKind.CONFIGURATION_INVALID: lambda _: operator.send_invalid(),
         }
--- a/tools/soak/paused_release.py
+++ b/tools/soak/paused_release.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -64,8 +63,7 @@
 
     def _release(self, service: str) -> None:
         replicas = self._deployment.replicas_of(service)
-        newest = max(int(replica.lifetime.version[1:]) for replica in replicas)
-        version = f'v{newest + 1}'
+        version = self._deployment.next_version(service)
         self._rng.shuffle(replicas)
         first = 1 + (self._rng.random() < TWO_REPLICAS_SHARE)
         pause_s = self._rng.uniform(*PAUSE_S)
@@ -96,8 +94,6 @@
         keeps_id = self._rng.random() < SAME_ID_SHARE
         is_late = self._rng.random() < LATE_SHARE
         late_s = self._rng.uniform(0.0, MAX_LATE_S) if is_late else 0.0
-        replica.end()
-        gevent.sleep(down_s)
-        replica.start(version, keeps_id=keeps_id)
-        replica.lifetime.announces_from = time.monotonic() + late_s
-        self._deployment.announcers[replica.place].announce(replica.lifetime)
+        self._deployment.restart(
+            replica, version, down_s=down_s, keeps_id=keeps_id, late_s=late_s
+        )
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -8,7 +8,7 @@
 import attrs
 
 from .fault import Fault
-from .fault_kind import CORE_KINDS, RELEASE_KINDS, FaultKind
+from .fault_kind import CORE_KINDS, RELEASE_KINDS, WHOLE_RELEASES, FaultKind
 from .topology import ENGINE_SERVICE, PLAIN_SERVICES
 
 if TYPE_CHECKING:
@@ -93,7 +93,7 @@
     kinds = {fault.kind, other.kind}
     if kinds <= CORE_KINDS:
         return True
-    if kinds == {FaultKind.RELEASE_IN_PAUSE}:
+    if kinds <= WHOLE_RELEASES:
         return True
     if kinds & RELEASE_KINDS:
         return any(kind.startswith('replica') for kind in kinds)
