--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -103,14 +103,23 @@
 
         It did not arrive before `sent_after`.
         """
-        self._heard.heard(record, sent_after)
+        self._heard.heard(record, sent_after, now)
         return self._merge((record,), now, forward=True)
 
-    def depart(self, replica: str, now: float, *, born_ms: int = 0) -> list[Send]:
+    def depart(
+        self,
+        replica: str,
+        now: float,
+        *,
+        born_ms: int = 0,
+        sent_after: float = -math.inf,
+    ) -> list[Send]:
         """Mark a replica as gone and forward its record.
 
-        `born_ms` is the start of the lifetime that ends, 0 if it is not known.
+        `born_ms` is the start of the lifetime that ends, 0 if it is not known.  Its
+        call did not arrive before `sent_after`.
         """
+        self._heard.left(replica, born_ms, sent_after)
         previous = self.directory.get(replica)
         record = self.directory.depart(replica, now, born_ms=born_ms)
         if record is None or record == previous:
@@ -170,7 +179,9 @@
         self._followers[sender] = follower
         chosen = self._choose_receivers({*self._waiting, sender}, now)
         reply = self._push_to(sender, now, with_content=sender in chosen)
-        answers = tuple(self._heard.find(body.asked[:MAX_ASKED], now))
+        answers = tuple(
+            self._heard.find(body.asked[:MAX_ASKED], now, quiet_since=self._quiet_since)
+        )
         news = attrs.evolve(reply.body, heard=answers)
         return [
             attrs.evolve(reply, call=call, body=news),
@@ -203,7 +214,7 @@
             if now - follower.last_follow_at >= FOLLOWER_RETENTION_S:
                 del self._followers[name]
         self.directory.prune(now)
-        self._heard.prune(now)
+        self._heard.prune(self.directory, now)
         for replica in list(self._last_announced_at):
             if self.directory.get(replica) is None:
                 del self._last_announced_at[replica]
@@ -237,9 +248,19 @@
             self._last_announced_at[record.replica] = now
             self._log_first(record, is_forwarded=not forward)
             changed |= self.directory.merge(record, now)
+            if record.replica in self.directory:
+                self._heard.known(record, now)
         effects = self._forward(records, now) if forward else []
         return effects + (self._push(now) if changed else [])
 
+    def _quiet_since(self, replica: str) -> float:
+        """Return since when no announcement of a replica has come.
+
+        What was announced while this node stood still may not have come at all.
+        """
+        announced_at = self._last_announced_at.get(replica, self._started_at)
+        return max(announced_at, self._listening.since)
+
     def _log_first(self, record: ReplicaRecord, *, is_forwarded: bool) -> None:
         """Log the first announcement of a lifetime."""
         current = self.directory.get(record.replica)
--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -48,6 +48,9 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def __contains__(self, replica: str) -> bool:
+        return replica in self._records
+
     def get(self, replica: str) -> ReplicaRecord | None:
         """Return a replica's record, or None if it is unknown."""
         return self._records.get(replica)
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -49,6 +49,14 @@
 MAX_QUESTIONS = 64
 
 
+@attrs.define(kw_only=True, frozen=True)
+class _Question:
+    """A request to a control node; `is_detailed` if it names replicas."""
+
+    sent_at: float
+    is_detailed: bool
+
+
 @attrs.define(kw_only=True)
 class _Source:
     """A followed control node and the state of its feed.
@@ -60,8 +68,9 @@
     it reported as silent, and `directory_since` is when its directory begins.
     All changes of `feed` up to `change` were received.  `states_first` tells whether
     it says where its news begin.  If it does not, `full_polls` requests ask for all
-    changes after a new link, before its news are believed.  `questions` holds when
-    each unanswered request was sent.
+    changes after a new link, before its news are believed.  `questions` holds
+    the unanswered requests.  `answered_at` is when the last request was sent that
+    names replicas and whose answer has come, with all changes before it.
     """
 
     last_listed_at: float
@@ -75,7 +84,8 @@
     states_first: bool = False
     silent: frozenset[str] = frozenset()
     directory_since: float = math.inf
-    questions: dict[int, float] = attrs.field(factory=dict)
+    questions: dict[int, _Question] = attrs.field(factory=dict)
+    answered_at: float = -math.inf
 
     def has_all_before(self, news: News) -> bool:
         """Return whether all changes before those of a message were received."""
@@ -136,13 +146,25 @@
 
         Those that no control node has listed for a while do not count.
         """
-        listed = [
+        listed = self._listed(now)
+        heard = sum(now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed)
+        return heard / max(1, len(listed))
+
+    def answered_controls(self, since: float, now: float) -> float:
+        """Return the share of the control nodes whose news are newer than a time.
+
+        They have answered a request that names replicas and was sent then or later.
+        """
+        listed = self._listed(now)
+        answered = sum(s.answered_at >= since for s in listed)
+        return answered / max(1, len(listed))
+
+    def _listed(self, now: float) -> list[_Source]:
+        return [
             s
             for s in self._sources.values()
             if now - s.last_listed_at < CONTROL_RETENTION_S
         ]
-        heard = sum(now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed)
-        return heard / max(1, len(listed))
 
     def directory_age_s(self, now: float) -> float:
         """Return for how many seconds all replicas that announced themselves are known.
@@ -162,7 +184,8 @@
         It is -infinity if the message answers none, or one of before a lost link.
         """
         source = self._sources.get(sender)
-        return source.questions.get(call, -math.inf) if source else -math.inf
+        question = source.questions.get(call) if source else None
+        return question.sent_at if question else -math.inf
 
     def ask(self, replicas: Iterable[str], now: float) -> list[Send]:
         """Return requests for when lifetimes of replicas announced themselves last."""
@@ -259,8 +282,10 @@
         if now - self._news_at >= MAX_NEWS_GAP_S:
             self._directory_since = now
         self._news_at = now
-        source.questions.pop(call, None)
-        self._follow_changes(sender, source, body, now)
+        question = source.questions.pop(call, None)
+        has_all = self._follow_changes(sender, source, body, now)
+        if has_all and question is not None and question.is_detailed:
+            source.answered_at = max(source.answered_at, question.sent_at)
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
@@ -278,8 +303,11 @@
 
     def _follow_changes(
         self, sender: str, source: _Source, body: News, now: float
-    ) -> None:
-        """Record the changes that were received without a gap; ask for missing ones."""
+    ) -> bool:
+        """Record the changes that were received without a gap; ask for missing ones.
+
+        Return whether nothing is missing.
+        """
         if body.first_change:
             source.states_first = True
             source.full_polls = 0
@@ -289,7 +317,7 @@
         if source.has_all_before(body):
             source.feed = body.feed
             source.change = body.change
-            return
+            return True
         source.next_follow_at = min(source.next_follow_at, now + REPAIR_INTERVAL_S)
         if body.first_change:
             logger.info(
@@ -302,6 +330,7 @@
                     'is_same_feed': body.feed == source.feed,
                 },
             )
+        return False
 
     def is_silent(self, replica: str, now: float) -> bool:
         """Return whether all control nodes that are alive report a replica as silent.
@@ -332,7 +361,9 @@
         asked: tuple[str, ...] = (),
     ) -> Send:
         self._last_question += 1
-        source.questions[self._last_question] = now
+        source.questions[self._last_question] = _Question(
+            sent_at=now, is_detailed=bool(asked)
+        )
         if len(source.questions) > MAX_QUESTIONS:
             del source.questions[next(iter(source.questions))]
         is_supplier = address == self._main or not self.version
--- a/pistachiopath/document/noted_streams.py
+++ b/pistachiopath/document/noted_streams.py
@@ -7,6 +7,7 @@
 from ..messages.streams import StreamOrigin, StreamOrigins
 from ..streams.memory import StreamMemory
 from ..streams.name import DIGEST_BYTES, stream_digest
+from ..streams.origin import Origin
 from ..streams.service_version import ServiceVersion
 
 if TYPE_CHECKING:
@@ -36,10 +37,9 @@
             version = ServiceVersion(
                 service=batch.service, version=batch.software_version
             )
+            origin = Origin(version=version, attempt=0, is_confirmed=True, noted_at=now)
             for digest in _split(batch.digests):
-                self._memory.note(
-                    digest.hex(), version, attempt=0, is_confirmed=True, now=now
-                )
+                self._memory.note(digest.hex(), origin)
 
     def find(self, streams: tuple[str, ...], now: float) -> StreamOrigins:
         """Return what is known of streams."""
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -193,7 +193,11 @@
         `born_ms` is the start of the lifetime that ends, 0 if it is not known.
         """
         now = time.monotonic()
-        self._network.send_all(self.announcer.depart(replica, now, born_ms=born_ms))
+        sent_after = self._turns.may_have_come_at(now)
+        effects = self.announcer.depart(
+            replica, now, born_ms=born_ms, sent_after=sent_after
+        )
+        self._network.send_all(effects)
 
     # Messages and timers
 
--- a/pistachiopath/exchange/pool.py
+++ b/pistachiopath/exchange/pool.py
@@ -73,12 +73,20 @@
 
         A connection that it accepts is kept for the next request.
         """
+        return self._check(address) == ConnectionRefusedError.__name__
+
+    def accepts(self, address: str) -> bool:
+        """Return whether a target accepts a connection, which is kept."""
+        return not self._check(address)
+
+    def _check(self, address: str) -> str:
+        """Return why a target accepts no connection, an empty string if it does."""
         try:
             self.open_another(address, CHECK_TIMEOUT_S)
         except ConnectFailed as exc:
-            return exc.reason == ConnectionRefusedError.__name__
+            return exc.reason
         self._on_accepted(address)
-        return False
+        return ''
 
     def drop_closed(self, address: str, now: float) -> None:
         """Drop the idle connections to a target that it has closed early."""
--- a/pistachiopath/grants/begun_streams.py
+++ b/pistachiopath/grants/begun_streams.py
@@ -6,10 +6,11 @@
 
 from ..messages.streams import StreamOrigin, StreamOrigins
 from ..streams.memory import StreamMemory
+from ..streams.origin import Origin
 from ..streams.service_version import ServiceVersion
 
 if TYPE_CHECKING:
-    from ..messages.grants import Ask
+    from ..messages.grants import Ask, ReleasePlace
 
 MAX_STREAMS_PER_MESSAGE = 1000
 
@@ -17,7 +18,9 @@
 class BegunStreams:
     """Remembers the software versions for entries that lose their own memory.
 
-    `now` is a monotonic clock in seconds.
+    An entry names the lifetime that it takes the replica for, which may have ended.
+    So a version is confirmed only by an entry that has proved it.  `now` is a
+    monotonic clock in seconds.
     """
 
     def __init__(self) -> None:
@@ -28,14 +31,14 @@
         if ask.stream:
             self._note(ask, now, is_confirmed=ask.is_resumed)
 
-    def released(self, ask: Ask, first_ms: int, now: float) -> None:
+    def released(self, ask: Ask, body: ReleasePlace, now: float) -> None:
         """Record the end of a run; without a first event no stream began there."""
         if not ask.stream:
             return
-        if first_ms:
-            self._note(ask, now, is_confirmed=True)
-        else:
+        if not body.first_ms:
             self._memory.forget(ask.stream, ask.attempt)
+        elif not body.is_unproven:
+            self._note(ask, now, is_confirmed=True)
 
     def find(self, streams: tuple[str, ...], now: float) -> StreamOrigins:
         """Return what is known of streams."""
@@ -52,15 +55,21 @@
                     attempt=origin.attempt,
                     is_confirmed=origin.is_confirmed,
                     age_ms=int((now - origin.noted_at) * 1000),
+                    replica=origin.replica,
+                    born_ms=origin.born_ms,
+                    granted_ms=int((now - origin.granted_at) * 1000) + 1,
                 )
             )
         return StreamOrigins(origins=tuple(found))
 
     def _note(self, ask: Ask, now: float, *, is_confirmed: bool) -> None:
-        self._memory.note(
-            ask.stream,
-            ServiceVersion(service=ask.service, version=ask.software_version),
+        origin = Origin(
+            version=ServiceVersion(service=ask.service, version=ask.software_version),
             attempt=ask.attempt,
             is_confirmed=is_confirmed,
-            now=now,
+            noted_at=now,
+            replica=ask.replica,
+            born_ms=ask.born_ms,
+            granted_at=now,
         )
+        self._memory.note(ask.stream, origin)
--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -101,7 +101,7 @@
                 ask.prompt_tokens, ask.output_tokens, body.first_ms, held_ms
             )
         if place is not None:
-            self._streams.released(place.ask, body.first_ms, now)
+            self._streams.released(place.ask, body, now)
         return self._grant_due(now) + self._notify_watchers(now)
 
     def find_streams(
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -4,6 +4,9 @@
 
 from .base import Message, independent_items, message
 
+# A lifetime that has not announced itself to a node for this long is over.
+UNHEARD_MS = 1_000_000_000
+
 
 @message
 class ReplicaRecord(Message):
@@ -49,14 +52,21 @@
 
 @message
 class HeardLifetime(Message):
-    """When a lifetime of a replica announced itself last to the sender.
+    """What a control node knows of the times of a lifetime of a replica.
 
-    `age_ms` is an upper bound of the time since then.
+    `age_ms` is an upper bound of the time since it announced itself last to the
+    sender, `UNHEARD_MS` if it has announced itself to others only.  `known_ms` is a
+    lower bound of the time since its first announcement, to whichever node.  The
+    sender has learned of no announcement of the replica, whatever its lifetime, for
+    `quiet_ms`.  `has_left` tells that the lifetime itself has said that it is over.
     """
 
     replica: str
     born_ms: int
     age_ms: int
+    known_ms: int = 0
+    quiet_ms: int = 0
+    has_left: bool = False
 
 
 @message
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -18,7 +18,8 @@
 
     A request for a stream that may be resumed names the `stream`, the `service` and
     `software_version` of the replica, and the number of its `attempt`.
-    `is_resumed` means that the caller has events of the stream.
+    `is_resumed` means that the caller has events of the stream.  `replica` and
+    `born_ms` name the lifetime that the entry takes the replica for.
     """
 
     request: str
@@ -36,6 +37,8 @@
     software_version: str = ''
     attempt: int = 0
     is_resumed: bool = False
+    replica: str = ''
+    born_ms: int = 0
 
 
 @message
@@ -58,12 +61,14 @@
     """Withdraws a waiting request or frees the place of a granted one.
 
     `first_ms` is the time from sending to the first event, or 0 if there was
-    none.  `ok` is true if the run completed normally.
+    none.  `ok` is true if the run completed normally.  `is_unproven` means that the
+    process that wrote the events may be another lifetime than the one asked for.
     """
 
     request: str
     first_ms: int
     ok: bool
+    is_unproven: bool = False
 
 
 @message
--- a/pistachiopath/messages/streams.py
+++ b/pistachiopath/messages/streams.py
@@ -9,7 +9,9 @@
 class StreamOrigin(Message):
     """The version of a service that began a stream, as known for `age_ms`.
 
-    `attempt` and `is_confirmed` tell which of two origins counts.
+    `attempt` and `is_confirmed` tell which of two origins counts.  One that is not
+    confirmed is what an entry took its replica for: the lifetime `born_ms` of
+    `replica`, which was granted a place `granted_ms` ago at most.
     """
 
     stream: str
@@ -18,6 +20,9 @@
     attempt: int
     is_confirmed: bool
     age_ms: int
+    replica: str = ''
+    born_ms: int = 0
+    granted_ms: int = 0
 
 
 @message
--- a/pistachiopath/relay/continuations.py
+++ b/pistachiopath/relay/continuations.py
@@ -13,7 +13,7 @@
 from ..streams.service_version import version_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..exchange.target_connection import TargetConnection
     from ..messages.directory import ReplicaRecord
@@ -77,6 +77,11 @@
             gevent.sleep(PROOF_POLL_INTERVAL_S)
         return True
 
+    def ask(self, replicas: Iterable[str], now: float) -> None:
+        """Ask when lifetimes of replicas announced themselves."""
+        self._wanted.update(replicas)
+        self.tick(now)
+
     def tick(self, now: float) -> None:
         """Ask for the replicas of which a proof is wanted."""
         for replica, asked_at in list(self._asked_at.items()):
@@ -125,7 +130,6 @@
             now = time.monotonic()
             if now >= until or not target.is_quiet():
                 return False
-            self._wanted.add(record.replica)
-            self.tick(now)
+            self.ask([record.replica], now)
             gevent.sleep(PROOF_POLL_INTERVAL_S)
         return True
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -127,7 +127,6 @@
         self._placement.add_request(record.replica, work.need, time.monotonic())
         run: ExchangeRun | None = None
         result: ExchangeResult | None = None
-        is_certain = True
         try:
             if grant is None and candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
@@ -149,20 +148,24 @@
             may_have_run = work.may_have_run
             result = run.run()
             work.may_have_run = may_have_run or not isinstance(result, NotRun)
-            # Otherwise the gate would tell other entries the version of the record.
-            is_certain = not isinstance(result, Lost) or self._is_certain(work)
+            if isinstance(result, Lost) and work.start is not None:
+                self._continuations.settle(work.start)
             return result
         finally:
             self._placement.remove_request(record.replica)
             if grant is not None:
-                first_ms = run.first_event_ms if run and is_certain else 0
-                ok = isinstance(result, Delivered)
-                self._places.release(grant, first_ms, ok=ok)
+                self._places.release(
+                    grant,
+                    run.first_event_ms if run else 0,
+                    ok=isinstance(result, Delivered),
+                    is_unproven=not self._is_proven(work),
+                )
             if result is not None:
                 self._record_result(work, candidate, result)
 
-    def _is_certain(self, work: Work) -> bool:
-        return work.start is None or self._continuations.settle(work.start)
+    def _is_proven(self, work: Work) -> bool:
+        """Return whether it is known which lifetime began the stream."""
+        return work.start is None or self._continuations.is_known(work.start)
 
     def _choose(self, work: Work) -> Candidate:
         self._crashes.check(work, time.monotonic())
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -30,6 +30,7 @@
 from .message_handler import MessageHandler
 from .notices import Notices
 from .open_streams import NOTE_INTERVAL_S, OpenStreams
+from .origin_search import OriginSearch
 from .placer import Placer
 from .planned_stop import PlannedStop
 from .process_spans import ProcessSpans
@@ -41,6 +42,7 @@
 from .stream_finder import StreamFinder
 from .stream_versions import StreamVersions
 from .targets import Targets
+from .version_deduction import VersionDeduction
 
 if TYPE_CHECKING:
     import random
@@ -144,10 +146,21 @@
             send=self._network.send,
             metrics=metrics,
         )
-        self._versions = StreamVersions(
+        search = OriginSearch(
             subscriber=self._subscriber,
             targets=self._targets,
             finder=self._finder,
+            lifetimes=self._lifetimes,
+            deduction=VersionDeduction(
+                subscriber=self._subscriber,
+                lifetimes=self._lifetimes,
+                accepts=self._pool.accepts,
+                quiet_s=DOUBT_PERIODS * cfg.announce_s,
+            ),
+            continuations=self._continuations,
+        )
+        self._versions = StreamVersions(
+            search=search,
             open_streams=self._open_streams,
             continuations=self._continuations,
             turns=self._turns,
--- a/pistachiopath/relay/known_lifetimes.py
+++ b/pistachiopath/relay/known_lifetimes.py
@@ -31,21 +31,35 @@
     known_at: float
 
 
+@attrs.define(kw_only=True)
+class _Run:
+    """A lifetime ran at least from `since` to `until`, both of which are included.
+
+    `until` is -infinity while nothing shows that it ran at a certain time.
+    """
+
+    since: float
+    until: float = -math.inf
+    has_left: bool = False
+
+
 class KnownLifetimes:
     """Decides whether a process is the lifetime that a record tells of.
 
     A replica that starts again, under the same name and address, is told from the
     earlier lifetime by its announcements only.  As one process runs at a time, a
     lifetime that was known before a process was reached, and that announced itself
-    afterwards, is that process.  Times are seconds of a monotonic clock.
+    afterwards, is that process.  A lifetime runs without a gap, so it ran at any time
+    between two of its announcements.  Times are seconds of a monotonic clock.
     """
 
     def __init__(self, *, subscriber: Subscriber, spans: ProcessSpans) -> None:
         self._subscriber = subscriber
         self._spans = spans
         self._by_address: dict[str, list[_Lifetime]] = {}
-        # Lower bounds of the time of the last announcement.
-        self._announced_at: dict[tuple[str, int], float] = {}
+        self._runs: dict[str, dict[int, _Run]] = {}
+        # Upper bounds of the time of a replica's last announcement.
+        self._quiet_since: dict[str, float] = {}
 
     def heard(self, records: Iterable[ReplicaRecord], now: float) -> None:
         """Record announcements."""
@@ -57,17 +71,25 @@
                 replica=record.replica, born_ms=record.born_ms, known_at=now
             )
             known.append(lifetime)
+            self._run(record.replica, record.born_ms, now)
 
-    def answered(self, heard: Iterable[HeardLifetime], asked_at: float) -> None:
+    def answered(
+        self, heard: Iterable[HeardLifetime], asked_at: float, now: float
+    ) -> None:
         """Record when lifetimes announced themselves, as a control node answered.
 
-        The time counts from the question: the answer may have waited to be read.
+        The answer may have waited to be read: what shows that a lifetime still ran
+        counts from the question, and what shows that it had begun from the reading.
         """
         for lifetime in heard:
-            key = (lifetime.replica, lifetime.born_ms)
-            announced_at = asked_at - lifetime.age_ms / 1000
-            known_at = self._announced_at.get(key, announced_at)
-            self._announced_at[key] = max(announced_at, known_at)
+            known_at = now - lifetime.known_ms / 1000
+            run = self._run(lifetime.replica, lifetime.born_ms, known_at)
+            run.since = min(run.since, known_at)
+            run.until = max(run.until, asked_at - lifetime.age_ms / 1000)
+            run.has_left |= lifetime.has_left
+            quiet_since = now - lifetime.quiet_ms / 1000
+            known_quiet = self._quiet_since.get(lifetime.replica, quiet_since)
+            self._quiet_since[lifetime.replica] = max(quiet_since, known_quiet)
 
     def is_proven(self, record: ReplicaRecord, opened_at: float) -> bool:
         """Return whether a connection that was opened then leads to this lifetime."""
@@ -77,9 +99,7 @@
         span = self._spans.around(record.address, opened_at)
         if span.until > self._ended_by(record):
             return False
-        announced_at = self._announced_at.get((record.replica, record.born_ms))
-        if announced_at is None:
-            return False
+        announced_at = self._find_run(record.replica, record.born_ms).until
         return max(lifetime.known_at, span.since) <= min(announced_at, span.until)
 
     def may_be_proven(self, record: ReplicaRecord, opened_at: float) -> bool:
@@ -99,6 +119,44 @@
             (k.known_at for k in known if k.born_ms > record.born_ms), default=math.inf
         )
 
+    def ran(self, replica: str, born_ms: int, since: float, until: float) -> bool:
+        """Return whether a lifetime is known to have run all the time between."""
+        run = self._find_run(replica, born_ms)
+        return run.since <= since and until <= run.until
+
+    def is_current(self, replica: str, born_ms: int) -> bool:
+        """Return whether no later lifetime of a replica is known."""
+        current = self._subscriber.directory.get(replica)
+        return current is not None and current.born_ms == born_ms
+
+    def is_quiet(self, replica: str, since: float) -> bool:
+        """Return whether no control node has heard a replica since a time."""
+        return self._quiet_since.get(replica, math.inf) <= since
+
+    def has_begun(self, record: ReplicaRecord, since: float) -> bool:
+        """Return whether no earlier lifetime of the replica can have run since a time.
+
+        The first lifetime of all is sent nothing before it has announced itself.
+        """
+        runs = self._runs.get(record.replica, {})
+        is_first = record.born_ms in runs and len(runs) == 1
+        return is_first or self._find_run(record.replica, record.born_ms).since <= since
+
+    def has_reported(self, record: ReplicaRecord, since: float) -> bool:
+        """Return whether a lifetime ran at a time after `since`, or left as planned."""
+        run = self._find_run(record.replica, record.born_ms)
+        if record.state == ReplicaState.GONE:
+            return run.has_left
+        return run.until >= since
+
+    def _run(self, replica: str, born_ms: int, since: float) -> _Run:
+        runs = self._runs.setdefault(replica, {})
+        return runs.setdefault(born_ms, _Run(since=since))
+
+    def _find_run(self, replica: str, born_ms: int) -> _Run:
+        run = self._runs.get(replica, {}).get(born_ms)
+        return run or _Run(since=math.inf)
+
     def is_at_work(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether other answers show soon that a new connection leads there."""
         heard_at = self._spans.heard_at(record.address)
@@ -118,13 +176,20 @@
             else:
                 del self._by_address[address]
 
-        for key, announced_at in list(self._announced_at.items()):
-            if now - announced_at >= RETENTION_S:
-                del self._announced_at[key]
+        self._prune_runs(now)
+
+    def _prune_runs(self, now: float) -> None:
+        for replica, runs in list(self._runs.items()):
+            for born_ms, run in list(runs.items()):
+                is_old = now - max(run.since, run.until) >= RETENTION_S
+                if is_old and not self.is_current(replica, born_ms):
+                    del runs[born_ms]
+            if not runs:
+                del self._runs[replica]
+                self._quiet_since.pop(replica, None)
 
     def _is_kept(self, lifetime: _Lifetime, now: float) -> bool:
-        current = self._subscriber.directory.get(lifetime.replica)
-        is_current = current is not None and current.born_ms == lifetime.born_ms
+        is_current = self.is_current(lifetime.replica, lifetime.born_ms)
         return is_current or now - lifetime.known_at < RETENTION_S
 
 
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -102,7 +102,7 @@
         version = self._subscriber.version
         self._lifetimes.heard(body.records, now)
         asked_at = self._subscriber.asked_at(sender, call)
-        self._lifetimes.answered(body.heard, asked_at)
+        self._lifetimes.answered(body.heard, asked_at, now)
         effects = self._subscriber.on_news(sender, body, now, call=call)
         self._allowance.set_known_entries(self._subscriber.entries)
         if self._subscriber.version != version:
--- a/pistachiopath/relay/open_streams.py
+++ b/pistachiopath/relay/open_streams.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -14,11 +15,14 @@
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from ..streams.name import stream_digest
 from ..streams.service_version import ServiceVersion
+from ..util.later import call_later
 from ..util.rendezvous import by_weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    import gevent
+
     from ..directory.subscriber import Subscriber
     from ..messages.base import Message
     from ..telemetry.metrics import Metrics
@@ -29,6 +33,8 @@
 NOTE_INTERVAL_S = 0.4
 # The holder forgets a note after the retention, so that of a long stream is repeated.
 REPEAT_INTERVAL_S = STREAM_RETENTION_S / 2
+# Streams that break off together share a message.
+FLUSH_S = 0.02
 MAX_STREAMS_PER_MESSAGE = 1000
 
 
@@ -51,9 +57,10 @@
     """Tells one control node the versions of the streams that this entry delivers.
 
     If this entry ends, the callers of these streams come back at others, which ask
-    the control nodes.  Notes are sent only while a service has more than one
-    version, and go to a control node on another VM if there is one.  What is open
-    is noted again when that one is lost.
+    the control nodes.  Notes go to a control node on another VM if there is one.
+    While a service has one version, which others deduce as long as all replicas
+    report, only streams are noted whose answers broke off, and these at once.  What
+    is open is noted again when the control node is lost.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         self._metrics = metrics
         self._holder = ''
         self._streams: dict[str, _OpenStream] = {}
+        self._flush: gevent.Greenlet | None = None
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -91,6 +99,7 @@
             self._streams.pop(stream, None)
         elif stream in self._streams:
             self._streams[stream].ended_at = now
+            self._flush = self._flush or call_later(FLUSH_S, self._note_ended)
 
     def handle_lost(self, peer: str) -> None:
         """Note the open streams again if the link to their holder was lost.
@@ -110,6 +119,11 @@
                 self._note(due[start : start + MAX_STREAMS_PER_MESSAGE], now)
         self._drop_ended(now)
 
+    def _note_ended(self) -> None:
+        """Note the streams that have just broken off, whose callers come back."""
+        self._flush = None
+        self.tick(time.monotonic())
+
     def _choose_holder(self, now: float) -> None:
         """Keep the control node while it is heard."""
         heard = self._subscriber.heard(now)
@@ -124,7 +138,8 @@
 
     def _is_due(self, stream: str, now: float) -> bool:
         noted = self._streams[stream]
-        if len(self._subscriber.directory.versions(noted.version.service)) <= 1:
+        versions = self._subscriber.directory.versions(noted.version.service)
+        if len(versions) <= 1 and noted.ended_at == math.inf:
             return False
         is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
         return (is_old or noted.holder != self._holder) and noted.is_settled()
@@ -149,13 +164,12 @@
         logger.info('streams_noted', extra={'holder': self._holder, 'streams': count})
 
     def _drop_ended(self, now: float) -> None:
-        """Remove the ended streams that are noted, or of a service with one version.
+        """Remove the ended streams that are noted.
 
         What is never settled is dropped once its caller can't come back any more.
         """
         for name, noted in list(self._streams.items()):
-            versions = self._subscriber.directory.versions(noted.version.service)
-            is_noted = noted.holder == self._holder or len(versions) <= 1
+            is_noted = noted.holder != '' and noted.holder == self._holder
             is_old = now - noted.ended_at >= STREAM_RETENTION_S
             if is_old or (noted.ended_at < math.inf and is_noted):
                 del self._streams[name]
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -213,6 +213,8 @@
             software_version=version.version,
             attempt=work.tries,
             is_resumed=work.stream_version is not None,
+            replica=candidate.record.replica,
+            born_ms=candidate.record.born_ms,
         )
         try:
             return self._places.acquire(
--- a/pistachiopath/relay/places.py
+++ b/pistachiopath/relay/places.py
@@ -109,10 +109,17 @@
         self._held.add(gate, ask.request)
         return Grant(gate=gate, request=ask.request, granted_at=time.monotonic())
 
-    def release(self, grant: Grant, first_ms: int, *, ok: bool) -> None:
-        """Release a granted place."""
+    def release(
+        self, grant: Grant, first_ms: int, *, ok: bool, is_unproven: bool = False
+    ) -> None:
+        """Release a granted place.
+
+        With `is_unproven` another lifetime may have written the events.
+        """
         self._held.remove(grant.gate, grant.request)
-        self._release(grant.gate, grant.request, first_ms, ok=ok)
+        self._release(
+            grant.gate, grant.request, first_ms, ok=ok, is_unproven=is_unproven
+        )
 
     def handle_reply(self, gate: str, body: Granted | Denied) -> None:
         """Pass a gate's reply to the waiting request.
@@ -162,6 +169,16 @@
             raise GateLost(gate=wait.gate)
         return False
 
-    def _release(self, gate: str, request: str, first_ms: int, *, ok: bool) -> None:
-        body = ReleasePlace(request=request, first_ms=first_ms, ok=ok)
+    def _release(
+        self,
+        gate: str,
+        request: str,
+        first_ms: int,
+        *,
+        ok: bool,
+        is_unproven: bool = False,
+    ) -> None:
+        body = ReleasePlace(
+            request=request, first_ms=first_ms, ok=ok, is_unproven=is_unproven
+        )
         self._send(gate, 0, body)
--- a/pistachiopath/relay/stream_finder.py
+++ b/pistachiopath/relay/stream_finder.py
@@ -30,6 +30,8 @@
 QUESTION_PERIOD_MS = 60_000
 CHECK_INTERVAL_S = 0.05
 REPEAT_INTERVAL_S = 0.4
+# A holder that may have learned more is asked again this long after its reply.
+RENEWAL_INTERVAL_S = 0.1
 # A process that was paused handles what arrived meanwhile before it gives up.
 MIN_CHECKS = 3
 # An unconfirmed origin may be that of an earlier attempt, so the other gates have
@@ -41,15 +43,15 @@
 class _Search:
     """A stream whose origin is wanted.
 
-    `asked_at` holds the gates that have not replied yet, and `heard` those that
-    have, or that can't be reached.
+    `asked_at` holds the gates that have not replied yet, and `heard` when those were
+    heard that have, or that can't be reached.
     """
 
     stream: str
     origin: Origin | None = None
     found_at: float = 0.0
     asked_at: dict[str, float] = attrs.field(factory=dict)
-    heard: set[str] = attrs.field(factory=set)
+    heard: dict[str, float] = attrs.field(factory=dict)
     signal: gevent.event.Event = attrs.field(factory=gevent.event.Event)
 
     def take(self, origin: Origin, now: float) -> None:
@@ -59,12 +61,19 @@
         if self.origin is None or origin.rank > self.origin.rank:
             self.origin = origin
 
-    def is_settled(self, now: float) -> bool:
-        """Return whether no other origin is expected to count more."""
+    def forget_replies(self, gates: frozenset[str], now: float) -> None:
+        """Let these gates be asked again some time after they replied."""
+        for gate in gates & self.heard.keys():
+            if now - self.heard[gate] >= RENEWAL_INTERVAL_S:
+                del self.heard[gate]
+
+    def settled(self, now: float) -> Origin | None:
+        """Return the origin if no other one is expected to count more."""
         if self.origin is None:
-            return False
+            return None
         is_late = now - self.found_at >= SETTLE_S
-        return self.origin.is_confirmed or not self.asked_at or is_late
+        is_settled = self.origin.is_confirmed or not self.asked_at or is_late
+        return self.origin if is_settled else None
 
 
 @attrs.define(kw_only=True)
@@ -99,23 +108,33 @@
         *,
         is_complete: Callable[[], bool],
         until: float,
+        is_proven: Callable[[Origin], bool] = lambda origin: True,
+        deduce: Callable[[], Origin | None] = lambda: None,
+        asks_again: Callable[[], frozenset[str]] = frozenset,
     ) -> Origin | None:
         """Return the origin of a stream; wait until `until`, and some checks at least.
 
         `gates` is asked again while it waits, as an entry that has just started
-        learns of more.  If all have replied and `is_complete` tells that there are
-        no others, nobody knows.
+        learns of more.  If all have replied and `is_complete` tells that there is
+        nothing to wait for, nobody knows.  An origin that is not confirmed counts only
+        if it `is_proven`, and what can be deduced counts as well.  Holders in
+        `asks_again` may learn more meanwhile.
         """
         search = _Search(stream=stream)
         self._searches.add(search)
         try:
             for check in itertools.count():
                 now = time.monotonic()
+                search.forget_replies(asks_again(), now)
                 self._ask(search, gates(), now)
+                found = search.settled(now)
+                if found is not None and (found.is_confirmed or is_proven(found)):
+                    return found
+                deduced = deduce()
                 nobody_knows = not search.asked_at and is_complete()
                 is_over = now >= until and check >= MIN_CHECKS
-                if search.is_settled(now) or nobody_knows or is_over:
-                    return search.origin
+                if deduced is not None or nobody_knows or is_over:
+                    return deduced
                 search.signal.wait(CHECK_INTERVAL_S)
                 search.signal.clear()
         finally:
@@ -132,7 +151,7 @@
         for search in sent.searches:
             origin = found.get(search.stream)
             if origin is not None:
-                search.take(_decoded(origin, gate, now), now)
+                search.take(_decoded(origin, gate, now, asked_at=sent.sent_at), now)
             _heard(search, gate)
 
     def handle_lost(self, gate: str) -> None:
@@ -142,7 +161,7 @@
                 _heard(search, gate)
 
     def _ask(self, search: _Search, gates: frozenset[str], now: float) -> None:
-        for gate in gates - search.heard:
+        for gate in gates - search.heard.keys():
             asked_at = search.asked_at.get(gate)
             if asked_at is None or now - asked_at >= REPEAT_INTERVAL_S:
                 search.asked_at[gate] = now
@@ -178,16 +197,21 @@
 
 def _heard(search: _Search, gate: str) -> None:
     search.asked_at.pop(gate, None)
-    search.heard.add(gate)
+    search.heard[gate] = time.monotonic()
     if not search.asked_at or (search.origin and search.origin.is_confirmed):
         search.signal.set()
 
 
-def _decoded(origin: StreamOrigin, holder: str, now: float) -> Origin:
+def _decoded(
+    origin: StreamOrigin, holder: str, now: float, *, asked_at: float
+) -> Origin:
     return Origin(
         version=ServiceVersion(service=origin.service, version=origin.software_version),
         attempt=origin.attempt,
         is_confirmed=origin.is_confirmed,
         noted_at=now - origin.age_ms / 1000,
         holder=holder,
+        replica=origin.replica,
+        born_ms=origin.born_ms,
+        granted_at=asked_at - origin.granted_ms / 1000,
     )
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -6,73 +6,62 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..directory.directory import GONE_RETENTION_S
 from ..errors.relay import TurnedAway
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
 from ..streams.origin import Origin
 from ..streams.service_version import version_of
 from ..util.arrivals import handle_arrivals
+from ..util.recent import Recent
+from .origin_search import Search
 from .origin_source import OriginSource
-from .patience import patience_s
 from .retry_after import retry_after_s
 from .stream_start import StreamStart
-from .targets import DIRECTORY_FILL_S
 
 if TYPE_CHECKING:
-    from ..directory.subscriber import Subscriber
     from ..messages.directory import ReplicaRecord
     from ..telemetry.metrics import Metrics
     from ..util.turn_clock import TurnClock
     from .continuations import Continuations
     from .open_streams import OpenStreams
-    from .stream_finder import StreamFinder
-    from .targets import Targets
+    from .origin_search import OriginSearch
     from .work import Work
 
 logger = logging.getLogger(__name__)
 
-# A stream that is resumed began at most this many times the route's timeout ago:
-# a caller comes back within its deadline.
-HORIZON_TIMEOUTS = 2.0
-# A control node that is not heard may know of a version that has just appeared, so
-# gates are asked first, and without most control nodes nothing is deduced.
-MIN_HEARD_CONTROLS = 0.5
-MAX_SEARCH_S = 1.5
-# Share of the time for which a caller waits for its first event.
-SEARCH_PATIENCE_SHARE = 0.4
 RETRY_AFTER_S = 0.5
 
 
 class StreamVersions:
     """Finds the version that began a stream before the stream is resumed.
 
-    What this entry delivered itself is known.  If a service has had one version
-    for long enough, each of its streams is of that version.  Otherwise the gates
-    and the control nodes are asked.  A stream whose version nobody knows is refused.
-    So is one of which it is not settled which lifetime of its replica began it.
+    What this entry delivered itself is known, and others are searched for.  A stream
+    whose version nobody knows is refused.  So is one of which it is not settled which
+    lifetime of its replica began it.
     """
 
     def __init__(
         self,
         *,
-        subscriber: Subscriber,
-        targets: Targets,
-        finder: StreamFinder,
+        search: OriginSearch,
         open_streams: OpenStreams,
         continuations: Continuations,
         turns: TurnClock,
         metrics: Metrics,
     ) -> None:
-        self._subscriber = subscriber
-        self._targets = targets
-        self._finder = finder
+        self._search = search
         self._open_streams = open_streams
         self._continuations = continuations
         self._turns = turns
         self._metrics = metrics
         self._memory = StreamMemory()
-        # Kept at least as long as what `_memory` has of a stream, in the same order.
-        self._starts: dict[str, tuple[StreamStart, float]] = {}
+        # Kept for longer than what `_memory` has of a stream.
+        self._starts: Recent[str, StreamStart] = Recent(
+            retention_s=2 * STREAM_RETENTION_S, most=MAX_STREAMS
+        )
+        # When the callers first came back of whose streams nobody knew.
+        self._returns: Recent[str, float] = Recent(
+            retention_s=STREAM_RETENTION_S, most=MAX_STREAMS
+        )
 
     def resolve(self, work: Work) -> None:
         """Set the version of a resumed stream; raises `TurnedAway`."""
@@ -81,14 +70,14 @@
         if self._turns.has_stood_still(time.monotonic()):
             # The return may have been read before the news of a new version.
             handle_arrivals()
-        origin, source = self._find(work)
-        if origin is None:
-            self._log(work, None, source, refused='version_unknown')
+        search = self._find(work)
+        if search.origin is None:
+            self._log(search, refused='version_unknown')
             raise _refusal(work, 'version_unknown')
-        if not work.go_on_at(origin.version):
-            self._log(work, origin, source, refused='service_gone')
+        if not work.go_on_at(search.origin.version):
+            self._log(search, refused='service_gone')
             raise _refusal(work, 'service_gone')
-        self._log(work, origin, source)
+        self._log(search)
 
     def goes_on(self, work: Work) -> None:
         """Record that a stream is about to go on at a replica."""
@@ -147,16 +136,6 @@
             lambda: start is None or self._continuations.is_known(start),
         )
 
-    def _note_start(self, stream: str, start: StreamStart, now: float) -> None:
-        self._starts.pop(stream, None)
-        self._starts[stream] = (start, now)
-        while self._starts:
-            stream, (_, noted_at) = next(iter(self._starts.items()))
-            is_old = now - noted_at >= 2 * STREAM_RETENTION_S
-            if not is_old and len(self._starts) <= MAX_STREAMS:
-                return
-            del self._starts[stream]
-
     def ended(self, work: Work) -> None:
         """Remember a stream from its end on, as its caller may come back."""
         if not work.stream or work.stream_version is None:
@@ -168,85 +147,41 @@
         )
 
     def _note(self, work: Work) -> None:
+        now = time.monotonic()
         if work.start is not None:
-            self._note_start(work.stream, work.start, time.monotonic())
-        self._memory.note(
-            work.stream,
-            work.stream_version,
+            self._starts.note(work.stream, work.start, now)
+        origin = Origin(
+            version=work.stream_version,
             attempt=work.tries,
             is_confirmed=True,
-            now=time.monotonic(),
+            noted_at=now,
         )
+        self._memory.note(work.stream, origin)
 
-    def _find(self, work: Work) -> tuple[Origin | None, OriginSource]:
+    def _find(self, work: Work) -> Search:
         now = time.monotonic()
         origin = self._memory.find(work.stream, now)
         if origin is not None:
-            start, _ = self._starts.get(work.stream, (None, 0.0))
+            start = self._starts.get(work.stream, now)
             is_settled = start is None or self._continuations.settle(start)
-            return origin if is_settled else None, OriginSource.OWN
-        # Of several services, it is not known which one began the stream.
-        has_one_service = len(work.admitted.route.shares) == 1
-        heard = self._subscriber.heard_controls(now)
-        deduced = self._deduce(work, now) if heard > MIN_HEARD_CONTROLS else None
-        if deduced is not None and has_one_service and heard == 1.0:
-            return deduced, OriginSource.DEDUCED
-        origin = self._ask_holders(work, now)
-        if origin is not None:
-            is_control = origin.holder in self._subscriber.controls()
-            source = OriginSource.CONTROL if is_control else OriginSource.GATE
-            return origin, source
-        if deduced is not None:
-            return deduced, OriginSource.DEDUCED
-        return None, OriginSource.NONE
-
-    def _deduce(self, work: Work, now: float) -> Origin | None:
-        """Return the only version that can have begun the stream, or None."""
-        horizon_s = HORIZON_TIMEOUTS * work.admitted.route.timeout_s
-        age_s = self._subscriber.directory_age_s(now)
-        is_covered = horizon_s <= min(age_s, GONE_RETENTION_S)
-        if not is_covered:
-            return None
-        versions = self._subscriber.directory.versions(work.admitted.service)
-        if len(versions) != 1:
-            return None
-        return Origin(
-            version=next(iter(versions)),
-            attempt=0,
-            is_confirmed=True,
-            noted_at=now - age_s,
-        )
-
-    def _ask_holders(self, work: Work, now: float) -> Origin | None:
-        services = frozenset(share.service for share in work.admitted.route.shares)
-        wait_s = SEARCH_PATIENCE_SHARE * patience_s(work, now)
-        return self._finder.find(
-            work.stream,
-            lambda: self._holders(services),
-            is_complete=lambda: (
-                self._subscriber.contact_s(time.monotonic()) >= DIRECTORY_FILL_S
-            ),
-            until=now + min(MAX_SEARCH_S, wait_s),
-        )
-
-    def _holders(self, services: frozenset[str]) -> frozenset[str]:
-        """Return the nodes that may know who began a stream."""
-        controls = self._subscriber.heard(time.monotonic())
-        return self._targets.all_gates(services).union(controls)
+            return Search(
+                work=work,
+                returned_at=now,
+                began_at=now,
+                origin=origin if is_settled else None,
+                source=OriginSource.OWN,
+            )
+        # An earlier return found nobody who knew, and what is reported since counts.
+        returned_at = self._returns.get(work.stream, now) or now
+        self._returns.note(work.stream, returned_at, now)
+        return self._search.run(work, returned_at)
 
-    def _log(
-        self,
-        work: Work,
-        origin: Origin | None,
-        source: OriginSource,
-        *,
-        refused: str = '',
-    ) -> None:
+    def _log(self, search: Search, *, refused: str = '') -> None:
         """Log a caller's return with half of a stream, allowed or refused."""
         now = time.monotonic()
-        self._metrics.count(
-            'stream_returns_total', source=source.value, refused=refused
-        )
+        work, origin, deduction = search.work, search.origin, search.deduction
+        source = search.source.value
+        self._metrics.count('stream_returns_total', source=source, refused=refused)
         logger.info(
             'stream_return',
             extra={
@@ -254,11 +189,15 @@
                 'stream': work.stream,
                 'service': origin.version.service if origin else '',
                 'software_version': origin.version.version if origin else '',
-                'source': source.value,
+                'source': source,
                 'holder': origin.holder if origin else '',
                 'is_confirmed': origin.is_confirmed if origin else False,
                 'attempt': origin.attempt if origin else -1,
                 'age_ms': int((now - origin.noted_at) * 1000) if origin else -1,
+                'deduction': deduction.certainty.value,
+                'deduction_lacks': deduction.reason,
+                'lacking_replica': deduction.replica,
+                'returned_ms_ago': int((now - search.returned_at) * 1000),
                 'searched_ms': int((now - work.started_at) * 1000),
                 'refused': refused,
             },
--- /dev/null
+++ b/pistachiopath/relay/version_deduction.py
@@ -0,0 +1,175 @@
+"""Deduces that only one software version can have begun a stream."""
+
+from __future__ import annotations
+
+import enum
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..directory.directory import GONE_RETENTION_S
+from ..directory.replica_state import ReplicaState
+from ..streams.origin import Origin
+from ..streams.service_version import ServiceVersion
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..directory.subscriber import Subscriber
+    from ..messages.directory import ReplicaRecord
+    from ..routes.route import Route
+    from .known_lifetimes import KnownLifetimes
+
+# A stream that is resumed began at most this many times the route's timeout ago:
+# a caller comes back within its deadline.
+HORIZON_TIMEOUTS = 2.0
+# With fewer of the control nodes nothing is deduced.
+MIN_ANSWERED = 0.5
+# For so long it is believed that a replica accepts no connection.
+DOWN_S = 1.0
+
+
+class Certainty(enum.StrEnum):
+    """How certain it is that no other version can have begun a stream.
+
+    OTHERS: another version is known, or may have begun it.  WAITS: some control
+    nodes have not answered, or replicas not reported, since the return.  MOST: as
+    CERTAIN, by more than half of the control nodes.  CERTAIN: all that is needed is
+    known.
+    """
+
+    OTHERS = 'others'
+    WAITS = 'waits'
+    MOST = 'most'
+    CERTAIN = 'certain'
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Deduction:
+    """The one version that is known, and how certain it is that it began a stream.
+
+    `reason` is what is missing, with the name of a replica if it is about one.
+    """
+
+    certainty: Certainty
+    reason: str = ''
+    replica: str = ''
+    version: ServiceVersion | None = None
+
+    @property
+    def is_of_most(self) -> bool:
+        """Whether it holds as far as more than half of the control nodes know."""
+        return self.certainty in (Certainty.MOST, Certainty.CERTAIN)
+
+    def origin(self, now: float) -> Origin:
+        """Return the origin of a stream that the version must have begun."""
+        return Origin(version=self.version, attempt=0, is_confirmed=True, noted_at=now)
+
+
+class VersionDeduction:
+    """Decides whether a service can have begun a stream at one version only.
+
+    That no other version is known does not show it: a replica that has started again
+    is known for what it was until its first report.  So each replica of the service
+    has to account for the time from the stream's earliest beginning until the return,
+    by reports of one lifetime before and after.  One that has been quiet for
+    `quiet_s` longer, and `accepts` no connection, is sent nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        subscriber: Subscriber,
+        lifetimes: KnownLifetimes,
+        accepts: Callable[[str], bool],
+        quiet_s: float,
+    ) -> None:
+        self._subscriber = subscriber
+        self._lifetimes = lifetimes
+        self._accepts = accepts
+        self._quiet_s = quiet_s
+        self._down_at: dict[str, float] = {}
+
+    def look(self, route: Route, service: str, returned_at: float) -> Deduction:
+        """Return what follows from what is known now.
+
+        The stream's caller came back at `returned_at`, in seconds of a monotonic
+        clock, or later.
+        """
+        now = time.monotonic()
+        begun_at = returned_at - HORIZON_TIMEOUTS * route.timeout_s
+        age_s = self._subscriber.directory_age_s(now)
+        if now - begun_at > min(age_s, GONE_RETENTION_S):
+            return Deduction(certainty=Certainty.OTHERS, reason='young_directory')
+        versions = self._subscriber.directory.versions(service)
+        if len(versions) != 1:
+            return Deduction(certainty=Certainty.OTHERS, reason='versions')
+        found = self._look_at_replicas(service, begun_at, returned_at)
+        if found is None:
+            found = self._look_at_controls(returned_at, now)
+        return attrs.evolve(found, version=next(iter(versions)))
+
+    def unreported(self, service: str, since: float) -> set[str]:
+        """Return the replicas of a service that have not reported since a time."""
+        return {
+            record.replica
+            for record in self._records(service)
+            if not self._lifetimes.has_reported(record, since)
+        }
+
+    def _look_at_controls(self, returned_at: float, now: float) -> Deduction:
+        """Return how many control nodes have told since the return what they know."""
+        answered = self._subscriber.answered_controls(returned_at, now)
+        if answered == 1.0:
+            return Deduction(certainty=Certainty.CERTAIN)
+        is_most = answered > MIN_ANSWERED
+        certainty = Certainty.MOST if is_most else Certainty.WAITS
+        return Deduction(certainty=certainty, reason='controls')
+
+    def _look_at_replicas(
+        self, service: str, begun_at: float, returned_at: float
+    ) -> Deduction | None:
+        """Return what is missing of the service's replicas, None if nothing is."""
+        waits = None
+        for record in self._records(service):
+            if self._is_out_of_use(record, begun_at):
+                continue
+            has_reported = self._lifetimes.has_reported(record, returned_at)
+            if not has_reported and record.state != ReplicaState.GONE:
+                waits = Deduction(
+                    certainty=Certainty.WAITS,
+                    reason='unreported',
+                    replica=record.replica,
+                )
+            elif not (has_reported and self._lifetimes.has_begun(record, begun_at)):
+                return Deduction(
+                    certainty=Certainty.OTHERS,
+                    reason='restarted',
+                    replica=record.replica,
+                )
+        return waits
+
+    def _is_out_of_use(self, record: ReplicaRecord, begun_at: float) -> bool:
+        """Return whether a replica has been sent nothing since a time."""
+        if not self._lifetimes.is_quiet(record.replica, begun_at - self._quiet_s):
+            return False
+        if record.state == ReplicaState.GONE:
+            return True
+        return self._is_down(record.address)
+
+    def _is_down(self, address: str) -> bool:
+        now = time.monotonic()
+        if now - self._down_at.get(address, -DOWN_S) < DOWN_S:
+            return True
+        if self._accepts(address):
+            return False
+        self._down_at[address] = now
+        return True
+
+    def _records(self, service: str) -> list[ReplicaRecord]:
+        return [
+            record
+            for record in self._subscriber.directory.records()
+            if record.service == service
+        ]
--- a/pistachiopath/streams/memory.py
+++ b/pistachiopath/streams/memory.py
@@ -6,10 +6,8 @@
 
 import attrs
 
-from .origin import Origin
-
 if TYPE_CHECKING:
-    from .service_version import ServiceVersion
+    from .origin import Origin
 
 # A caller that lost its answer comes back within its deadline.
 STREAM_RETENTION_S = 60.0
@@ -22,9 +20,11 @@
     `now` is a monotonic clock in seconds.
 
     >>> from .service_version import ServiceVersion
+    >>> from .origin import Origin
     >>> memory = StreamMemory()
     >>> v1 = ServiceVersion(service='s', version='v1')
-    >>> memory.note('c/1', v1, attempt=1, is_confirmed=False, now=0.0)
+    >>> memory.note(
+    ...     'c/1', Origin(version=v1, attempt=1, is_confirmed=False, noted_at=0.0))
     >>> memory.find('c/1', 1.0).version.version
     'v1'
     >>> memory.find('c/1', 99.0) is None
@@ -42,19 +42,9 @@
     def __len__(self) -> int:
         return len(self._origins)
 
-    def note(
-        self,
-        stream: str,
-        version: ServiceVersion,
-        *,
-        attempt: int,
-        is_confirmed: bool,
-        now: float,
-    ) -> None:
+    def note(self, stream: str, origin: Origin) -> None:
         """Remember an origin unless a greater one is known."""
-        origin = Origin(
-            version=version, attempt=attempt, is_confirmed=is_confirmed, noted_at=now
-        )
+        now = origin.noted_at
         known = self._origins.pop(stream, None)
         if known is not None and known.rank > origin.rank:
             origin = attrs.evolve(known, noted_at=now)
--- a/pistachiopath/streams/origin.py
+++ b/pistachiopath/streams/origin.py
@@ -13,8 +13,10 @@
 
     Before its first event a request may be tried at several replicas, so the
     `attempt` of the highest number counts.  `is_confirmed` means that this attempt
-    brought an event, or continued the stream.  `noted_at` is in seconds of a
-    monotonic clock.  `holder` is the node that told it, empty if none did.
+    brought an event, or continued the stream; otherwise an entry took its replica for
+    the lifetime `born_ms` of `replica` when it asked for the place.  `noted_at` and
+    `granted_at`, the time of that place, are in seconds of a monotonic clock.
+    `holder` is the node that told it, empty if none did.
     """
 
     version: ServiceVersion
@@ -22,6 +24,9 @@
     is_confirmed: bool
     noted_at: float
     holder: str = ''
+    replica: str = ''
+    born_ms: int = 0
+    granted_at: float = 0.0
 
     @property
     def rank(self) -> tuple[bool, int]:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -459,6 +459,8 @@
   softwareVersion @12 :Text;
   attempt @13 :Int64;
   isResumed @14 :Bool;
+  replica @15 :Text;
+  bornMs @16 :Int64;
 }
 
 struct Granted {
@@ -474,6 +476,7 @@
   request @0 :Text;
   firstMs @1 :Int64;
   ok @2 :Bool;
+  isUnproven @3 :Bool;
 }
 
 struct WatchLoad {
@@ -609,6 +612,9 @@
   replica @0 :Text;
   bornMs @1 :Int64;
   ageMs @2 :Int64;
+  knownMs @3 :Int64;
+  quietMs @4 :Int64;
+  hasLeft @5 :Bool;
 }
 
 struct StreamNotes {
@@ -662,6 +668,9 @@
   attempt @3 :Int64;
   isConfirmed @4 :Bool;
   ageMs @5 :Int64;
+  replica @6 :Text;
+  bornMs @7 :Int64;
+  grantedMs @8 :Int64;
 }
 
 struct Envelope {
--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gevent
+import pytest
+
 from tests.test_exchange.sockets import MUTE, ScriptedTarget
 from tools.free_address import free_address
 
+from .control_node import Control
 from .parts import chunk, events
 from .version_entries import (
     LAST_CHUNK,
@@ -20,6 +24,13 @@
 )
 
 
+@pytest.fixture
+def control():
+    node = Control()
+    yield node
+    node.shell.stop()
+
+
 def test_a_return_is_deduced_though_a_replica_has_not_reported_since():
     late, sound = ScriptedTarget(), ScriptedTarget([rest()])
     entry = Entry(free_address(), announces=['sound'])
@@ -33,6 +44,42 @@
     assert sound.requests == []
 
 
+def deduced_at(control, reporting, *silent):
+    """Return the answer to a return at an entry without agents, and the entry."""
+    entry = Entry(free_address(), announces=False)
+    entry.hear(*reporting, *silent, control=control.address)
+    for record in silent:
+        control.shell.announce(record)
+    reports = gevent.spawn(control.announce_for_ever, *reporting)
+    try:
+        return entry.resume()
+    finally:
+        reports.kill()
+
+
+def test_a_return_goes_on_at_the_only_version_once_all_replicas_have_reported(control):
+    first, second = ScriptedTarget([rest()]), ScriptedTarget([rest()])
+    records = announced('r1', first), announced('r2', second)
+    assert deduced_at(control, records).startswith(b'HTTP/1.1 200')
+    assert len(first.requests) + len(second.requests) == 1
+
+
+def test_a_return_is_deduced_though_one_of_several_replicas_is_late(control):
+    first, second = ScriptedTarget([rest()]), ScriptedTarget([rest()])
+    reporting, late = [announced('r1', first)], announced('r2', second)
+    assert deduced_at(control, reporting, late).startswith(b'HTTP/1.1 503')
+    assert first.requests == second.requests == []
+
+
+def test_a_return_is_deduced_though_a_replica_has_just_started_again(control):
+    # Another process may have run between the two lifetimes.
+    target = ScriptedTarget([rest()])
+    control.shell.announce(announced('r1', target, born=500))
+    answer = deduced_at(control, [announced('r1', target, born=1000)])
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert target.requests == []
+
+
 def test_a_return_goes_on_at_the_version_that_a_lost_entry_named_to_the_gate():
     gate_address = start_gate()
     late, sound = ScriptedTarget([half(), MUTE]), ScriptedTarget([rest()])
