Streams: what others can't deduce after a restart is noted at a control node

Open streams were noted only while two versions were known, so an entry that was lost took with it what it had proved.

Tests: test_streams_beside_a_restart_end_with_their_entry_as_nobody_can_deduce_them is of this change.

--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -36,6 +36,7 @@
 from .process_spans import ProcessSpans
 from .request_handler import RequestHandler
 from .request_log import RequestLog
+from .restart_watch import RestartWatch
 from .retries import Retries
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
@@ -104,6 +105,7 @@
             log=GateLog(metrics=metrics),
         )
         self._turns = TurnClock()
+        restarts = RestartWatch(started_at=time.monotonic())
         self._process_spans = ProcessSpans()
         self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
         self._pool = ConnectionPool(
@@ -126,6 +128,7 @@
             routes=lambda: self._routes.current,
             health=self._placement.health,
             turns=self._turns,
+            restarts=restarts,
             drain_s=cfg.drain_s,
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
@@ -143,6 +146,7 @@
         self._open_streams = OpenStreams(
             own_address=cfg.node_address,
             subscriber=self._subscriber,
+            restarts=restarts,
             send=self._network.send,
             metrics=metrics,
         )
@@ -195,6 +199,7 @@
             lender=self._lender,
             crashes=self._crashes,
             lifetimes=self._lifetimes,
+            restarts=restarts,
             send_all=self._network.send_all,
         )
         dispatcher = Dispatcher(
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -23,6 +23,7 @@
     from .known_lifetimes import KnownLifetimes
     from .lender_link import LenderLink
     from .open_streams import OpenStreams
+    from .restart_watch import RestartWatch
     from .routes_in_force import RoutesInForce
     from .stream_finder import StreamFinder
     from .targets import Targets
@@ -48,6 +49,7 @@
         lender: LenderLink,
         crashes: Crashes,
         lifetimes: KnownLifetimes,
+        restarts: RestartWatch,
         send_all: Callable[[list[Send]], None],
     ) -> None:
         self._subscriber = subscriber
@@ -60,6 +62,7 @@
         self._lender = lender
         self._crashes = crashes
         self._lifetimes = lifetimes
+        self._restarts = restarts
         self._send_all = send_all
 
     def handle(self, sender: str, call: int, body: Message) -> None:
@@ -101,6 +104,8 @@
     def _handle_news(self, sender: str, call: int, body: News, now: float) -> None:
         version = self._subscriber.version
         self._lifetimes.heard(body.records, now)
+        for record in body.records:
+            self._restarts.note(record.service, now)
         asked_at = self._subscriber.asked_at(sender, call)
         self._lifetimes.answered(body.heard, asked_at, now)
         effects = self._subscriber.on_news(sender, body, now, call=call)
--- a/pistachiopath/relay/open_streams.py
+++ b/pistachiopath/relay/open_streams.py
@@ -26,6 +26,7 @@
     from ..directory.subscriber import Subscriber
     from ..messages.base import Message
     from ..telemetry.metrics import Metrics
+    from .restart_watch import RestartWatch
 
 logger = logging.getLogger(__name__)
 
@@ -58,9 +59,9 @@
 
     If this entry ends, the callers of these streams come back at others, which ask
     the control nodes.  Notes go to a control node on another VM if there is one.
-    While a service has one version, which others deduce as long as all replicas
-    report, only streams are noted whose answers broke off, and these at once.  What
-    is open is noted again when the control node is lost.
+    While a service has one version, and none of its replicas has started again lately,
+    others deduce the version, and only streams are noted whose answers broke off, and
+    these at once.  What is open is noted again when the control node is lost.
     """
 
     def __init__(
@@ -68,11 +69,13 @@
         *,
         own_address: str,
         subscriber: Subscriber,
+        restarts: RestartWatch,
         send: Callable[[str, int, Message], None],
         metrics: Metrics,
     ) -> None:
         self._own_address = own_address
         self._subscriber = subscriber
+        self._restarts = restarts
         self._send = send
         self._metrics = metrics
         self._holder = ''
@@ -138,12 +141,16 @@
 
     def _is_due(self, stream: str, now: float) -> bool:
         noted = self._streams[stream]
-        versions = self._subscriber.directory.versions(noted.version.service)
-        if len(versions) <= 1 and noted.ended_at == math.inf:
+        if noted.ended_at == math.inf and self._is_deduced(noted.version.service, now):
             return False
         is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
         return (is_old or noted.holder != self._holder) and noted.is_settled()
 
+    def _is_deduced(self, service: str, now: float) -> bool:
+        """Return whether others can deduce the version of a service's streams."""
+        has_one_version = len(self._subscriber.directory.versions(service)) <= 1
+        return has_one_version and not self._restarts.is_recent(service, now)
+
     def _note(self, streams: Iterable[str], now: float) -> None:
         by_version: dict[ServiceVersion, list[str]] = {}
         for name in streams:
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -24,6 +24,7 @@
     from ..routing.replica_health import ReplicaHealth
     from ..streams.service_version import ServiceVersion
     from ..util.turn_clock import TurnClock
+    from .restart_watch import RestartWatch
 
 logger = logging.getLogger(__name__)
 
@@ -45,7 +46,8 @@
     The agent beside a replica listens at the replica's own IP address.  A replica
     that drains serves for `drain_s` after it was heard, and one whose connection
     broke takes no resumed stream for `doubt_s`, or until it shows that it has not
-    started again.  `turns` tells when a break that is read now may have been.
+    started again.  `turns` tells when a break that is read now may have been, and
+    `restarts` is told of all of them.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         routes: Callable[[], RouteSet | None],
         health: ReplicaHealth,
         turns: TurnClock,
+        restarts: RestartWatch,
         drain_s: float = DRAIN_S,
         doubt_s: float = DOUBT_S,
     ) -> None:
@@ -66,6 +69,7 @@
         self._routes = routes
         self._health = health
         self._turns = turns
+        self._restarts = restarts
         self._drain_s = drain_s
         self._doubts = LifetimeDoubts(doubt_s=doubt_s)
         self._left: set[tuple[str, int]] = set()
@@ -181,6 +185,7 @@
         """Record that a replica's connection broke or was refused."""
         since = min(now, self._turns.may_have_come_at(now))
         self._doubts.note(record, now, since=since)
+        self._restarts.note(record.service, now)
 
     def closed_early(self, address: str, since: float, now: float) -> None:
         """Record that a connection that was idle since then was closed before its time.
@@ -192,6 +197,7 @@
         for record in self._subscriber.directory.records():
             if record.address == address:
                 self._doubts.note(record, now, since=since)
+                self._restarts.note(record.service, now)
                 logger.info(
                     'connection_closed_early',
                     extra={
--- a/tests/test_relay/test_open_streams.py
+++ b/tests/test_relay/test_open_streams.py
@@ -1,14 +1,19 @@
 from __future__ import annotations
 
+import math
+
+import gevent
 import pytest
 
 from pistachiopath.document.noted_streams import NotedStreams
 from pistachiopath.effects import Send
 from pistachiopath.relay.open_streams import (
+    FLUSH_S,
     MAX_STREAMS_PER_MESSAGE,
     REPEAT_INTERVAL_S,
     OpenStreams,
 )
+from pistachiopath.relay.restart_watch import RestartWatch
 from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from pistachiopath.streams.name import DIGEST_BYTES
 from pistachiopath.streams.service_version import ServiceVersion
@@ -34,8 +39,13 @@
         self.directory = self
         self.sent = []
         self.nodes = {address: NotedStreams() for address in addresses}
+        self.restarts = RestartWatch(started_at=-math.inf)
         self.streams = OpenStreams(
-            own_address=OWN, subscriber=self, send=self._send, metrics=Metrics()
+            own_address=OWN,
+            subscriber=self,
+            restarts=self.restarts,
+            send=self._send,
+            metrics=Metrics(),
         )
 
     def heard(self, now):
@@ -68,6 +78,37 @@
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
 
 
+def test_streams_beside_a_restart_end_with_their_entry_as_nobody_can_deduce_them():
+    controls = Controls('10.0.0.2:7682', versions=(V1,))
+    controls.streams.begun('c/a', V1, settled)
+    controls.restarts.note('other', 0.0)
+    controls.tick()
+    assert controls.sent == []
+    controls.restarts.note('model', 0.3)
+    controls.tick(0.4)
+    assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
+
+
+def test_a_stream_that_broke_off_is_refused_elsewhere_while_one_version_serves():
+    controls = Controls('10.0.0.2:7682', versions=(V1,))
+    controls.streams.begun('c/a', V1, settled)
+    controls.streams.ended('c/a', is_complete=False, now=0.0)
+    gevent.sleep(2 * FLUSH_S)
+    assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
+    assert len(controls.streams) == 0
+
+
+def test_a_stream_that_broke_off_is_forgotten_while_no_control_node_is_heard():
+    controls = Controls('10.0.0.2:7682')
+    controls.addresses = ()
+    controls.streams.begun('c/a', V1, settled)
+    controls.streams.ended('c/a', is_complete=False, now=0.0)
+    controls.tick()
+    controls.addresses = ('10.0.0.2:7682',)
+    controls.tick(0.4)
+    assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
+
+
 def test_a_stream_that_is_complete_costs_a_message():
     controls = Controls('10.0.0.2:7682')
     controls.streams.begun('c/a', V1, settled)
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -8,6 +8,7 @@
 from pistachiopath.messages.grants import GateLoad
 from pistachiopath.relay.own_gates import OwnGates
 from pistachiopath.relay.places import Places
+from pistachiopath.relay.restart_watch import RestartWatch
 from pistachiopath.relay.targets import Targets
 from pistachiopath.routes.route_set import RouteSet
 from pistachiopath.routes.service import Service
@@ -77,6 +78,7 @@
         routes=lambda: routes,
         health=ReplicaHealth(),
         turns=TurnClock(),
+        restarts=RestartWatch(started_at=0.0),
     )
 
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -6,6 +6,7 @@
 from pistachiopath.grants.watch import LoadWatch
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
+from pistachiopath.relay.restart_watch import RestartWatch
 from pistachiopath.relay.targets import DOUBT_S, DRAIN_S, DRAIN_SHARE, Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
 from pistachiopath.streams.service_version import version_of
@@ -24,6 +25,7 @@
         routes=routes,
         health=health or ReplicaHealth(),
         turns=turns or Turns(),
+        restarts=RestartWatch(started_at=0.0),
     )
 
 
