Deduction: control nodes first, and replicas sorted by service

A search looked at all records of the directory 20 times a second, though most looks end at control nodes that have not answered yet, and asked for all unreported replicas as often. Now the replicas are looked at once enough control nodes have answered, from lists that are sorted out anew only when a record changes, and asked for each 0.2 s. Read, not measured: at the size to design for a look goes from 11,000 records to the 846 of a service.

--- a/pistachiopath/relay/origin_search.py
+++ b/pistachiopath/relay/origin_search.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..streams.origin import Origin
+from .continuations import ASK_INTERVAL_S
 from .origin_source import OriginSource
 from .patience import patience_s
 from .targets import DIRECTORY_FILL_S
@@ -36,7 +38,8 @@
 
     The stream was begun before `returned_at`, and the search at `began_at`, both in
     seconds of a monotonic clock.  `awaits_proof` tells whether a holder has named a
-    lifetime that the next report may prove.
+    lifetime that the next report may prove, and `asked_at` is when control nodes were
+    asked last what replicas have reported.
     """
 
     work: Work
@@ -46,6 +49,7 @@
     source: OriginSource = OriginSource.NONE
     deduction: Deduction = Deduction(certainty=Certainty.WAITS)
     awaits_proof: bool = False
+    asked_at: float = -math.inf
 
     @property
     def has_one_service(self) -> bool:
@@ -132,7 +136,9 @@
         search.deduction = self._deduction.look(
             admitted.route, admitted.service, search.returned_at
         )
-        if search.deduction.certainty is Certainty.WAITS:
+        is_due = now - search.asked_at >= ASK_INTERVAL_S
+        if is_due and search.deduction.certainty is Certainty.WAITS:
+            search.asked_at = now
             unreported = self._deduction.unreported(
                 admitted.service, search.returned_at
             )
--- a/pistachiopath/relay/version_deduction.py
+++ b/pistachiopath/relay/version_deduction.py
@@ -90,6 +90,8 @@
         self._accepts = accepts
         self._quiet_s = quiet_s
         self._down_at: dict[str, float] = {}
+        self._by_service: dict[str, list[ReplicaRecord]] = {}
+        self._records_of_change = -1
 
     def look(self, route: Route, service: str, returned_at: float) -> Deduction:
         """Return what follows from what is known now.
@@ -105,9 +107,10 @@
         versions = self._subscriber.directory.versions(service)
         if len(versions) != 1:
             return Deduction(certainty=Certainty.OTHERS, reason='versions')
-        found = self._look_at_replicas(service, begun_at, returned_at)
-        if found is None:
-            found = self._look_at_controls(returned_at, now)
+        found = self._look_at_controls(returned_at, now)
+        if found.is_of_most:
+            lacking = self._look_at_replicas(service, begun_at, returned_at)
+            found = lacking or found
         return attrs.evolve(found, version=next(iter(versions)))
 
     def unreported(self, service: str, since: float) -> set[str]:
@@ -168,8 +171,11 @@
         return True
 
     def _records(self, service: str) -> list[ReplicaRecord]:
-        return [
-            record
-            for record in self._subscriber.directory.records()
-            if record.service == service
-        ]
+        """Return the records of a service, sorted out anew when any has changed."""
+        directory = self._subscriber.directory
+        if directory.change != self._records_of_change:
+            self._records_of_change = directory.change
+            self._by_service.clear()
+            for record in directory.records():
+                self._by_service.setdefault(record.service, []).append(record)
+        return self._by_service.get(service, [])
--- a/tests/test_relay/test_known_versions.py
+++ b/tests/test_relay/test_known_versions.py
@@ -26,6 +26,7 @@
     def __init__(self, answered, *versions):
         self.answered = answered
         self.directory = self
+        self.change = 0
         self.found = {
             ServiceVersion(service='model', version=version) for version in versions
         }
