--- a/pistachiopath/quarantine/blame.py
+++ b/pistachiopath/quarantine/blame.py
@@ -14,8 +14,10 @@
     from collections.abc import Collection, Iterable
 
 # Crashes after which a content is blamed.  A part is in many requests, so more is
-# asked, and more still if it has run well before.
+# asked, and more still if it has run well before.  A whole request that crashes
+# replicas crashes each, so one that has run well was most likely only there.
 WHOLE_REQUEST_CRASHES = 2
+PROVEN_REQUEST_CRASHES = 5
 PART_CRASHES = 3
 PROVEN_PART_CRASHES = 4
 # Of parts that were in the same crashes one is blamed only after so many.
@@ -37,11 +39,19 @@
     runs: Mapping[str, BrokenRun]
     is_proven: bool
 
+    @property
+    def has_trials(self) -> bool:
+        """Whether the content is tried again while it is in quarantine.
+
+        A request that has never run well may crash a replica in each trial.
+        """
+        return self.content.is_part or self.is_proven
+
     @property
     def needed_crashes(self) -> int:
         """Number of crashes after which the content is blamed."""
         if not self.content.is_part:
-            return WHOLE_REQUEST_CRASHES
+            return PROVEN_REQUEST_CRASHES if self.is_proven else WHOLE_REQUEST_CRASHES
         return PROVEN_PART_CRASHES if self.is_proven else PART_CRASHES
 
 
--- a/pistachiopath/quarantine/crash_watch.py
+++ b/pistachiopath/quarantine/crash_watch.py
@@ -67,6 +67,7 @@
         self._marks: dict[bytes, _Marks] = {}
         self._cleared_at: dict[bytes, float] = {}
         self._proven = ProvenContents()
+        self._proven_requests = ProvenContents()
         self._unsent_proofs: set[bytes] = set()
         self._trials = Trials(node=node)
         self._blamed: dict[bytes, CrashHistory] | None = None
@@ -114,7 +115,8 @@
         return tuple(marks)
 
     def delivered(self, fingerprint: bytes, now: float) -> bool:
-        """Clear content that ran to completion; return whether it had marks."""
+        """Clear a request that ran well; return whether it had marks."""
+        self._proven_requests.add([fingerprint], now)
         return self._clear(fingerprint, now)
 
     def proven(self, parts: Iterable[Content], now: float) -> tuple[bytes, ...]:
@@ -157,18 +159,18 @@
     def left_s(self, fingerprint: bytes, now: float) -> float:
         """Return the remaining quarantine of content in seconds, 0 if there is none.
 
-        It is also 0 for a part that this node may try; see `begin_trial`.
+        It is also 0 for content that this node may try; see `begin_trial`.
         """
         history = self.blamed.get(fingerprint)
         if history is None:
             return 0.0
         last_at = max(run.broken_at for run in history.runs.values())
-        if history.content.is_part:
+        if history.has_trials:
             return max(0.0, self._trials.due_at(fingerprint, last_at) - now)
         return max(0.0, last_at + RETENTION_S - now)
 
     def begin_trial(self, key: bytes, now: float) -> CrashMarks:
-        """Begin a trial of a part in quarantine; return the message for others."""
+        """Begin a trial of content in quarantine; return the message for others."""
         return CrashMarks(trials=(self._trials.begin(key, now),))
 
     def marks(self, now: float) -> CrashMarks:
@@ -228,7 +230,7 @@
 
     def _use_own_proof(self, key: bytes) -> None:
         """Use what this node knows of a content that gets its first mark."""
-        proven_at = self._proven.at(key)
+        proven_at = self._proven.at(key) or self._proven_requests.at(key)
         if proven_at is not None and key not in self._cleared_at:
             self._cleared_at[key] = proven_at
             self._unsent_proofs.add(key)
--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -75,11 +75,11 @@
     def check_send(self, work: Work, now: float) -> None:
         """Check a request right before it is sent to a replica.
 
-        It may be the one request with which a part in quarantine is tried again.
+        It may be the one request with which content in quarantine is tried again.
         """
         self.check(work, now)
         for key in self._quarantined_contents(work):
-            if not self._watch.blamed[key].content.is_part:
+            if not self._watch.blamed[key].has_trials:
                 continue
             if not self._broadcast(self._watch.begin_trial(key, now)):
                 raise self._turned_away(work, key, self._watch.left_s(key, now))
@@ -213,8 +213,6 @@
 
     def _record_delivered(self, work: Work, now: float) -> None:
         self._record_proof(work, now)
-        if not self._watch.has_marks:
-            return
         fingerprint = work.fingerprint
         if self._watch.delivered(fingerprint, now):
             self._broadcast(CrashMarks(cleared=(fingerprint,)))
--- a/tests/test_quarantine/test_crash_watch.py
+++ b/tests/test_quarantine/test_crash_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pistachiopath.messages.quarantine import CrashMarks
+from pistachiopath.quarantine.blame import PROVEN_REQUEST_CRASHES
 from pistachiopath.quarantine.content import shared_parts
 from pistachiopath.quarantine.crash_watch import (
     MAX_CONTENTS,
@@ -226,3 +227,25 @@
             watch.heard(body, at)
         verdicts.add(frozenset(watch.blamed))
     assert verdicts == {frozenset({other.key})}
+
+
+def test_a_request_that_has_run_well_is_quarantined_for_two_crashes_it_was_there_at():
+    watch = CrashWatch()
+    watch.delivered(OTHER, 0.5)
+    for number in range(1, PROVEN_REQUEST_CRASHES):
+        crash(watch, f'r{number}', float(number), OTHER)
+        assert watch.left_s(OTHER, float(number)) == 0
+    crash(watch, 'last', 9.0, OTHER)
+    assert 0 < watch.left_s(OTHER, 9.0) < RETENTION_S / 2
+
+
+def test_replicas_that_start_again_one_by_one_quarantine_what_they_all_run():
+    # A brisk rolling release; some runs at other replicas write for long enough.
+    watch = CrashWatch()
+    watch.delivered(OTHER, 9.0)
+    for number in range(10):
+        now = 10.0 + 0.5 * number
+        crash(watch, f'r{number}', now, OTHER)
+        assert watch.left_s(OTHER, now) == 0
+        if number % 2:
+            watch.delivered(OTHER, now + 0.25)
--- a/tests/test_relay/test_crashes.py
+++ b/tests/test_relay/test_crashes.py
@@ -343,3 +343,17 @@
         work = crash_replica(entry, prefix)
     assert entry.sent_marks == []
     assert not entry.crashes.is_quarantined(work, time.monotonic())
+
+
+def test_a_request_that_others_run_well_is_refused_after_two_restarts_of_replicas():
+    entry = FakeEntry(['q0', 'r0', 's0'])
+    serve(
+        [ScriptedTarget([answer()])],
+        IDEMPOTENT,
+        attempts=1,
+        crashes=entry.crashes,
+        prefix='q',
+    )
+    for prefix in 'rs':
+        work = crash_replica(entry, prefix)
+    assert not entry.crashes.is_quarantined(work, time.monotonic())
