--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -196,6 +196,7 @@
         objective_s = route.objective_s - (started_at - work.first_attempt_at)
         gate, slots = self._gate(candidate)
         version = version_of(candidate.record)
+        stream = work.stream if candidate.is_gated else ''
         ask = Ask(
             # A caller may use its request id again while the first request runs.
             request=f'{work.req.request_id}.{work.tries}.{next(self._serials)}',
@@ -208,12 +209,12 @@
             patience_ms=max(1, int(patience_s(work, started_at) * 1000)),
             slots=slots,
             customer_tier=work.admitted.customer_tier,
-            stream=work.stream if candidate.is_gated else '',
+            stream=stream,
             service=version.service,
             software_version=version.version,
             attempt=work.tries,
             is_resumed=work.stream_version is not None,
-            replica=candidate.record.replica,
+            replica=candidate.record.replica if stream else '',
             born_ms=candidate.record.born_ms,
         )
         try:
--- a/tools/capacity_platform.py
+++ b/tools/capacity_platform.py
@@ -44,6 +44,7 @@
 from pistachiopath.routes.customer_account import CustomerAccount
 from pistachiopath.streams.memory import MAX_STREAMS, StreamMemory
 from pistachiopath.streams.name import stream_digest, stream_name
+from pistachiopath.streams.origin import Origin
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.transport.codec import encode
 from pistachiopath.transport.frames import pack
@@ -128,6 +129,9 @@
                 attempt=1,
                 is_confirmed=False,
                 age_ms=500,
+                replica='i-7f3a91c2d4e5',
+                born_ms=1_700_000_000_000,
+                granted_ms=500,
             )
             for n in range(streams)
         )
@@ -156,6 +160,8 @@
         service='service',
         software_version='v1.2',
         attempt=1,
+        replica='i-7f3a91c2d4e5',
+        born_ms=1_700_000_000_000,
     )
 
 
@@ -243,13 +249,17 @@
     before, _ = tracemalloc.get_traced_memory()
     for number in range(MAX_STREAMS):
         version = ServiceVersion(service='service', version='v1.2')
-        memory.note(
-            stream(number),
-            version,
+        now = number / MAX_STREAMS
+        origin = Origin(
+            version=version,
             attempt=1,
             is_confirmed=False,
-            now=number / MAX_STREAMS,
+            noted_at=now,
+            replica=f'i-{number:012x}',
+            born_ms=1_700_000_000_000 + number,
+            granted_at=now,
         )
+        memory.note(stream(number), origin)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return {'remembered stream': round((after - before) / len(memory))}
