Lifetimes: what a proven process writes shows as much as its next report

A span that is proven to be a lifetime's shows that it ran until the last byte, so that counts for origins of gates and for deductions.

The test fails without the change (WAITS in place of CERTAIN): by construction, not run.

--- a/pistachiopath/relay/known_lifetimes.py
+++ b/pistachiopath/relay/known_lifetimes.py
@@ -122,7 +122,9 @@
     def ran(self, replica: str, born_ms: int, since: float, until: float) -> bool:
         """Return whether a lifetime is known to have run all the time between."""
         run = self._find_run(replica, born_ms)
-        return run.since <= since and until <= run.until
+        if run.since > since:
+            return False
+        return until <= run.until or self._was_heard(replica, born_ms, until)
 
     def is_current(self, replica: str, born_ms: int) -> bool:
         """Return whether no later lifetime of a replica is known."""
@@ -147,7 +149,17 @@
         run = self._find_run(record.replica, record.born_ms)
         if record.state == ReplicaState.GONE:
             return run.has_left
-        return run.until >= since
+        return run.until >= since or self._was_heard(
+            record.replica, record.born_ms, since
+        )
+
+    def _was_heard(self, replica: str, born_ms: int, since: float) -> bool:
+        """Return whether a process that is proven has written here since a time."""
+        record = self._subscriber.directory.get(replica)
+        if record is None or record.born_ms != born_ms:
+            return False
+        heard_at = self._spans.heard_at(record.address)
+        return heard_at >= since and self.is_proven(record, heard_at)
 
     def _run(self, replica: str, born_ms: int, since: float) -> _Run:
         runs = self._runs.setdefault(replica, {})
--- a/tests/test_relay/test_version_deduction.py
+++ b/tests/test_relay/test_version_deduction.py
@@ -31,7 +31,8 @@
         self.age_s = 100.0
         self.accepting = set()
         self.now = time.monotonic()
-        self.lifetimes = KnownLifetimes(subscriber=self, spans=ProcessSpans())
+        self.spans = ProcessSpans()
+        self.lifetimes = KnownLifetimes(subscriber=self, spans=self.spans)
         self.deduction = VersionDeduction(
             subscriber=self,
             lifetimes=self.lifetimes,
@@ -89,6 +90,17 @@
     assert view.look() == (Certainty.WAITS, 'unreported')
 
 
+def test_a_replica_that_writes_to_this_entry_is_waited_for(view):
+    busy = view.know('busy')
+    view.lifetimes.heard([busy], view.now - 60.0)
+    view.report(busy, age_s=0.5)
+    view.spans.heard(busy.address, view.now - 0.4, view.now + 0.1)
+    # Its connection is younger than its last report.
+    assert view.look() == (Certainty.WAITS, 'unreported')
+    view.spans.heard(busy.address, view.now - 2.0, view.now + 0.1)
+    assert view.look() == (Certainty.CERTAIN, '')
+
+
 def test_a_process_between_two_lifetimes_of_a_version_is_overlooked(view):
     earlier = view.know('again', born_ms=1000)
     view.report(earlier, age_s=6.0)
