Deduction: control nodes are asked also where all replicas write to this entry

What callers saw: nothing yet; found by a mutation that did not fail. Control nodes are asked for what they know of replicas that have not reported since a return. If all of them were heard by their answers to this entry before the question was due, none was asked, so no control node had answered since the return, and it was refused after 1.5 s. Then all replicas are asked for. The test fails before (503 in place of 200). Also four mutations of the new mechanisms, each found by its test, shorter names of two tests, and a clock that went back: such a lifetime is not taken for proof of the one on record.

--- a/pistachiopath/relay/origin_search.py
+++ b/pistachiopath/relay/origin_search.py
@@ -139,10 +139,8 @@
         is_due = now - search.asked_at >= ASK_INTERVAL_S
         if is_due and search.deduction.certainty is Certainty.WAITS:
             search.asked_at = now
-            unreported = self._deduction.unreported(
-                admitted.service, search.returned_at
-            )
-            self._continuations.ask(unreported, now)
+            replicas = self._deduction.to_ask_for(admitted.service, search.returned_at)
+            self._continuations.ask(replicas, now)
         is_certain = search.deduction.certainty is Certainty.CERTAIN
         if is_certain and search.has_one_service:
             return search.deduction.origin(now)
--- a/pistachiopath/relay/version_deduction.py
+++ b/pistachiopath/relay/version_deduction.py
@@ -113,13 +113,19 @@
             found = lacking or found
         return attrs.evolve(found, version=next(iter(versions)))
 
-    def unreported(self, service: str, since: float) -> set[str]:
-        """Return the replicas of a service that have not reported since a time."""
-        return {
+    def to_ask_for(self, service: str, since: float) -> set[str]:
+        """Return the replicas of which control nodes are to be asked.
+
+        These are the ones that have not reported since a time.  If all have, control
+        nodes still have to tell what else they know.
+        """
+        records = self._records(service)
+        unreported = {
             record.replica
-            for record in self._records(service)
+            for record in records
             if not self._lifetimes.has_reported(record, since)
         }
+        return unreported or {record.replica for record in records}
 
     def _look_at_controls(self, returned_at: float, now: float) -> Deduction:
         """Return how many control nodes have told since the return what they know."""
--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from pistachiopath.relay.known_lifetimes import KnownLifetimes
 from tests.test_exchange.sockets import MUTE, ScriptedTarget
 from tools.free_address import free_address
 
@@ -64,6 +65,16 @@
     assert len(first.requests) + len(second.requests) == 1
 
 
+def test_a_return_is_refused_as_control_nodes_are_not_asked_if_all_replicas_write(
+    control, monkeypatch
+):
+    # They write to this entry all the time, so none lacks a report.
+    monkeypatch.setattr(KnownLifetimes, 'has_reported', lambda *_: True)
+    target = ScriptedTarget([rest()])
+    answer = deduced_at(control, [announced('r1', target)])
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
 def test_a_return_is_deduced_though_one_of_several_replicas_is_late(control):
     first, second = ScriptedTarget([rest()]), ScriptedTarget([rest()])
     reporting, late = [announced('r1', first)], announced('r2', second)
@@ -80,7 +91,7 @@
     assert target.requests == []
 
 
-def test_a_return_goes_on_at_the_version_that_a_lost_entry_named_to_the_gate():
+def test_a_return_goes_on_at_what_a_lost_entry_named_to_the_gate():
     gate_address = start_gate()
     late, sound = ScriptedTarget([half(), MUTE]), ScriptedTarget([rest()])
     records = announced('late', late), announced('sound', sound)
@@ -92,7 +103,7 @@
     begun.close()
 
 
-def test_a_whole_answer_makes_the_gate_certain_of_a_version_that_nobody_proved():
+def test_a_whole_answer_makes_the_gate_certain_of_what_nobody_proved():
     gate_address = start_gate()
     whole = [half() + chunk(events(3, 5)) + LAST_CHUNK]
     late, sound = ScriptedTarget(whole), ScriptedTarget([rest()])
--- a/tests/test_relay/test_version_deduction.py
+++ b/tests/test_relay/test_version_deduction.py
@@ -111,6 +111,15 @@
     assert view.look() == (Certainty.CERTAIN, '')
 
 
+def test_a_lifetime_whose_clock_went_back_is_taken_for_the_one_on_record(view):
+    on_record = view.know('again', born_ms=20_000)
+    view.report(on_record, age_s=2.0)
+    back = view.know('again', born_ms=4_000, software_version='v2')
+    view.report(back)
+    assert view.directory.get('again').born_ms == 20_000
+    assert view.look()[0] is not Certainty.CERTAIN
+
+
 def test_a_new_replica_keeps_streams_of_before_from_going_on(view):
     view.report(view.know('new'), known_s=1.0)
     assert view.look() == (Certainty.CERTAIN, '')
--- a/tests/test_relay/test_version_mutations.py
+++ b/tests/test_relay/test_version_mutations.py
@@ -5,14 +5,19 @@
 from pistachiopath.document.noted_streams import NotedStreams
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.grants.begun_streams import BegunStreams
+from pistachiopath.relay.dispatcher import Dispatcher
+from pistachiopath.relay.known_lifetimes import KnownLifetimes
 from pistachiopath.relay.open_streams import OpenStreams
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.stream_versions import StreamVersions
+from pistachiopath.relay.version_deduction import VersionDeduction
 from pistachiopath.relay.work import Work
 from tests.harness.mutations import check_fails, each
 
+from . import test_late_first_reports as late_checks
 from . import test_open_streams as note_checks
 from . import test_stream_versions as version_checks
+from .control_node import Control
 
 
 def versions_are_not_looked_at(patch):
@@ -88,6 +93,49 @@
     )
 
 
+def reports_are_not_waited_for(patch):
+    """Deduces a version though a replica has not reported since the return."""
+    patch.setattr(VersionDeduction, '_look_at_replicas', lambda *_: None)
+    return with_a_control(
+        late_checks.test_a_return_is_deduced_though_one_of_several_replicas_is_late
+    )
+
+
+def gaps_between_lifetimes_are_overlooked(patch):
+    """Takes a replica's lifetimes to follow one another at once."""
+    patch.setattr(KnownLifetimes, 'has_begun', lambda *_: True)
+    return with_a_control(
+        late_checks.test_a_return_is_deduced_though_a_replica_has_just_started_again
+    )
+
+
+def gates_are_believed(patch):
+    """Takes what a lost entry named to a gate for what began the stream."""
+    patch.setattr(KnownLifetimes, 'ran', lambda *_: True)
+    check = late_checks
+    return check.test_a_return_goes_on_at_what_a_lost_entry_named_to_the_gate
+
+
+def a_whole_answer_proves_its_lifetime(patch):
+    """Confirms to the gate what nobody has proved."""
+    patch.setattr(Dispatcher, '_is_proven', lambda *_: True)
+    check = late_checks
+    return check.test_a_whole_answer_makes_the_gate_certain_of_what_nobody_proved
+
+
+def with_a_control(check):
+    """Return a check that is given a control node of its own."""
+
+    def run():
+        node = Control()
+        try:
+            check(node)
+        finally:
+            node.shell.stop()
+
+    return run
+
+
 def with_a_gate(check):
     """Return a check that is given the address of a gate of its own."""
     return lambda: check(version_checks.start_gate())
@@ -102,6 +150,10 @@
     control_nodes_do_not_remember,
     a_new_holder_is_told_only_new_streams,
     idle_connections_are_not_looked_at,
+    reports_are_not_waited_for,
+    gaps_between_lifetimes_are_overlooked,
+    gates_are_believed,
+    a_whole_answer_proves_its_lifetime,
 )
 def test_a_check_fails_without_its_mechanism(monkeypatch, mutation):
     check_fails(mutation(monkeypatch))
