Streams: what began a stream is the lifetime that is proven, also if it reported later

What callers saw: a stream that began between the restart of a replica and its first report was refused for good, also at the entry that delivered it, and where the version was the same.

Cause: the entry asked whether the lifetime on record at the choice of the replica had written the events, not which one had. Now all lifetimes that are known at the address are looked at; the version of the proven one is that of the stream, for the return, for the next try and for the note at a control node. A gate is told that its version is proven only if it is the one that it was named. A stream leaves a silent replica only if the proven version is the one known so far.

Evidence: test_a_stream_of_a_replica_that_reports_late_is_refused_for_good and test_a_stream_of_an_unreported_lifetime_is_of_the_version_on_record, which fail before.

--- a/pistachiopath/relay/continuations.py
+++ b/pistachiopath/relay/continuations.py
@@ -17,6 +17,7 @@
 
     from ..exchange.target_connection import TargetConnection
     from ..messages.directory import ReplicaRecord
+    from ..streams.service_version import ServiceVersion
     from .known_lifetimes import KnownLifetimes
     from .stream_start import StreamStart
     from .work import Work
@@ -54,28 +55,26 @@
         self._wanted: set[str] = set()
         self._asked_at: dict[str, float] = {}
 
-    def is_known(self, start: StreamStart) -> bool:
-        """Return whether the lifetime that began a stream is known.
+    def version(self, start: StreamStart) -> ServiceVersion | None:
+        """Return the version that began a stream, None if it is not proven.
 
         If it is not, the next `tick` asks for it.
         """
-        record, opened_at = start.record, start.opened_at
-        if self._lifetimes.is_proven(record, opened_at):
-            return True
-        if self._lifetimes.may_be_proven(record, opened_at):
-            self._wanted.add(record.replica)
-        return False
-
-    def settle(self, start: StreamStart) -> bool:
-        """Return whether the lifetime that began a stream is known; ask if it isn't."""
+        found = self._lifetimes.version_at(start.record, start.opened_at)
+        if found is None:
+            self._wanted.add(start.record.replica)
+        return found
+
+    def settle(self, start: StreamStart) -> ServiceVersion | None:
+        """Return the version that began a stream; ask if it is not proven."""
         until = time.monotonic() + REPLY_WAIT_S
-        while not self.is_known(start):
+        while (found := self.version(start)) is None:
             now = time.monotonic()
             if now >= until:
-                return False
+                return None
             self.tick(now)
             gevent.sleep(PROOF_POLL_INTERVAL_S)
-        return True
+        return found
 
     def ask(self, replicas: Iterable[str], now: float) -> None:
         """Ask when lifetimes of replicas announced themselves."""
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -10,6 +10,7 @@
 
 from ..errors.relay import TurnedAway
 from ..exchange.answer_memory import AnswerMemory
+from ..streams.service_version import version_of
 from ..util.arrivals import handle_arrivals
 from .ended import Delivered, Lost, NotRun, TargetFailed
 from .exchange_run import OTHER_REPLICA, UNPROVEN_LIFETIME, ExchangeRun
@@ -164,8 +165,11 @@
                 self._record_result(work, candidate, result)
 
     def _is_proven(self, work: Work) -> bool:
-        """Return whether it is known which lifetime began the stream."""
-        return work.start is None or self._continuations.is_known(work.start)
+        """Return whether the version is proven that the gate was told of the stream."""
+        if work.start is None:
+            return True
+        named = version_of(work.start.record)
+        return self._continuations.version(work.start) == named
 
     def _choose(self, work: Work) -> Candidate:
         self._crashes.check(work, time.monotonic())
--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -76,6 +76,10 @@
         excluded = frozenset(work.excluded | {work.replica})
         return Hedge(search=lambda: self._search(work, excluded), release=self._release)
 
+    def _is_settled(self, work: Work) -> bool:
+        """Return whether the stream is proven to be of the version known so far."""
+        return self._continuations.settle(work.start) == work.stream_version
+
     def _search(self, work: Work, excluded: frozenset[str]) -> Reservation | None:
         """Return a reservation, for which the retry budget has been charged."""
         now = time.monotonic()
@@ -83,7 +87,7 @@
             work
         ):
             return None
-        if work.start is not None and not self._continuations.settle(work.start):
+        if work.start is not None and not self._is_settled(work):
             return None
         work.tries += 1
         moved = attrs.evolve(work, excluded=set(excluded), denied=set())
--- a/pistachiopath/relay/known_lifetimes.py
+++ b/pistachiopath/relay/known_lifetimes.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..directory.replica_state import ReplicaState
+from ..streams.service_version import ServiceVersion, version_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,6 +29,7 @@
 
     replica: str
     born_ms: int
+    version: ServiceVersion
     known_at: float
 
 
@@ -68,7 +70,10 @@
             if record.state == ReplicaState.GONE or _find(known, record):
                 continue
             lifetime = _Lifetime(
-                replica=record.replica, born_ms=record.born_ms, known_at=now
+                replica=record.replica,
+                born_ms=record.born_ms,
+                version=version_of(record),
+                known_at=now,
             )
             known.append(lifetime)
             self._run(record.replica, record.born_ms, now)
@@ -93,30 +98,38 @@
 
     def is_proven(self, record: ReplicaRecord, opened_at: float) -> bool:
         """Return whether a connection that was opened then leads to this lifetime."""
-        lifetime = self._lifetime(record)
+        lifetime = _find(self._by_address.get(record.address, ()), record)
         if lifetime is None:
             return False
-        span = self._spans.around(record.address, opened_at)
-        if span.until > self._ended_by(record):
-            return False
-        announced_at = self._find_run(record.replica, record.born_ms).until
-        return max(lifetime.known_at, span.since) <= min(announced_at, span.until)
+        return self._is_process(lifetime, record.address, opened_at)
 
-    def may_be_proven(self, record: ReplicaRecord, opened_at: float) -> bool:
-        """Return whether a later announcement may prove what is not proven yet."""
-        if self._lifetime(record) is None:
-            return False
-        span = self._spans.around(record.address, opened_at)
-        return span.until <= self._ended_by(record)
+    def version_at(
+        self, record: ReplicaRecord, opened_at: float
+    ) -> ServiceVersion | None:
+        """Return the proven version of the process that a connection led to.
 
-    def _lifetime(self, record: ReplicaRecord) -> _Lifetime | None:
-        return _find(self._by_address.get(record.address, ()), record)
+        It may be that of another lifetime of the replica than the record's: one that
+        had not announced itself yet.
+        """
+        for lifetime in self._by_address.get(record.address, ()):
+            is_replica = lifetime.replica == record.replica
+            if is_replica and self._is_process(lifetime, record.address, opened_at):
+                return lifetime.version
+        return None
+
+    def _is_process(self, lifetime: _Lifetime, address: str, opened_at: float) -> bool:
+        span = self._spans.around(address, opened_at)
+        if span.until > self._ended_by(lifetime, address):
+            return False
+        announced_at = self._find_run(lifetime.replica, lifetime.born_ms).until
+        return max(lifetime.known_at, span.since) <= min(announced_at, span.until)
 
-    def _ended_by(self, record: ReplicaRecord) -> float:
+    def _ended_by(self, lifetime: _Lifetime, address: str) -> float:
         """Return when a later lifetime at the address was known, infinity if never."""
-        known = self._by_address.get(record.address, ())
+        known = self._by_address.get(address, ())
         return min(
-            (k.known_at for k in known if k.born_ms > record.born_ms), default=math.inf
+            (k.known_at for k in known if k.born_ms > lifetime.born_ms),
+            default=math.inf,
         )
 
     def ran(self, replica: str, born_ms: int, since: float, until: float) -> bool:
--- a/pistachiopath/relay/open_streams.py
+++ b/pistachiopath/relay/open_streams.py
@@ -43,12 +43,13 @@
 class _OpenStream:
     """A stream, and when and where it was noted last.
 
-    `is_settled` returns whether the version is certain.  At `ended_at` its answer
-    ended before the stream was complete.
+    `version` is what the replica was taken for, and `proven` returns the version that
+    is certain, None if none is.  At `ended_at` its answer ended before the stream was
+    complete.
     """
 
     version: ServiceVersion
-    is_settled: Callable[[], bool]
+    proven: Callable[[], ServiceVersion | None]
     holder: str = ''
     noted_at: float = 0.0
     ended_at: float = math.inf
@@ -86,13 +87,16 @@
         return len(self._streams)
 
     def begun(
-        self, stream: str, version: ServiceVersion, is_settled: Callable[[], bool]
+        self,
+        stream: str,
+        version: ServiceVersion,
+        proven: Callable[[], ServiceVersion | None],
     ) -> None:
         """Record a stream that has begun, or goes on, and that no gate holds.
 
-        It is noted once `is_settled` returns that the version is certain.
+        It is noted once `proven` returns the version that is certain.
         """
-        self._streams[stream] = _OpenStream(version=version, is_settled=is_settled)
+        self._streams[stream] = _OpenStream(version=version, proven=proven)
         if len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
 
@@ -144,7 +148,11 @@
         if noted.ended_at == math.inf and self._is_deduced(noted.version.service, now):
             return False
         is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
-        return (is_old or noted.holder != self._holder) and noted.is_settled()
+        if not is_old and noted.holder == self._holder:
+            return False
+        version = noted.proven()
+        noted.version = version or noted.version
+        return version is not None
 
     def _is_deduced(self, service: str, now: float) -> bool:
         """Return whether others can deduce the version of a service's streams."""
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import attrs
+
 from ..errors.relay import TurnedAway
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
 from ..streams.origin import Origin
@@ -111,9 +113,16 @@
             self._note_open(work)
 
     def is_settled(self, work: Work) -> bool:
-        """Return whether it is known which lifetime began the stream."""
-        is_settled = work.start is None or self._continuations.settle(work.start)
-        if not is_settled:
+        """Return whether it is known which lifetime began the stream.
+
+        If it is not the one that its replica was taken for, its version counts.
+        """
+        if work.start is None:
+            return True
+        version = self._continuations.settle(work.start)
+        if version is not None:
+            work.stream_version = version
+        else:
             logger.info(
                 'stream_unsettled',
                 extra={
@@ -126,14 +135,14 @@
                     ),
                 },
             )
-        return is_settled
+        return version is not None
 
     def _note_open(self, work: Work) -> None:
-        start = work.start
+        start, version = work.start, work.stream_version
         self._open_streams.begun(
             work.stream,
-            work.stream_version,
-            lambda: start is None or self._continuations.is_known(start),
+            version,
+            lambda: self._continuations.version(start) if start else version,
         )
 
     def ended(self, work: Work) -> None:
@@ -163,12 +172,12 @@
         origin = self._memory.find(work.stream, now)
         if origin is not None:
             start = self._starts.get(work.stream, now)
-            is_settled = start is None or self._continuations.settle(start)
+            version = self._continuations.settle(start) if start else origin.version
             return Search(
                 work=work,
                 returned_at=now,
                 began_at=now,
-                origin=origin if is_settled else None,
+                origin=attrs.evolve(origin, version=version) if version else None,
                 source=OriginSource.OWN,
             )
         # An earlier return found nobody who knew, and what is reported since counts.
--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -8,6 +8,7 @@
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
+from pistachiopath.streams.service_version import version_of
 
 
 def stream_work(
@@ -68,8 +69,8 @@
     def is_proven(self, record, opened_at):
         return True
 
-    def may_be_proven(self, record, opened_at):
-        return True
+    def version_at(self, record, opened_at):
+        return version_of(record)
 
     def span_s(self, record, opened_at):
         return 0.0
--- a/tests/test_relay/test_known_lifetimes.py
+++ b/tests/test_relay/test_known_lifetimes.py
@@ -6,6 +6,7 @@
 from pistachiopath.messages.directory import HeardLifetime
 from pistachiopath.relay.known_lifetimes import RETENTION_S, KnownLifetimes
 from pistachiopath.relay.process_spans import ProcessSpans
+from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
 
 ADDRESS = record().address
@@ -43,7 +44,9 @@
     known = view()
     known.spans.heard(ADDRESS, 10.0, 60.0)
     assert not known.lifetimes.is_proven(FIRST, 10.0)
-    assert known.lifetimes.may_be_proven(FIRST, 10.0)
+    assert known.lifetimes.version_at(FIRST, 10.0) is None
+    known.answer(FIRST, 60.0, 1.0)
+    assert known.lifetimes.version_at(FIRST, 10.0) == version_of(FIRST)
 
 
 def test_an_announcement_from_before_the_connection_is_taken_for_proof():
@@ -69,7 +72,18 @@
     known.answer(FIRST, 11.0, 0.5)
     known.announce(SECOND, 13.0)
     assert not known.lifetimes.is_proven(FIRST, 10.0)
-    assert not known.lifetimes.may_be_proven(FIRST, 10.0)
+    assert known.lifetimes.version_at(FIRST, 10.0) is None
+
+
+def test_a_stream_of_an_unreported_lifetime_is_of_the_version_on_record():
+    # The record by which the replica was chosen was that of the lifetime before.
+    known = view()
+    known.answer(FIRST, 9.0, 0.5)
+    known.spans.heard(ADDRESS, 10.0, 14.0)
+    known.announce(SECOND, 13.0)
+    assert known.lifetimes.version_at(FIRST, 10.0) is None
+    known.answer(SECOND, 13.5, 0.1)
+    assert known.lifetimes.version_at(FIRST, 10.0) == version_of(SECOND)
 
 
 def test_a_stream_of_a_lifetime_that_ended_since_is_not_settled():
@@ -97,7 +111,7 @@
     known.spans.heard(ADDRESS, 10.0, 14.0)
     known.answer(SECOND, 13.0, 0.1)
     assert not known.lifetimes.is_proven(SECOND, 10.0)
-    assert not known.lifetimes.may_be_proven(SECOND, 10.0)
+    assert known.lifetimes.version_at(SECOND, 10.0) is None
 
 
 def test_the_only_lifetime_of_a_replica_is_forgotten_while_it_is_on_record():
--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import gevent
+import gevent.event
 import pytest
 
 from pistachiopath.relay.known_lifetimes import KnownLifetimes
-from tests.test_exchange.sockets import MUTE, ScriptedTarget
+from tests.test_exchange.sockets import MUTE, RESET, Paused, ScriptedTarget
 from tools.free_address import free_address
 
 from .control_node import Control
@@ -18,6 +19,7 @@
     begin_stream,
     half,
     newer,
+    part,
     read_to_end,
     rest,
     start_gate,
@@ -115,3 +117,23 @@
     entry.hear(*records, *newer(ScriptedTarget([rest()])))
     assert entry.resume().startswith(b'HTTP/1.1 503')
     assert sound.requests == []
+
+
+def test_a_stream_of_a_replica_that_reports_late_is_refused_for_good():
+    # It began before the report of the next lifetime, of the same version, was known.
+    reported = gevent.event.Event()
+    more = Paused(half(), reported, 0.4, chunk(events(3, 3)), 0.3)
+    target = ScriptedTarget([more, RESET])
+    other = ScriptedTarget([part('second', 4, 5) + LAST_CHUNK])
+    entry = Entry(free_address(), announces=['late', 'other'])
+    entry.hear(announced('late', target, born=500))
+    sock = entry.open_stream('abc')
+    with gevent.Timeout(4.5):
+        assert b'id: 2' in sock.recv(65536)
+    entry.hear(announced('late', target, born=1000))
+    reported.set()
+    with gevent.Timeout(4.5):
+        while sock.recv(65536):
+            pass
+    entry.hear(announced('late', target, born=1000), announced('other', other))
+    assert entry.resume(last_event=3).startswith(b'HTTP/1.1 200')
--- a/tests/test_relay/test_open_streams.py
+++ b/tests/test_relay/test_open_streams.py
@@ -24,9 +24,14 @@
 V2 = ServiceVersion(service='model', version='v2')
 
 
-def settled():
-    """Tell that the version of a stream is certain."""
-    return True
+def v1():
+    """Tell that a stream is proven to be of this version."""
+    return V1
+
+
+def v2():
+    """Tell that a stream is proven to be of this version."""
+    return V2
 
 
 class Controls:
@@ -70,7 +75,7 @@
 
 def test_streams_of_a_service_with_one_version_cost_messages():
     controls = Controls('10.0.0.2:7682', versions=(V1,))
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.tick()
     assert controls.sent == []
     controls.known = (V1, V2)
@@ -80,7 +85,7 @@
 
 def test_streams_beside_a_restart_end_with_their_entry_as_nobody_can_deduce_them():
     controls = Controls('10.0.0.2:7682', versions=(V1,))
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.restarts.note('other', 0.0)
     controls.tick()
     assert controls.sent == []
@@ -91,7 +96,7 @@
 
 def test_a_stream_that_broke_off_is_refused_elsewhere_while_one_version_serves():
     controls = Controls('10.0.0.2:7682', versions=(V1,))
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.streams.ended('c/a', is_complete=False, now=0.0)
     gevent.sleep(2 * FLUSH_S)
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
@@ -101,7 +106,7 @@
 def test_a_stream_that_broke_off_is_forgotten_while_no_control_node_is_heard():
     controls = Controls('10.0.0.2:7682')
     controls.addresses = ()
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.streams.ended('c/a', is_complete=False, now=0.0)
     controls.tick()
     controls.addresses = ('10.0.0.2:7682',)
@@ -111,7 +116,7 @@
 
 def test_a_stream_that_is_complete_costs_a_message():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.streams.ended('c/a', is_complete=True, now=controls.now)
     controls.tick()
     assert controls.sent == []
@@ -119,7 +124,7 @@
 
 def test_a_stream_whose_answer_broke_off_before_it_was_noted_is_forgotten():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.streams.ended('c/a', is_complete=False, now=controls.now)
     controls.tick()
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
@@ -129,14 +134,14 @@
 def test_what_the_entry_notes_ends_with_its_own_vm():
     here, elsewhere = '10.0.0.1:7682', '10.0.0.2:7682'
     controls = Controls(here, elsewhere)
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.tick()
     assert [effect.to for effect in controls.sent] == [elsewhere]
 
 
 def test_open_streams_are_forgotten_with_a_lost_control_node():
     controls = Controls('10.0.0.2:7682', '10.0.0.3:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.tick()
     first = controls.sent[0].to
     (other,) = set(controls.nodes) - {first}
@@ -148,7 +153,7 @@
 def test_open_streams_are_forgotten_when_their_control_node_starts_again():
     address = '10.0.0.2:7682'
     controls = Controls(address)
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.tick()
     controls.nodes[address] = NotedStreams()
     controls.streams.handle_lost(address)
@@ -158,7 +163,7 @@
 
 def test_a_stream_is_noted_again_and_again():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     for step in range(50):
         controls.tick(step * 0.4)
     assert len(controls.sent) == 1
@@ -166,7 +171,7 @@
 
 def test_a_stream_that_lasts_longer_than_the_memory_of_its_holder_is_forgotten():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     for step in range(4):
         now = step * REPEAT_INTERVAL_S
         controls.tick(now)
@@ -175,8 +180,8 @@
 
 def test_streams_of_two_versions_are_mixed_up():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
-    controls.streams.begun('c/b', V2, settled)
+    controls.streams.begun('c/a', V1, v1)
+    controls.streams.begun('c/b', V2, v2)
     controls.tick()
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
     assert controls.version('10.0.0.2:7682', 'c/b') == 'v2'
@@ -186,7 +191,7 @@
 def test_memory_grows_without_bound_while_no_control_node_is_heard():
     controls = Controls()
     for number in range(MAX_STREAMS + 10):
-        controls.streams.begun(f'c/{number}', V1, settled)
+        controls.streams.begun(f'c/{number}', V1, v1)
     controls.tick()
     assert len(controls.streams) == MAX_STREAMS
 
@@ -194,7 +199,7 @@
 def test_a_message_grows_with_the_number_of_streams():
     controls = Controls('10.0.0.2:7682')
     for number in range(MAX_STREAMS_PER_MESSAGE + 1):
-        controls.streams.begun(f'c/{number}', V1, settled)
+        controls.streams.begun(f'c/{number}', V1, v1)
     controls.tick()
     sizes = [len(effect.body.notes[0].digests) for effect in controls.sent]
     assert sizes == [MAX_STREAMS_PER_MESSAGE * DIGEST_BYTES, DIGEST_BYTES]
@@ -203,7 +208,7 @@
 @pytest.mark.parametrize('size', [0, 1, DIGEST_BYTES - 1, DIGEST_BYTES + 1])
 def test_notes_of_an_odd_length_end_the_control_node(size):
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, settled)
+    controls.streams.begun('c/a', V1, v1)
     controls.tick()
     notes = controls.sent[0].body.notes[0]
     node = NotedStreams()
@@ -214,7 +219,7 @@
 def test_a_stream_is_noted_before_it_is_certain_which_lifetime_began_it():
     controls = Controls('10.0.0.2:7682')
     certain = []
-    controls.streams.begun('c/a', V1, lambda: bool(certain))
+    controls.streams.begun('c/a', V1, lambda: V1 if certain else None)
     controls.streams.ended('c/a', is_complete=False, now=0.1)
     controls.tick(0.4)
     assert controls.version('10.0.0.2:7682', 'c/a') == ''
@@ -223,9 +228,16 @@
     assert controls.version('10.0.0.2:7682', 'c/a') == 'v1'
 
 
+def test_a_stream_is_noted_with_the_version_that_its_replica_was_taken_for():
+    controls = Controls('10.0.0.2:7682')
+    controls.streams.begun('c/a', V1, v2)
+    controls.tick()
+    assert controls.version('10.0.0.2:7682', 'c/a') == 'v2'
+
+
 def test_a_stream_that_is_never_certain_is_kept_for_ever():
     controls = Controls('10.0.0.2:7682')
-    controls.streams.begun('c/a', V1, lambda: False)
+    controls.streams.begun('c/a', V1, lambda: None)
     controls.streams.ended('c/a', is_complete=False, now=0.1)
     controls.tick(STREAM_RETENTION_S)
     assert len(controls.streams) == 1
