Directory: the state of a followed control node has a file of its own

Source and Question moved to source.py, with the three questions about time that stood several times in the subscriber (is_heard, is_listed, is_main_silent). No behaviour changes; tests of directory and document pass.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -6,12 +6,18 @@
 import math
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..effects import Send
 from ..messages.directory import Follow
 from ..util.rendezvous import by_weight
 from .directory import Directory
+from .source import (
+    CONTROL_TIMEOUT_S,
+    FOLLOW_INTERVAL_S,
+    FULL_POLLS,
+    MAIN_CONTROL_TIMEOUT_S,
+    Question,
+    Source,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,7 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-FOLLOW_INTERVAL_S = 0.4
 # A node that missed changes asks for them this soon.
 REPAIR_INTERVAL_S = 0.05
 # Control nodes push changes at once, so an entry polls those other than its main
@@ -35,13 +40,6 @@
 # A node without a configuration serves no requests.  It polls this often, so that
 # it soon finds a first control node that starts after it.
 INITIAL_FOLLOW_INTERVAL_S = 0.05
-CONTROL_TIMEOUT_S = 3.0
-MAIN_CONTROL_TIMEOUT_S = 1.2
-# The main control node replies within this time to a request that is due.
-MAIN_REPLY_TIMEOUT_S = MAIN_CONTROL_TIMEOUT_S - FOLLOW_INTERVAL_S
-CONTROL_RETENTION_S = 30.0
-# Of the requests after a new link, the reply to the first has come by the last.
-FULL_POLLS = 2
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
 MAX_NEWS_GAP_S = 60.0
@@ -49,52 +47,6 @@
 MAX_QUESTIONS = 64
 
 
-@attrs.define(kw_only=True, frozen=True)
-class _Question:
-    """A request to a control node; `is_detailed` if it names replicas."""
-
-    sent_at: float
-    is_detailed: bool
-
-
-@attrs.define(kw_only=True)
-class _Source:
-    """A followed control node and the state of its feed.
-
-    `newer_version_since` is when it offered a newer configuration without the
-    content, or when that was last requested.  `asked_at` is when the first follow
-    request was sent that it has not answered, infinity if there is none, and
-    -infinity before the first message over a link.  `silent` holds the replicas that
-    it reported as silent, and `directory_since` is when its directory begins.
-    All changes of `feed` up to `change` were received.  `states_first` tells whether
-    it says where its news begin.  If it does not, `full_polls` requests ask for all
-    changes after a new link, before its news are believed.  `questions` holds
-    the unanswered requests.  `answered_at` is when the last request was sent that
-    names replicas and whose answer has come, with all changes before it.
-    """
-
-    last_listed_at: float
-    last_message_at: float = -CONTROL_TIMEOUT_S
-    next_follow_at: float = 0.0
-    asked_at: float = -math.inf
-    newer_version_since: float = math.inf
-    feed: int = 0
-    change: int = 0
-    full_polls: int = FULL_POLLS
-    states_first: bool = False
-    silent: frozenset[str] = frozenset()
-    directory_since: float = math.inf
-    questions: dict[int, _Question] = attrs.field(factory=dict)
-    answered_at: float = -math.inf
-
-    def has_all_before(self, news: News) -> bool:
-        """Return whether all changes before those of a message were received."""
-        if not news.first_change:
-            return not self.full_polls
-        is_same_feed = news.feed == self.feed
-        return news.first_change <= (self.change if is_same_feed else 0) + 1
-
-
 class Subscriber:
     """Polls every known control node for changes and merges the replies.
 
@@ -113,7 +65,7 @@
         self._is_entry = is_entry
         self._own_address = own_address
         self._seeds: tuple[str, ...] = ()
-        self._sources: dict[str, _Source] = {}
+        self._sources: dict[str, Source] = {}
         self._main = ''
         self._directory_since = math.inf
         self._news_at = -math.inf
@@ -132,9 +84,7 @@
     def heard(self, now: float) -> tuple[str, ...]:
         """Return the control nodes that sent a message recently."""
         return tuple(
-            address
-            for address, source in self._sources.items()
-            if now - source.last_message_at < CONTROL_TIMEOUT_S
+            address for address, source in self._sources.items() if source.is_heard(now)
         )
 
     def live_controls(self, now: float) -> int:
@@ -147,7 +97,7 @@
         Those that no control node has listed for a while do not count.
         """
         listed = self._listed(now)
-        heard = sum(now - s.last_message_at < CONTROL_TIMEOUT_S for s in listed)
+        heard = sum(s.is_heard(now) for s in listed)
         return heard / max(1, len(listed))
 
     def answered_controls(self, since: float, now: float) -> float:
@@ -159,23 +109,15 @@
         answered = sum(s.answered_at >= since for s in listed)
         return answered / max(1, len(listed))
 
-    def _listed(self, now: float) -> list[_Source]:
-        return [
-            s
-            for s in self._sources.values()
-            if now - s.last_listed_at < CONTROL_RETENTION_S
-        ]
+    def _listed(self, now: float) -> list[Source]:
+        return [s for s in self._sources.values() if s.is_listed(now)]
 
     def directory_age_s(self, now: float) -> float:
         """Return for how many seconds all replicas that announced themselves are known.
 
         A control node that is alive may know them for longer than this node.
         """
-        begins = [
-            s.directory_since
-            for s in self._sources.values()
-            if now - s.last_message_at < CONTROL_TIMEOUT_S
-        ]
+        begins = [s.directory_since for s in self._sources.values() if s.is_heard(now)]
         return max(0.0, now - min([self._directory_since, *begins]))
 
     def asked_at(self, sender: str, call: int) -> float:
@@ -205,7 +147,7 @@
         It stays the same while it is alive.
         """
         source = self._sources.get(self._main)
-        if source is None or _is_main_silent(source, now):
+        if source is None or source.is_main_silent(now):
             live = [
                 address
                 for address, other in self._sources.items()
@@ -264,8 +206,7 @@
 
     def _prune_sources(self, now: float) -> None:
         for address, source in list(self._sources.items()):
-            is_unlisted = now - source.last_listed_at >= CONTROL_RETENTION_S
-            if is_unlisted and address not in self._seeds:
+            if not source.is_listed(now) and address not in self._seeds:
                 del self._sources[address]
 
     def on_news(
@@ -302,7 +243,7 @@
         return [self._follow(a, s, now) for a, s in self._sources.items()]
 
     def _follow_changes(
-        self, sender: str, source: _Source, body: News, now: float
+        self, sender: str, source: Source, body: News, now: float
     ) -> bool:
         """Record the changes that were received without a gap; ask for missing ones.
 
@@ -337,31 +278,27 @@
 
         The result is false if no control node is alive.
         """
-        live = [
-            s
-            for s in self._sources.values()
-            if now - s.last_message_at < CONTROL_TIMEOUT_S
-        ]
+        live = [s for s in self._sources.values() if s.is_heard(now)]
         return bool(live) and all(replica in source.silent for source in live)
 
-    def _add_source(self, address: str, now: float) -> _Source | None:
+    def _add_source(self, address: str, now: float) -> Source | None:
         if address == self._own_address:
             return None
-        source = self._sources.setdefault(address, _Source(last_listed_at=now))
+        source = self._sources.setdefault(address, Source(last_listed_at=now))
         source.last_listed_at = now
         return source
 
     def _follow(
         self,
         address: str,
-        source: _Source,
+        source: Source,
         now: float,
         *,
         wants_content: bool = False,
         asked: tuple[str, ...] = (),
     ) -> Send:
         self._last_question += 1
-        source.questions[self._last_question] = _Question(
+        source.questions[self._last_question] = Question(
             sent_at=now, is_detailed=bool(asked)
         )
         if len(source.questions) > MAX_QUESTIONS:
@@ -378,12 +315,3 @@
             asked=asked,
         )
         return Send(to=address, call=self._last_question, body=body)
-
-
-def _is_main_silent(source: _Source, now: float) -> bool:
-    """Return whether the main control node has not replied for too long.
-
-    A node that was paused has asked it for nothing meanwhile.
-    """
-    is_old = now - source.last_message_at >= MAIN_CONTROL_TIMEOUT_S
-    return is_old and now - source.asked_at >= MAIN_REPLY_TIMEOUT_S
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -2,12 +2,14 @@
 
 import pytest
 
-from pistachiopath.directory.subscriber import (
+from pistachiopath.directory.source import (
     CONTROL_RETENTION_S,
     FOLLOW_INTERVAL_S,
-    INITIAL_FOLLOW_INTERVAL_S,
     MAIN_CONTROL_TIMEOUT_S,
     MAIN_REPLY_TIMEOUT_S,
+)
+from pistachiopath.directory.subscriber import (
+    INITIAL_FOLLOW_INTERVAL_S,
     MAX_NEWS_GAP_S,
     Subscriber,
 )
