Directory: which followers are sent a configuration has a file of its own

ContentTransfers holds what is on its way, and Follower.is_live stands once in place of three times. No behaviour changes; tests of directory and document pass.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -12,6 +12,7 @@
 from ..messages.directory import Announcements, News
 from ..util.listening_span import ListeningSpan
 from ..util.plain_text import shortened
+from .content_transfers import ContentTransfers
 from .directory import GONE_RETENTION_S, Directory
 from .follower import Follower
 from .heard_lifetimes import HeardLifetimes
@@ -21,18 +22,10 @@
 
 logger = logging.getLogger(__name__)
 
-FOLLOWER_LEASE_S = 3.0
 FOLLOWER_RETENTION_S = 20.0
 CONTROL_RETENTION_S = 20.0
 # A node that stands still for less is sent all the same, and reads it afterwards.
 STANDSTILL_S = 1.0
-# A configuration that a follower has not confirmed in this time, and at this
-# rate, is taken to be lost.  Links of small VMs carry 0.6 MB/s or more.
-CONFIRM_TIMEOUT_S = 0.5
-MIN_BYTES_PER_S = 250_000
-# At most this much of configurations is on its way to all followers together, but
-# one configuration at least.
-MAX_CONTENT_BYTES_SENT = 2 * 1024 * 1024
 # Replicas that a follower may ask for in one message.
 MAX_ASKED = 200
 
@@ -43,8 +36,7 @@
     Each announcement received here is forwarded to the other control nodes.
     Followers get only those that change a replica's record in more than its
     sequence number and warm-up time.  `feed` identifies this lifetime's numbering
-    of changes.  Configurations go to a few followers at a time, first to those with
-    the lowest version, so that slow links hold few copies.  `is_first_start` means
+    of changes.  `is_first_start` means
     that the system starts for the first time, so that no replica has served before.
     Methods return effects.  `now` is a monotonic clock in seconds.
     """
@@ -68,8 +60,7 @@
         self._is_first_start = is_first_start
         self._has_stored_records = False
         self._followers: dict[str, Follower] = {}
-        self._receiving: set[str] = set()
-        self._waiting: set[str] = set()
+        self._transfers = ContentTransfers(followers=self._followers)
         self._controls: dict[str, float] = {}
         self._last_announced_at: dict[str, float] = {}
         self._heard = HeardLifetimes()
@@ -177,7 +168,8 @@
             follower.sent_version = previous.sent_version
             follower.sent_until = previous.sent_until
         self._followers[sender] = follower
-        chosen = self._choose_receivers({*self._waiting, sender}, now)
+        names = {*self._transfers.waiting, sender}
+        chosen = self._transfers.choose(names, self.version, len(self.content), now)
         reply = self._push_to(sender, now, with_content=sender in chosen)
         answers = tuple(
             self._heard.find(body.asked[:MAX_ASKED], now, quiet_since=self._quiet_since)
@@ -203,7 +195,7 @@
         return all(
             follower.version >= version
             for follower in self._followers.values()
-            if follower.is_entry and now - follower.last_follow_at < FOLLOWER_LEASE_S
+            if follower.is_entry and follower.is_live(now)
         )
 
     def prune(self, now: float) -> None:
@@ -286,18 +278,14 @@
 
     def _push(self, now: float) -> list[Send]:
         """Send each live follower the changes that it does not have yet."""
-        live = {name for name in self._followers if self._is_live(name, now)}
-        chosen = self._choose_receivers(live, now)
+        live = {name for name, f in self._followers.items() if f.is_live(now)}
+        chosen = self._transfers.choose(live, self.version, len(self.content), now)
         return [
             self._push_to(name, now, with_content=name in chosen)
             for name in self._followers
             if name in live
         ]
 
-    def _is_live(self, name: str, now: float) -> bool:
-        follower = self._followers.get(name)
-        return follower is not None and now - follower.last_follow_at < FOLLOWER_LEASE_S
-
     def _push_to(self, name: str, now: float, *, with_content: bool) -> Send:
         follower = self._followers[name]
         news = News(
@@ -314,34 +302,3 @@
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
-
-    def _choose_receivers(self, names: set[str], now: float) -> set[str]:
-        """Return to which of these followers the configuration is sent now.
-
-        A follower needs the newest version only, so those that come while it
-        receives one are skipped.
-        """
-        self._receiving = {
-            name
-            for name in self._receiving
-            if self._is_live(name, now) and self._followers[name].is_receiving(now)
-        }
-        needing = [
-            name
-            for name in names
-            if self._is_live(name, now)
-            and self._followers[name].needs_content(self.version, now)
-        ]
-        needing.sort(key=lambda name: (self._followers[name].version, name))
-        most = max(1, MAX_CONTENT_BYTES_SENT // max(1, len(self.content)))
-        chosen = needing[: max(0, most - len(self._receiving))]
-        for name in chosen:
-            self._start_sending(self._followers[name], now)
-        self._receiving.update(chosen)
-        self._waiting = set(needing) - self._receiving
-        return set(chosen)
-
-    def _start_sending(self, follower: Follower, now: float) -> None:
-        follower.sent_version = self.version
-        transfer_s = len(self.content) / MIN_BYTES_PER_S
-        follower.sent_until = now + CONFIRM_TIMEOUT_S + transfer_s
--- a/pistachiopath/directory/follower.py
+++ b/pistachiopath/directory/follower.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+FOLLOWER_LEASE_S = 3.0
+
 
 @attrs.define(kw_only=True)
 class Follower:
@@ -23,6 +25,10 @@
     sent_version: int = 0
     sent_until: float = 0.0
 
+    def is_live(self, now: float) -> bool:
+        """Return whether it has followed recently."""
+        return now - self.last_follow_at < FOLLOWER_LEASE_S
+
     def is_receiving(self, now: float) -> bool:
         """Return whether a configuration is on its way."""
         return self.sent_version > self.version and now < self.sent_until
--- a/tests/test_directory/test_content_in_flight.py
+++ b/tests/test_directory/test_content_in_flight.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from pistachiopath.directory.announcer import MAX_CONTENT_BYTES_SENT, Announcer
+from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.content_transfers import MAX_CONTENT_BYTES_SENT
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.messages.directory import Follow, News
 
--- a/tests/test_document/test_fleet.py
+++ b/tests/test_document/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pistachiopath.directory.announcer import MAX_CONTENT_BYTES_SENT
+from pistachiopath.directory.content_transfers import MAX_CONTENT_BYTES_SENT
 from pistachiopath.document.core import COMPACT_BYTES
 from pistachiopath.document.timing import DOCUMENT_TIMING
 from tests.harness.configuration_fleet import ConfigurationFleet
