Deduction: no wait for replicas that have missed several reports, one look at a time

A return waited 1.5 s and was then refused while any replica of the service had just died, though no report was to be expected; now such a replica makes the answer known at once (silent). A replica that reported nothing for long and accepts connections was sent a new connection in each look, 20 a second, all kept: now one a second. The time of a first return is kept for 10 s in place of 60, as an id that is used again may name another stream.

--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -31,6 +31,8 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_S = 0.5
+# A caller comes back in a row within this time; later its id may name another stream.
+RETURNS_RETENTION_S = 10.0
 
 
 class StreamVersions:
@@ -62,7 +64,7 @@
         )
         # When the callers first came back of whose streams nobody knew.
         self._returns: Recent[str, float] = Recent(
-            retention_s=STREAM_RETENTION_S, most=MAX_STREAMS
+            retention_s=RETURNS_RETENTION_S, most=MAX_STREAMS
         )
 
     def resolve(self, work: Work) -> None:
@@ -181,8 +183,10 @@
                 source=OriginSource.OWN,
             )
         # An earlier return found nobody who knew, and what is reported since counts.
-        returned_at = self._returns.get(work.stream, now) or now
-        self._returns.note(work.stream, returned_at, now)
+        returned_at = self._returns.get(work.stream, now)
+        if returned_at is None:
+            returned_at = now
+            self._returns.note(work.stream, now, now)
         return self._search.run(work, returned_at)
 
     def _log(self, search: Search, *, refused: str = '') -> None:
--- a/pistachiopath/relay/version_deduction.py
+++ b/pistachiopath/relay/version_deduction.py
@@ -12,6 +12,7 @@
 from ..directory.replica_state import ReplicaState
 from ..streams.origin import Origin
 from ..streams.service_version import ServiceVersion
+from ..util.recent import Recent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,8 +27,9 @@
 HORIZON_TIMEOUTS = 2.0
 # With fewer of the control nodes nothing is deduced.
 MIN_ANSWERED = 0.5
-# For so long it is believed that a replica accepts no connection.
-DOWN_S = 1.0
+MAX_CHECKS = 1000
+# For so long it is believed whether a replica accepts connections.
+CHECK_INTERVAL_S = 1.0
 
 
 class Certainty(enum.StrEnum):
@@ -89,7 +91,9 @@
         self._lifetimes = lifetimes
         self._accepts = accepts
         self._quiet_s = quiet_s
-        self._down_at: dict[str, float] = {}
+        self._checks: Recent[str, bool] = Recent(
+            retention_s=CHECK_INTERVAL_S, most=MAX_CHECKS
+        )
         self._by_service: dict[str, list[ReplicaRecord]] = {}
         self._records_of_change = -1
 
@@ -145,7 +149,7 @@
             if self._is_out_of_use(record, begun_at):
                 continue
             has_reported = self._lifetimes.has_reported(record, returned_at)
-            if not has_reported and record.state != ReplicaState.GONE:
+            if not has_reported and self._may_report(record):
                 waits = Deduction(
                     certainty=Certainty.WAITS,
                     reason='unreported',
@@ -154,27 +158,32 @@
             elif not (has_reported and self._lifetimes.has_begun(record, begun_at)):
                 return Deduction(
                     certainty=Certainty.OTHERS,
-                    reason='restarted',
+                    reason='restarted' if has_reported else 'silent',
                     replica=record.replica,
                 )
         return waits
 
+    def _may_report(self, record: ReplicaRecord) -> bool:
+        """Return whether a report is expected soon."""
+        silent_since = time.monotonic() - self._quiet_s
+        is_silent = self._lifetimes.is_quiet(record.replica, silent_since)
+        return record.state != ReplicaState.GONE and not is_silent
+
     def _is_out_of_use(self, record: ReplicaRecord, begun_at: float) -> bool:
         """Return whether a replica has been sent nothing since a time."""
         if not self._lifetimes.is_quiet(record.replica, begun_at - self._quiet_s):
             return False
         if record.state == ReplicaState.GONE:
             return True
-        return self._is_down(record.address)
-
-    def _is_down(self, address: str) -> bool:
-        now = time.monotonic()
-        if now - self._down_at.get(address, -DOWN_S) < DOWN_S:
-            return True
-        if self._accepts(address):
-            return False
-        self._down_at[address] = now
-        return True
+        return not self._is_up(record.address)
+
+    def _is_up(self, address: str) -> bool:
+        """Return whether a replica accepts connections; ask it now and then."""
+        is_up = self._checks.get(address, time.monotonic())
+        if is_up is None:
+            is_up = self._accepts(address)
+            self._checks.note(address, is_up, time.monotonic())
+        return is_up
 
     def _records(self, service: str) -> list[ReplicaRecord]:
         """Return the records of a service, sorted out anew when any has changed."""
