Lifetimes: a version that is learned later is that of the lifetime

Found by reading the change again. Nodes of an older build pass an announcement on without the software version. If the first one that an entry heard of a lifetime was such, the proof named a version of its own that equals no other, and streams of that lifetime were refused for good though the version had been learned since. The test fails before.

--- a/pistachiopath/relay/known_lifetimes.py
+++ b/pistachiopath/relay/known_lifetimes.py
@@ -23,9 +23,12 @@
 AT_WORK_S = 0.3
 
 
-@attrs.define(kw_only=True, frozen=True)
+@attrs.define(kw_only=True)
 class _Lifetime:
-    """A lifetime that was announced at an address, and when it became known."""
+    """A lifetime that was announced at an address, and when it became known.
+
+    Nodes of an older build pass it on without its version, which may be learned later.
+    """
 
     replica: str
     born_ms: int
@@ -66,17 +69,21 @@
     def heard(self, records: Iterable[ReplicaRecord], now: float) -> None:
         """Record announcements."""
         for record in records:
-            known = self._by_address.setdefault(record.address, [])
-            if record.state == ReplicaState.GONE or _find(known, record):
+            if record.state == ReplicaState.GONE:
                 continue
-            lifetime = _Lifetime(
-                replica=record.replica,
-                born_ms=record.born_ms,
-                version=version_of(record),
-                known_at=now,
-            )
-            known.append(lifetime)
-            self._run(record.replica, record.born_ms, now)
+            known = self._by_address.setdefault(record.address, [])
+            lifetime = _find(known, record)
+            if lifetime is None:
+                lifetime = _Lifetime(
+                    replica=record.replica,
+                    born_ms=record.born_ms,
+                    version=version_of(record),
+                    known_at=now,
+                )
+                known.append(lifetime)
+                self._run(record.replica, record.born_ms, now)
+            if record.software_version:
+                lifetime.version = version_of(record)
 
     def answered(
         self, heard: Iterable[HeardLifetime], asked_at: float, now: float
--- a/tests/test_relay/test_known_lifetimes.py
+++ b/tests/test_relay/test_known_lifetimes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from pistachiopath.directory.directory import Directory
 from pistachiopath.messages.directory import HeardLifetime
 from pistachiopath.relay.known_lifetimes import RETENTION_S, KnownLifetimes
@@ -86,6 +88,15 @@
     assert known.lifetimes.version_at(FIRST, 10.0) == version_of(SECOND)
 
 
+def test_the_version_of_a_lifetime_that_an_older_node_passed_on_stays_unknown():
+    known = View()
+    known.announce(attrs.evolve(FIRST, software_version=''), 1.0)
+    known.announce(FIRST, 2.0)
+    known.spans.heard(ADDRESS, 10.0, 14.0)
+    known.answer(FIRST, 13.0, 0.1)
+    assert known.lifetimes.version_at(FIRST, 10.0) == version_of(FIRST)
+
+
 def test_a_stream_of_a_lifetime_that_ended_since_is_not_settled():
     known = view()
     known.spans.heard(ADDRESS, 10.0, 14.0)
