Known red: a stream that an unreported lifetime began is refused after its report (LOST)

Cause: the gate holds what the lost entry took its replica for, and no report shows which process wrote the first event.

--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -137,3 +137,17 @@
             pass
     entry.hear(announced('late', target, born=1000), announced('other', other))
     assert entry.resume(last_event=3).startswith(b'HTTP/1.1 200')
+
+
+def test_a_stream_that_an_unreported_lifetime_began_is_refused_after_its_report():
+    # Its replica is the very process that began it, and its gate outlived the entry.
+    gate_address = start_gate()
+    late = ScriptedTarget([half(), MUTE], [rest()])
+    begun = begin_stream(Entry(gate_address, announces=False), late, name='late')
+    entry = Entry(gate_address)
+    entry.hear(
+        announced('late', late, born=1000),
+        announced('late', late, 'v2', born=2000),
+    )
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+    begun.close()
