Gates: one that is no longer watched is not taken for unreachable

Callers saw: with more than six engines a third to a half of the places were granted by the entries' own gates, of one or two places each, and most denials came from them. Cause: an entry watches all gates while it knows few. When it chooses six of many, the others kept the time by which their next load was due; once that had passed they counted as unreachable, were asked for no place, and so were never heard again. Evidence: a trial logged 452 asks to own gates in four seconds, all for gates that were not watched and whose deadline had passed by 7 to 14 s. The new test fails before the change.

--- a/pistachiopath/grants/watch.py
+++ b/pistachiopath/grants/watch.py
@@ -72,6 +72,12 @@
         self._gates = frozenset(gates)
         ordered = by_weight(self._own_address, gates)
         self._watched = frozenset(ordered[:MAX_WATCHED])
+        # No load is due any more from a gate that is not watched.
+        self._reply_deadlines = {
+            address: deadline
+            for address, deadline in self._reply_deadlines.items()
+            if address in self._watched or deadline == -math.inf
+        }
         for by_address in (self._reply_deadlines, self._watch_at, self._loads):
             for address in [a for a in by_address if a not in gates]:
                 del by_address[address]
--- a/tests/test_grants/test_watch.py
+++ b/tests/test_grants/test_watch.py
@@ -49,6 +49,33 @@
     assert watch.is_awaited(GATE, 12.0)
 
 
+def test_a_gate_that_is_no_longer_watched_is_asked_for_places():
+    # Regression: its next load stayed due, so the entry took it for unreachable
+    # and served its engine by the entry's own few places.
+    watch = LoadWatch(own_address='e1')
+    few = dict(list(gates(30).items())[:MAX_WATCHED])
+    for effect in watch.tick(few, 10.0):
+        watch.record_load(effect.to, LOAD, 10.01)
+    watched = {effect.to for effect in watch.tick(gates(30), 11.1)}
+    unwatched = set(few) - watched
+    assert unwatched
+    for gate in unwatched:
+        assert watch.is_awaited(gate, 11.1 + 2 * SILENCE_TIMEOUT_S)
+
+
+def test_a_lost_gate_that_is_no_longer_watched_stays_lost_until_it_is_heard():
+    watch = LoadWatch(own_address='e1')
+    few = dict(list(gates(30).items())[:MAX_WATCHED])
+    watch.tick(few, 10.0)
+    for gate in few:
+        watch.mark_lost(gate)
+    watch.tick(gates(30), 11.0)
+    for gate in few:
+        assert not watch.is_awaited(gate, 11.0)
+        watch.record_load(gate, LOAD, 11.1)
+        assert watch.is_awaited(gate, 11.2)
+
+
 def gates(number):
     return {f'10.0.0.{n}:7000': 5 for n in range(number)}
 
