Routes: services whose most urgent streams can be sent only once

The switch of the parts for hard load: an entry tells gates by appended fields of Ask, which keep their defaults for all other services, so those are served as before.

--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -20,6 +20,10 @@
     `software_version` of the replica, and the number of its `attempt`.
     `is_resumed` means that the caller has events of the stream.  `replica` and
     `born_ms` name the lifetime that the entry takes the replica for.
+
+    `is_final_urgent` states that the most urgent streams of the service can be sent
+    only once.  Only then are `spent_ms`, the time that the caller has spent on
+    earlier attempts, and `memory_tokens`, the engine's memory, set.
     """
 
     request: str
@@ -39,6 +43,9 @@
     is_resumed: bool = False
     replica: str = ''
     born_ms: int = 0
+    is_final_urgent: bool = False
+    spent_ms: int = 0
+    memory_tokens: int = 0
 
 
 @message
--- a/pistachiopath/relay/admitter.py
+++ b/pistachiopath/relay/admitter.py
@@ -27,7 +27,9 @@
 
     Requests are ordered by `tier`, the tier of the route, and then by
     `customer_tier`, lower numbers first.  `cost`, in tokens or requests, was charged
-    to the customer's allowance.
+    to the customer's allowance.  `is_final_urgent` states that the most urgent
+    streams of the service can be sent only once, and `memory_tokens` is the memory of
+    each of its engines, 0 if it is not known.
     """
 
     route: Route
@@ -36,6 +38,8 @@
     tier: int
     cost: float
     customer_tier: int = 0
+    is_final_urgent: bool = False
+    memory_tokens: int = 0
 
 
 class Admitter:
@@ -64,13 +68,17 @@
             raise TurnedAway(status=404, reason='no_route')
         customer = self._customer(req, routes, route)
         cost = self._charge(req, customer, now)
+        name = self._service(route)
+        service = routes.service(name)
         return Admitted(
             route=route,
-            service=self._service(route),
+            service=name,
             customer=customer,
             tier=route.tier,
             customer_tier=(customer.tier or 0) if customer else 0,
             cost=cost,
+            is_final_urgent=routes.is_final_urgent(name),
+            memory_tokens=service.memory_tokens if service else 0,
         )
 
     def give_back(self, admitted: Admitted) -> None:
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -197,6 +197,7 @@
         gate, slots = self._gate(candidate)
         version = version_of(candidate.record)
         stream = work.stream if candidate.is_gated else ''
+        is_final_urgent = work.admitted.is_final_urgent
         ask = Ask(
             # A caller may use its request id again while the first request runs.
             request=f'{work.req.request_id}.{work.tries}.{next(self._serials)}',
@@ -216,6 +217,9 @@
             is_resumed=work.stream_version is not None,
             replica=candidate.record.replica if stream else '',
             born_ms=candidate.record.born_ms,
+            is_final_urgent=is_final_urgent,
+            spent_ms=work.spent_ms if is_final_urgent else 0,
+            memory_tokens=work.admitted.memory_tokens if is_final_urgent else 0,
         )
         try:
             return self._places.acquire(
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -461,6 +461,9 @@
   isResumed @14 :Bool;
   replica @15 :Text;
   bornMs @16 :Int64;
+  isFinalUrgent @17 :Bool;
+  spentMs @18 :Int64;
+  memoryTokens @19 :Int64;
 }
 
 struct Granted {
