--- a/pistachiopath/relay/continuations.py
+++ b/pistachiopath/lifetimes/continuations.py
@@ -17,10 +17,10 @@
 
     from ..exchange.target_connection import TargetConnection
     from ..messages.directory import ReplicaRecord
+    from ..relay.work import Work
     from ..streams.service_version import ServiceVersion
     from .known_lifetimes import KnownLifetimes
     from .stream_start import StreamStart
-    from .work import Work
 
 logger = logging.getLogger(__name__)
 
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -19,9 +19,9 @@
 if TYPE_CHECKING:
     from ..exchange.pool import ConnectionPool
     from ..exchange.server_connection import ServerConnection
+    from ..lifetimes.continuations import Continuations
     from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
-    from .continuations import Continuations
     from .crashes import Crashes
     from .dialect import Dialect
     from .ended import ExchangeResult
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -11,6 +11,13 @@
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
 from ..grants.gate_log import GateLog
+from ..lifetimes.continuations import Continuations
+from ..lifetimes.known_lifetimes import KnownLifetimes
+from ..lifetimes.open_streams import NOTE_INTERVAL_S, OpenStreams
+from ..lifetimes.process_spans import ProcessSpans
+from ..lifetimes.restart_watch import RestartWatch
+from ..lifetimes.stream_finder import StreamFinder
+from ..lifetimes.version_deduction import VersionDeduction
 from ..quarantine.crash_watch import CrashWatch
 from ..routing.placement import Placement
 from ..transport.handshake import ROLE_NODE, Identity
@@ -20,30 +27,23 @@
 from ..util.periodic_loop import PeriodicLoop
 from ..util.turn_clock import TurnClock
 from .admitter import Admitter
-from .continuations import Continuations
 from .crashes import Crashes
 from .departure import Departure
 from .dispatcher import Dispatcher
 from .gate_link import GateLink
-from .known_lifetimes import KnownLifetimes
 from .lender_link import LenderLink
 from .message_handler import MessageHandler
 from .notices import Notices
-from .open_streams import NOTE_INTERVAL_S, OpenStreams
 from .origin_search import OriginSearch
 from .placer import Placer
 from .planned_stop import PlannedStop
-from .process_spans import ProcessSpans
 from .request_handler import RequestHandler
 from .request_log import RequestLog
-from .restart_watch import RestartWatch
 from .retries import Retries
 from .routes_in_force import RoutesInForce
 from .settings import LINK_SECRET
-from .stream_finder import StreamFinder
 from .stream_versions import StreamVersions
 from .targets import Targets
-from .version_deduction import VersionDeduction
 
 if TYPE_CHECKING:
     import random
--- a/pistachiopath/relay/exchange_run.py
+++ b/pistachiopath/relay/exchange_run.py
@@ -25,8 +25,8 @@
     from ..exchange.server_connection import ServerConnection
     from ..exchange.sse import StreamEvent
     from ..exchange.target_connection import TargetConnection
+    from ..lifetimes.continuations import Continuations
     from ..messages.directory import ReplicaRecord
-    from .continuations import Continuations
     from .dialect import Dialect
     from .ended import ExchangeResult
     from .hedge import Hedge
--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -15,8 +15,8 @@
 
 if TYPE_CHECKING:
     from ..exchange.pool import ConnectionPool
+    from ..lifetimes.continuations import Continuations
     from ..routing.placement import Candidate, Placement
-    from .continuations import Continuations
     from .crashes import Crashes
     from .placer import Placer
     from .places import Grant, Places
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -17,15 +17,15 @@
     from ..admission.leased_allowance import LeasedAllowance
     from ..directory.subscriber import Subscriber
     from ..effects import Send
+    from ..lifetimes.known_lifetimes import KnownLifetimes
+    from ..lifetimes.open_streams import OpenStreams
+    from ..lifetimes.restart_watch import RestartWatch
+    from ..lifetimes.stream_finder import StreamFinder
     from ..messages.base import Message
     from .crashes import Crashes
     from .gate_link import GateLink
-    from .known_lifetimes import KnownLifetimes
     from .lender_link import LenderLink
-    from .open_streams import OpenStreams
-    from .restart_watch import RestartWatch
     from .routes_in_force import RoutesInForce
-    from .stream_finder import StreamFinder
     from .targets import Targets
 
 
--- a/pistachiopath/relay/origin_search.py
+++ b/pistachiopath/relay/origin_search.py
@@ -8,21 +8,21 @@
 
 import attrs
 
+from ..lifetimes.continuations import ASK_INTERVAL_S
+from ..lifetimes.origin_source import OriginSource
+from ..lifetimes.version_deduction import Certainty, Deduction
 from ..streams.origin import Origin
-from .continuations import ASK_INTERVAL_S
-from .origin_source import OriginSource
 from .patience import patience_s
 from .targets import DIRECTORY_FILL_S
-from .version_deduction import Certainty, Deduction
 from .work import Work
 
 if TYPE_CHECKING:
     from ..directory.subscriber import Subscriber
-    from .continuations import Continuations
-    from .known_lifetimes import KnownLifetimes
-    from .stream_finder import StreamFinder
+    from ..lifetimes.continuations import Continuations
+    from ..lifetimes.known_lifetimes import KnownLifetimes
+    from ..lifetimes.stream_finder import StreamFinder
+    from ..lifetimes.version_deduction import VersionDeduction
     from .targets import Targets
-    from .version_deduction import VersionDeduction
 
 # One period of announcements and a little, within which all replicas have reported.
 MAX_SEARCH_S = 1.5
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -9,22 +9,22 @@
 import attrs
 
 from ..errors.relay import TurnedAway
+from ..lifetimes.origin_source import OriginSource
+from ..lifetimes.stream_start import StreamStart
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
 from ..streams.origin import Origin
 from ..streams.service_version import version_of
 from ..util.arrivals import handle_arrivals
 from ..util.recent import Recent
 from .origin_search import Search
-from .origin_source import OriginSource
 from .retry_after import retry_after_s
-from .stream_start import StreamStart
 
 if TYPE_CHECKING:
+    from ..lifetimes.continuations import Continuations
+    from ..lifetimes.open_streams import OpenStreams
     from ..messages.directory import ReplicaRecord
     from ..telemetry.metrics import Metrics
     from ..util.turn_clock import TurnClock
-    from .continuations import Continuations
-    from .open_streams import OpenStreams
     from .origin_search import OriginSearch
     from .work import Work
 
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -9,22 +9,22 @@
 import attrs
 
 from ..directory.replica_state import ReplicaState
+from ..lifetimes.lifetime_doubts import RESTART_MIN_S, LifetimeDoubts
 from ..routing.placement import Candidate
 from ..streams.service_version import version_of
-from .lifetime_doubts import RESTART_MIN_S, LifetimeDoubts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from ..directory.subscriber import Subscriber
     from ..grants.watch import LoadWatch
+    from ..lifetimes.restart_watch import RestartWatch
     from ..messages.directory import ReplicaRecord
     from ..routes.route_set import RouteSet
     from ..routes.service import Service
     from ..routing.replica_health import ReplicaHealth
     from ..streams.service_version import ServiceVersion
     from ..util.turn_clock import TurnClock
-    from .restart_watch import RestartWatch
 
 logger = logging.getLogger(__name__)
 
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -8,6 +8,7 @@
 
 from ..claims.identity import fingerprint
 from ..exchange.answer_memory import HeldAnswer
+from ..lifetimes.stream_start import StreamStart
 from ..quarantine.content import Content, shared_parts
 from ..routes.repetition import Repetition
 from ..routing.placement import Need
@@ -16,7 +17,6 @@
 from .admitter import Admitted
 from .caller_request import CallerRequest
 from .reservation import Reservation
-from .stream_start import StreamStart
 
 if TYPE_CHECKING:
     from ..messages.directory import ReplicaRecord
--- a/tests/test_relay/test_known_lifetimes.py
+++ b/tests/test_lifetimes/test_known_lifetimes.py
@@ -5,9 +5,9 @@
 import attrs
 
 from pistachiopath.directory.directory import Directory
+from pistachiopath.lifetimes.known_lifetimes import RETENTION_S, KnownLifetimes
+from pistachiopath.lifetimes.process_spans import ProcessSpans
 from pistachiopath.messages.directory import HeardLifetime
-from pistachiopath.relay.known_lifetimes import RETENTION_S, KnownLifetimes
-from pistachiopath.relay.process_spans import ProcessSpans
 from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
 
--- a/tests/test_relay/test_open_streams.py
+++ b/tests/test_lifetimes/test_open_streams.py
@@ -7,13 +7,13 @@
 
 from pistachiopath.document.noted_streams import NotedStreams
 from pistachiopath.effects import Send
-from pistachiopath.relay.open_streams import (
+from pistachiopath.lifetimes.open_streams import (
     FLUSH_S,
     MAX_STREAMS_PER_MESSAGE,
     REPEAT_INTERVAL_S,
     OpenStreams,
 )
-from pistachiopath.relay.restart_watch import RestartWatch
+from pistachiopath.lifetimes.restart_watch import RestartWatch
 from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from pistachiopath.streams.name import DIGEST_BYTES
 from pistachiopath.streams.service_version import ServiceVersion
--- a/tests/test_relay/test_process_spans.py
+++ b/tests/test_lifetimes/test_process_spans.py
@@ -2,7 +2,7 @@
 
 import random
 
-from pistachiopath.relay.process_spans import RETENTION_S, ProcessSpan, ProcessSpans
+from pistachiopath.lifetimes.process_spans import RETENTION_S, ProcessSpan, ProcessSpans
 
 
 def test_connections_that_overlap_are_taken_for_different_processes():
--- a/tests/test_relay/test_stream_finder.py
+++ b/tests/test_lifetimes/test_stream_finder.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pistachiopath.grants.gate import GrantGate
+from pistachiopath.lifetimes.stream_finder import StreamFinder
 from pistachiopath.messages.grants import Ask
 from pistachiopath.messages.streams import StreamOrigin, StreamOrigins
-from pistachiopath.relay.stream_finder import StreamFinder
 from tests.harness.failing import FailingMethod
 
 GATES = ('g1', 'g2', 'g3')
--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from pistachiopath.lifetimes.continuations import Continuations
 from pistachiopath.relay.admitter import Admitted
 from pistachiopath.relay.caller_request import CallerRequest
-from pistachiopath.relay.continuations import Continuations
 from pistachiopath.relay.work import make_work
 from pistachiopath.routes.repetition import Repetition
 from pistachiopath.routes.route import Route, Share
--- a/tests/test_relay/test_known_versions.py
+++ b/tests/test_relay/test_known_versions.py
@@ -8,9 +8,9 @@
 import pytest
 
 from pistachiopath.errors.relay import TurnedAway
+from pistachiopath.lifetimes.version_deduction import VersionDeduction
 from pistachiopath.relay.origin_search import OriginSearch
 from pistachiopath.relay.stream_versions import StreamVersions
-from pistachiopath.relay.version_deduction import VersionDeduction
 from pistachiopath.streams.origin import Origin
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.telemetry.metrics import Metrics
--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -6,7 +6,7 @@
 import gevent.event
 import pytest
 
-from pistachiopath.relay.known_lifetimes import KnownLifetimes
+from pistachiopath.lifetimes.known_lifetimes import KnownLifetimes
 from tests.test_exchange.sockets import MUTE, RESET, Paused, ScriptedTarget
 from tools.free_address import free_address
 
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -5,10 +5,10 @@
 
 from pistachiopath.errors.relay import PlaceDenied
 from pistachiopath.grants.watch import LoadWatch
+from pistachiopath.lifetimes.restart_watch import RestartWatch
 from pistachiopath.messages.grants import GateLoad
 from pistachiopath.relay.own_gates import OwnGates
 from pistachiopath.relay.places import Places
-from pistachiopath.relay.restart_watch import RestartWatch
 from pistachiopath.relay.targets import Targets
 from pistachiopath.routes.route_set import RouteSet
 from pistachiopath.routes.service import Service
--- a/tests/test_relay/test_stream_versions.py
+++ b/tests/test_relay/test_stream_versions.py
@@ -6,8 +6,8 @@
 import gevent
 import pytest
 
+from pistachiopath.lifetimes.lifetime_doubts import RESTART_MIN_S
 from pistachiopath.relay import exchange_run
-from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
 from tests.test_exchange.sockets import CLOSE, MUTE, RESET, ScriptedTarget
 from tools.free_address import free_address
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -4,9 +4,9 @@
 import math
 
 from pistachiopath.grants.watch import LoadWatch
+from pistachiopath.lifetimes.lifetime_doubts import RESTART_MIN_S
+from pistachiopath.lifetimes.restart_watch import RestartWatch
 from pistachiopath.platform.configuration import decode_configuration
-from pistachiopath.relay.lifetime_doubts import RESTART_MIN_S
-from pistachiopath.relay.restart_watch import RestartWatch
 from pistachiopath.relay.targets import DOUBT_S, DRAIN_S, DRAIN_SHARE, Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
 from pistachiopath.streams.service_version import version_of
--- a/tests/test_relay/test_version_deduction.py
+++ b/tests/test_relay/test_version_deduction.py
@@ -7,10 +7,10 @@
 import pytest
 
 from pistachiopath.directory.directory import Directory
+from pistachiopath.lifetimes.known_lifetimes import KnownLifetimes
+from pistachiopath.lifetimes.process_spans import ProcessSpans
+from pistachiopath.lifetimes.version_deduction import Certainty, VersionDeduction
 from pistachiopath.messages.directory import UNHEARD_MS, HeardLifetime
-from pistachiopath.relay.known_lifetimes import KnownLifetimes
-from pistachiopath.relay.process_spans import ProcessSpans
-from pistachiopath.relay.version_deduction import Certainty, VersionDeduction
 from tests.test_directory.records import record
 
 from .streams import stream_work
--- a/tests/test_relay/test_version_mutations.py
+++ b/tests/test_relay/test_version_mutations.py
@@ -5,12 +5,12 @@
 from pistachiopath.document.noted_streams import NotedStreams
 from pistachiopath.exchange.pool import ConnectionPool
 from pistachiopath.grants.begun_streams import BegunStreams
+from pistachiopath.lifetimes.known_lifetimes import KnownLifetimes
+from pistachiopath.lifetimes.open_streams import OpenStreams
+from pistachiopath.lifetimes.version_deduction import VersionDeduction
 from pistachiopath.relay.dispatcher import Dispatcher
-from pistachiopath.relay.known_lifetimes import KnownLifetimes
-from pistachiopath.relay.open_streams import OpenStreams
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.stream_versions import StreamVersions
-from pistachiopath.relay.version_deduction import VersionDeduction
 from pistachiopath.relay.work import Work
 from tests.harness.mutations import check_fails, each
 
--- a/tools/capacity_platform_page.py
+++ b/tools/capacity_platform_page.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from pistachiopath.relay.open_streams import NOTE_INTERVAL_S
-from pistachiopath.relay.stream_finder import BATCH_S_PER_GATE
+from pistachiopath.lifetimes.open_streams import NOTE_INTERVAL_S
+from pistachiopath.lifetimes.stream_finder import BATCH_S_PER_GATE
 from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from tools.capacity_page import (
     BYTES_BUDGET,
