Gates: unbiased rate of grants in the first seconds

In the two seconds after all VMs restarted, gates denied 2,110 requests of tiers 1 and 2 and granted 654: the rate of grants was divided by the 3 s over which it decays, so it was near zero and every request behind two others of its tier was denied. It now covers the time since the gate is in use, and is unknown for a tier without a grant in the first 3 s; the estimate by work decides then.

One test asked for a denial by the rate 0.1 s after the start of a gate. It now asks for the same denial of a gate that has been in use for 3 s; a new test guards the start.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -239,16 +239,19 @@
             ahead=len(ahead),
             by_work_ms=by_work_ms,
             by_rate_ms=self._wait_by_rate_ms(tier, ahead_in_tier, rate),
-            grants_per_s=rate,
+            grants_per_s=rate or 0.0,
         )
 
-    def _wait_by_rate_ms(self, tier: int, ahead: int, grants_per_s: float) -> float:
+    def _wait_by_rate_ms(
+        self, tier: int, ahead: int, grants_per_s: float | None
+    ) -> float:
         """Estimate the wait behind others of the tier from its recent grant rate.
 
         The rate accounts for more urgent requests that will arrive meanwhile.
-        The most urgent tier has none ahead of it, so its estimate is 0.
+        The most urgent tier has none ahead of it, so its estimate is 0, as it is
+        while the rate is unknown.
         """
-        if not self._queue.tiers.index(tier):
+        if grants_per_s is None or not self._queue.tiers.index(tier):
             return 0.0
         return ahead * 1000 / max(grants_per_s, MIN_GRANTS_PER_S)
 
--- a/pistachiopath/grants/tiers.py
+++ b/pistachiopath/grants/tiers.py
@@ -7,6 +7,9 @@
 # A tier without requests for this long is left out of the ranking.
 TIER_EXPIRY_S = 5.0
 RATE_DECAY_S = 3.0
+# Lower bound for the time over which a rate is computed: the first grant of a gate
+# that has just started says little about its rate.
+MIN_RATE_SPAN_S = 0.1
 # Late answers are worth less, so they rank below the next tier.
 RANKS_PER_TIER = 2
 LATE_RANKS = 3
@@ -31,9 +34,12 @@
         self._sorted: list[int] = []
         self._grants: dict[int, tuple[float, float]] = {}
         self._passed_over: dict[int, int] = {}
+        self._started_at: float | None = None
 
     def record_request(self, tier: int, now: float) -> None:
         """Record a request of a tier and drop tiers without recent requests."""
+        if self._started_at is None:
+            self._started_at = now
         self._requested_at[tier] = now
         for expired in [
             t for t, at in self._requested_at.items() if now - at >= TIER_EXPIRY_S
@@ -61,9 +67,20 @@
         """Return whether a tier was passed over so often that it goes first."""
         return self._passed_over.get(tier, 0) >= GRANTS_PER_TURN
 
-    def grants_per_s(self, tier: int, now: float) -> float:
-        """Return the recent rate of grants of a tier."""
-        return self._decayed_grants(tier, now) / RATE_DECAY_S
+    def grants_per_s(self, tier: int, now: float) -> float | None:
+        """Return the recent rate of grants of a tier, or None if it is unknown.
+
+        It is unknown for a tier without a grant as long as the gate has not been in
+        use for `RATE_DECAY_S`.
+        """
+        in_use_s = 0.0 if self._started_at is None else now - self._started_at
+        if tier not in self._grants and in_use_s < RATE_DECAY_S:
+            return None
+        # The decayed sum of a gate in use for a shorter time than `RATE_DECAY_S`
+        # covers that time alone.
+        span_s = max(MIN_RATE_SPAN_S, in_use_s)
+        weight_s = RATE_DECAY_S * (1.0 - math.exp(-span_s / RATE_DECAY_S))
+        return self._decayed_grants(tier, now) / weight_s
 
     def _decayed_grants(self, tier: int, now: float) -> float:
         grants, at = self._grants.get(tier, (0.0, now))
