Shares: gates that are short of capacity share it by customer and tier

In the seconds in which a service is short of capacity, each gate decided by tier alone, denied by the rate of grants of a tier, and did not tell callers that it had refused before from new ones: 5,865 refusals went to about 2,100 requests that were never served.

For asks with `is_final_urgent`, while requests wait longer than their objectives allow: - each customer that wants more gets an equal share of the engine time of the last 3 s; - a tier with waiting requests gets 0.35 of its proportional share at least; - callers that come back go before new ones of their customer that are as late. At any time, the wait of such an ask is estimated from the work ahead and from the share of the engine that ranks before it have used, not from the rate of grants of its tier; callers that come back are denied only if those that wait already are too many. Denied callers are told to come back one after another at the pace of the engine.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -12,7 +12,7 @@
 from .place_queue import PlaceQueue
 from .replies import denied, granted
 from .speed import EngineSpeed
-from .wait_estimate import WaitEstimate
+from .wait_estimate import WaitEstimate, wait_by_rate_ms
 from .watchers import Watchers
 
 if TYPE_CHECKING:
@@ -24,9 +24,6 @@
 RECHECK_PERIOD_S = 0.2
 # The runs of an unreachable entry may continue on the engine for a while.
 LOST_ENTRY_HOLD_S = 1.0
-# Lower bound for the grant rate in wait estimates: a tier without recent
-# requests has a measured rate near zero.
-MIN_GRANTS_PER_S = 0.7
 
 
 class GrantGate:
@@ -45,7 +42,7 @@
     def __init__(self, *, log: GateLog | None = None) -> None:
         self._log = log or GateLog()
         self.speed = EngineSpeed()
-        self._queue = PlaceQueue()
+        self._queue = PlaceQueue(work_ms=self._work_ms)
         self._watchers = Watchers()
         self._streams = BegunStreams()
         self._recheck_at = 0.0
@@ -93,7 +90,7 @@
         key = (entry, body.request)
         self._load_version += 1
         self._queue.waiting.pop(key, None)
-        place = self._queue.running.pop(key, None)
+        place = self._queue.end(key, now)
         if place is not None and body.ok:
             ask = place.ask
             held_ms = (now - place.granted_at) * 1000
@@ -172,6 +169,7 @@
         is_recheck_due = now >= self._recheck_at
         if is_recheck_due:
             self._recheck_at = now + RECHECK_PERIOD_S
+            self._queue.log_shortage(self._log, now)
         effects: list[Send] = []
         for key, place in list(self._queue.waiting.items()):
             estimate = WaitEstimate()
@@ -189,7 +187,12 @@
         self, place: Place, cause: DenialCause, estimate: WaitEstimate, now: float
     ) -> Send:
         self._log.denied(place, cause, estimate, self._queue.occupancy(place, now), now)
-        return denied(place, int(estimate.wait_ms) - place.ask.objective_ms)
+        retry_ms = estimate.wait_ms - place.ask.objective_ms
+        if place.ask.is_final_urgent:
+            retry_ms = self._queue.shares.retry_ms(
+                place, estimate.wait_ms, self.slots, now
+            )
+        return denied(place, int(retry_ms))
 
     def _denial_cause(
         self, place: Place, estimate: WaitEstimate, now: float
@@ -227,42 +230,36 @@
 
     def _estimate_wait(self, place: Place, now: float) -> WaitEstimate:
         """Estimate how long a request waits behind those of higher priority."""
-        ahead = self._queue.ahead_of(place, now)
-        if not ahead and self._queue.has_room(place):
+        queue = self._queue
+        if place.ask.is_final_urgent:
+            return queue.wait_by_shares(place, self._next_end_ms(now), now)
+        ahead = queue.ahead_of(place, now)
+        if not ahead and queue.has_room(place):
             return WaitEstimate()
         work_ms = sum(self._work_ms(p) for p in ahead)
-        by_work_ms = self._free_in_ms(now) + work_ms / max(1, self.slots)
         tier = place.ask.tier
         ahead_in_tier = sum(p.ask.tier == tier for p in ahead)
-        rate = self._queue.tiers.grants_per_s(tier, now)
+        rate = queue.tiers.grants_per_s(tier, now)
+        is_urgent = not queue.tiers.index(tier)
         return WaitEstimate(
             ahead=len(ahead),
-            by_work_ms=by_work_ms,
-            by_rate_ms=self._wait_by_rate_ms(tier, ahead_in_tier, rate),
+            by_work_ms=self._free_in_ms(now) + work_ms / max(1, self.slots),
+            by_rate_ms=0.0 if is_urgent else wait_by_rate_ms(ahead_in_tier, rate),
             grants_per_s=rate or 0.0,
         )
 
-    def _wait_by_rate_ms(
-        self, tier: int, ahead: int, grants_per_s: float | None
-    ) -> float:
-        """Estimate the wait behind others of the tier from its recent grant rate.
-
-        The rate accounts for more urgent requests that will arrive meanwhile.
-        The most urgent tier has none ahead of it, so its estimate is 0, as it is
-        while the rate is unknown.
-        """
-        if grants_per_s is None or not self._queue.tiers.index(tier):
-            return 0.0
-        return ahead * 1000 / max(grants_per_s, MIN_GRANTS_PER_S)
-
     def _free_in_ms(self, now: float) -> float:
         """Estimate when the next place will be free."""
         if len(self._queue.running) < self.slots:
             return 0.0
+        return self._next_end_ms(now)
+
+    def _next_end_ms(self, now: float) -> float:
+        """Estimate when the next run will end; 0 if there is none."""
         end_times = [
             p.granted_at + self._work_ms(p) / 1000 for p in self._queue.running.values()
         ]
-        return max(0.0, min(end_times) - now) * 1000
+        return max(0.0, min(end_times, default=now) - now) * 1000
 
     def _work_ms(self, place: Place) -> float:
         return self.speed.work_ms(place.ask.prompt_tokens, place.ask.output_tokens)
--- a/pistachiopath/grants/gate_log.py
+++ b/pistachiopath/grants/gate_log.py
@@ -55,6 +55,8 @@
         """Record a denial, with the estimate that led to it."""
         tier = str(place.ask.tier)
         self._metrics.count('gate_denials_total', tier=tier, cause=cause.value)
+        if place.ask.spent_ms:
+            self._metrics.count('gate_denied_returns_total', tier=tier)
         logger.info(
             'place_denied',
             extra={
@@ -69,9 +71,30 @@
             },
         )
 
+    def shortage(
+        self, *, has_begun: bool, span_s: float, waiting: int, customers: int
+    ) -> None:
+        """Record that a shortage of capacity begins, or has ended after `span_s`."""
+        self._metrics.set('gate_is_short', int(has_begun))
+        if has_begun:
+            self._metrics.count('gate_shortages_total')
+        logger.info(
+            'gate_shortage',
+            extra={
+                'has_begun': has_begun,
+                'span_ms': int(span_s * 1000),
+                'waiting': waiting,
+                'customers': customers,
+            },
+        )
+
 
 def _request_fields(place: Place, now: float) -> dict[str, str | int]:
+    fields: dict[str, str | int] = {}
+    if place.ask.is_final_urgent:
+        fields = {'customer': place.ask.customer, 'spent_ms': place.ask.spent_ms}
     return {
+        **fields,
         'request': place.ask.request,
         'tier': place.ask.tier,
         'objective_left_ms': int((place.objective_at - now) * 1000),
--- a/pistachiopath/grants/wait_estimate.py
+++ b/pistachiopath/grants/wait_estimate.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+# Lower bound for the grant rate in wait estimates: a tier without recent
+# requests has a measured rate near zero.
+MIN_GRANTS_PER_S = 0.7
+
 
 @attrs.define(kw_only=True, frozen=True)
 class WaitEstimate:
@@ -24,3 +28,15 @@
     def wait_ms(self) -> float:
         """The longer of the two waits."""
         return max(self.by_work_ms, self.by_rate_ms)
+
+
+def wait_by_rate_ms(ahead: int, grants_per_s: float | None) -> float:
+    """Estimate the wait behind others of the tier from its recent grant rate.
+
+    The rate accounts for more urgent requests that will arrive meanwhile.  The
+    estimate is 0 while the rate is unknown.  The most urgent tier has none ahead of
+    it, so its wait is not estimated by rate.
+    """
+    if grants_per_s is None:
+        return 0.0
+    return ahead * 1000 / max(grants_per_s, MIN_GRANTS_PER_S)
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -21,6 +21,7 @@
     'replication',
     'routes',
     'routing',
+    'shares',
     'streams',
 )
 PURE_FILES = (
