--- a/tests/harness/gate_jobs.py
+++ b/tests/harness/gate_jobs.py
@@ -61,6 +61,7 @@
     first_token_at: float | None = None
     engine_s: float = 0.0
     is_resumed: bool = False
+    customer: str = 'c'
 
     @property
     def is_in_time(self):
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -97,17 +97,22 @@
         body = Ask(
             request=f'{job.number}.{job.attempts}',
             tier=job.kind.tier,
-            customer='c',
+            customer=job.customer,
             prompt_tokens=job.prompt,
             output_tokens=job.output,
             objective_ms=max(0, int(1000 * objective_s)),
             deadline_ms=int(1000 * work.remaining_s(now)),
-            patience_ms=int(1000 * patience_s(work, now)),
+            patience_ms=max(1, int(1000 * patience_s(work, now))),
             slots=self.slots,
             is_resumed=work.stream_version is not None,
+            **self.ask_fields(job),
         )
         self.send_to_gate(entry, job.candidate.record.replica, body)
 
+    def ask_fields(self, job):
+        """Return further fields of the request for a place."""
+        return {}
+
     def refuse(self, entry, job, wait_s):
         """Let the caller come back once, if it has the time, with a new attempt."""
         retry_after_s = entry.placer._retry_after_s(job.work, wait_s)
