Entries: requests wait after a start for the configuration and a first replica

A request waits up to 1.5 s, or 0.75 of its caller's deadline, for the first configuration (0.6 s before). For services whose most urgent streams can be sent only once it also waits for the first replica until an objective's time before its caller leaves (0.4 of the objective before); requests that waited go on by tier and time left, 5 ms apart. At a planned stop those that wait are answered at once.

Fixes a fault of allowances: a request that had waited for the configuration was charged at the time of its arrival, before the bucket began, which took from the bucket what grows in that time.

--- a/pistachiopath/admission/leased_allowance.py
+++ b/pistachiopath/admission/leased_allowance.py
@@ -43,9 +43,10 @@
 
     def refill(self, now: float) -> None:
         """Add the tokens that accrued since the last refill."""
-        gained = (now - self.updated_at) * self.rate_per_s
+        # A reading from before the last refill must not take back what that added.
+        gained = max(0.0, now - self.updated_at) * self.rate_per_s
         self.level = min(self.burst, self.level + gained)
-        self.updated_at = now
+        self.updated_at = max(self.updated_at, now)
 
 
 @attrs.define(kw_only=True)
@@ -131,6 +132,10 @@
             totals.unconfirmed += cost
         return 0.0
 
+    def is_leased(self, now: float) -> bool:
+        """Return whether a lender has answered recently."""
+        return now - self._leased_at < LEASE_S
+
     def give_back(self, customer: CustomerAccount, cost: float) -> None:
         """Refund the cost of a request that did not run."""
         bucket = self._buckets.get(customer.name)
--- a/pistachiopath/grants/watch.py
+++ b/pistachiopath/grants/watch.py
@@ -106,6 +106,10 @@
         known = self._loads.get(gate)
         return known.load if known is not None else None
 
+    def knows_any(self, now: float) -> bool:
+        """Return whether the load of any gate is known."""
+        return any(self.get(gate, now) is not None for gate in self._loads)
+
     def is_awaited(self, gate: str, now: float) -> bool:
         """Return whether a gate without a recent load may still reply."""
         return now < self._reply_deadlines.get(gate, math.inf)
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -13,6 +13,8 @@
 from ..grants.gate_log import GateLog
 from ..quarantine.crash_watch import CrashWatch
 from ..routing.placement import Placement
+from ..startup.knowledge import Subject
+from ..startup.waits import StartupWaits
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
 from ..util.loop_failures import LoopFailures
@@ -31,6 +33,7 @@
 from .notices import Notices
 from .open_streams import NOTE_INTERVAL_S, OpenStreams
 from .origin_search import OriginSearch
+from .patience import patience_s
 from .placer import Placer
 from .planned_stop import PlannedStop
 from .process_spans import ProcessSpans
@@ -51,6 +54,7 @@
 
     from ..exchange.request import HttpRequest
     from ..exchange.server_connection import ServerConnection
+    from ..messages.base import Message
     from ..routes.route_set import RouteSet
     from ..telemetry.metrics import Metrics
     from ..telemetry.spans import Spans
@@ -94,7 +98,7 @@
             identity=Identity(
                 name=cfg.node_address, role=ROLE_NODE, secrets={ROLE_NODE: LINK_SECRET}
             ),
-            on_message=lambda *message: self._messages.handle(*message),
+            on_message=self._handle_message,
             on_lost=lambda peer: self._messages.handle_lost(peer),
             silence_s=LINK_SILENCE_S,
             failures=failures,
@@ -202,6 +206,17 @@
             restarts=restarts,
             send_all=self._network.send_all,
         )
+        self._startup = StartupWaits(
+            routes=self._routes,
+            ready_services=lambda: (r.service for r in self._targets.ready()),
+            checks={
+                Subject.GATE: self._gates.loads.knows_any,
+                Subject.ALLOWANCE: self._allowance.is_leased,
+            },
+            patience_s=patience_s,
+            metrics=metrics,
+            started_at=time.monotonic(),
+        )
         dispatcher = Dispatcher(
             dialect=dialect,
             pool=self._pool,
@@ -215,6 +230,7 @@
                 rng=rng,
                 check_wait=self._departure.check_unsent,
                 is_at_work=self._lifetimes.is_at_work,
+                await_replica=self._startup.await_replica,
             ),
             retries=Retries(
                 limits=cfg.retry_budget,
@@ -238,6 +254,7 @@
             dispatcher=dispatcher,
             log=RequestLog(metrics=metrics),
             spans=spans,
+            startup=self._startup,
         )
         self._server = HttpServer(
             address=cfg.callers_address,
@@ -279,9 +296,14 @@
 
     def stop(self) -> None:
         """Leave the load balancer's rotation, finish open requests, then close."""
+        self._startup.stop()
         self._stop.run()
         self._network.close(drain_s=0.1)
 
+    def _handle_message(self, sender: str, call: int, body: Message) -> None:
+        self._messages.handle(sender, call, body)
+        self._startup.look(time.monotonic())
+
     def _handle_readiness(self, conn: ServerConnection, _req: HttpRequest) -> None:
         conn.respond(200 if self.is_ready else 503, [], b'')
 
@@ -290,6 +312,7 @@
     def _tick_parts(self) -> list[LoopPart]:
         return [
             LoopPart(name='turns', run=self._turns.turn),
+            LoopPart(name='startup', run=self._startup.look),
             LoopPart(name='controls', run=self._messages.follow_controls),
             LoopPart(name='gates', run=self._messages.watch_gates),
             LoopPart(name='own_gates', run=self._gates.tick_own_gates),
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -54,7 +54,8 @@
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
     raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
-    whether a replica was heard of at its present lifetime just now.
+    whether a replica was heard of at its present lifetime just now.  `await_replica`
+    waits for the first replica of a service after a start.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         rng: random.Random,
         check_wait: Callable[[Work, float], None] = lambda work, now: None,
         is_at_work: Callable[[ReplicaRecord, float], bool] = lambda record, now: True,
+        await_replica: Callable[[Work], None] = lambda work: None,
     ) -> None:
         self._places = places
         self._placement = placement
@@ -75,12 +77,14 @@
         self._rng = rng
         self._check_wait = check_wait
         self._is_at_work = is_at_work
+        self._await_replica = await_replica
         self._serials = itertools.count(1)
 
     def choose(self, work: Work) -> Candidate:
         """Return a replica; wait up to a share of the objective if there is none."""
         wait_s = NO_TARGET_WAIT_SHARE * work.admitted.route.objective_s
         until = time.monotonic() + wait_s
+        self._await_replica(work)
         is_last_look = False
         while True:
             now = time.monotonic()
--- a/pistachiopath/relay/request_handler.py
+++ b/pistachiopath/relay/request_handler.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from ..exchange.request import HttpRequest
     from ..exchange.server_connection import ServerConnection
+    from ..startup.waits import StartupWaits
     from ..telemetry.spans import Spans
     from .admitter import Admitter
     from .caller_request import CallerRequest
@@ -33,8 +34,6 @@
 FAILED_RETRY_AFTER_S = 0.5
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN_OUTCOME = 502
-# A node that starts has its configuration within a few hundred ms.
-FIRST_CONFIGURATION_WAIT_S = 0.6
 
 
 class RequestHandler:
@@ -55,6 +54,7 @@
         dispatcher: Dispatcher,
         log: RequestLog,
         spans: Spans,
+        startup: StartupWaits,
     ) -> None:
         self.in_flight = 0
         self._dialect = dialect
@@ -66,6 +66,7 @@
         self._dispatcher = dispatcher
         self._log = log
         self._spans = spans
+        self._startup = startup
         self._attempts = EarlierAttempts()
 
     def handle(self, conn: ServerConnection, http: HttpRequest) -> None:
@@ -91,14 +92,17 @@
     def admit(self, req: CallerRequest, now: float) -> Work:
         """Return the state of a request; raises `TurnedAway` if it is refused."""
         self._departure.check_open()
-        routes = self._routes.wait(FIRST_CONFIGURATION_WAIT_S)
+        routes = self._startup.configuration(req, now)
         if routes is None:
+            if self._startup.is_stopping:
+                raise stopping_refusal()
             raise TurnedAway(
                 status=503,
                 reason='no_configuration',
                 retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
             )
-        admitted = self._admitter.admit(req, routes, now)
+        # The request may have waited since `now`; an allowance is refilled until then.
+        admitted = self._admitter.admit(req, routes, time.monotonic())
         spent_s = self._attempts.spent_s(req, admitted.route)
         return make_work(req, admitted, now, spent_s=spent_s)
 
--- a/tests/test_relay/test_entry.py
+++ b/tests/test_relay/test_entry.py
@@ -15,13 +15,14 @@
 from pistachiopath.platform.configuration import decode_configuration
 from pistachiopath.platform.dialect import PlatformDialect
 from pistachiopath.quarantine.content import shared_parts
-from pistachiopath.relay import planned_stop, request_handler
+from pistachiopath.relay import planned_stop
 from pistachiopath.relay.caller_request import CallerRequest
 from pistachiopath.relay.entry import RelayEntry
 from pistachiopath.relay.exchange_run import ExchangeRun
 from pistachiopath.relay.placer import Placer
 from pistachiopath.relay.request_log import RequestLog
 from pistachiopath.relay.settings import RelaySettings
+from pistachiopath.startup import bounds
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.telemetry.spans import NoSpans
 from tests.harness.waiting import let_pass
@@ -93,7 +94,7 @@
 
 @pytest.fixture
 def node(monkeypatch):
-    monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
+    monkeypatch.setattr(bounds, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
     monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     return Node()
 
--- a/tests/test_relay/test_odd_headers.py
+++ b/tests/test_relay/test_odd_headers.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from pistachiopath.relay import planned_stop, request_handler
+from pistachiopath.relay import planned_stop
+from pistachiopath.startup import bounds
 from tests.test_directory.records import record
 from tests.test_exchange.sockets import ScriptedTarget
 from tests.test_platform.test_configuration import VALID
@@ -20,7 +21,7 @@
 
 @pytest.fixture
 def node(monkeypatch):
-    monkeypatch.setattr(request_handler, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
+    monkeypatch.setattr(bounds, 'FIRST_CONFIGURATION_WAIT_S', 0.05)
     monkeypatch.setattr(planned_stop, 'LEAVE_ROTATION_S', 0.05)
     return Node()
 
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -42,6 +42,9 @@
     'grants/wait_estimate.py',
     'grants/speed.py',
     'grants/watch.py',
+    'startup/bounds.py',
+    'startup/knowledge.py',
+    'startup/release_queue.py',
 )
 ADAPTER = PACKAGE / 'platform'
 WIRE_NAMES = re.compile(
