Allowances: after a start entries ask their lender again before they refuse

Applies to services whose most urgent streams can be sent only once. Until a lender has answered for the first time a request waits as for the configuration, later for half of its objective.

--- a/pistachiopath/relay/admitter.py
+++ b/pistachiopath/relay/admitter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,6 +17,7 @@
 
     from ..admission.leased_allowance import LeasedAllowance
     from ..routes.route_set import RouteSet
+    from ..startup.waits import StartupWaits
     from .caller_request import CallerRequest
 
 MAX_RETRY_AFTER_S = 5.0
@@ -47,7 +49,8 @@
 
     `borrow` asks the lender for a customer's cost that exceeds this entry's own
     allowance.
-    It returns 0 if the cost was lent, or the seconds until it may be.
+    It returns 0 if the cost was lent, or the seconds until it may be.  `startup`
+    asks again right after a start, when lenders do not answer yet.
     """
 
     def __init__(
@@ -56,10 +59,12 @@
         allowance: LeasedAllowance,
         borrow: Callable[[str, float], float],
         rng: random.Random,
+        startup: StartupWaits | None = None,
     ) -> None:
         self._allowance = allowance
         self._borrow = borrow
         self._rng = rng
+        self._startup = startup
 
     def admit(self, req: CallerRequest, routes: RouteSet, now: float) -> Admitted:
         """Return the terms for a request, and charge its cost."""
@@ -67,7 +72,7 @@
         if route is None:
             raise TurnedAway(status=404, reason='no_route')
         customer = self._customer(req, routes, route)
-        cost = self._charge(req, customer, now)
+        cost = self._charge(req, customer, route, routes, now)
         name = self._service(route)
         service = routes.service(name)
         return Admitted(
@@ -98,7 +103,12 @@
         return customer
 
     def _charge(
-        self, req: CallerRequest, customer: CustomerAccount | None, now: float
+        self,
+        req: CallerRequest,
+        customer: CustomerAccount | None,
+        route: Route,
+        routes: RouteSet,
+        now: float,
     ) -> float:
         if customer is None:
             return 0.0
@@ -108,7 +118,14 @@
             cost = tokens if req.has_counts else customer.plain_cost
         wait_s = self._allowance.take(customer, cost, now)
         if wait_s > 0:
-            wait_s = min(wait_s, self._borrow(customer.name, cost))
+            ask_lender = functools.partial(self._borrow, customer.name, cost)
+            startup = self._startup
+            borrowed_in_s = (
+                startup.borrow(ask_lender, req, route, routes)
+                if startup
+                else ask_lender()
+            )
+            wait_s = min(wait_s, borrowed_in_s)
         if wait_s > 0:
             raise TurnedAway(
                 status=429,
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -246,7 +246,10 @@
             dialect=dialect,
             routes=self._routes,
             admitter=Admitter(
-                allowance=self._allowance, borrow=self._lender.borrow, rng=rng
+                allowance=self._allowance,
+                borrow=self._lender.borrow,
+                rng=rng,
+                startup=self._startup,
             ),
             departure=self._departure,
             crashes=self._crashes,
--- a/pistachiopath/startup/bounds.py
+++ b/pistachiopath/startup/bounds.py
@@ -7,6 +7,11 @@
 FIRST_CONFIGURATION_WAIT_S = 1.5
 # Share of its caller's deadline for which a request waits for the configuration.
 DEADLINE_SHARE = 0.75
+# Share of its objective for which a request waits for an allowance that a lender has
+# no more of, so that it can still be on time.
+ALLOWANCE_OBJECTIVE_SHARE = 0.5
+# How often the lender is asked again.
+BORROW_INTERVAL_S = 0.1
 # Bounds the memory and connections that waiting requests hold.
 MAX_WAITING = 400
 
@@ -22,6 +27,23 @@
     return min(FIRST_CONFIGURATION_WAIT_S, DEADLINE_SHARE * deadline_s)
 
 
+def allowance_wait_s(
+    deadline_s: float | None, objective_s: float, *, is_leased: bool
+) -> float:
+    """Return how long a request waits after a start for its customer's allowance.
+
+    Until a lender has answered for the first time, nothing is known of the allowance.
+
+    >>> allowance_wait_s(None, 0.5, is_leased=True)
+    0.25
+    >>> allowance_wait_s(None, 0.5, is_leased=False)
+    1.5
+    """
+    if is_leased:
+        return ALLOWANCE_OBJECTIVE_SHARE * objective_s
+    return configuration_wait_s(deadline_s)
+
+
 def replica_wait_s(patience_s: float, objective_s: float) -> float:
     """Return how long a request waits for the first replica of its service.
 
--- a/pistachiopath/startup/waits.py
+++ b/pistachiopath/startup/waits.py
@@ -64,6 +64,7 @@
         self._subjects: dict[int, tuple[Subject, str]] = {}
         self._queue = ReleaseQueue()
         self._is_releasing = False
+        self._borrowing = 0
 
     def look(self, now: float) -> None:
         """Record what has become known, and wake the requests that waited for it."""
@@ -114,6 +115,54 @@
         if self._wait(Subject.REPLICA, admitted.service, wait_s):
             self._take_turn(admitted.tier, work.first_attempt_at + objective_s)
 
+    def borrow(
+        self,
+        ask_lender: Callable[[], float],
+        req: CallerRequest,
+        route: Route,
+        routes: RouteSet,
+    ) -> float:
+        """Borrow an allowance; right after a start, ask again for a while.
+
+        Returns 0 if it was lent, or the seconds until it may be.
+        """
+        began_at = time.monotonic()
+        retry_after_s = ask_lender()
+        if retry_after_s <= 0 or not self._may_wait_for_allowance(route, routes):
+            return retry_after_s
+        wait_s = bounds.allowance_wait_s(
+            req.deadline_s,
+            route.objective_s,
+            is_leased=self._knowledge.knows(Subject.ALLOWANCE),
+        )
+        self._borrowing += 1
+        try:
+            while retry_after_s > 0 and not self.is_stopping:
+                left_s = began_at + wait_s - time.monotonic()
+                if left_s <= 0:
+                    break
+                gevent.sleep(min(left_s, bounds.BORROW_INTERVAL_S))
+                retry_after_s = ask_lender()
+        finally:
+            self._borrowing -= 1
+            outcome = 'unknown' if retry_after_s > 0 else 'known'
+            self._record_wait(Subject.ALLOWANCE, began_at, outcome)
+        return retry_after_s
+
+    def _may_wait_for_allowance(self, route: Route, routes: RouteSet) -> bool:
+        return (
+            _is_final_urgent(route, routes)
+            and self._knowledge.is_starting(time.monotonic())
+            and self._borrowing < bounds.MAX_WAITING
+        )
+
+    def _record_wait(self, subject: Subject, began_at: float, outcome: str) -> None:
+        wait_s = time.monotonic() - began_at
+        self._metrics.observe('startup_wait', wait_s, subject=subject.value)
+        self._metrics.count(
+            'startup_waits_total', subject=subject.value, outcome=outcome
+        )
+
     def _learn(self, subject: Subject, now: float, service: str = '') -> None:
         if not self._knowledge.learn(subject, now, service=service):
             return
@@ -149,14 +198,8 @@
         finally:
             del self._events[number], self._subjects[number]
             is_known = self._knowledge.knows(subject, service=service)
-            self._metrics.observe(
-                'startup_wait', time.monotonic() - began_at, subject=subject.value
-            )
-            self._metrics.count(
-                'startup_waits_total',
-                subject=subject.value,
-                outcome='known' if is_known else 'unknown',
-            )
+            outcome = 'known' if is_known else 'unknown'
+            self._record_wait(subject, began_at, outcome)
         return is_known
 
     def _take_turn(self, tier: int, due_at: float) -> None:
