Start: further control nodes are found, and gates watched, at once

A control node that has not answered since this process started is polled every 0.2 s for 3 s, also after another one has answered (1.2 s before, and 0.4 s between control nodes): replicas may announce themselves there first. Gates of replicas that become known are watched with that message, not by the next timer.

--- a/pistachiopath/directory/source.py
+++ b/pistachiopath/directory/source.py
@@ -42,6 +42,8 @@
     changes after a new link, before its news are believed.  `questions` holds
     the unanswered requests.  `answered_at` is when the last request was sent that
     names replicas and whose answer has come, with all changes before it.
+    `has_answered` tells whether it ever sent a message, and `first_polls` counts the
+    requests before that.
     """
 
     last_listed_at: float
@@ -55,6 +57,8 @@
     states_first: bool = False
     silent: frozenset[str] = frozenset()
     directory_since: float = math.inf
+    has_answered: bool = False
+    first_polls: int = 0
     questions: dict[int, Question] = attrs.field(factory=dict)
     answered_at: float = -math.inf
 
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -40,6 +40,11 @@
 # A node without a configuration serves no requests.  It polls this often, so that
 # it soon finds a first control node that starts after it.
 INITIAL_FOLLOW_INTERVAL_S = 0.05
+# After all VMs restart, control nodes start up to a second after the first one.  A
+# replica may announce itself to any of them, so one that has not answered yet is polled
+# this often at first.
+FIRST_FOLLOW_INTERVAL_S = 0.2
+MAX_FIRST_POLLS = 15
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
 MAX_NEWS_GAP_S = 60.0
@@ -180,8 +185,9 @@
             if is_content_late:
                 source.newer_version_since = now
             source.next_follow_at = now + self._follow_interval_s(
-                address, main, has_no_contact=has_no_contact
+                address, source, has_no_contact=has_no_contact
             )
+            source.first_polls += not source.has_answered
             source.asked_at = min(source.asked_at, now)
             effects.append(
                 self._follow(address, source, now, wants_content=is_content_late)
@@ -197,11 +203,13 @@
         return CONTENT_TIMEOUT_S
 
     def _follow_interval_s(
-        self, address: str, main: str, *, has_no_contact: bool
+        self, address: str, source: Source, *, has_no_contact: bool
     ) -> float:
         if has_no_contact:
             return INITIAL_FOLLOW_INTERVAL_S
-        is_not_main = self._is_entry and main and address != main
+        if not source.has_answered and source.first_polls < MAX_FIRST_POLLS:
+            return FIRST_FOLLOW_INTERVAL_S
+        is_not_main = self._is_entry and self._main and address != self._main
         return FOLLOW_OTHERS_INTERVAL_S if is_not_main else FOLLOW_INTERVAL_S
 
     def _prune_sources(self, now: float) -> None:
@@ -217,6 +225,7 @@
         if source is None:
             return []
         source.last_message_at = now
+        source.has_answered = True
         source.asked_at = math.inf
         source.silent = frozenset(body.silent)
         source.directory_since = now - body.directory_age_ms / 1000
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -117,3 +117,6 @@
             if routes is not None:
                 self._allowance.adopt(routes.customers, now)
         self._send_all(effects)
+        if body.records:
+            # Requests for a new replica are waiting for the load of its gate.
+            self.watch_gates(now)
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -9,7 +9,10 @@
     MAIN_REPLY_TIMEOUT_S,
 )
 from pistachiopath.directory.subscriber import (
+    FIRST_FOLLOW_INTERVAL_S,
+    FOLLOW_OTHERS_INTERVAL_S,
     INITIAL_FOLLOW_INTERVAL_S,
+    MAX_FIRST_POLLS,
     MAX_NEWS_GAP_S,
     Subscriber,
 )
@@ -69,6 +72,40 @@
     assert len(poll_times(subscriber, 0.06, 0.06 + 3 * FOLLOW_INTERVAL_S)) <= 4
 
 
+def poll_times_of(subscriber, address, now, until, step=0.01):
+    """Return the times at which one control node is polled; `CONTROL` is heard."""
+    polled_at = []
+    while now < until:
+        subscriber.on_news(CONTROL, news_message(1), now)
+        polled_at += [now for send in subscriber.tick(now) if send.to == address]
+        now += step
+    return polled_at
+
+
+def test_a_further_control_node_that_starts_later_is_found_soon():
+    # Once one control node had answered, the others were polled every 1.2 s only, so
+    # that replicas which had announced themselves there stayed unknown.
+    subscriber = subscriber_with_seed()
+    subscriber.set_seeds((CONTROL, 'c2:1'), 0.0)
+    polled_at = poll_times_of(subscriber, 'c2:1', 0.0, 1.5)
+    intervals = [
+        after - before for before, after in zip(polled_at, polled_at[1:], strict=False)
+    ]
+    assert max(intervals) <= FIRST_FOLLOW_INTERVAL_S + 0.011
+
+
+def test_a_control_node_that_stays_silent_is_polled_no_more_than_others():
+    subscriber = subscriber_with_seed()
+    subscriber.set_seeds((CONTROL, 'c2:1'), 0.0)
+    subscriber.link_lost('c2:1')
+    poll_times_of(subscriber, 'c2:1', 0.0, MAX_FIRST_POLLS * 0.21)
+    subscriber.link_lost('c2:1')
+    polled_at = poll_times_of(
+        subscriber, 'c2:1', 5.0, 5.0 + 4 * FOLLOW_OTHERS_INTERVAL_S
+    )
+    assert len(polled_at) <= 5
+
+
 def test_a_version_never_decreases():
     subscriber = subscriber_with_seed()
     subscriber.on_news(CONTROL, news_message(3), 0.01)
--- a/tests/test_startup/test_waits.py
+++ b/tests/test_startup/test_waits.py
@@ -8,6 +8,7 @@
 import gevent
 
 from pistachiopath.admission.leased_allowance import LeasedAllowance
+from pistachiopath.messages.grants import WatchLoad
 from pistachiopath.relay import planned_stop
 from pistachiopath.routes.customer_account import CustomerAccount
 from tests.harness.waiting import wait_until
@@ -154,3 +155,31 @@
     allowance.adopt((customer,), 11.0)
     assert allowance.take(customer, 50.0, 10.0) == 0.0
     assert allowance.take(customer, 50.0, 11.0) == 0.0
+
+
+def test_the_gate_of_a_new_replica_is_watched_as_soon_as_it_is_known():
+    # The first watch was sent up to 50 ms later, by the entry's timer.
+    node = Node()
+    sent = []
+    node.entry._messages._send_all = sent.extend
+    replica = record(service='model', address='127.0.0.1:9')
+    node.receive_news(document=final_urgent(), records=[replica])
+    assert any(isinstance(send.body, WatchLoad) for send in sent)
+    node.entry.stop()
+
+
+def test_what_is_known_and_how_many_waited_is_logged_and_counted(caplog):
+    caplog.set_level('INFO')
+    node = Node()
+    caller = node.open_request(STREAM)
+    wait_until(lambda: waiting(node) == 1)
+    node.receive_news(document=final_urgent())
+    wait_until(lambda: 'startup_known' in caplog.text)
+    known = [r for r in caplog.records if r.msg == 'startup_known']
+    assert [(r.subject, r.waiting) for r in known] == [('configuration', 1)]
+    wait_until(lambda: 'startup_waits_total' in node.entry._metrics.render())
+    text = node.entry._metrics.render()
+    assert 'startup_waits_total{outcome="known",subject="configuration"} 1' in text
+    assert 'startup_known_ms{service="",subject="configuration"}' in text
+    caller.close()
+    node.entry.stop()
