--- a/pistachiopath/startup/waits.py
+++ b/pistachiopath/startup/waits.py
@@ -227,6 +227,9 @@
                 gevent.sleep(RELEASE_INTERVAL_S if is_starting else 0)
         finally:
             self._is_releasing = False
+            # Only an error leaves any in line; they go on without an order.
+            while (waiting := self._queue.take(0.0)) is not None:
+                self._events[waiting.number].set()
 
 
 def _is_final_urgent(route: Route, routes: RouteSet) -> bool:
