--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -84,7 +84,8 @@
         now = self.net.now
         slots = dict.fromkeys(self.gates, self.slots)
         for entry in self.entries:
-            for send in entry.loads.tick(slots, now):
+            # Sorted, as the watched gates are a set: plays of a seed are alike.
+            for send in sorted(entry.loads.tick(slots, now), key=lambda s: s.to):
                 self.send_to_gate(entry, send.to, send.body)
             entry.move_waiting()
         for name, gate in self.gates.items():
