Engine state: tokens of granted runs stay within an engine's memory

An engine crashes if the requests that it holds exceed its memory. A request that does not fit is not overtaken, because smaller ones would keep the memory in use; one that is larger than the bound runs alone. Asks without the switch are granted as before. An entry that grants its own places asks for its part of the ungated engines' memory.

--- /dev/null
+++ b/pistachiopath/engine_state/__init__.py
@@ -0,0 +1,1 @@
+"""Current capability of an engine: memory, failures and speed."""
--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
+from ..engine_state.state import EngineState
 from ..messages.grants import GateLoad, TierLoad
 from .begun_streams import BegunStreams
 from .denial_cause import DenialCause
@@ -42,8 +43,11 @@
     Methods return effects; `now` is a monotonic clock in seconds.
     """
 
-    def __init__(self, *, log: GateLog | None = None) -> None:
+    def __init__(
+        self, *, log: GateLog | None = None, engine: EngineState | None = None
+    ) -> None:
         self._log = log or GateLog()
+        self.engine = engine or EngineState()
         self.speed = EngineSpeed()
         self._queue = PlaceQueue()
         self._watchers = Watchers()
@@ -149,8 +153,7 @@
     def tick(self, now: float) -> list[Send]:
         """Run periodic work: expiry, places of lost entries, load reports."""
         effects = self._deny_infeasible(now)
-        lost_until = now - LOST_ENTRY_HOLD_S
-        self._load_version += self._queue.free_ended(now, lost_until)
+        self._load_version += self._queue.free_ended(now, now - LOST_ENTRY_HOLD_S)
         return effects + self._grant_due(now) + self._notify_watchers(now)
 
     def load(self, now: float) -> GateLoad:
@@ -216,6 +219,9 @@
             key = queue.next_to_run(now)
             if key is None:
                 return effects
+            running = (p.ask for p in queue.running.values())
+            if not self.engine.admits(queue.waiting[key].ask, running, now):
+                return effects
             place = queue.waiting.pop(key)
             by_turn = queue.tiers.has_turn(place.ask.tier)
             occupancy = queue.occupancy(place, now)
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from ..engine_state.state import EngineState
 from ..messages.grants import Ask, ReleasePlace, WatchLoad
 from ..transport.handshake import ROLE_NODE, Identity
 from ..transport.network import Network
@@ -39,7 +40,9 @@
         metrics: Metrics,
         listen_address: str = '',
     ) -> None:
-        self.gate = GrantGate(log=GateLog(metrics=metrics))
+        self.gate = GrantGate(
+            log=GateLog(metrics=metrics), engine=EngineState(metrics=metrics)
+        )
         self._listen_address = listen_address or address
         self._metrics = metrics
         self._listening = ListeningSpan()
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -198,6 +198,7 @@
         version = version_of(candidate.record)
         stream = work.stream if candidate.is_gated else ''
         is_final_urgent = work.admitted.is_final_urgent
+        memory_tokens = candidate.memory_tokens(work.admitted.memory_tokens)
         ask = Ask(
             # A caller may use its request id again while the first request runs.
             request=f'{work.req.request_id}.{work.tries}.{next(self._serials)}',
@@ -219,7 +220,7 @@
             born_ms=candidate.record.born_ms,
             is_final_urgent=is_final_urgent,
             spent_ms=work.spent_ms if is_final_urgent else 0,
-            memory_tokens=work.admitted.memory_tokens if is_final_urgent else 0,
+            memory_tokens=memory_tokens if is_final_urgent else 0,
         )
         try:
             return self._places.acquire(
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -276,17 +276,15 @@
         return directory.merge(attrs.evolve(current, state=ReplicaState.DRAINING), now)
 
     def _with_shared_places(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Add this entry's share of the places of all engines without a gate."""
-        places = sum(
-            self._slots(c.record)
-            for c in candidates
-            if c.ungated_places and not c.is_gated
-        )
+        """Add this entry's share of the places and memory of engines without a gate."""
+        ungated = [c for c in candidates if c.ungated_places and not c.is_gated]
+        places = sum(self._slots(c.record) for c in ungated)
         if not places:
             return candidates
-        shared = math.ceil(places / max(1, self._subscriber.entries))
+        entries = max(1, self._subscriber.entries)
+        shared, memory_share = math.ceil(places / entries), len(ungated) / entries
         return [
-            attrs.evolve(c, shared_places=shared)
+            attrs.evolve(c, shared_places=shared, memory_share=memory_share)
             if c.ungated_places and not c.is_gated
             else c
             for c in candidates
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,6 +11,7 @@
 from ..grants.watch import KnownLoad
 from ..messages.directory import ReplicaRecord
 from ..messages.grants import GateLoad
+from .own_requests import OwnRequests
 from .prompt_memory import PromptMemory
 from .prompt_part import PromptPart
 from .replica_health import ReplicaHealth
@@ -49,6 +51,8 @@
     are 0 for a target without an engine.  `awaits_gate` is set while a
     gate that is not known to be unreachable may still answer.  `last_load` is
     the last reported load at any age, and is used for the engine's speed.
+    `memory_share` is the part of one engine's memory, or of several, for which
+    places may be granted.
     """
 
     record: ReplicaRecord
@@ -58,6 +62,11 @@
     shared_places: int = 0
     awaits_gate: bool = False
     last_load: GateLoad | None = None
+    memory_share: float = 1.0
+
+    def memory_tokens(self, engine_tokens: int) -> int:
+        """Return the bound on tokens; each engine holds up to `engine_tokens`."""
+        return math.ceil(engine_tokens * self.memory_share)
 
     @property
     def is_gated(self) -> bool:
@@ -80,18 +89,6 @@
     parts: tuple[PromptPart, ...] = ()
 
 
-@attrs.define(kw_only=True)
-class _OwnRequests:
-    """Requests of this entry at a replica.
-
-    `recent` holds the time and estimated engine time in ms of those that load
-    reports may not show yet.
-    """
-
-    outstanding: int = 0
-    recent: list[tuple[float, float]] = attrs.field(factory=list)
-
-
 class Placement:
     """Tracks this entry's requests by replica and estimates costs in ms.
 
@@ -114,7 +111,7 @@
         self.memory = PromptMemory()
         self._zone = zone
         self._rng = rng
-        self._own_requests: dict[str, _OwnRequests] = {}
+        self._own_requests: dict[str, OwnRequests] = {}
 
     def choose(
         self, candidates: list[Candidate], need: Need, now: float
@@ -201,7 +198,7 @@
 
     def add_request(self, replica: str, need: Need, now: float) -> None:
         """Record that a request is placed at a replica."""
-        own = self._own_requests.setdefault(replica, _OwnRequests())
+        own = self._own_requests.setdefault(replica, OwnRequests())
         own.outstanding += 1
         own.recent = [(at, ms) for at, ms in own.recent if now - at < 1.0]
         work_ms = (
@@ -228,8 +225,8 @@
             del self._own_requests[name]
             self.memory.forget(name)
 
-    def _own_requests_at(self, candidate: Candidate) -> _OwnRequests:
-        return self._own_requests.get(candidate.record.replica) or _OwnRequests()
+    def _own_requests_at(self, candidate: Candidate) -> OwnRequests:
+        return self._own_requests.get(candidate.record.replica) or OwnRequests()
 
     def _ungated_cost(
         self, candidate: Candidate, need: Need, cached: int, others: int
@@ -245,7 +242,7 @@
         return work_ms + excess * UNGATED_WAIT_MS
 
     def _engine_cost(
-        self, known: KnownLoad, own: _OwnRequests, need: Need, cached: int
+        self, known: KnownLoad, own: OwnRequests, need: Need, cached: int
     ) -> float:
         wait_ms = self._wait_ms(known, own, need)
         return wait_ms + self._work_cost(known.load, need, cached)
@@ -262,7 +259,7 @@
         return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
 
     @staticmethod
-    def _wait_ms(known: KnownLoad, own: _OwnRequests, need: Need) -> float:
+    def _wait_ms(known: KnownLoad, own: OwnRequests, need: Need) -> float:
         """Estimate the wait for a place behind requests that are served first."""
         load = known.load
         unreported = [ms for at, ms in own.recent if at > known.received_at]
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -93,3 +93,26 @@
     shares = {c.shared_places for c in targets.candidates('model', set(), 10.0)}
     assert shares == {3}
     assert 18 * 3 <= 8 * 5 + 18
+
+
+@pytest.mark.parametrize(('entries', 'engines'), [(18, 8), (4, 1), (2, 8)])
+def test_own_gates_together_bound_tokens_by_the_memory_of_the_ungated_engines(
+    entries, engines
+):
+    # Engines crash if each entry grants places for the whole memory of an engine.
+    replicas = [f'r{n}' for n in range(engines)]
+    loads, targets = targets_of(entries, replicas)
+    for replica in replicas:
+        address = targets.gate(targets._subscriber.directory.get(replica))
+        loads._gates = frozenset({*loads._gates, address})
+        loads.mark_lost(address)
+    bounds = {c.memory_tokens(200_000) for c in targets.candidates('model', set(), 9.0)}
+    assert len(bounds) == 1
+    assert entries * bounds.pop() <= engines * 200_000 + entries
+
+
+def test_a_gate_beside_an_engine_has_its_whole_memory():
+    _, targets = targets_of(18, ['r1'])
+    [found] = targets.candidates('model', set(), 9.0)
+    assert found.is_gated
+    assert found.memory_tokens(200_000) == 200_000
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -13,6 +13,7 @@
     'claims',
     'directory',
     'engine',
+    'engine_state',
     'fencing',
     'gate',
     'membership',
