Engine state: entries avoid engines that fail more often than others

Each of 40 entries noticed by itself that an engine fails. ReleasePlace states whether the replica failed the run, GateLoad carries the recent share of failed runs of all entries, and an entry considers an engine for fewer requests the more often it fails. The measure is the engine with the fewest failures: with the median, none would be avoided when most fail. Each request draws anew, so entries do not all leave at once, and the best engine always remains. Only for services that the switch names.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -106,6 +106,7 @@
             )
         if place is not None:
             self._streams.released(place.ask, body, now)
+            self.engine.record_release(place.ask, body, now)
         return self._grant_due(now) + self._notify_watchers(now)
 
     def find_streams(
@@ -158,7 +159,7 @@
 
     def load(self, now: float) -> GateLoad:
         """Return the load as it is reported to entries."""
-        return GateLoad(
+        load = GateLoad(
             slots=self.slots,
             running=len(self._queue.running),
             waiting=self._tier_loads(now),
@@ -166,6 +167,7 @@
             ms_per_1000_prompt_tokens=int(self.speed.prompt_ms * 1000),
             ms_per_1000_output_tokens=int(self.speed.output_ms * 1000),
         )
+        return self.engine.extend(load, now)
 
     def _deny_infeasible(self, now: float) -> list[Send]:
         """Deny waiting requests that have expired or can no longer be in time.
@@ -217,10 +219,7 @@
         queue = self._queue
         while True:
             key = queue.next_to_run(now)
-            if key is None:
-                return effects
-            running = (p.ask for p in queue.running.values())
-            if not self.engine.admits(queue.waiting[key].ask, running, now):
+            if key is None or not self.engine.admits(queue, key, now):
                 return effects
             place = queue.waiting.pop(key)
             by_turn = queue.tiers.has_turn(place.ask.tier)
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -70,12 +70,15 @@
     `first_ms` is the time from sending to the first event, or 0 if there was
     none.  `ok` is true if the run completed normally.  `is_unproven` means that the
     process that wrote the events may be another lifetime than the one asked for.
+    `is_failure` states that the replica failed the run, which a caller that left, a
+    withdrawn request and one that the replica refused do not.
     """
 
     request: str
     first_ms: int
     ok: bool
     is_unproven: bool = False
+    is_failure: bool = False
 
 
 @message
@@ -116,6 +119,9 @@
 
     `free_in_ms` estimates when a place will be free.  The speeds are moving
     averages over successful runs, including those whose prompts were cached.
+
+    The fields after them keep their defaults until a gate is asked with
+    `is_final_urgent`.  `failed_per_1000` is the recent share of failed runs.
     """
 
     slots: int
@@ -124,3 +130,4 @@
     free_in_ms: int
     ms_per_1000_prompt_tokens: int
     ms_per_1000_output_tokens: int
+    failed_per_1000: int = 0
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -160,6 +160,7 @@
                     run.first_event_ms if run else 0,
                     ok=isinstance(result, Delivered),
                     is_unproven=not self._is_proven(work),
+                    is_failure=isinstance(result, TargetFailed | Lost),
                 )
             if result is not None:
                 self._record_result(work, candidate, result)
--- a/pistachiopath/relay/places.py
+++ b/pistachiopath/relay/places.py
@@ -105,21 +105,33 @@
         finally:
             del self._waiting[ask.request]
             if not granted:
-                self._release(gate, ask.request, 0, ok=False)
+                self._withdraw(gate, ask.request)
         self._held.add(gate, ask.request)
         return Grant(gate=gate, request=ask.request, granted_at=time.monotonic())
 
     def release(
-        self, grant: Grant, first_ms: int, *, ok: bool, is_unproven: bool = False
+        self,
+        grant: Grant,
+        first_ms: int,
+        *,
+        ok: bool,
+        is_unproven: bool = False,
+        is_failure: bool = False,
     ) -> None:
         """Release a granted place.
 
-        With `is_unproven` another lifetime may have written the events.
+        With `is_unproven` another lifetime may have written the events.  With
+        `is_failure` the replica failed the run.
         """
         self._held.remove(grant.gate, grant.request)
-        self._release(
-            grant.gate, grant.request, first_ms, ok=ok, is_unproven=is_unproven
+        body = ReleasePlace(
+            request=grant.request,
+            first_ms=first_ms,
+            ok=ok,
+            is_unproven=is_unproven,
+            is_failure=is_failure,
         )
+        self._send(grant.gate, 0, body)
 
     def handle_reply(self, gate: str, body: Granted | Denied) -> None:
         """Pass a gate's reply to the waiting request.
@@ -129,7 +141,7 @@
         wait = self._waiting.get(body.request)
         if wait is None or wait.gate != gate:
             if isinstance(body, Granted):
-                self._release(gate, body.request, 0, ok=False)
+                self._withdraw(gate, body.request)
             return
         wait.reply = body
         wait.signal.set()
@@ -169,16 +181,5 @@
             raise GateLost(gate=wait.gate)
         return False
 
-    def _release(
-        self,
-        gate: str,
-        request: str,
-        first_ms: int,
-        *,
-        ok: bool,
-        is_unproven: bool = False,
-    ) -> None:
-        body = ReleasePlace(
-            request=request, first_ms=first_ms, ok=ok, is_unproven=is_unproven
-        )
-        self._send(gate, 0, body)
+    def _withdraw(self, gate: str, request: str) -> None:
+        self._send(gate, 0, ReleasePlace(request=request, first_ms=0, ok=False))
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -132,6 +132,7 @@
             prompt_tokens=self.req.prompt_tokens,
             output_tokens=self.req.output_tokens,
             parts=self.req.parts,
+            is_final_urgent=self.admitted.is_final_urgent,
         )
 
     @property
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..engine_state.avoidance import considered
 from ..grants.kept_places import kept_places
 from ..grants.watch import KnownLoad
 from ..messages.directory import ReplicaRecord
@@ -15,6 +16,11 @@
 from .prompt_memory import PromptMemory
 from .prompt_part import PromptPart
 from .replica_health import ReplicaHealth
+from .work_cost import (
+    DEFAULT_OUTPUT_TOKEN_MS,
+    DEFAULT_PROMPT_TOKEN_MS,
+    work_cost,
+)
 
 if TYPE_CHECKING:
     import random
@@ -26,15 +32,11 @@
 SILENT_PENALTY_MS = 1500.0
 NOT_READY_PENALTY_MS = 60_000.0
 UNKNOWN_LOAD_MS = 30.0
-# Weight of the engine time in the cost: other requests can't use that time.
-WORK_WEIGHT = 0.3
 # Costs this close to the lowest count as equal, so that entries that see the
 # same loads do not all choose the same replica.
 NEAR_COST_MS = 30.0
 # The same if no load is known, as for services without an engine.
 PLAIN_NEAR_COST_MS = 2.0
-DEFAULT_PROMPT_TOKEN_MS = 0.03
-DEFAULT_OUTPUT_TOKEN_MS = 1.0
 # Time of a request at a replica without an engine.
 PLAIN_REQUEST_MS = 50.0
 # Wait for each request of this entry beyond its share of an engine without a gate.
@@ -68,6 +70,11 @@
         """Return the bound on tokens; each engine holds up to `engine_tokens`."""
         return math.ceil(engine_tokens * self.memory_share)
 
+    @property
+    def failure_share(self) -> float | None:
+        """Recent share of failed runs, None if it is not known."""
+        return self.load.load.failed_per_1000 / 1000 if self.load else None
+
     @property
     def is_gated(self) -> bool:
         """Return whether a request has to ask the engine's gate for a place."""
@@ -81,12 +88,17 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class Need:
-    """The tier, token counts and prompt parts of a request to be placed."""
+    """The tier, token counts and prompt parts of a request to be placed.
+
+    `is_final_urgent` states that measurements of the engines count: the most urgent
+    streams of the service can be sent only once.
+    """
 
     tier: int
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    is_final_urgent: bool = False
 
 
 class Placement:
@@ -124,6 +136,9 @@
             c for c in candidates if not self.health.is_down(c.record.replica, now)
         ]
         candidates = reachable or candidates
+        if need.is_final_urgent:
+            shares = [c.failure_share for c in candidates]
+            candidates = considered(candidates, shares, self._rng)
         if not candidates:
             return None
         cached = self._cached_tokens(candidates, need, now)
@@ -235,7 +250,8 @@
 
         `others` is how many other requests of this entry are at the candidate.
         """
-        work_ms = self._work_cost(candidate.last_load, need, cached)
+        uncached = max(0, need.prompt_tokens - cached)
+        work_ms = work_cost(candidate.last_load, uncached, need.output_tokens)
         if candidate.awaits_gate:
             return work_ms
         excess = max(0, others + 1 - candidate.ungated_places)
@@ -245,18 +261,8 @@
         self, known: KnownLoad, own: OwnRequests, need: Need, cached: int
     ) -> float:
         wait_ms = self._wait_ms(known, own, need)
-        return wait_ms + self._work_cost(known.load, need, cached)
-
-    @staticmethod
-    def _work_cost(load: GateLoad | None, need: Need, cached: int) -> float:
-        """Estimate the cost of the work at the speeds that the gate reports."""
         uncached = max(0, need.prompt_tokens - cached)
-        prompt_ms = uncached * DEFAULT_PROMPT_TOKEN_MS
-        output_ms = need.output_tokens * DEFAULT_OUTPUT_TOKEN_MS
-        if load is not None:
-            prompt_ms = uncached * load.ms_per_1000_prompt_tokens / 1000
-            output_ms = need.output_tokens * load.ms_per_1000_output_tokens / 1000
-        return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
+        return wait_ms + work_cost(known.load, uncached, need.output_tokens)
 
     @staticmethod
     def _wait_ms(known: KnownLoad, own: OwnRequests, need: Need) -> float:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -480,6 +480,7 @@
   firstMs @1 :Int64;
   ok @2 :Bool;
   isUnproven @3 :Bool;
+  isFailure @4 :Bool;
 }
 
 struct WatchLoad {
@@ -497,6 +498,7 @@
   freeInMs @3 :Int64;
   msPer1000PromptTokens @4 :Int64;
   msPer1000OutputTokens @5 :Int64;
+  failedPer1000 @6 :Int64;
 }
 
 struct UseReport {
--- a/tests/test_relay/test_dispatcher.py
+++ b/tests/test_relay/test_dispatcher.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import time
 
 import gevent
@@ -252,3 +253,41 @@
 
     address = '127.0.0.1:1'
     requests = ()
+
+
+class ReleasedGate(GrantingGate):
+    """Keeps how the runs ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.ends = []
+
+    def _send(self, to, call, body):
+        if isinstance(body, ReleasePlace):
+            self.ends.append((body.ok, body.is_failure))
+        super()._send(to, call, body)
+
+
+@pytest.mark.parametrize(
+    ('script', 'end'),
+    [
+        ([answer()], (True, False)),
+        ([FAILED], (False, True)),
+        ([b'', RESET], (False, True)),
+        ([NOT_RUN], (False, False)),
+    ],
+    ids=['delivered', 'failed', 'reset', 'not run'],
+)
+def test_a_gate_is_told_whether_the_replica_failed_the_run(script, end):
+    # Avoidance by all entries depends on it; a refusal or a withdrawal is no failure.
+    gate = ReleasedGate()
+    with contextlib.suppress(TurnedAway):
+        serve([ScriptedTarget(script)], ONCE, gate=gate)
+    assert gate.ends[0] == end
+
+
+def test_a_gate_is_not_told_of_a_failure_if_the_caller_left():
+    gate, target = ReleasedGate(), ScriptedTarget([stream_head(), MUTE])
+    with gevent.Timeout(0.3, False):
+        serve([target], ONCE, gate=gate)
+    assert gate.ends == [(False, False)]
