Engine state: entries place by the current speed of engines

A gate learned an engine's speed from completed runs with a weight of 0.1 each, so a slowdown of 0.6 s was never seen. The agent now reads the report of its own engine, eight times a second over one kept connection and only while asks carry the switch. The progress of the runs between two reports gives the current time per output token, relative to its own mean; completed runs give that per prompt token. GateLoad carries both with their age, and entries that watch a gate are told at once of a notable change. A measurement loses its weight over 0.6 s, so engines come back into use gradually.

Without a report (refused, garbled, slow, endless) a gate goes on as before.

--- a/pistachiopath/engine_state/token_bound.py
+++ b/pistachiopath/engine_state/token_bound.py
@@ -19,20 +19,19 @@
     return ask.prompt_tokens + ask.output_tokens
 
 
-def held_tokens(running: Iterable[Ask], reported: int = 0) -> int:
-    """Return the tokens that the granted runs hold at most.
-
-    `reported` is what the engine says that it holds.  It is more if a gate that has
-    started again does not know all runs.
-    """
-    return max(reported, sum(needed_tokens(ask) for ask in running))
+def granted_tokens(running: Iterable[Ask]) -> int:
+    """Return the tokens that the granted runs hold at most."""
+    return sum(needed_tokens(ask) for ask in running)
 
 
-def fits(ask: Ask, held: int) -> bool:
-    """Return whether a request may run beside those that hold `held` tokens.
+def fits(ask: Ask, granted: int, reported: int = 0) -> bool:
+    """Return whether a request may run beside those that were granted places.
 
-    One that is larger than the bound by itself runs alone.
+    `granted` are the tokens of these.  `reported` is what the engine says that it
+    holds, which is more if a gate that has started again does not know all runs.  A
+    request that is larger than the bound by itself runs alone.
     """
-    if not ask.memory_tokens or not held:
+    bound, needed = MEMORY_SHARE * ask.memory_tokens, needed_tokens(ask)
+    if not ask.memory_tokens or (not granted and needed > bound):
         return True
-    return held + needed_tokens(ask) <= MEMORY_SHARE * ask.memory_tokens
+    return max(granted, reported) + needed <= bound
--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -6,13 +6,14 @@
 
 from ..effects import Send
 from ..engine_state.state import EngineState
-from ..messages.grants import GateLoad, TierLoad
+from ..messages.grants import GateLoad
 from .begun_streams import BegunStreams
 from .denial_cause import DenialCause
 from .gate_log import GateLog
 from .place_queue import PlaceQueue
 from .replies import denied, granted
 from .speed import EngineSpeed
+from .tier_loads import tier_loads
 from .wait_estimate import WaitEstimate
 from .watchers import Watchers
 
@@ -106,7 +107,7 @@
             )
         if place is not None:
             self._streams.released(place.ask, body, now)
-            self.engine.record_release(place.ask, body, now)
+            self.engine.record_release(place, body, now)
         return self._grant_due(now) + self._notify_watchers(now)
 
     def find_streams(
@@ -121,6 +122,10 @@
         self._watchers.watch(entry, body.period_ms, self._load_version, now)
         return [Send(to=entry, call=0, body=self.load(now))]
 
+    def tell_watchers(self, now: float) -> list[Send]:
+        """Send the load to all entries that watch it, also before it is due."""
+        return [self._load_for(name, now) for name in self._watchers.names()]
+
     def entry_lost(self, entry: str, now: float) -> list[Send]:
         """Drop the waiting requests of an unreachable entry.
 
@@ -162,7 +167,7 @@
         load = GateLoad(
             slots=self.slots,
             running=len(self._queue.running),
-            waiting=self._tier_loads(now),
+            waiting=tier_loads(self._queue.waiting.values(), self._work_ms, now),
             free_in_ms=int(self._free_in_ms(now)),
             ms_per_1000_prompt_tokens=int(self.speed.prompt_ms * 1000),
             ms_per_1000_output_tokens=int(self.speed.output_ms * 1000),
@@ -269,22 +274,6 @@
     def _work_ms(self, place: Place) -> float:
         return self.speed.work_ms(place.ask.prompt_tokens, place.ask.output_tokens)
 
-    def _tier_loads(self, now: float) -> tuple[TierLoad, ...]:
-        """Sum the waiting requests by tier.
-
-        Late requests are left out because they rank below the next tier.
-        """
-        sums: dict[int, list[float]] = {}
-        for place in self._queue.waiting.values():
-            if not place.is_late(now):
-                tier_sum = sums.setdefault(place.ask.tier, [0, 0.0])
-                tier_sum[0] += 1
-                tier_sum[1] += self._work_ms(place)
-        return tuple(
-            TierLoad(tier=tier, waiting=int(count), work_ms=int(work_ms))
-            for tier, (count, work_ms) in sorted(sums.items())
-        )
-
     def _load_for(self, entry: str, now: float) -> Send:
         """Return the load for an entry and record that it is up to date."""
         self._watchers.record_sent(entry, self._load_version, now)
--- a/pistachiopath/grants/shell.py
+++ b/pistachiopath/grants/shell.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from ..effects import Send
+    from ..engine_state.report import EngineReport
     from ..messages.base import Message
     from ..telemetry.metrics import Metrics
 
@@ -78,15 +79,23 @@
         self._network.close(drain_s=0.1)
         self._timers.stop()
 
+    def record_report(
+        self, report: EngineReport, requested_at: float, now: float
+    ) -> None:
+        """Record what the engine says of itself; a notable change is sent at once."""
+        if self.gate.engine.record_report(report, requested_at, now):
+            self._network.send_all(self.gate.tell_watchers(now))
+
     def _tick_gate(self, now: float) -> None:
         if self._listening.turn(now):
             self.gate.end_standstill(now)
         self._network.send_all(self.gate.tick(now))
 
-    def _report_load(self, _now: float) -> None:
+    def _report_load(self, now: float) -> None:
         gate = self.gate
         self._metrics.set('gate_running', gate.running)
         self._metrics.set('gate_waiting', gate.waiting)
+        gate.engine.report(gate.load(now), now)
         if gate.waiting:
             logger.info(
                 'gate_load',
--- a/pistachiopath/grants/watchers.py
+++ b/pistachiopath/grants/watchers.py
@@ -49,6 +49,10 @@
         """Remove an entry that is unreachable."""
         self._watchers.pop(name, None)
 
+    def names(self) -> list[str]:
+        """Return the watching entries."""
+        return list(self._watchers)
+
     def due(self, version: int, now: float) -> list[str]:
         """Return the entries to send the load to, and drop expired watches."""
         names = []
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -121,7 +121,9 @@
     averages over successful runs, including those whose prompts were cached.
 
     The fields after them keep their defaults until a gate is asked with
-    `is_final_urgent`.  `failed_per_1000` is the recent share of failed runs.
+    `is_final_urgent`.  `failed_per_1000` is the recent share of failed runs.  The
+    current speeds are measured, and 0 if they are not known; their ages are those at
+    the time when the load is sent.
     """
 
     slots: int
@@ -131,3 +133,7 @@
     ms_per_1000_prompt_tokens: int
     ms_per_1000_output_tokens: int
     failed_per_1000: int = 0
+    current_ms_per_1000_prompt_tokens: int = 0
+    current_ms_per_1000_output_tokens: int = 0
+    prompt_age_ms: int = 0
+    output_age_ms: int = 0
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..engine_state.avoidance import considered
+from ..engine_state.current_work import average_work, current_work
 from ..grants.kept_places import kept_places
 from ..grants.watch import KnownLoad
 from ..messages.directory import ReplicaRecord
@@ -16,11 +17,7 @@
 from .prompt_memory import PromptMemory
 from .prompt_part import PromptPart
 from .replica_health import ReplicaHealth
-from .work_cost import (
-    DEFAULT_OUTPUT_TOKEN_MS,
-    DEFAULT_PROMPT_TOKEN_MS,
-    work_cost,
-)
+from .work_cost import default_work_ms, work_cost
 
 if TYPE_CHECKING:
     import random
@@ -191,7 +188,7 @@
         if record.state != 'ready':
             penalty += NOT_READY_PENALTY_MS
         if candidate.load is not None:
-            return penalty + self._engine_cost(candidate.load, own, need, cached)
+            return penalty + self._engine_cost(candidate.load, own, need, cached, now)
         if candidate.ungated_places:
             others = own.outstanding - is_placed
             work_ms = self._ungated_cost(candidate, need, cached, others)
@@ -216,10 +213,7 @@
         own = self._own_requests.setdefault(replica, OwnRequests())
         own.outstanding += 1
         own.recent = [(at, ms) for at, ms in own.recent if now - at < 1.0]
-        work_ms = (
-            need.prompt_tokens * DEFAULT_PROMPT_TOKEN_MS
-            + need.output_tokens * DEFAULT_OUTPUT_TOKEN_MS
-        )
+        work_ms = default_work_ms(need.prompt_tokens, need.output_tokens)
         own.recent.append((now, work_ms))
 
     def remove_request(self, replica: str) -> None:
@@ -251,18 +245,22 @@
         `others` is how many other requests of this entry are at the candidate.
         """
         uncached = max(0, need.prompt_tokens - cached)
-        work_ms = work_cost(candidate.last_load, uncached, need.output_tokens)
+        speeds = average_work(candidate.last_load)
+        work_ms = work_cost(speeds, uncached, need.output_tokens)
         if candidate.awaits_gate:
             return work_ms
         excess = max(0, others + 1 - candidate.ungated_places)
         return work_ms + excess * UNGATED_WAIT_MS
 
     def _engine_cost(
-        self, known: KnownLoad, own: OwnRequests, need: Need, cached: int
+        self, known: KnownLoad, own: OwnRequests, need: Need, cached: int, now: float
     ) -> float:
-        wait_ms = self._wait_ms(known, own, need)
+        speeds = average_work(known.load)
+        if need.is_final_urgent:
+            speeds = current_work(known.load, now - known.received_at)
+        wait_ms = self._wait_ms(known, own, need) * speeds.slowness
         uncached = max(0, need.prompt_tokens - cached)
-        return wait_ms + work_cost(known.load, uncached, need.output_tokens)
+        return wait_ms + work_cost(speeds, uncached, need.output_tokens)
 
     @staticmethod
     def _wait_ms(known: KnownLoad, own: OwnRequests, need: Need) -> float:
--- a/pistachiopath/routing/work_cost.py
+++ b/pistachiopath/routing/work_cost.py
@@ -4,23 +4,25 @@
 
 from typing import TYPE_CHECKING
 
+from ..engine_state.current_work import DEFAULT_OUTPUT_MS, DEFAULT_PROMPT_MS
+
 if TYPE_CHECKING:
-    from ..messages.grants import GateLoad
+    from ..engine_state.current_work import CurrentWork
 
 # Weight of the engine time in the cost: other requests can't use that time.
 WORK_WEIGHT = 0.3
-DEFAULT_PROMPT_TOKEN_MS = 0.03
-DEFAULT_OUTPUT_TOKEN_MS = 1.0
 
 
-def work_cost(load: GateLoad | None, uncached: int, output_tokens: int) -> float:
-    """Return the cost in ms at the average speeds that the gate reports.
+def default_work_ms(prompt_tokens: int, output_tokens: int) -> float:
+    """Return the engine time in ms at an engine whose speed is not known."""
+    return prompt_tokens * DEFAULT_PROMPT_MS + output_tokens * DEFAULT_OUTPUT_MS
+
+
+def work_cost(speeds: CurrentWork, uncached: int, output_tokens: int) -> float:
+    """Return the cost in ms at the speeds of an engine.
 
     `uncached` is the number of prompt tokens that have to be read.
     """
-    prompt_ms = uncached * DEFAULT_PROMPT_TOKEN_MS
-    output_ms = output_tokens * DEFAULT_OUTPUT_TOKEN_MS
-    if load is not None:
-        prompt_ms = uncached * load.ms_per_1000_prompt_tokens / 1000
-        output_ms = output_tokens * load.ms_per_1000_output_tokens / 1000
+    prompt_ms = uncached * speeds.prompt_ms
+    output_ms = output_tokens * speeds.output_ms
     return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -499,6 +499,10 @@
   msPer1000PromptTokens @4 :Int64;
   msPer1000OutputTokens @5 :Int64;
   failedPer1000 @6 :Int64;
+  currentMsPer1000PromptTokens @7 :Int64;
+  currentMsPer1000OutputTokens @8 :Int64;
+  promptAgeMs @9 :Int64;
+  outputAgeMs @10 :Int64;
 }
 
 struct UseReport {
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -84,7 +84,9 @@
         now = self.net.now
         slots = dict.fromkeys(self.gates, self.slots)
         for entry in self.entries:
-            for send in entry.loads.tick(slots, now):
+            # Watched gates are a set, whose order differs between processes.
+            sends = entry.loads.tick(slots, now)
+            for send in sorted(sends, key=lambda s: s.to):
                 self.send_to_gate(entry, send.to, send.body)
             entry.move_waiting()
         for name, gate in self.gates.items():
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -39,6 +39,7 @@
     'grants/kept_places.py',
     'grants/place.py',
     'grants/place_queue.py',
+    'grants/tier_loads.py',
     'grants/tiers.py',
     'grants/wait_estimate.py',
     'grants/speed.py',
