Engine state: the size of a request counts in the cost of an engine

A prompt delays all runs beside it, so an engine with many runs costs a long prompt more; the weight is that of engine time, and no new one. The output to expect of a waiting request is bounded by four times the usual one of its tier: a maximum that is far off had other requests denied. The memory still counts the maximum in full. Only for services that the switch names.

--- a/pistachiopath/engine_state/state.py
+++ b/pistachiopath/engine_state/state.py
@@ -12,6 +12,7 @@
 from .current_speed import OutputSlowness, PromptSpeed
 from .failure_share import FailureShare
 from .token_bound import fits, granted_tokens, needed_tokens
+from .usual_output import UsualOutput
 
 if TYPE_CHECKING:
     from ..grants.place import Place
@@ -32,6 +33,8 @@
 # Watchers are told at once if the engine's slowness changes by more than this factor.
 NOTABLE_FACTOR = 1.25
 NOTABLE_FAILED_PER_1000 = 50
+# Keeps the quotient finite before a run was measured.
+MIN_OUTPUT_MS = 0.001
 MAX_MS = 10_000_000
 
 
@@ -51,6 +54,7 @@
         self._failures = FailureShare()
         self._outputs = OutputSlowness()
         self._prompts = PromptSpeed()
+        self._usual_output = UsualOutput()
         self._reported_tokens = 0
         self._reported_at = -math.inf
         self._unknown_until = 0.0
@@ -97,14 +101,28 @@
         self._told_slowness = measured.value
         return True
 
-    def record_release(self, place: Place, body: ReleasePlace, now: float) -> None:
-        """Record the end of a run; one that its caller abandoned says nothing."""
+    def expected_output(self, ask: Ask) -> int:
+        """Return the output tokens to expect of a request."""
+        if not ask.is_final_urgent:
+            return ask.output_tokens
+        return self._usual_output.expected(ask.tier, ask.output_tokens)
+
+    def record_release(
+        self, place: Place, body: ReleasePlace, now: float, output_ms: float
+    ) -> None:
+        """Record the end of a run; one that its caller abandoned says nothing.
+
+        `output_ms` is the average time per output token.
+        """
         ask = place.ask
         if not ask.is_final_urgent or not (body.ok or body.is_failure):
             return
         if body.ok:
             first_at = place.granted_at + body.first_ms / 1000
             self._prompts.record(ask.prompt_tokens, body.first_ms, first_at)
+            output_s = max(0.0, now - first_at)
+            tokens = 1000 * output_s / max(MIN_OUTPUT_MS, output_ms)
+            self._usual_output.record(ask.tier, tokens)
         self._failures.record(is_failure=body.is_failure, now=now)
         if body.is_failure:
             self._metrics.count('gate_failed_runs_total')
--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -107,7 +107,7 @@
             )
         if place is not None:
             self._streams.released(place.ask, body, now)
-            self.engine.record_release(place, body, now)
+            self.engine.record_release(place, body, now, self.speed.output_ms)
         return self._grant_due(now) + self._notify_watchers(now)
 
     def find_streams(
@@ -272,7 +272,8 @@
         return max(0.0, min(end_times) - now) * 1000
 
     def _work_ms(self, place: Place) -> float:
-        return self.speed.work_ms(place.ask.prompt_tokens, place.ask.output_tokens)
+        output_tokens = self.engine.expected_output(place.ask)
+        return self.speed.work_ms(place.ask.prompt_tokens, output_tokens)
 
     def _load_for(self, entry: str, now: float) -> Send:
         """Return the load for an entry and record that it is up to date."""
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -255,12 +255,14 @@
     def _engine_cost(
         self, known: KnownLoad, own: OwnRequests, need: Need, cached: int, now: float
     ) -> float:
-        speeds = average_work(known.load)
+        load, beside = known.load, 0.0
+        speeds = average_work(load)
         if need.is_final_urgent:
-            speeds = current_work(known.load, now - known.received_at)
+            speeds = current_work(load, now - known.received_at)
+            beside = min(1.0, load.running / max(1, load.slots))
         wait_ms = self._wait_ms(known, own, need) * speeds.slowness
         uncached = max(0, need.prompt_tokens - cached)
-        return wait_ms + work_cost(speeds, uncached, need.output_tokens)
+        return wait_ms + work_cost(speeds, uncached, need.output_tokens, beside)
 
     @staticmethod
     def _wait_ms(known: KnownLoad, own: OwnRequests, need: Need) -> float:
--- a/pistachiopath/routing/work_cost.py
+++ b/pistachiopath/routing/work_cost.py
@@ -18,11 +18,15 @@
     return prompt_tokens * DEFAULT_PROMPT_MS + output_tokens * DEFAULT_OUTPUT_MS
 
 
-def work_cost(speeds: CurrentWork, uncached: int, output_tokens: int) -> float:
+def work_cost(
+    speeds: CurrentWork, uncached: int, output_tokens: int, beside: float = 0.0
+) -> float:
     """Return the cost in ms at the speeds of an engine.
 
-    `uncached` is the number of prompt tokens that have to be read.
+    `uncached` is the number of prompt tokens that have to be read.  `beside` is the
+    share of the engine's places with runs, all of which the prompt delays.
     """
     prompt_ms = uncached * speeds.prompt_ms
     output_ms = output_tokens * speeds.output_ms
-    return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
+    delay_ms = beside * prompt_ms
+    return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms + delay_ms)
