--- a/pistachiopath/engine_state/state.py
+++ b/pistachiopath/engine_state/state.py
@@ -32,6 +32,8 @@
 UNKNOWN_RUNS_S = 15.0
 # Watchers are told at once if the engine's slowness changes by more than this factor.
 NOTABLE_FACTOR = 1.25
+# Bounds the messages to watchers if measurements scatter, as with few runs.
+MIN_TELL_INTERVAL_S = 0.2
 NOTABLE_FAILED_PER_1000 = 50
 # Keeps the quotient finite before a run was measured.
 MIN_OUTPUT_MS = 0.001
@@ -59,6 +61,7 @@
         self._reported_at = -math.inf
         self._unknown_until = 0.0
         self._told_slowness = 1.0
+        self._told_at = -math.inf
 
     def admits(self, queue: PlaceQueue, key: tuple[str, str], now: float) -> bool:
         """Return whether the engine's memory has room for the next request."""
@@ -96,9 +99,10 @@
         if measured is None:
             return False
         change = measured.value / self._told_slowness
-        if 1 / NOTABLE_FACTOR < change < NOTABLE_FACTOR:
+        is_notable = not 1 / NOTABLE_FACTOR < change < NOTABLE_FACTOR
+        if not is_notable or now - self._told_at < MIN_TELL_INTERVAL_S:
             return False
-        self._told_slowness = measured.value
+        self._told_slowness, self._told_at = measured.value, now
         return True
 
     def expected_output(self, ask: Ask) -> int:
--- a/tests/test_engine_state/test_current_speed.py
+++ b/tests/test_engine_state/test_current_speed.py
@@ -12,7 +12,11 @@
 )
 from pistachiopath.engine_state.current_work import VALID_S, current_work
 from pistachiopath.engine_state.report import EngineReport, RunProgress
-from pistachiopath.engine_state.state import MAX_ROUND_TRIP_S, EngineState
+from pistachiopath.engine_state.state import (
+    MAX_ROUND_TRIP_S,
+    MIN_TELL_INTERVAL_S,
+    EngineState,
+)
 from pistachiopath.grants.gate import GrantGate
 from pistachiopath.messages.grants import GateLoad, ReleasePlace, WatchLoad
 from tests.test_grants.asks import ask, granted
@@ -192,6 +196,16 @@
     assert sent.output_age_ms == pytest.approx(75, abs=2)
 
 
+def test_measurements_that_scatter_do_not_flood_the_watchers():
+    gate = Gate()
+    gate.engine.warm_up()
+    started_at = gate.engine.now
+    for number in range(200):
+        gate.engine.step(USUAL_MS * (1 if number % 2 else 3), elapsed_s=0.08)
+    elapsed_s = gate.engine.now - started_at
+    assert 2 <= len(gate.told) <= elapsed_s / MIN_TELL_INTERVAL_S + 1
+
+
 def test_without_the_switch_a_load_has_no_measurements():
     gate = Gate(switch=False)
     gate.engine.warm_up().step(2.5 * USUAL_MS)
