--- a/tests/test_engine_state/test_failures.py
+++ b/tests/test_engine_state/test_failures.py
@@ -64,6 +64,13 @@
     assert gate.load(4.0).failed_per_1000 == 0
 
 
+def test_runs_that_callers_abandoned_do_not_hide_failures():
+    gate = GrantGate()
+    for number in range(80):
+        run(gate, f'r{number}', 0.05 * number, ok=False, is_failure=number % 4 == 0)
+    assert gate.load(4.0).failed_per_1000 > 500
+
+
 def test_without_the_switch_nothing_is_reported():
     gate = GrantGate()
     for number in range(40):
--- a/tests/test_platform/test_engine_reader.py
+++ b/tests/test_platform/test_engine_reader.py
@@ -97,7 +97,7 @@
         ([response(b'[' * 100_000)], 'garbled'),
         ([b'\x00\x01\r\n\r\n'], 'Garbled'),
         ([MUTE], 'timeout'),
-        ([response(b' ' * (MAX_REPORT_BYTES + 1))], 'garbled'),
+        ([response(b'{}' + b' ' * MAX_REPORT_BYTES)], 'garbled'),
         ([good()[:-3], CLOSE], 'BrokenOff'),
     ],
     ids=[
--- a/tests/test_relay/test_placer.py
+++ b/tests/test_relay/test_placer.py
@@ -62,11 +62,13 @@
         self.denying = denying
         self.asked = []
         self.patience_ms = []
+        self.memory_tokens = []
         self.moved = False
 
     def acquire(self, gate, ask, should_move):
         self.asked.append(gate)
         self.patience_ms.append(ask.patience_ms)
+        self.memory_tokens.append(ask.memory_tokens)
         if gate in self.denying:
             raise PlaceDenied(retry_after_s=0.5)
         self.moved = should_move()
@@ -265,3 +267,21 @@
     there.send(b'x')
     time.sleep(NO_TARGET_WAIT_SHARE * work.admitted.route.objective_s)
     assert choosing.get(timeout=5.0).record.replica == 'r1'
+
+
+@pytest.mark.parametrize(
+    ('switch', 'share', 'asked'),
+    [(True, 1.0, 200_000), (True, 0.25, 50_000), (False, 1.0, 0)],
+)
+def test_a_gate_is_asked_with_its_part_of_the_memory(switch, share, asked):
+    # An entry's own gate would otherwise grant an engine's whole memory, and so would
+    # the own gates of all other entries.
+    found = attrs.evolve(candidate('r1', running=0), memory_share=share)
+    gates = Gates()
+    work = stream_work(time.monotonic(), tier=1, timeout_s=6.0)
+    work.admitted = attrs.evolve(
+        work.admitted, is_final_urgent=switch, memory_tokens=200_000
+    )
+    placer_for([found], gates).acquire(work, found)
+    assert gates.memory_tokens == [asked]
+    assert work.need.is_final_urgent == switch
