Merge engine state: gates measure what their engine can do now, entries choose by it

Token bound, failed runs, current speed from the engine's own report and the size of a request, for services whose most urgent streams can be sent only once.

--- a/pistachiopath/grants/gate.py
+++ b/pistachiopath/grants/gate.py
@@ -5,13 +5,15 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
-from ..messages.grants import GateLoad, TierLoad
+from ..engine_state.state import EngineState
+from ..messages.grants import GateLoad
 from .begun_streams import BegunStreams
 from .denial_cause import DenialCause
 from .gate_log import GateLog
 from .place_queue import PlaceQueue
 from .replies import denied, granted
 from .speed import EngineSpeed
+from .tier_loads import tier_loads
 from .wait_estimate import WaitEstimate, wait_by_rate_ms
 from .watchers import Watchers
 
@@ -39,8 +41,11 @@
     Methods return effects; `now` is a monotonic clock in seconds.
     """
 
-    def __init__(self, *, log: GateLog | None = None) -> None:
+    def __init__(
+        self, *, log: GateLog | None = None, engine: EngineState | None = None
+    ) -> None:
         self._log = log or GateLog()
+        self.engine = engine or EngineState()
         self.speed = EngineSpeed()
         self._queue = PlaceQueue(work_ms=self._work_ms)
         self._watchers = Watchers()
@@ -99,6 +104,7 @@
             )
         if place is not None:
             self._streams.released(place.ask, body, now)
+            self.engine.record_release(place, body, now, self.speed.output_ms)
         return self._grant_due(now) + self._notify_watchers(now)
 
     def find_streams(
@@ -113,6 +119,10 @@
         self._watchers.watch(entry, body.period_ms, self._load_version, now)
         return [Send(to=entry, call=0, body=self.load(now))]
 
+    def tell_watchers(self, now: float) -> list[Send]:
+        """Send the load to all entries that watch it, also before it is due."""
+        return [self._load_for(name, now) for name in self._watchers.names()]
+
     def entry_lost(self, entry: str, now: float) -> list[Send]:
         """Drop the waiting requests of an unreachable entry.
 
@@ -146,20 +156,20 @@
     def tick(self, now: float) -> list[Send]:
         """Run periodic work: expiry, places of lost entries, load reports."""
         effects = self._deny_infeasible(now)
-        lost_until = now - LOST_ENTRY_HOLD_S
-        self._load_version += self._queue.free_ended(now, lost_until)
+        self._load_version += self._queue.free_ended(now, now - LOST_ENTRY_HOLD_S)
         return effects + self._grant_due(now) + self._notify_watchers(now)
 
     def load(self, now: float) -> GateLoad:
         """Return the load as it is reported to entries."""
-        return GateLoad(
+        load = GateLoad(
             slots=self.slots,
             running=len(self._queue.running),
-            waiting=self._tier_loads(now),
+            waiting=tier_loads(self._queue.waiting.values(), self._work_ms, now),
             free_in_ms=int(self._free_in_ms(now)),
             ms_per_1000_prompt_tokens=int(self.speed.prompt_ms * 1000),
             ms_per_1000_output_tokens=int(self.speed.output_ms * 1000),
         )
+        return self.engine.extend(load, now)
 
     def _deny_infeasible(self, now: float) -> list[Send]:
         """Deny waiting requests that have expired or can no longer be in time.
@@ -217,7 +227,7 @@
         queue = self._queue
         while True:
             key = queue.next_to_run(now)
-            if key is None:
+            if key is None or not self.engine.admits(queue, key, now):
                 return effects
             place = queue.waiting.pop(key)
             by_turn = queue.tiers.has_turn(place.ask.tier)
@@ -262,23 +272,8 @@
         return max(0.0, min(end_times, default=now) - now) * 1000
 
     def _work_ms(self, place: Place) -> float:
-        return self.speed.work_ms(place.ask.prompt_tokens, place.ask.output_tokens)
-
-    def _tier_loads(self, now: float) -> tuple[TierLoad, ...]:
-        """Sum the waiting requests by tier.
-
-        Late requests are left out because they rank below the next tier.
-        """
-        sums: dict[int, list[float]] = {}
-        for place in self._queue.waiting.values():
-            if not place.is_late(now):
-                tier_sum = sums.setdefault(place.ask.tier, [0, 0.0])
-                tier_sum[0] += 1
-                tier_sum[1] += self._work_ms(place)
-        return tuple(
-            TierLoad(tier=tier, waiting=int(count), work_ms=int(work_ms))
-            for tier, (count, work_ms) in sorted(sums.items())
-        )
+        output_tokens = self.engine.expected_output(place.ask)
+        return self.speed.work_ms(place.ask.prompt_tokens, output_tokens)
 
     def _load_for(self, entry: str, now: float) -> Send:
         """Return the load for an entry and record that it is up to date."""
--- a/pistachiopath/routing/placement.py
+++ b/pistachiopath/routing/placement.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 
+from ..engine_state.avoidance import considered
+from ..engine_state.current_work import average_work, current_work
 from ..grants.kept_places import kept_places
 from ..grants.watch import KnownLoad
 from ..messages.directory import ReplicaRecord
 from ..messages.grants import GateLoad
+from .own_requests import OwnRequests
 from .prompt_memory import PromptMemory
 from .prompt_part import PromptPart
 from .replica_health import ReplicaHealth
+from .work_cost import default_work_ms, work_cost
 
 if TYPE_CHECKING:
     import random
@@ -24,15 +29,11 @@
 SILENT_PENALTY_MS = 1500.0
 NOT_READY_PENALTY_MS = 60_000.0
 UNKNOWN_LOAD_MS = 30.0
-# Weight of the engine time in the cost: other requests can't use that time.
-WORK_WEIGHT = 0.3
 # Costs this close to the lowest count as equal, so that entries that see the
 # same loads do not all choose the same replica.
 NEAR_COST_MS = 30.0
 # The same if no load is known, as for services without an engine.
 PLAIN_NEAR_COST_MS = 2.0
-DEFAULT_PROMPT_TOKEN_MS = 0.03
-DEFAULT_OUTPUT_TOKEN_MS = 1.0
 # Time of a request at a replica without an engine.
 PLAIN_REQUEST_MS = 50.0
 # Wait for each request of this entry beyond its share of an engine without a gate.
@@ -49,6 +50,8 @@
     are 0 for a target without an engine.  `awaits_gate` is set while a
     gate that is not known to be unreachable may still answer.  `last_load` is
     the last reported load at any age, and is used for the engine's speed.
+    `memory_share` is the part of one engine's memory, or of several, for which
+    places may be granted.
     """
 
     record: ReplicaRecord
@@ -58,6 +61,16 @@
     shared_places: int = 0
     awaits_gate: bool = False
     last_load: GateLoad | None = None
+    memory_share: float = 1.0
+
+    def memory_tokens(self, engine_tokens: int) -> int:
+        """Return the bound on tokens; each engine holds up to `engine_tokens`."""
+        return math.ceil(engine_tokens * self.memory_share)
+
+    @property
+    def failure_share(self) -> float | None:
+        """Recent share of failed runs, None if it is not known."""
+        return self.load.load.failed_per_1000 / 1000 if self.load else None
 
     @property
     def is_gated(self) -> bool:
@@ -72,24 +85,17 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class Need:
-    """The tier, token counts and prompt parts of a request to be placed."""
+    """The tier, token counts and prompt parts of a request to be placed.
+
+    `is_final_urgent` states that measurements of the engines count: the most urgent
+    streams of the service can be sent only once.
+    """
 
     tier: int
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
-
-
-@attrs.define(kw_only=True)
-class _OwnRequests:
-    """Requests of this entry at a replica.
-
-    `recent` holds the time and estimated engine time in ms of those that load
-    reports may not show yet.
-    """
-
-    outstanding: int = 0
-    recent: list[tuple[float, float]] = attrs.field(factory=list)
+    is_final_urgent: bool = False
 
 
 class Placement:
@@ -114,7 +120,7 @@
         self.memory = PromptMemory()
         self._zone = zone
         self._rng = rng
-        self._own_requests: dict[str, _OwnRequests] = {}
+        self._own_requests: dict[str, OwnRequests] = {}
 
     def choose(
         self, candidates: list[Candidate], need: Need, now: float
@@ -127,6 +133,9 @@
             c for c in candidates if not self.health.is_down(c.record.replica, now)
         ]
         candidates = reachable or candidates
+        if need.is_final_urgent:
+            shares = [c.failure_share for c in candidates]
+            candidates = considered(candidates, shares, self._rng)
         if not candidates:
             return None
         cached = self._cached_tokens(candidates, need, now)
@@ -179,7 +188,7 @@
         if record.state != 'ready':
             penalty += NOT_READY_PENALTY_MS
         if candidate.load is not None:
-            return penalty + self._engine_cost(candidate.load, own, need, cached)
+            return penalty + self._engine_cost(candidate.load, own, need, cached, now)
         if candidate.ungated_places:
             others = own.outstanding - is_placed
             work_ms = self._ungated_cost(candidate, need, cached, others)
@@ -201,13 +210,10 @@
 
     def add_request(self, replica: str, need: Need, now: float) -> None:
         """Record that a request is placed at a replica."""
-        own = self._own_requests.setdefault(replica, _OwnRequests())
+        own = self._own_requests.setdefault(replica, OwnRequests())
         own.outstanding += 1
         own.recent = [(at, ms) for at, ms in own.recent if now - at < 1.0]
-        work_ms = (
-            need.prompt_tokens * DEFAULT_PROMPT_TOKEN_MS
-            + need.output_tokens * DEFAULT_OUTPUT_TOKEN_MS
-        )
+        work_ms = default_work_ms(need.prompt_tokens, need.output_tokens)
         own.recent.append((now, work_ms))
 
     def remove_request(self, replica: str) -> None:
@@ -228,8 +234,8 @@
             del self._own_requests[name]
             self.memory.forget(name)
 
-    def _own_requests_at(self, candidate: Candidate) -> _OwnRequests:
-        return self._own_requests.get(candidate.record.replica) or _OwnRequests()
+    def _own_requests_at(self, candidate: Candidate) -> OwnRequests:
+        return self._own_requests.get(candidate.record.replica) or OwnRequests()
 
     def _ungated_cost(
         self, candidate: Candidate, need: Need, cached: int, others: int
@@ -238,31 +244,28 @@
 
         `others` is how many other requests of this entry are at the candidate.
         """
-        work_ms = self._work_cost(candidate.last_load, need, cached)
+        uncached = max(0, need.prompt_tokens - cached)
+        speeds = average_work(candidate.last_load)
+        work_ms = work_cost(speeds, uncached, need.output_tokens)
         if candidate.awaits_gate:
             return work_ms
         excess = max(0, others + 1 - candidate.ungated_places)
         return work_ms + excess * UNGATED_WAIT_MS
 
     def _engine_cost(
-        self, known: KnownLoad, own: _OwnRequests, need: Need, cached: int
+        self, known: KnownLoad, own: OwnRequests, need: Need, cached: int, now: float
     ) -> float:
-        wait_ms = self._wait_ms(known, own, need)
-        return wait_ms + self._work_cost(known.load, need, cached)
-
-    @staticmethod
-    def _work_cost(load: GateLoad | None, need: Need, cached: int) -> float:
-        """Estimate the cost of the work at the speeds that the gate reports."""
+        load, beside = known.load, 0.0
+        speeds = average_work(load)
+        if need.is_final_urgent:
+            speeds = current_work(load, now - known.received_at)
+            beside = min(1.0, load.running / max(1, load.slots))
+        wait_ms = self._wait_ms(known, own, need) * speeds.slowness
         uncached = max(0, need.prompt_tokens - cached)
-        prompt_ms = uncached * DEFAULT_PROMPT_TOKEN_MS
-        output_ms = need.output_tokens * DEFAULT_OUTPUT_TOKEN_MS
-        if load is not None:
-            prompt_ms = uncached * load.ms_per_1000_prompt_tokens / 1000
-            output_ms = need.output_tokens * load.ms_per_1000_output_tokens / 1000
-        return prompt_ms + WORK_WEIGHT * (prompt_ms + output_ms)
+        return wait_ms + work_cost(speeds, uncached, need.output_tokens, beside)
 
     @staticmethod
-    def _wait_ms(known: KnownLoad, own: _OwnRequests, need: Need) -> float:
+    def _wait_ms(known: KnownLoad, own: OwnRequests, need: Need) -> float:
         """Estimate the wait for a place behind requests that are served first."""
         load = known.load
         unreported = [ms for at, ms in own.recent if at > known.received_at]
--- a/tests/harness/gates_world.py
+++ b/tests/harness/gates_world.py
@@ -84,8 +84,9 @@
         now = self.net.now
         slots = dict.fromkeys(self.gates, self.slots)
         for entry in self.entries:
-            # Sorted, as the watched gates are a set: plays of a seed are alike.
-            for send in sorted(entry.loads.tick(slots, now), key=lambda s: s.to):
+            # Watched gates are a set, whose order differs between processes.
+            sends = entry.loads.tick(slots, now)
+            for send in sorted(sends, key=lambda s: s.to):
                 self.send_to_gate(entry, send.to, send.body)
             entry.move_waiting()
         for name, gate in self.gates.items():
