--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -54,8 +54,8 @@
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
     raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
-    whether a replica was heard of at its present lifetime just now.  `await_replica`
-    waits for the first replica of a service after a start.
+    whether a replica was heard of at its present lifetime just now.
+    `await_replica` waits after a start for the first replica of a service.
     """
 
     def __init__(
