Messages: rollouts of a software version

Orders, records, totals of entries, and a field appended to News. The types that News needs stand alone, so that a start creates no other classes.

--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .base import Message, independent_items, message
+from .rollouts import RolloutNotice
 
 # A lifetime that has not announced itself to a node for this long is over.
 UNHEARD_MS = 1_000_000_000
@@ -80,7 +81,8 @@
     announcement recently.  The sender's directory goes back for `directory_age_ms`.
     `records` holds all changes from `first_change` to `change`, both inclusive; it is
     0 from older nodes, which do not say where their news begin.  `heard` tells what
-    is known of the replicas that the follower asked for.
+    is known of the replicas that the follower asked for, and `rollouts` are those in
+    force, active or not.
     """
 
     feed: int
@@ -94,6 +96,7 @@
     directory_age_ms: int = 0
     first_change: int = 0
     heard: tuple[HeardLifetime, ...] = independent_items(factory=tuple)
+    rollouts: tuple[RolloutNotice, ...] = independent_items(factory=tuple)
 
 
 @message
--- a/pistachiopath/messages/registry.py
+++ b/pistachiopath/messages/registry.py
@@ -89,6 +89,18 @@
     'messages.streams.StreamOrigins',
     'messages.replication.AppendPart',
     'messages.replication.AppendPartReply',
+    'messages.rollouts.PastOrder',
+    'messages.rollouts.RolloutRecord',
+    'messages.rollout_orders.OrderRollout',
+    'messages.rollout_orders.AdvanceRollout',
+    'messages.rollout_orders.ReadRollout',
+    'messages.rollout_orders.RolloutReply',
+    'messages.rollouts.RolloutNotice',
+    'messages.rollout_totals.TimeSums',
+    'messages.rollout_totals.VersionTotals',
+    'messages.rollout_totals.OrderTotals',
+    'messages.rollout_totals.RolloutTotals',
+    'messages.rollout_orders.DocumentSnapshot',
 )
 
 
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -420,6 +420,7 @@
   directoryAgeMs @8 :Int64;
   firstChange @9 :Int64;
   heard @10 :List(HeardLifetime);
+  rollouts @11 :List(RolloutNotice);
 }
 
 struct Announcements {
@@ -557,6 +558,98 @@
   offset @4 :Int64;
 }
 
+struct PastOrder {
+  to @0 :Text;
+  order @1 :Int64;
+  ageMs @2 :Int64;
+}
+
+struct RolloutRecord {
+  service @0 :Text;
+  to @1 :Text;
+  order @2 :Int64;
+  serial @3 :Int64;
+  durationMs @4 :Int64;
+  elapsedMs @5 :Int64;
+  state @6 :Text;
+  stage @7 :Text;
+  sharePpm @8 :Int64;
+  stageMs @9 :Int64;
+  stepMs @10 :Int64;
+  fullMs @11 :Int64;
+  earlier @12 :List(Text);
+  barred @13 :List(Text);
+  sentNew @14 :Int64;
+  sentAll @15 :Int64;
+  reason @16 :Text;
+  past @17 :List(PastOrder);
+}
+
+struct OrderRollout {
+  service @0 :Text;
+  to @1 :Text;
+  durationMs @2 :Int64;
+  serving @3 :List(Text);
+  knownOrder @4 :Int64;
+  knownAgeMs @5 :Int64;
+  expiredOrder @6 :Int64;
+}
+
+struct AdvanceRollout {
+  expected @0 :Int64;
+  record @1 :RolloutRecord;
+}
+
+struct ReadRollout {
+  service @0 :Text;
+}
+
+struct RolloutReply {
+  isRefused @0 :Bool;
+  records @1 :List(RolloutRecord);
+}
+
+struct RolloutNotice {
+  record @0 :RolloutRecord;
+  ageMs @1 :Int64;
+}
+
+struct TimeSums {
+  kind @0 :Text;
+  size @1 :Int64;
+  number @2 :Int64;
+  logSum @3 :Int64;
+  logSquares @4 :Int64;
+}
+
+struct VersionTotals {
+  version @0 :Text;
+  route @1 :Text;
+  sent @2 :Int64;
+  ended @3 :Int64;
+  answered @4 :Int64;
+  failed @5 :Int64;
+  times @6 :List(TimeSums);
+}
+
+struct OrderTotals {
+  service @0 :Text;
+  order @1 :Int64;
+  versions @2 :List(VersionTotals);
+}
+
+struct RolloutTotals {
+  session @0 :Int64;
+  orders @1 :List(OrderTotals);
+  entry @2 :Text;
+}
+
+struct DocumentSnapshot {
+  version @0 :Int64;
+  content @1 :Data;
+  rollouts @2 :List(RolloutRecord);
+}
+
 struct OutcomeRecord {
   kind @0 :Text;
   reason @1 :Text;
@@ -757,5 +850,17 @@
     streamOrigins @76 :StreamOrigins;
     appendPart @77 :AppendPart;
     appendPartReply @78 :AppendPartReply;
+    pastOrder @79 :PastOrder;
+    rolloutRecord @80 :RolloutRecord;
+    orderRollout @81 :OrderRollout;
+    advanceRollout @82 :AdvanceRollout;
+    readRollout @83 :ReadRollout;
+    rolloutReply @84 :RolloutReply;
+    rolloutNotice @85 :RolloutNotice;
+    timeSums @86 :TimeSums;
+    versionTotals @87 :VersionTotals;
+    orderTotals @88 :OrderTotals;
+    rolloutTotals @89 :RolloutTotals;
+    documentSnapshot @90 :DocumentSnapshot;
   }
 }
