--- /dev/null
+++ b/pistachiopath/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of a software version: decisions without I/O."""
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -19,6 +19,7 @@
     'messages',
     'quarantine',
     'replication',
+    'rollouts',
     'routes',
     'routing',
     'streams',
