--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -18,7 +18,10 @@
 from .heard_lifetimes import HeardLifetimes
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..messages.directory import Follow, ReplicaRecord
+    from ..messages.rollouts import RolloutNotice
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +68,8 @@
         self._last_announced_at: dict[str, float] = {}
         self._heard = HeardLifetimes()
         self._listening = ListeningSpan(standstill_s=STANDSTILL_S, since=now)
+        # Set where rollouts are in force.
+        self.rollouts: Callable[[float], tuple[RolloutNotice, ...]] = lambda now: ()
 
     def controls(self, now: float) -> tuple[str, ...]:
         """Return the control nodes seen within `CONTROL_RETENTION_S`.
@@ -148,6 +153,10 @@
         self.content = content
         return self._push(now)
 
+    def push(self, now: float) -> list[Send]:
+        """Send the followers what is in force now."""
+        return self._push(now)
+
     def follow(
         self, sender: str, body: Follow, now: float, *, call: int = 0
     ) -> list[Send]:
@@ -299,6 +308,7 @@
             silent=self.silent(now),
             directory_age_ms=int(self._directory_age_s(now) * 1000),
             first_change=follower.since + 1,
+            rollouts=self.rollouts(now),
         )
         follower.since = self.directory.change
         return Send(to=name, call=0, body=news)
--- a/pistachiopath/document/operator_requests.py
+++ b/pistachiopath/document/operator_requests.py
@@ -9,6 +9,7 @@
 import gevent.event
 
 from ..messages.document import DocumentReply, PutDocument, PutReply, ReadDocument
+from ..messages.rollout_orders import OrderRollout, ReadRollout
 from .packing import pack, unpack
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
     from ..directory.announcer import Announcer
     from ..effects import Send
     from ..messages.base import Message
+    from ..messages.rollout_orders import RolloutReply
     from .client import DocumentClient
 
 SPREAD_POLL_INTERVAL_S = 0.01
@@ -66,6 +68,19 @@
             return None
         return DocumentReply(version=reply.version, content=unpack(reply.content))
 
+    def order_rollout(
+        self, order: OrderRollout, timeout_s: float
+    ) -> RolloutReply | None:
+        """Order a rollout; return None if there is no reply in time.
+
+        It may still be accepted then.
+        """
+        return self._ask(order, timeout_s)
+
+    def read_rollout(self, service: str, timeout_s: float) -> RolloutReply | None:
+        """Return a service's newest record, or None if there is no reply in time."""
+        return self._ask(ReadRollout(service=service), timeout_s)
+
     def handle_reply(self, call: int, body: Message, now: float) -> None:
         """Pass a reply of the leader to the operator's request that it answers."""
         if not self._client.complete(call, body, now):
@@ -82,7 +97,9 @@
         """Resend the requests without a reply that are due."""
         self._send_all(self._client.due(now))
 
-    def _ask(self, body: Message, timeout_s: float) -> PutReply | DocumentReply | None:
+    def _ask(
+        self, body: Message, timeout_s: float
+    ) -> PutReply | DocumentReply | RolloutReply | None:
         call = self._client.ask(body)
         result = gevent.event.AsyncResult()
         self._results[call] = result
--- a/pistachiopath/document/settings.py
+++ b/pistachiopath/document/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..rollouts.bounds import RolloutBounds
+
 
 @attrs.define(kw_only=True, frozen=True)
 class DocumentSettings:
@@ -16,7 +18,8 @@
     2 * `tolerated_losses` + 1 voters; a `diskless` node is none of them.  A
     replica that announces nothing for `silent_after_s` seconds is reported as
     silent.  All entries together may exceed a customer's allowance by the
-    fraction `allowance_overage` of it and by `allowance_slack_tokens`.
+    fraction `allowance_overage` of it and by `allowance_slack_tokens`.  Rollouts are
+    possible only with `rollouts`.
     """
 
     node_address: str
@@ -28,3 +31,4 @@
     listen_address: str = ''
     allowance_overage: float = 0.0
     allowance_slack_tokens: float = 0.0
+    rollouts: RolloutBounds | None = None
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -15,6 +15,8 @@
 from ..messages.grants import WatchLoad
 from ..messages.quarantine import CrashMarks
 from ..messages.replication import NotLeader
+from ..messages.rollout_orders import RolloutReply
+from ..messages.rollout_totals import RolloutTotals
 from ..quarantine.crash_watch import CrashWatch
 from ..replication.group import Group
 from ..transport.handshake import ROLE_NODE, Identity
@@ -28,6 +30,7 @@
 from .noted_streams import NotedStreams
 from .operator_requests import OperatorRequests
 from .packing import unpack
+from .rollout_control import RolloutControl
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
 
@@ -42,6 +45,7 @@
     from ..storage.memory_folder import MemoryFolder
     from ..storage.no_record_file import NoRecordFile
     from ..storage.record_file import RecordFile
+    from ..telemetry.metrics import Metrics
     from ..util.loop_failures import LoopFailures
     from .settings import DocumentSettings
 
@@ -67,6 +71,7 @@
         rng: random.Random,
         secret: bytes,
         failures: LoopFailures,
+        metrics: Metrics | None = None,
     ) -> None:
         now = time.monotonic()
         self._cfg = cfg
@@ -118,6 +123,13 @@
             announcer=self.announcer,
             send_all=self._network.send_all,
         )
+        self._rollouts = RolloutControl(
+            bounds=cfg.rollouts,
+            core=lambda: self.core,
+            announcer=self.announcer,
+            propose=lambda change: self._loop.post(cfg.node_address, 0, change),
+            metrics=metrics,
+        )
         self._adopted_version = 0
         self._turns = TurnClock()
         self._timers = PeriodicLoop(
@@ -135,6 +147,7 @@
                 LoopPart(name='reports', run=self._report_to_lenders),
                 LoopPart(name='marks', run=self._resend_marks),
                 LoopPart(name='replicas', run=self._replicas.save),
+                LoopPart(name='rollouts', run=self._direct_rollouts),
             ],
             failures=failures,
         )
@@ -157,7 +170,7 @@
             voters=2 * cfg.tolerated_losses + 1,
             diskless=cfg.diskless,
         )
-        self.core = DocumentCore(group=group)
+        self.core = DocumentCore(group=group, rollouts=cfg.rollouts)
         return self.core, folder
 
     def start(self) -> None:
@@ -219,7 +232,9 @@
                 self._handle_streams(sender, call, body, now)
             case News():
                 self._on_news(sender, body, now)
-            case PutReply() | DocumentReply() | NotLeader():
+            case RolloutTotals():
+                self._network.send_all(self._rollouts.on_totals(sender, body, now))
+            case PutReply() | DocumentReply() | RolloutReply() | NotLeader():
                 self.requests.handle_reply(call, body, now)
             case _:
                 self._loop.post(sender, call, body)
@@ -279,6 +294,9 @@
     def _resend_marks(self, now: float) -> None:
         self._network.send_all(self._lending.resend_marks(now))
 
+    def _direct_rollouts(self, now: float) -> None:
+        self._network.send_all(self._rollouts.tick(now))
+
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
         self.announcer.link_lost(peer)
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -19,6 +19,7 @@
     from ..exchange.request import HttpRequest
     from ..exchange.server_connection import ServerConnection
     from ..telemetry.metrics import Metrics
+    from .rollout_api import RolloutApi
 
 logger = logging.getLogger(__name__)
 
@@ -33,11 +34,18 @@
 
 
 class ControlApi:
-    """Handles configuration and replica requests."""
-
-    def __init__(self, *, shell: DocumentShell, metrics: Metrics) -> None:
+    """Handles configuration and replica requests, and those of `rollouts`, if any."""
+
+    def __init__(
+        self,
+        *,
+        shell: DocumentShell,
+        metrics: Metrics,
+        rollouts: RolloutApi | None = None,
+    ) -> None:
         self._shell = shell
         self._metrics = metrics
+        self._rollouts = rollouts
 
     def handle(self, conn: ServerConnection, req: HttpRequest) -> None:
         """Answer one request and record its metrics."""
@@ -58,6 +66,8 @@
             return 405, EMPTY_BODY
         if path.startswith(names.REPLICAS_PATH):
             return self._answer_replica(req, path.removeprefix(names.REPLICAS_PATH))
+        if self._rollouts is not None and path.startswith(names.ROLLOUTS_PATH):
+            return self._rollouts.answer(req)
         return 404, EMPTY_BODY
 
     def _put_configuration(self, req: HttpRequest) -> tuple[int, bytes]:
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -23,6 +23,7 @@
 from ..util.program import EXIT_FAILED
 from .control_api import ControlApi
 from .decoded_accounts import DecodedAccounts
+from .rollout_api import RolloutApi
 
 if TYPE_CHECKING:
     from ..telemetry.metrics import Metrics
@@ -48,6 +49,7 @@
     def __init__(self, cfg: PlatformSettings, metrics: Metrics) -> None:
         folder = Path(cfg.data_folder)
         has_disk = bool(cfg.data_folder)
+        has_rollouts = cfg.rollouts is not None
         try:
             self._shell = DocumentShell(
                 cfg=DocumentSettings(
@@ -60,6 +62,7 @@
                     silent_after_s=SILENT_AFTER_PERIODS * cfg.announce_ms / 1000,
                     allowance_overage=cfg.allowance_overage,
                     allowance_slack_tokens=cfg.allowance_slack_tokens,
+                    rollouts=cfg.rollouts,
                 ),
                 open_folder=lambda: (
                     DataFolder(path=folder) if has_disk else MemoryFolder()
@@ -71,11 +74,15 @@
                 rng=random.Random(os.urandom(8)),
                 secret=LINK_SECRET,
                 failures=LoopFailures(metrics=metrics),
+                metrics=metrics,
             )
         except (StorageFailed, CorruptFile) as exc:
             logger.critical('data_folder_unusable', extra={'error': repr(exc)})
             raise SystemExit(EXIT_FAILED) from exc
-        api = ControlApi(shell=self._shell, metrics=metrics)
+        rollouts = (
+            RolloutApi(shell=self._shell, metrics=metrics) if has_rollouts else None
+        )
+        api = ControlApi(shell=self._shell, metrics=metrics, rollouts=rollouts)
         self._server = HttpServer(
             address=cfg.control,
             handle=api.handle,
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -6,6 +6,7 @@
 
 from ..admission.retry_budget import RetryBudgetLimits
 from ..configuration.value_types import MAX_PORT, Address, OptionalAddress
+from ..rollouts.bounds import RolloutBounds
 
 # Each kind of program has the first port or one of those after it.
 PROGRAM_PORTS = 3
@@ -27,6 +28,8 @@
     none are recorded.  `allowance_overage` is
     the fraction by which all entries together may exceed a customer's
     allowance, and `allowance_slack_tokens` is what they may admit beyond that.
+    Rollouts of versions are possible where `exposure_share` is above 0; the others
+    of their settings are described at `RolloutBounds`.
     """
 
     name: str
@@ -51,6 +54,10 @@
     retry_window_s: float = 10.0
     allowance_overage: float = 0.0
     allowance_slack_tokens: float = 0.0
+    exposure_share: float = 0.0
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5000.0
+    ack_ms: float = 5000.0
     log_level: str = 'info'
     traces_file: str = ''
 
@@ -83,6 +90,18 @@
         hosts = [seed.rpartition(':')[0] for seed in self.seeds]
         return tuple(f'{host}:{self.control_port}' for host in hosts)
 
+    @property
+    def rollouts(self) -> RolloutBounds | None:
+        """Bounds on rollouts, or None if there are none."""
+        if not self.exposure_share > 0:
+            return None
+        return RolloutBounds(
+            exposure_share=self.exposure_share,
+            exposure_slack=self.exposure_slack,
+            rollback_s=self.rollback_ms / 1000,
+            ack_s=self.ack_ms / 1000,
+        )
+
     @property
     def retry_budget(self) -> RetryBudgetLimits:
         """Limits on retries."""
--- a/pistachiopath/rollouts/director.py
+++ b/pistachiopath/rollouts/director.py
@@ -24,6 +24,7 @@
 # The age of the record tells entries that they are in contact with the leader.
 RENEW_INTERVAL_S = 0.5
 SNAPSHOT_INTERVAL_S = 0.5
+PROPOSE_AGAIN_S = 0.3
 # A version that turns bad late shows in its last seconds first.
 WINDOW_S = 3.0
 # The rate of requests is known after this time.
@@ -66,10 +67,12 @@
         self._ready = ready
         self._watched: dict[str, _Watched] = {}
         self._turn_at: float | None = None
+        self._proposed: dict[str, tuple[int, float]] = {}
 
     def reset(self) -> None:
         """Forget all totals: another node leads."""
         self._watched.clear()
+        self._proposed.clear()
 
     def merge(
         self, entry: str, body: RolloutTotals, store: RolloutStore, now: float
@@ -95,10 +98,17 @@
             elapsed_s = store.elapsed_s(service, now)
             changed = self._next(record, elapsed_s, now)
             is_due = store.age_s(service, now) >= RENEW_INTERVAL_S
-            if is_due or _is_change(record, changed):
+            is_wanted = is_due or _is_change(record, changed)
+            if is_wanted and not self._is_proposed(record, now):
+                self._proposed[service] = (record.serial, now)
                 changes.append(AdvanceRollout(expected=record.serial, record=changed))
         return changes
 
+    def _is_proposed(self, record: RolloutRecord, now: float) -> bool:
+        """Return whether a change of a record is on its way through the log."""
+        serial, at = self._proposed.get(record.service, (0, 0.0))
+        return serial == record.serial and now - at < PROPOSE_AGAIN_S
+
     def _watch(self, record: RolloutRecord, now: float) -> _Watched:
         watched = self._watched.get(record.service)
         if watched is None or watched.order != record.order:
--- a/pistachiopath/rollouts/store.py
+++ b/pistachiopath/rollouts/store.py
@@ -16,11 +16,16 @@
     from ..messages.rollouts import RolloutRecord
 
 
+# Age of a record from a snapshot, which may be of any time.
+UNKNOWN_AGE_S = 3600.0
+
+
 class RolloutStore:
     """Applies the log's records about rollouts.
 
-    `now` is a monotonic clock in seconds, None where a restart's records are
-    restored: they count from the first turn after it.
+    `now` is a monotonic clock in seconds, None while a restart's records are
+    applied.  The time since the order of such a record counts from the first turn
+    after it, and its age is not known until the leader renews it.
     """
 
     def __init__(self) -> None:
@@ -30,19 +35,17 @@
         # time that its commit took, so the earliest estimate counts.
         self._began_at: dict[str, float] = {}
 
-    def restore(self, records: Iterable[RolloutRecord], now: float | None) -> None:
+    def restore(self, records: Iterable[RolloutRecord]) -> None:
         """Replace all records by those of a snapshot."""
         self.records = {record.service: record for record in records}
         self._applied_at = dict.fromkeys(self.records)
         self._began_at.clear()
-        if now is not None:
-            self.turn(now)
 
     def turn(self, now: float) -> None:
-        """Begin to measure the ages of restored records."""
-        for service, applied_at in self._applied_at.items():
-            if applied_at is None:
-                self._note(service, now)
+        """Begin to measure the times since the orders of restored records."""
+        for service, record in self.records.items():
+            if service not in self._began_at:
+                self._began_at[service] = now - record.elapsed_ms / 1000
 
     def apply_order(self, order: OrderRollout, now: float | None) -> bool:
         """Apply an order; return whether it is refused."""
@@ -59,7 +62,7 @@
     def age_s(self, service: str, now: float) -> float:
         """Return how long ago the current record of a service was applied."""
         applied_at = self._applied_at.get(service)
-        return 0.0 if applied_at is None else max(0.0, now - applied_at)
+        return UNKNOWN_AGE_S if applied_at is None else max(0.0, now - applied_at)
 
     def elapsed_s(self, service: str, now: float) -> float:
         """Return the time since the current order of a service was accepted."""
@@ -96,13 +99,8 @@
         if known is not None and known.order != record.order:
             self._began_at.pop(service, None)
         self.records[service] = record
-        if now is None:
-            self._applied_at[service] = None
-        else:
-            self._note(service, now)
-
-    def _note(self, service: str, now: float) -> None:
-        """Record that the current record of a service is applied."""
         self._applied_at[service] = now
-        began_at = now - self.records[service].elapsed_ms / 1000
-        self._began_at[service] = min(self._began_at.get(service, began_at), began_at)
+        if now is not None:
+            began_at = now - record.elapsed_ms / 1000
+            known_at = self._began_at.get(service, began_at)
+            self._began_at[service] = min(known_at, began_at)
--- a/tests/test_rollouts/test_machine.py
+++ b/tests/test_rollouts/test_machine.py
@@ -131,9 +131,11 @@
     log.now += 3
     log.advance(share_ppm=5)
     restarted = RolloutStore()
-    restarted.restore([log.record], None)
+    restarted.restore([log.record])
     restarted.turn(7.0)
     assert restarted.elapsed_s('s', 8.0) == pytest.approx(4.0)
+    # Nothing tells yet whether the leader has changed it since.
+    assert restarted.age_s('s', 8.0) > REPEAT_S
 
 
 SERVING = {'v1': 4, 'v2': 4}
