Rollouts: entries split new requests, count their ends and report them

Candidates are filtered at one place of the placer, ends counted at one place of the dispatcher. Without bounds in the settings neither is imported.

--- a/pistachiopath/platform/entry_program.py
+++ b/pistachiopath/platform/entry_program.py
@@ -36,6 +36,7 @@
                 grace_s=cfg.grace_s,
                 drain_s=cfg.drain_ms / 1000,
                 announce_s=cfg.announce_ms / 1000,
+                rollouts=cfg.rollouts,
             ),
             dialect=PlatformDialect(),
             decode=decode_configuration,
--- a/pistachiopath/relay/dispatcher.py
+++ b/pistachiopath/relay/dispatcher.py
@@ -29,6 +29,7 @@
     from .placer import Placer
     from .places import Places
     from .retries import Retries
+    from .rollout_link import CountedTry, RolloutLink
     from .stream_versions import StreamVersions
     from .work import Work
 
@@ -62,7 +63,9 @@
         notices: Notices,
         versions: StreamVersions,
         continuations: Continuations,
+        rollouts: RolloutLink | None = None,
     ) -> None:
+        self._rollouts = rollouts
         self._answers = AnswerMemory()
         self._dialect = dialect
         self._pool = pool
@@ -128,6 +131,7 @@
         self._placement.add_request(record.replica, work.need, time.monotonic())
         run: ExchangeRun | None = None
         result: ExchangeResult | None = None
+        counted: CountedTry | None = None
         try:
             if grant is None and candidate.needs_place:
                 grant = self._placer.acquire(work, candidate)
@@ -145,6 +149,8 @@
             work.sends += 1
             work.has_gate = candidate.is_gated
             self._versions.goes_on(work)
+            if self._rollouts is not None:
+                counted = self._rollouts.sent(work, record)
             run = self._new_run(conn, work, record)
             may_have_run = work.may_have_run
             result = run.run()
@@ -161,6 +167,8 @@
                     ok=isinstance(result, Delivered),
                     is_unproven=not self._is_proven(work),
                 )
+            if counted is not None:
+                counted.ended(result, run.first_event_ms if run else 0)
             if result is not None:
                 self._record_result(work, candidate, result)
 
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -55,6 +55,7 @@
     from ..telemetry.metrics import Metrics
     from ..telemetry.spans import Spans
     from .dialect import Dialect
+    from .rollout_link import RolloutLink
     from .settings import RelaySettings
 
 TICK_S = 0.05
@@ -132,6 +133,7 @@
             drain_s=cfg.drain_s,
             doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
+        self._rollouts = self._rollout_link(rng, session=started_ms)
         self._lifetimes = KnownLifetimes(
             subscriber=self._subscriber, spans=self._process_spans
         )
@@ -201,6 +203,7 @@
             lifetimes=self._lifetimes,
             restarts=restarts,
             send_all=self._network.send_all,
+            rollouts=self._rollouts,
         )
         dispatcher = Dispatcher(
             dialect=dialect,
@@ -215,6 +218,7 @@
                 rng=rng,
                 check_wait=self._departure.check_unsent,
                 is_at_work=self._lifetimes.is_at_work,
+                rollouts=self._rollouts,
             ),
             retries=Retries(
                 limits=cfg.retry_budget,
@@ -225,6 +229,7 @@
             notices=self._notices,
             versions=self._versions,
             continuations=self._continuations,
+            rollouts=self._rollouts,
         )
         self._handler = RequestHandler(
             dialect=dialect,
@@ -259,6 +264,22 @@
             failures=failures,
         )
 
+    def _rollout_link(self, rng: random.Random, *, session: int) -> RolloutLink | None:
+        """Return the entry's part in rollouts; it is imported only where it is on."""
+        if self._cfg.rollouts is None:
+            return None
+        from .rollout_link import make_rollout_link
+
+        return make_rollout_link(
+            bounds=self._cfg.rollouts,
+            rng=rng,
+            session=session,
+            ready=self._targets.ready,
+            main=self._subscriber.main,
+            send=self._network.send,
+            metrics=self._metrics,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
@@ -301,6 +322,7 @@
                 run=self._open_streams.tick,
                 interval_s=NOTE_INTERVAL_S,
             ),
+            *(self._rollouts.parts() if self._rollouts else ()),
         ]
 
     def _prune_parts(self) -> list[LoopPart]:
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -24,6 +24,7 @@
     from .lender_link import LenderLink
     from .open_streams import OpenStreams
     from .restart_watch import RestartWatch
+    from .rollout_link import RolloutLink
     from .routes_in_force import RoutesInForce
     from .stream_finder import StreamFinder
     from .targets import Targets
@@ -51,6 +52,7 @@
         lifetimes: KnownLifetimes,
         restarts: RestartWatch,
         send_all: Callable[[list[Send]], None],
+        rollouts: RolloutLink | None = None,
     ) -> None:
         self._subscriber = subscriber
         self._routes = routes
@@ -64,6 +66,7 @@
         self._lifetimes = lifetimes
         self._restarts = restarts
         self._send_all = send_all
+        self._rollouts = rollouts
 
     def handle(self, sender: str, call: int, body: Message) -> None:
         """Handle a message; those that do not concern an entry are ignored."""
@@ -102,6 +105,9 @@
             self._send_all(self._gates.watch(gates, now))
 
     def _handle_news(self, sender: str, call: int, body: News, now: float) -> None:
+        if self._rollouts is not None:
+            # Before routes of the same news, by which requests are admitted.
+            self._rollouts.on_news(body, now)
         version = self._subscriber.version
         self._lifetimes.heard(body.records, now)
         for record in body.records:
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -24,6 +24,7 @@
     from ..messages.directory import ReplicaRecord
     from ..routing.placement import Candidate, Placement
     from .places import Grant, Places
+    from .rollout_link import RolloutLink
     from .targets import Targets
     from .work import Work
 
@@ -54,7 +55,8 @@
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
     raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
-    whether a replica was heard of at its present lifetime just now.
+    whether a replica was heard of at its present lifetime just now.  `rollouts` splits
+    new requests between versions, if rollouts are in force.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         rng: random.Random,
         check_wait: Callable[[Work, float], None] = lambda work, now: None,
         is_at_work: Callable[[ReplicaRecord, float], bool] = lambda record, now: True,
+        rollouts: RolloutLink | None = None,
     ) -> None:
         self._places = places
         self._placement = placement
@@ -75,6 +78,7 @@
         self._rng = rng
         self._check_wait = check_wait
         self._is_at_work = is_at_work
+        self._rollouts = rollouts
         self._serials = itertools.count(1)
 
     def choose(self, work: Work) -> Candidate:
@@ -135,7 +139,8 @@
         """Return whether a chosen replica still accepts the request."""
         now = time.monotonic()
         if work.stream_version is None:
-            return self._targets.may_send(record, now)
+            is_barred = self._rollouts and not self._rollouts.may_send(record, now)
+            return not is_barred and self._targets.may_send(record, now)
         return work.may_run_at(record) and self._targets.may_resume(record, now)
 
     def doubt(self, record: ReplicaRecord, now: float) -> None:
@@ -162,7 +167,7 @@
         service = work.admitted.service
         found = self._targets.candidates(service, excluded, now)
         if work.stream_version is None:
-            return found
+            return self._rollouts.split(work, found, now) if self._rollouts else found
         same = self._of_same_version(work, found, now)
         if same:
             return same
--- a/pistachiopath/relay/settings.py
+++ b/pistachiopath/relay/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..admission.retry_budget import RetryBudgetLimits
+from ..rollouts.bounds import RolloutBounds
 
 # The network belongs to the platform, so links prove no identity.
 LINK_SECRET = b'pistachiopath'
@@ -19,6 +20,7 @@
     port of the agents for such messages.  `seeds` are the addresses of control
     nodes.  A stop takes at most `grace_s` seconds, a draining replica serves for
     `drain_s` seconds, and replicas announce themselves every `announce_s` seconds.
+    Rollouts are followed only with `rollouts`.
     """
 
     name: str
@@ -33,3 +35,4 @@
     drain_s: float = 2.0
     listen_address: str = ''
     announce_s: float = 1.2
+    rollouts: RolloutBounds | None = None
--- a/pistachiopath/relay/work.py
+++ b/pistachiopath/relay/work.py
@@ -9,6 +9,7 @@
 from ..claims.identity import fingerprint
 from ..exchange.answer_memory import HeldAnswer
 from ..quarantine.content import Content, shared_parts
+from ..rollouts.split_choice import SplitChoice
 from ..routes.repetition import Repetition
 from ..routing.placement import Need
 from ..streams.name import stream_name
@@ -46,7 +47,8 @@
     `stream_version` is the version that began the stream, from its first event on;
     only replicas of that version may go on with it.  `start` is where this request
     brought that event, None if another one did.  `has_gate` tells whether the
-    gate beside its replica granted the place of the last attempt.
+    gate beside its replica granted the place of the last attempt, and `split_choice`
+    is which version of a rollout the last send was for.
     """
 
     req: CallerRequest
@@ -72,6 +74,7 @@
     replica: str = ''
     reservation: Reservation | None = None
     held: HeldAnswer | None = None
+    split_choice: SplitChoice | None = None
     shared_parts: tuple[Content, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
--- a/pistachiopath/rollouts/split.py
+++ b/pistachiopath/rollouts/split.py
@@ -9,6 +9,7 @@
 from ..messages.rollouts import RolloutRecord
 from ..streams.service_version import version_of
 from ..util.rendezvous import by_weight
+from .split_choice import SplitChoice
 from .state import RolloutStage, RolloutState
 
 if TYPE_CHECKING:
@@ -21,18 +22,6 @@
 PPM = 1_000_000
 
 
-@attrs.define(kw_only=True, frozen=True)
-class SplitChoice:
-    """Whether one send of a request goes to the new version of an order.
-
-    `send` tells the sends of a request apart.
-    """
-
-    order: int
-    send: tuple[int, ...]
-    is_new: bool
-
-
 @attrs.define(kw_only=True)
 class _InForce:
     """A record and when its newest sender was in contact with the leader."""
