--- a/pistachiopath/relay/rollout_link.py
+++ b/pistachiopath/relay/rollout_link.py
@@ -130,7 +130,7 @@
         work.split_choice = choice = self._split.choose(
             service,
             work.admitted.route.name,
-            (work.sends, len(work.excluded)),
+            work.sends,
             work.split_choice,
         )
         old = [c for c in kept if version_of(c.record).version != record.to]
--- a/pistachiopath/rollouts/split.py
+++ b/pistachiopath/rollouts/split.py
@@ -83,7 +83,7 @@
         self,
         service: str,
         route: str,
-        send: tuple[int, ...],
+        send: int,
         held: SplitChoice | None,
     ) -> SplitChoice | None:
         """Return the choice for a send, which stays the same while it waits."""
--- a/pistachiopath/rollouts/split_choice.py
+++ b/pistachiopath/rollouts/split_choice.py
@@ -9,9 +9,10 @@
 class SplitChoice:
     """Whether one send of a request goes to the new version of an order.
 
-    `send` tells the sends of a request apart.
+    `send` counts those before it.  A send that does not reach its replica keeps its
+    choice: otherwise requests would go to the new version where the old one fails.
     """
 
     order: int
-    send: tuple[int, ...]
+    send: int
     is_new: bool
