--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -275,6 +275,7 @@
             rng=rng,
             session=session,
             ready=self._targets.ready,
+            is_silent=self._subscriber.is_silent,
             main=self._subscriber.main,
             send=self._network.send,
             metrics=self._metrics,
--- a/pistachiopath/relay/rollout_link.py
+++ b/pistachiopath/relay/rollout_link.py
@@ -31,6 +31,7 @@
 logger = logging.getLogger(__name__)
 
 REPORT_INTERVAL_S = 0.5
+SERVING_CACHE_S = 0.1
 
 
 @attrs.define(kw_only=True)
@@ -77,8 +78,9 @@
 class RolloutLink:
     """Splits new requests as the rollouts in force say, and reports what came of it.
 
-    `ready` returns the replicas that accept new requests, and `main` the control node
-    to report to.  `now` is a monotonic clock in seconds.
+    `ready` returns the replicas that accept new requests, `is_silent` tells which of
+    them were not heard lately, and `main` is the control node to report to.  `now` is
+    a monotonic clock in seconds.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         split: TrafficSplit,
         counts: EntryCounts,
         ready: Callable[[], list[ReplicaRecord]],
+        is_silent: Callable[[str, float], bool],
         main: Callable[[float], str],
         send: Callable[[str, int, Message], None],
         metrics: Metrics,
@@ -94,6 +97,8 @@
         self._split = split
         self._counts = counts
         self._ready = ready
+        self._is_silent = is_silent
+        self._serving: dict[str, tuple[float, dict[str, int]]] = {}
         self._main = main
         self._send = send
         self._metrics = metrics
@@ -122,7 +127,7 @@
         record = self._split.record(service)
         if record is None:
             return found
-        serving = serving_versions(self._ready(), service)
+        serving = self._versions(service, now)
         allowed = self._split.allowed(service, serving, now)
         kept = [c for c in found if version_of(c.record).version in allowed]
         if not self._split.is_drawn(service, serving, now):
@@ -151,7 +156,7 @@
         """
         if self._split.record(record.service) is None:
             return True
-        serving = serving_versions(self._ready(), record.service)
+        serving = self._versions(record.service, now)
         allowed = self._split.allowed(record.service, serving, now)
         return version_of(record).version in allowed
 
@@ -184,6 +189,19 @@
         if report is not None:
             self._send(main, 0, report)
 
+    def _versions(self, service: str, now: float) -> dict[str, int]:
+        """Return the number of replicas by version, of those that serve.
+
+        Waiting requests ask for it many times a second.
+        """
+        known_at, serving = self._serving.get(service, (0.0, {}))
+        if not serving or now - known_at >= SERVING_CACHE_S:
+            ready = [r for r in self._ready() if r.service == service]
+            heard = [r for r in ready if not self._is_silent(r.replica, now)]
+            serving = serving_versions(heard or ready, service)
+            self._serving[service] = (now, serving)
+        return serving
+
     def _records(self) -> list[RolloutRecord]:
         records = (self._split.record(service) for service in self._split.services)
         return [record for record in records if record is not None]
@@ -217,6 +235,7 @@
     rng: random.Random,
     session: int,
     ready: Callable[[], list[ReplicaRecord]],
+    is_silent: Callable[[str, float], bool],
     main: Callable[[float], str],
     send: Callable[[str, int, Message], None],
     metrics: Metrics,
@@ -226,6 +245,7 @@
         split=TrafficSplit(contact_s=bounds.contact_s, rng=rng),
         counts=EntryCounts(session=session),
         ready=ready,
+        is_silent=is_silent,
         main=main,
         send=send,
         metrics=metrics,
--- a/pistachiopath/rollouts/director.py
+++ b/pistachiopath/rollouts/director.py
@@ -9,7 +9,7 @@
 
 from ..messages.rollout_orders import AdvanceRollout
 from . import exposure
-from .judgement import Verdict, judge
+from .judgement import Verdict, judge, judge_silence
 from .state import RolloutStage, RolloutState
 from .sums import Comparison, TotalsBook
 
@@ -27,6 +27,8 @@
 PROPOSE_AGAIN_S = 0.3
 # A version that turns bad late shows in its last seconds first.
 WINDOW_S = 3.0
+# Requests have ended by then at a version that answers.
+SILENCE_S = 2.5
 # The rate of requests is known after this time.
 RATE_AFTER_S = 1.0
 # A rollout without enough answers is given up after this multiple of its duration.
@@ -35,7 +37,7 @@
 SETTLE_S = 1.2
 STANDSTILL_S = 1.0
 # Fewer replicas than this share of the old ones can't take the whole traffic.
-MIN_REPLICAS_SHARE = 0.5
+MIN_REPLICAS_SHARE = 0.25
 # Mean time until a send is in the totals.
 REPORT_LAG_S = 0.3
 PPM = 1_000_000
@@ -168,7 +170,8 @@
         )
         if not is_same:
             watched.judged = judged
-            watched.verdict = _judge_both(*judged)
+            is_long_ago = now - history[0][0] >= SILENCE_S
+            watched.verdict = _judge_both(*judged, is_long_ago=is_long_ago)
         return watched.verdict
 
     def _canary(
@@ -225,11 +228,14 @@
         )
 
 
-def _judge_both(data: Comparison, earlier: Comparison) -> Verdict:
+def _judge_both(data: Comparison, earlier: Comparison, *, is_long_ago: bool) -> Verdict:
     """Judge all data, and what has come since earlier data."""
     verdict = judge(data)
     if verdict.is_bad:
         return verdict
+    silence = judge_silence(data, earlier) if is_long_ago else ''
+    if silence:
+        return attrs.evolve(verdict, is_bad=True, reason=silence)
     lately = judge(data.minus(earlier))
     return attrs.evolve(verdict, is_bad=lately.is_bad, reason=lately.reason)
 
--- a/pistachiopath/rollouts/sums.py
+++ b/pistachiopath/rollouts/sums.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from ..messages.rollout_totals import OrderTotals
 
-TimeKey = tuple[str, int]
+# Kind of a time, and the size of the request, with its route where they are mixed.
+TimeKey = tuple[str, int | tuple[str, int]]
 MAX_SESSIONS = 1000
 
 
--- a/tests/test_relay/test_rollouts.py
+++ b/tests/test_relay/test_rollouts.py
@@ -87,11 +87,13 @@
 
     def __init__(self):
         self.targets = FakeTargets()
+        self.silent = set()
         self.link = make_rollout_link(
             bounds=BOUNDS,
             rng=random.Random(3),
             session=1,
             ready=self.targets.ready,
+            is_silent=lambda replica, now: replica in self.silent,
             main=lambda now: CONTROL,
             send=lambda *message: None,
             metrics=Metrics(),
@@ -106,6 +108,7 @@
         )
 
     def hear(self, item, age_ms=0):
+        self.link._serving.clear()
         body = attrs.make_class('News', ['rollouts'])(news_of(item, age_ms))
         self.link.on_news(body, time.monotonic())
 
@@ -208,14 +211,24 @@
 
 
 def test_if_one_version_is_gone_the_other_serves(placing):
-    placing.hear(rollout(state=RolloutState.COMPLETE))
     placing.targets.records = placing.targets.records[:4]
+    placing.hear(rollout(state=RolloutState.COMPLETE))
     assert set(placing.versions(5)) == {'v1'}
-    placing.hear(rollout(order=2, serial=9, share_ppm=0))
     placing.targets.records = [r for r in FakeTargets().records if 'v2' in r.replica]
+    placing.hear(rollout(order=2, serial=9, share_ppm=0))
     assert set(placing.versions(5)) == {'v2'}
 
 
+def test_replicas_that_have_fallen_silent_do_not_count_as_serving(placing):
+    # Those that crash send no departure.
+    placing.silent = {f'v1-{n}' for n in range(4)}
+    placing.hear(rollout(share_ppm=0))
+    assert set(placing.versions(5)) == {'v2'}
+    placing.silent |= {f'v2-{n}' for n in range(4)}
+    placing.hear(rollout(share_ppm=0, serial=2))
+    assert set(placing.versions(5)) == {'v1'}
+
+
 def sends_of(node):
     """Return the entry's part in rollouts and what it sends to its control node."""
     sent = []
--- a/tests/test_rollouts/test_under_load.py
+++ b/tests/test_rollouts/test_under_load.py
@@ -51,6 +51,7 @@
     'always_fails': {'fails': lambda route, t: 1.0},
     'fails_later': {'fails': lambda route, t: 0.5 if t > 5 else 0.0},
     'fails_on_one_route': {'fails': lambda route, t: 0.7 if route == 'r1' else 0.0},
+    'never_answers': {'slows': lambda route, t: 1000.0},
     'slow_at_once': {'slows': lambda route, t: 4.0},
     'slow_later': {'slows': lambda route, t: 4.0 if t > 5 else 1.0},
     'slow_on_one_route': {'slows': lambda route, t: 4.0 if route == 'r0' else 1.0},
@@ -196,3 +197,26 @@
 def rows(entry):
     body = entry.counts.report({'s'})
     return [row for order in body.orders for row in order.versions] if body else []
+
+
+@pytest.mark.parametrize('seed', range(24))
+def test_uneven_engines_do_not_make_a_good_version_bad(seed):
+    # A canary runs on one or two engines, which may be the slowest ones.
+    world = RolloutWorld(seed=seed, rate=400.0, duration_s=15.0, is_uneven=True)
+    world.start()
+    world.run_until_ended(20)
+    assert world.record.state == RolloutState.COMPLETE, world.record.reason
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_a_version_that_is_several_times_slower_is_found_on_uneven_engines(seed):
+    world = RolloutWorld(
+        seed=seed,
+        rate=400.0,
+        duration_s=15.0,
+        is_uneven=True,
+        slows=lambda route, t: 4.0,
+    )
+    world.start()
+    world.run_until_ended(16)
+    check_bad(world)
