--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -36,6 +36,7 @@
     'reports': lambda shell: (shell._lending, 'report'),
     'marks': lambda shell: (shell._lending, 'resend_marks'),
     'replicas': lambda shell: (shell._replicas._file, 'save'),
+    'rollouts': lambda shell: (shell._rollouts, 'tick'),
 }
 
 
