--- a/pistachiopath/document/rollout_control.py
+++ b/pistachiopath/document/rollout_control.py
@@ -116,11 +116,15 @@
         return self._core().rollouts.notices(now)
 
     def _ready(self, service: str, now: float) -> Mapping[str, int]:
-        """Return the number of replicas of a service that serve, by version."""
+        """Return the number of replicas of a service that serve, by version.
+
+        Silent ones serve only if all are: then they can't reach the control nodes.
+        """
         silent = frozenset(self._announcer.silent(now))
-        records = (
+        ready = [
             record
             for record in self._announcer.directory.records()
-            if record.state == ReplicaState.READY and record.replica not in silent
-        )
-        return serving_versions(records, service)
+            if record.state == ReplicaState.READY and record.service == service
+        ]
+        heard = [record for record in ready if record.replica not in silent]
+        return serving_versions(heard or ready, service)
