--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -20,6 +20,7 @@
     'messages',
     'quarantine',
     'replication',
+    'rollouts',
     'routes',
     'routing',
     'shares',
