--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -55,8 +55,8 @@
     Raises `TurnedAway` for a request that can't be placed in time.  A request that
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
     raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
-    whether a replica was heard of at its present lifetime just now.  `rollouts` splits
-    new requests between versions, if rollouts are in force.
+    whether a replica was heard of at its present lifetime just now, and `rollouts`
+    splits new requests between versions.
     """
 
     def __init__(
@@ -158,8 +158,10 @@
         not_failed = self._usable(work, work.excluded, now)
         return not_failed or self._usable(work, set(), now)
 
-    def _usable(self, work: Work, excluded: set[str], now: float) -> list[Candidate]:
-        """Return the replicas that the request may be sent to.
+    def _usable(
+        self, work: Work, excluded: set[str], now: float, *, is_placed: bool = False
+    ) -> list[Candidate]:
+        """Return the replicas that the request may be sent to, or may stay at.
 
         A stream goes on only at the version that began it, at a replica that drains
         if there is no other.
@@ -167,7 +169,9 @@
         service = work.admitted.service
         found = self._targets.candidates(service, excluded, now)
         if work.stream_version is None:
-            return self._rollouts.split(work, found, now) if self._rollouts else found
+            if self._rollouts is None:
+                return found
+            return self._rollouts.split(work, found, now, is_placed=is_placed)
         same = self._of_same_version(work, found, now)
         if same:
             return same
@@ -274,7 +278,7 @@
         if self._is_quarantined(work, now):
             return True
         record = candidate.record
-        known = self._usable(work, set(), now)
+        known = self._usable(work, set(), now, is_placed=True)
         current = [c for c in known if c.record.replica == record.replica]
         if not current or current[0].is_gated != candidate.is_gated:
             return True
--- a/pistachiopath/relay/rollout_link.py
+++ b/pistachiopath/relay/rollout_link.py
@@ -117,11 +117,13 @@
             )
         self._log_exposed(now)
 
-    def split(self, work: Work, found: list[Candidate], now: float) -> list[Candidate]:
+    def split(
+        self, work: Work, found: list[Candidate], now: float, *, is_placed: bool
+    ) -> list[Candidate]:
         """Return the candidates of the version that a new request goes to.
 
         A request for the new version goes to an old one if no replica of the new one
-        can take it.
+        can take it.  One that is placed may stay at any version that is allowed.
         """
         service = work.admitted.service
         record = self._split.record(service)
@@ -130,7 +132,7 @@
         serving = self._versions(service, now)
         allowed = self._split.allowed(service, serving, now)
         kept = [c for c in found if version_of(c.record).version in allowed]
-        if not self._split.is_drawn(service, serving, now):
+        if is_placed or not self._split.is_drawn(service, serving, now):
             return kept
         work.split_choice = choice = self._split.choose(
             service,
--- a/tests/test_relay/test_rollouts.py
+++ b/tests/test_relay/test_rollouts.py
@@ -192,6 +192,20 @@
     assert set(placing.versions(20)) == {'v1'}
 
 
+@pytest.mark.parametrize('share_ppm', [1, 999_999])
+def test_a_request_that_was_denied_by_the_canary_waits_where_it_is(placing, share_ppm):
+    # It would ask the same gate again and again.
+    placing.hear(rollout(share_ppm=share_ppm))
+    work = stream_work(time.monotonic())
+    for _ in range(3):
+        chosen = placing.placer.choose(work)
+        assert not placing.placer._should_move(work, chosen, time.monotonic())
+        work.denied.add(chosen.record.replica)
+    placing.hear(rollout(serial=2, state=RolloutState.ROLLED_BACK))
+    is_new = chosen.record.software_version == 'v2'
+    assert placing.placer._should_move(work, chosen, time.monotonic()) == is_new
+
+
 def test_a_request_that_waited_for_a_place_is_not_sent_after_the_rollback(placing):
     placing.hear(rollout())
     work = stream_work(time.monotonic())
