--- a/tests/test_relay/test_rollouts.py
+++ b/tests/test_relay/test_rollouts.py
@@ -192,18 +192,26 @@
     assert set(placing.versions(20)) == {'v1'}
 
 
-@pytest.mark.parametrize('share_ppm', [1, 999_999])
-def test_a_request_that_was_denied_by_the_canary_waits_where_it_is(placing, share_ppm):
-    # It would ask the same gate again and again.
-    placing.hear(rollout(share_ppm=share_ppm))
-    work = stream_work(time.monotonic())
-    for _ in range(3):
+def test_a_request_that_was_denied_by_the_canary_waits_where_it_is(placing):
+    # Regression: it left each next gate at once, as that was no canary's.
+    placing.hear(rollout())
+    works = [stream_work(time.monotonic()) for _ in range(10)]
+    work = next(
+        w for w in works if placing.placer.choose(w).record.software_version == 'v2'
+    )
+    for _ in range(5):
         chosen = placing.placer.choose(work)
         assert not placing.placer._should_move(work, chosen, time.monotonic())
         work.denied.add(chosen.record.replica)
+
+
+def test_a_request_that_waits_at_a_version_rolled_back_moves(placing):
+    placing.hear(rollout(share_ppm=1_000_000, stage=RolloutStage.FULL))
+    work = stream_work(time.monotonic())
+    chosen = placing.placer.choose(work)
+    assert not placing.placer._should_move(work, chosen, time.monotonic())
     placing.hear(rollout(serial=2, state=RolloutState.ROLLED_BACK))
-    is_new = chosen.record.software_version == 'v2'
-    assert placing.placer._should_move(work, chosen, time.monotonic()) == is_new
+    assert placing.placer._should_move(work, chosen, time.monotonic())
 
 
 def test_a_request_that_waited_for_a_place_is_not_sent_after_the_rollback(placing):
