--- a/pistachiopath/rollouts/director.py
+++ b/pistachiopath/rollouts/director.py
@@ -45,7 +45,11 @@
 
 @attrs.define
 class _Watched:
-    """What the leader knows of one order; a new leader begins without it."""
+    """What the leader knows of one order; a new leader begins without it.
+
+    `lost` are requests to the version and to all that the record counts and no entry
+    reports to this leader: entries that have ended since sent them.
+    """
 
     order: int
     since: float
@@ -53,6 +57,7 @@
     history: deque[tuple[float, Comparison]] = attrs.field(factory=deque)
     judged: tuple[Comparison, Comparison] | None = None
     verdict: Verdict | None = None
+    lost: tuple[int, int] | None = None
 
 
 class RolloutDirector:
@@ -124,11 +129,17 @@
         watched = self._watch(record, now)
         data = watched.book.compare(record.to)
         verdict = self._judge(watched, data, now)
+        if watched.lost is None and now - watched.since >= SETTLE_S:
+            watched.lost = (
+                max(0, record.sent_new - data.sent_new),
+                max(0, record.sent_all - data.sent_all),
+            )
+        lost_new, lost_all = watched.lost or (0, 0)
         record = attrs.evolve(
             record,
             elapsed_ms=int(elapsed_s * 1000),
-            sent_new=max(record.sent_new, data.sent_new),
-            sent_all=max(record.sent_all, data.sent_all),
+            sent_new=max(record.sent_new, data.sent_new + lost_new),
+            sent_all=max(record.sent_all, data.sent_all + lost_all),
         )
         if verdict.is_bad:
             return _ended(record, RolloutState.ROLLED_BACK, verdict.reason)
--- a/tests/test_rollouts/test_director.py
+++ b/tests/test_rollouts/test_director.py
@@ -153,8 +153,11 @@
     # A new leader hears of the second run only; the record knows of the first.
     leader.begin()
     leader.report(session=2, v1=(10, 0), v2=(1, 0))
-    leader.run(1.0)
+    leader.run(SETTLE_S + 0.2)
     assert leader.record.sent_new == 51
+    leader.report(session=2, v1=(30, 0), v2=(4, 0))
+    leader.run(1.0)
+    assert leader.record.sent_new == 54
 
 
 def test_totals_of_another_order_are_ignored(leader):
