Links: frames before the handshake hold at most 16 KiB

A peer that had not proved itself could announce a frame of 8 MiB and have it held until the handshake timed out; 24 such peers took 180 to 249 MB.

--- a/pistachiopath/transport/frames.py
+++ b/pistachiopath/transport/frames.py
@@ -15,6 +15,8 @@
 
 HEADER = struct.Struct('<II')
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# A peer that has not proved itself yet sends only its name, a nonce and a proof.
+MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
 
 
@@ -34,8 +36,8 @@
     """
 
     def __init__(self, *, limit: int = MAX_FRAME_BYTES) -> None:
+        self.limit = limit
         self._data = bytearray()
-        self._limit = limit
 
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
@@ -46,8 +48,8 @@
         if len(self._data) < HEADER.size:
             return None
         size, checksum = HEADER.unpack_from(self._data)
-        if size > self._limit:
-            raise FrameTooLarge(size=size, limit=self._limit)
+        if size > self.limit:
+            raise FrameTooLarge(size=size, limit=self.limit)
         end = HEADER.size + size
         if len(self._data) < end:
             return None
@@ -59,12 +61,17 @@
 
 
 class FrameSocket:
-    """Reads and writes frames on one connected socket."""
+    """Reads and writes frames on one connected socket.
 
-    def __init__(self, *, sock: socket.socket, peer: str) -> None:
+    A frame that is read is at most `limit` bytes long until the peer is trusted.
+    """
+
+    def __init__(
+        self, *, sock: socket.socket, peer: str, limit: int = MAX_FRAME_BYTES
+    ) -> None:
         self._sock = sock
         self._peer = peer
-        self._buffer = FrameBuffer()
+        self._buffer = FrameBuffer(limit=limit)
         self._turns = Turns(is_limited=False)
 
     def read(self) -> bytes:
@@ -81,6 +88,10 @@
             payload = self._buffer.next()
         return payload
 
+    def trust(self) -> None:
+        """Accept frames of any legal size, after the peer has proved itself."""
+        self._buffer.limit = MAX_FRAME_BYTES
+
     def write(self, payloads: list[bytes]) -> None:
         """Write each payload as a frame."""
         self._sock.sendall(b''.join(pack(payload) for payload in payloads))
--- a/pistachiopath/transport/network.py
+++ b/pistachiopath/transport/network.py
@@ -17,7 +17,7 @@
 from ..messages.status import StatusRequest
 from ..util.early_listener import take_listener
 from .codec import encode
-from .frames import FrameSocket
+from .frames import MAX_HANDSHAKE_FRAME_BYTES, FrameSocket
 from .handshake import ROLE_NODE, ROLE_OPERATOR, Identity, accept, dial
 from .link import SILENCE_S, Link
 from .outbound import OutboundEncoder
@@ -158,10 +158,11 @@
     def _connect(self, to: str) -> FrameSocket:
         """Return an authenticated connection; raises `OSError` or a typed error."""
         sock = gsocket.create_connection(split_address(to), DIAL_TIMEOUT_S)
-        frames = FrameSocket(sock=_configured(sock), peer=to)
+        frames = _untrusted(sock, to)
         try:
             with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
                 dial(frames, self._identity, to)
+            frames.trust()
         except BaseException:
             frames.close()
             raise
@@ -177,10 +178,11 @@
         self._report_lost(to)
 
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
-        frames = FrameSocket(sock=_configured(sock), peer='')
+        frames = _untrusted(sock, '')
         try:
             with gevent.Timeout(HANDSHAKE_TIMEOUT_S, OSError('handshake timeout')):
                 hello = accept(frames, self._identity)
+            frames.trust()
         except (OSError, PistachiopathError) as exc:
             logger.warning('link_refused', extra={'error': type(exc).__name__})
             frames.close()
@@ -233,6 +235,11 @@
             self._failures.record('link', 'lost', exc)
 
 
+def _untrusted(sock: gsocket.socket, peer: str) -> FrameSocket:
+    limit = MAX_HANDSHAKE_FRAME_BYTES
+    return FrameSocket(sock=_configured(sock), peer=peer, limit=limit)
+
+
 def _configured(sock: gsocket.socket) -> gsocket.socket:
     sock.settimeout(None)
     sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
--- a/tests/test_system/platform_programs.py
+++ b/tests/test_system/platform_programs.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import tomli_w
 import urllib3
@@ -20,6 +20,9 @@
 from tools.soak.documents import CUSTOMER, KEYS, document
 from tools.soak.topology import HOST
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 ANNOUNCE_S = 0.5
 CALL_TIMEOUT_S = 2.0
 SERVICE = 'desk'
