Exchange: bodies that no request needs are not read

The readiness and metrics addresses and GET at a control node answer after the head and close the connection if a body follows. An announcement is refused, with 400 as before, once it is longer than 256 KiB; until now up to 7 MiB of it were read first.

--- a/pistachiopath/exchange/limits.py
+++ b/pistachiopath/exchange/limits.py
@@ -2,8 +2,45 @@
 
 from __future__ import annotations
 
+import math
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    # From a request's method and target to the bound on its body, beside the limits
+    # in force.
+    BodyLimit = Callable[[bytes, bytes], 'BodyBound']
+
+STATUS_TOO_LARGE = 413
+
+
+@attrs.define(kw_only=True, frozen=True)
+class BodyBound:
+    """Largest body of a request, and the status that refuses a larger one.
+
+    None is read if `max_bytes` is 0.
+    """
+
+    max_bytes: float = math.inf
+    status: int = STATUS_TOO_LARGE
+
+
+UNBOUNDED = BodyBound()
+UNREAD = BodyBound(max_bytes=0)
+
+
+def usual_body(_method: bytes, _target: bytes) -> BodyBound:
+    """Bound bodies by the limits in force alone."""
+    return UNBOUNDED
+
+
+def no_body(_method: bytes, _target: bytes) -> BodyBound:
+    """Read no bodies."""
+    return UNREAD
+
 
 @attrs.define(kw_only=True, frozen=True)
 class ExchangeLimits:
--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -9,13 +9,14 @@
 
 from ..errors.exchange import BadHttp, CallerLeft
 from ..util.turns import Turns
+from .limits import UNBOUNDED, BodyBound, usual_body
 from .request import HttpRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from .inbound import InboundBytes
-    from .limits import ExchangeLimits
+    from .limits import BodyLimit, ExchangeLimits
 
 # The colon, space and line end of a header line.
 HEADER_OVERHEAD_BYTES = 4
@@ -27,7 +28,8 @@
     `get_limits` returns the limits; each request is read with those that are in
     force when it begins.  `http` is the parser, which also tracks the responses;
     new limits replace it between requests.  `send_continue` writes the interim
-    response for which a caller may wait before it sends a body.
+    response for which a caller may wait before it sends a body.  Where `body_limit` is
+    0, the body is left unread, and the connection must be closed after the response.
     """
 
     def __init__(
@@ -36,7 +38,11 @@
         inbound: InboundBytes,
         get_limits: Callable[[], ExchangeLimits],
         send_continue: Callable[[], None],
+        body_limit: BodyLimit = usual_body,
     ) -> None:
+        self.leaves_body = False
+        self._body_limit = body_limit
+        self._bound = UNBOUNDED
         self._inbound = inbound
         self._get_limits = get_limits
         self._send_continue = send_continue
@@ -152,6 +158,12 @@
         return bool(self.http.trailing_data[0])
 
     def _read_body(self, head: h11.Request) -> bytes:
+        self._bound = self._body_limit(head.method, head.target)
+        if not self._bound.max_bytes:
+            self.leaves_body = not isinstance(self._next_event(), h11.EndOfMessage)
+            return b''
+        if self._bound.max_bytes > self._limits.max_body_bytes:
+            self._bound = BodyBound(max_bytes=self._limits.max_body_bytes)
         self._check_length(head)
         body = bytearray()
         while True:
@@ -164,8 +176,8 @@
             if not isinstance(event, h11.Data):
                 raise BadHttp(status=400, reason='body_cut')
             body += event.data
-            if len(body) > self._limits.max_body_bytes:
-                raise BadHttp(status=413, reason='body_too_large')
+            if len(body) > self._bound.max_bytes:
+                raise BadHttp(status=self._bound.status, reason='body_too_large')
 
     def _receive_body(self) -> None:
         if self.http.they_are_waiting_for_100_continue:
@@ -189,8 +201,8 @@
 
     def _check_length(self, head: h11.Request) -> None:
         for name, value in head.headers:
-            if name == b'content-length' and int(value) > self._limits.max_body_bytes:
-                raise BadHttp(status=413, reason='body_too_large')
+            if name == b'content-length' and int(value) > self._bound.max_bytes:
+                raise BadHttp(status=self._bound.status, reason='body_too_large')
 
     def _take(self, timeout_s: float) -> bytes | None:
         """Return the bytes that have arrived, as `InboundBytes.take` does."""
--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -14,12 +14,13 @@
 from ..errors.exchange import BadHttp, CallerLeft, ServerStopping
 from ..util.backlog import accept_waiting
 from ..util.early_listener import take_listener
+from .limits import usual_body
 from .server_connection import ServerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .limits import ExchangeLimits
+    from .limits import BodyLimit, ExchangeLimits
     from .request import HttpRequest
 
 logger = logging.getLogger(__name__)
@@ -37,7 +38,8 @@
     """Accepts connections and serves the requests on each of them in order.
 
     `handle` receives the connection and a complete request, and writes the
-    response to the connection.  `limits` returns those in force.
+    response to the connection.  `limits` returns those in force, and `body_limit`
+    the largest body of a request.
     `ServerStopping` is raised in a handler that has to answer at once.  If a
     handler fails without having begun a response, the caller gets 500.
     """
@@ -49,10 +51,12 @@
         handle: Callable[[ServerConnection, HttpRequest], None],
         limits: Callable[[], ExchangeLimits],
         name: str,
+        body_limit: BodyLimit = usual_body,
     ) -> None:
         self._address = address
         self._handle = handle
         self._limits = limits
+        self._body_limit = body_limit
         self._name = name
         self._connections: dict[ServerConnection, gevent.Greenlet] = {}
         self._stopping = False
@@ -136,7 +140,9 @@
 
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
-        conn = ServerConnection(sock=sock, get_limits=self._limits)
+        conn = ServerConnection(
+            sock=sock, get_limits=self._limits, body_limit=self._body_limit
+        )
         conn.closes_after_response = self._stopping
         self._connections[conn] = gevent.getcurrent()
         try:
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -11,6 +11,7 @@
 
 from ..errors.exchange import BadHttp, CallerLeft
 from .inbound import InboundBytes
+from .limits import usual_body
 from .request_reader import RequestReader
 
 if TYPE_CHECKING:
@@ -19,7 +20,7 @@
     import gevent
     from gevent.socket import socket
 
-    from .limits import ExchangeLimits
+    from .limits import BodyLimit, ExchangeLimits
     from .request import Headers, HttpRequest
 
 
@@ -35,11 +36,16 @@
 
     If the caller closes its connection while a request is being served,
     `CallerLeft` is raised in the greenlet that serves it, wherever that waits.
-    `get_limits` returns the limits in force.
+    `get_limits` returns the limits in force, and `body_limit` is that of
+    `RequestReader`.
     """
 
     def __init__(
-        self, *, sock: socket, get_limits: Callable[[], ExchangeLimits]
+        self,
+        *,
+        sock: socket,
+        get_limits: Callable[[], ExchangeLimits],
+        body_limit: BodyLimit = usual_body,
     ) -> None:
         self.closes_after_response = False
         self._is_cut = False
@@ -50,6 +56,7 @@
             inbound=self._inbound,
             get_limits=get_limits,
             send_continue=self._send_continue,
+            body_limit=body_limit,
         )
 
     @property
@@ -81,7 +88,10 @@
 
         Raises `CallerLeft` and `BadHttp` as `RequestReader.read` does.
         """
-        return self._reader.read()
+        req = self._reader.read()
+        if self._reader.leaves_body:
+            self.closes_after_response = True
+        return req
 
     def start_serving(self, worker: gevent.Greenlet) -> None:
         """Set the greenlet in which `CallerLeft` is raised if the caller leaves.
--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -9,10 +9,15 @@
 
 from ..directory.record_check import check_replica_id, check_start
 from ..errors.configuration import InvalidConfiguration
+from ..exchange.limits import UNBOUNDED, UNREAD, BodyBound
 from ..util.plain_text import shortened
 from . import names
 from .configuration import decode_configuration
-from .registration import decode_announcement, decode_departure
+from .registration import (
+    MAX_ANNOUNCEMENT_BYTES,
+    decode_announcement,
+    decode_departure,
+)
 
 if TYPE_CHECKING:
     from ..document.shell import DocumentShell
@@ -28,6 +33,7 @@
 OTHER_METHOD = 'other'
 JSON_CONTENT_TYPE = (b'content-type', b'application/json')
 EMPTY_BODY = b'{}'
+ANNOUNCEMENT = BodyBound(max_bytes=MAX_ANNOUNCEMENT_BYTES, status=400)
 UNCERTAIN_BODY = b'{"error":"uncertain"}'
 INVALID_BODY = b'{"error":"invalid"}'
 
@@ -120,6 +126,14 @@
         )
 
 
+def body_limit(method: bytes, target: bytes) -> BodyBound:
+    """Return the bound on the body of a call; that of a GET is not read."""
+    if method == b'GET':
+        return UNREAD
+    is_of_replica = target.startswith(names.REPLICAS_PATH.encode())
+    return ANNOUNCEMENT if is_of_replica else UNBOUNDED
+
+
 def _known_method(req: HttpRequest) -> str:
     """Return the method if it is one of `METHODS`, which bounds the metrics."""
     return req.method.decode('latin-1') if req.method in METHODS else OTHER_METHOD
--- a/pistachiopath/platform/control_program.py
+++ b/pistachiopath/platform/control_program.py
@@ -21,7 +21,7 @@
 from ..transport.frames import MAX_FRAME_BYTES
 from ..util.loop_failures import LoopFailures
 from ..util.program import EXIT_FAILED
-from .control_api import ControlApi
+from .control_api import ControlApi, body_limit
 from .decoded_accounts import DecodedAccounts
 
 if TYPE_CHECKING:
@@ -81,6 +81,7 @@
             handle=api.handle,
             limits=lambda: HTTP_LIMITS,
             name='control',
+            body_limit=body_limit,
         )
 
     def start(self) -> None:
--- a/pistachiopath/platform/metrics_page.py
+++ b/pistachiopath/platform/metrics_page.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..exchange.limits import ExchangeLimits
+from ..exchange.limits import ExchangeLimits, no_body
 from ..exchange.server import HttpServer
 
 if TYPE_CHECKING:
@@ -22,5 +22,9 @@
         conn.respond(200, [CONTENT_TYPE], metrics.render().encode() + b'\n')
 
     return HttpServer(
-        address=address, handle=handle, limits=ExchangeLimits, name='metrics'
+        address=address,
+        handle=handle,
+        limits=ExchangeLimits,
+        name='metrics',
+        body_limit=no_body,
     )
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -7,7 +7,7 @@
 
 from ..admission.leased_allowance import LeasedAllowance
 from ..directory.subscriber import Subscriber
-from ..exchange.limits import ExchangeLimits
+from ..exchange.limits import ExchangeLimits, no_body
 from ..exchange.pool import ConnectionPool
 from ..exchange.server import HttpServer
 from ..grants.gate_log import GateLog
@@ -251,6 +251,7 @@
             handle=self._handle_readiness,
             limits=ExchangeLimits,
             name='readiness',
+            body_limit=no_body,
         )
         self._timers = PeriodicLoop(
             name='entry_timers',
