Exchange: one budget per process for the memory that requests hold

A request takes memory before its bytes are read. Without room it is not read for a second; then the request that has sent the least, of several the newest, is refused with 503 and Retry-After, or a body that does not advance with 408. Complete requests are never refused. Large requests leave a quarter of the budget to small ones.

The budget is an eighth of the VM's memory (memory_mb), or request_memory_mb, or 16 MB. A connection buffers 16 KiB in place of 256 KiB without memory of the budget. A request to a target is written without a copy of its body, and an idle connection keeps none.

--- a/pistachiopath/exchange/inbound.py
+++ b/pistachiopath/exchange/inbound.py
@@ -18,14 +18,15 @@
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 64 * 1024
-MAX_BUFFERED_BYTES = 256 * 1024
+# What a connection may buffer without memory of the budget for requests.
+MAX_BUFFERED_BYTES = 16 * 1024
 
 
 class InboundBytes:
     """Reads a socket in its own greenlet, so that a disconnect is noticed.
 
-    Reading pauses once `MAX_BUFFERED_BYTES` are buffered, until they are
-    taken.  `on_end` is called once when the peer has closed or reset the
+    Reading pauses once `MAX_BUFFERED_BYTES` are buffered, or what `set_room` allows,
+    until they are taken.  `on_end` is called once when the peer has closed or reset the
     connection, or when it can't be read any more.
     """
 
@@ -34,6 +35,8 @@
         self._sock = sock
         self._on_end = on_end
         self._data = bytearray()
+        self._room = MAX_BUFFERED_BYTES
+        self._is_interrupted = False
         self._arrived = gevent.event.Event()
         self._has_room = gevent.event.Event()
         self._has_room.set()
@@ -47,22 +50,45 @@
     def take(self, timeout_s: float) -> bytes | None:
         """Return the buffered bytes, b'' at the end, None after the timeout.
 
+        Returns None after an interruption, too.
+
         Bytes that arrive together with the timeout are returned.
         """
         deadline = time.monotonic() + timeout_s
         while not self._data and not self.ended:
             self._arrived.clear()
             remaining_s = deadline - time.monotonic()
-            if remaining_s > 0 and self._arrived.wait(remaining_s):
+            is_waiting = remaining_s > 0 and not self._is_interrupted
+            if is_waiting and self._arrived.wait(remaining_s):
                 continue
             self.poll()
-            if not self._data and not self.ended:
+            if self._is_interrupted or not (self._data or self.ended):
                 return None
         data = bytes(self._data)
         self._data.clear()
-        self._has_room.set()
+        self._update_room()
         return data
 
+    def set_room(self, size: int) -> None:
+        """Buffer up to `size` bytes from now on."""
+        self._room = size
+        self._update_room()
+
+    def interrupt(self) -> None:
+        """End the wait of `take`, and each later one until `resume`."""
+        self._is_interrupted = True
+        self._arrived.set()
+
+    def resume(self) -> None:
+        """Let `take` wait again."""
+        self._is_interrupted = False
+
+    def _update_room(self) -> None:
+        if len(self._data) < self._room:
+            self._has_room.set()
+        else:
+            self._has_room.clear()
+
     def poll(self) -> None:
         """Buffer the bytes that have arrived but have not been read yet.
 
@@ -73,11 +99,12 @@
             return
         self._sock.settimeout(0.0)
         try:
-            self._data += self._sock.recv(READ_BYTES)
+            self._data += self._sock.recv(self._read_bytes())
         except OSError:
             return
         finally:
             self._sock.settimeout(None)
+        self._update_room()
         if self._data:
             self._arrived.set()
 
@@ -102,10 +129,13 @@
         """Buffer what arrives until the peer closes; raises `OSError`."""
         while True:
             self._has_room.wait()
-            data = self._sock.recv(READ_BYTES)
+            data = self._sock.recv(self._read_bytes())
             if not data:
                 return
             self._data += data
-            if len(self._data) >= MAX_BUFFERED_BYTES:
-                self._has_room.clear()
+            self._update_room()
             self._arrived.set()
+
+    def _read_bytes(self) -> int:
+        # A read of no bytes would look like the end of the connection.
+        return max(1, min(READ_BYTES, self._room - len(self._data)))
--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -9,6 +9,7 @@
 
 from ..errors.exchange import BadHttp, CallerLeft
 from ..util.turns import Turns
+from .inbound import MAX_BUFFERED_BYTES, READ_BYTES
 from .limits import UNBOUNDED, BodyBound, usual_body
 from .request import HttpRequest
 
@@ -17,9 +18,13 @@
 
     from .inbound import InboundBytes
     from .limits import BodyLimit, ExchangeLimits
+    from .request_memory import HeldMemory, RequestMemory
 
 # The colon, space and line end of a header line.
 HEADER_OVERHEAD_BYTES = 4
+# While requests wait for memory, a body must advance by so much within the time that it
+# otherwise has for any byte: tiny pieces could hold the memory for ever.
+PROGRESS_BYTES = 16 * 1024
 
 
 class RequestReader:
@@ -30,6 +35,7 @@
     new limits replace it between requests.  `send_continue` writes the interim
     response for which a caller may wait before it sends a body.  Where `body_limit` is
     0, the body is left unread, and the connection must be closed after the response.
+    What a request holds of `memory` is freed by `release`.
     """
 
     def __init__(
@@ -38,11 +44,16 @@
         inbound: InboundBytes,
         get_limits: Callable[[], ExchangeLimits],
         send_continue: Callable[[], None],
+        memory: RequestMemory,
         body_limit: BodyLimit = usual_body,
     ) -> None:
         self.leaves_body = False
         self._body_limit = body_limit
         self._bound = UNBOUNDED
+        self._memory = memory
+        self._held: HeldMemory | None = None
+        self._progress_at = 0.0
+        self._progress_bytes = 0
         self._inbound = inbound
         self._get_limits = get_limits
         self._send_continue = send_continue
@@ -94,6 +105,12 @@
             body=body,
         )
 
+    def release(self) -> None:
+        """Free what the current request holds."""
+        if self._held is not None:
+            self._held.release()
+            self._held = None
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
@@ -164,14 +181,19 @@
             return b''
         if self._bound.max_bytes > self._limits.max_body_bytes:
             self._bound = BodyBound(max_bytes=self._limits.max_body_bytes)
-        self._check_length(head)
+        stated = self._check_length(head)
+        self._held = held = self._memory.hold(self._inbound.interrupt)
+        self._progress_at = time.monotonic()
+        self._progress_bytes = 0
         body = bytearray()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                self._receive_body()
+                self._receive_body(held, len(body), stated)
                 continue
             if isinstance(event, h11.EndOfMessage):
+                self._inbound.set_room(MAX_BUFFERED_BYTES)
+                held.complete(len(body))
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 raise BadHttp(status=400, reason='body_cut')
@@ -179,10 +201,23 @@
             if len(body) > self._bound.max_bytes:
                 raise BadHttp(status=self._bound.status, reason='body_too_large')
 
-    def _receive_body(self) -> None:
+    def _receive_body(
+        self, held: HeldMemory, received: int, stated: int | None
+    ) -> None:
+        """Read a piece of a body, once there is memory for it."""
+        more = READ_BYTES if stated is None else min(READ_BYTES, stated - received)
+        more = held.reserve(received, more, stated)
+        self._inbound.set_room(max(MAX_BUFFERED_BYTES, more))
         if self.http.they_are_waiting_for_100_continue:
             self._send_continue()
-        data = self._take(self._limits.header_timeout_s)
+        now = time.monotonic()
+        has_advanced = received >= self._progress_bytes + PROGRESS_BYTES
+        if has_advanced or not held.is_contended:
+            self._progress_at = now
+            self._progress_bytes = received
+        until = self._progress_at + self._limits.header_timeout_s
+        data = self._take(max(0.0, until - now))
+        held.check()
         if data is None:
             raise BadHttp(status=408, reason='body_timeout')
         if not data:
@@ -199,10 +234,15 @@
         if size > self._limits.max_header_bytes:
             raise BadHttp(status=431, reason='head_too_large')
 
-    def _check_length(self, head: h11.Request) -> None:
+    def _check_length(self, head: h11.Request) -> int | None:
+        """Return the stated length of a body, None if it states none."""
+        length = None
         for name, value in head.headers:
-            if name == b'content-length' and int(value) > self._bound.max_bytes:
+            if name == b'content-length':
+                length = int(value)
+            if length is not None and length > self._bound.max_bytes:
                 raise BadHttp(status=self._bound.status, reason='body_too_large')
+        return length
 
     def _take(self, timeout_s: float) -> bytes | None:
         """Return the bytes that have arrived, as `InboundBytes.take` does."""
--- a/pistachiopath/exchange/server.py
+++ b/pistachiopath/exchange/server.py
@@ -15,6 +15,7 @@
 from ..util.backlog import accept_waiting
 from ..util.early_listener import take_listener
 from .limits import usual_body
+from .request_memory import process_memory
 from .server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
     from .limits import BodyLimit, ExchangeLimits
     from .request import HttpRequest
+    from .request_memory import RequestMemory
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +41,7 @@
 
     `handle` receives the connection and a complete request, and writes the
     response to the connection.  `limits` returns those in force, and `body_limit`
-    the largest body of a request.
+    the largest body of a request.  What requests hold is taken from `memory`.
     `ServerStopping` is raised in a handler that has to answer at once.  If a
     handler fails without having begun a response, the caller gets 500.
     """
@@ -52,11 +54,13 @@
         limits: Callable[[], ExchangeLimits],
         name: str,
         body_limit: BodyLimit = usual_body,
+        memory: RequestMemory = process_memory,
     ) -> None:
         self._address = address
         self._handle = handle
         self._limits = limits
         self._body_limit = body_limit
+        self._memory = memory
         self._name = name
         self._connections: dict[ServerConnection, gevent.Greenlet] = {}
         self._stopping = False
@@ -141,7 +145,10 @@
     def _serve(self, sock: gsocket.socket, _address: tuple) -> None:
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         conn = ServerConnection(
-            sock=sock, get_limits=self._limits, body_limit=self._body_limit
+            sock=sock,
+            get_limits=self._limits,
+            body_limit=self._body_limit,
+            memory=self._memory,
         )
         conn.closes_after_response = self._stopping
         self._connections[conn] = gevent.getcurrent()
@@ -157,9 +164,16 @@
         finally:
             self._connections.pop(conn, None)
             conn.close()
+            conn.release_request()
 
     def _serve_request(self, conn: ServerConnection) -> bool:
         """Serve one request; return whether another may follow."""
+        try:
+            return self._serve_one(conn)
+        finally:
+            conn.release_request()
+
+    def _serve_one(self, conn: ServerConnection) -> bool:
         try:
             req = conn.read_request()
         except BadHttp as exc:
--- a/pistachiopath/exchange/server_connection.py
+++ b/pistachiopath/exchange/server_connection.py
@@ -12,6 +12,7 @@
 from ..errors.exchange import BadHttp, CallerLeft
 from .inbound import InboundBytes
 from .limits import usual_body
+from .request_memory import STATUS_UNAVAILABLE, process_memory
 from .request_reader import RequestReader
 
 if TYPE_CHECKING:
@@ -22,9 +23,11 @@
 
     from .limits import BodyLimit, ExchangeLimits
     from .request import Headers, HttpRequest
+    from .request_memory import RequestMemory
 
 
 LINGER_S = 1.0
+RETRY_AFTER = (b'retry-after', b'1')
 # `struct linger` with a timeout of 0.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Larger responses are written piece by piece, without a copy of the whole.
@@ -46,6 +49,7 @@
         sock: socket,
         get_limits: Callable[[], ExchangeLimits],
         body_limit: BodyLimit = usual_body,
+        memory: RequestMemory = process_memory,
     ) -> None:
         self.closes_after_response = False
         self._is_cut = False
@@ -57,6 +61,7 @@
             get_limits=get_limits,
             send_continue=self._send_continue,
             body_limit=body_limit,
+            memory=memory,
         )
 
     @property
@@ -106,6 +111,10 @@
         """Clear the greenlet set by `start_serving`."""
         self._worker = None
 
+    def release_request(self) -> None:
+        """Free the memory that the current request holds."""
+        self._reader.release()
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
         length = (b'content-length', b'%d' % len(body))
@@ -151,7 +160,9 @@
     def reject(self, status: int) -> None:
         """Refuse a request that may be incomplete, as the last one."""
         self.closes_after_response = True
-        self.respond(status, [], b'')
+        self._inbound.resume()
+        is_unavailable = status == STATUS_UNAVAILABLE
+        self.respond(status, [RETRY_AFTER] if is_unavailable else [], b'')
 
     def linger(self) -> None:
         """Discard input for up to `LINGER_S` so that the caller can read the response.
--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -171,16 +171,18 @@
             headers = [*headers, (b'content-length', b'%d' % len(body))]
         request = h11.Request(method=method, target=target, headers=headers)
         self._sent_events = [request, h11.Data(data=body), h11.EndOfMessage()]
-        data = b''.join(self._http.send(e) or b'' for e in self._sent_events)
-        if len(data) > MAX_INLINE_WRITE_BYTES:
+        pieces: list[bytes] = []
+        for event in self._sent_events:
+            pieces += self._http.send_with_data_passthrough(event) or ()
+        if sum(len(piece) for piece in pieces) > MAX_INLINE_WRITE_BYTES:
             # A target that reads late closes its window.  To the kernel that is
             # the same as a target that acknowledges nothing.
             self._set_unacknowledged_timeout(NO_TIMEOUT_MS)
-            self._writer = gevent.spawn(self._write, data)
+            self._writer = gevent.spawn(self._write, pieces)
             return
         self._set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
         try:
-            self._sock.sendall(data)
+            self._sock.sendall(b''.join(pieces))
         except OSError as exc:
             raise self._broken_off(exc) from exc
 
@@ -191,9 +193,11 @@
             )
             self._unacknowledged_timeout_ms = timeout_ms
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, pieces: list[bytes]) -> None:
+        """Write a request piece by piece, without a copy of its body."""
         try:
-            self._sock.sendall(data)
+            for piece in pieces:
+                self._sock.sendall(piece)
         except OSError:
             # The reading greenlet reports the failure.
             self._ended = True
@@ -243,6 +247,8 @@
             return False
         self._http.start_next_cycle()
         self._writer = None
+        # An idle connection holds no request.
+        self._sent_events = []
         self.idle_since = now
         self.idle_until = now + _idle_timeout_s(head)
         self._has_stated_timeout = bool(head.header(b'keep-alive'))
--- a/pistachiopath/platform/main.py
+++ b/pistachiopath/platform/main.py
@@ -15,6 +15,7 @@
 from .. import __version__
 from ..configuration.toml_file import load
 from ..errors.settings import InvalidFile
+from ..exchange.request_memory import process_memory
 from ..telemetry.bounded_stream import BoundedStream
 from ..telemetry.logs import configure_logging
 from ..telemetry.metrics import Metrics
@@ -43,6 +44,7 @@
     stream = BoundedStream(fd=sys.stdout.fileno())
     configure_logging(f'pistachiopath-{args.program}', cfg.name, cfg.log_level, stream)
     logger.info('starting', extra={'role': cfg.role, 'version': __version__})
+    process_memory.set_budget(cfg.request_memory_bytes)
     metrics = Metrics()
     failures = LoopFailures(metrics=metrics)
     report_greenlet_errors(failures)
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -7,6 +7,11 @@
 from ..admission.retry_budget import RetryBudgetLimits
 from ..configuration.value_types import MAX_PORT, Address, OptionalAddress
 
+MIB = 1024 * 1024
+# Part of the VM's memory for requests in progress: a VM may run two programs, each of
+# which takes 40 MB and some more for answers.
+REQUEST_SHARE = 1 / 8
+DEFAULT_REQUEST_MEMORY_MB = 16.0
 # Each kind of program has the first port or one of those after it.
 PROGRAM_PORTS = 3
 
@@ -27,6 +32,8 @@
     none are recorded.  `allowance_overage` is
     the fraction by which all entries together may exceed a customer's
     allowance, and `allowance_slack_tokens` is what they may admit beyond that.
+    `memory_mb` is the VM's memory, and `request_memory_mb` what a program's requests in
+    progress may hold of it.
     """
 
     name: str
@@ -51,9 +58,17 @@
     retry_window_s: float = 10.0
     allowance_overage: float = 0.0
     allowance_slack_tokens: float = 0.0
+    memory_mb: float = 0.0
+    request_memory_mb: float = 0.0
     log_level: str = 'info'
     traces_file: str = ''
 
+    @property
+    def request_memory_bytes(self) -> float:
+        """What requests in progress may hold in this process."""
+        stated_mb = self.request_memory_mb or self.memory_mb * REQUEST_SHARE
+        return (stated_mb or DEFAULT_REQUEST_MEMORY_MB) * MIB
+
     @property
     def control_port(self) -> int:
         """Port on which control nodes receive messages from other nodes."""
--- /dev/null
+++ b/pistachiopath/request_memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bound on the memory that requests in progress hold."""
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -19,6 +19,7 @@
     'messages',
     'quarantine',
     'replication',
+    'request_memory',
     'routes',
     'routing',
     'streams',
