--- a/pistachiopath/entry/http.py
+++ b/pistachiopath/entry/http.py
@@ -12,12 +12,15 @@
 from ..claims.effects import Conclude, Deliver
 from ..errors.admission import BadRequest
 from ..errors.outcomes import Completed, Expired, Refused, Unknown
+from ..exchange.request_memory import process_memory
+from .body_reader import read_body
 from .requests import CallerHeaders, RequestParser
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from ..errors.outcomes import Outcome
+    from ..exchange.request_memory import HeldMemory
     from .requests import ParsedRequest
     from .settings import EntrySettings
     from .shell import Call, EntryShell
@@ -98,20 +101,28 @@
 
     def _metrics(self) -> str:
         bottle.response.content_type = METRICS_CONTENT_TYPE
+        process_memory.report(self._shell.metrics)
         return self._shell.render_metrics() + '\n'
 
     # Answers
 
     def _answer(self, parse) -> bottle.HTTPResponse | Iterator[bytes]:  # noqa: ANN001
+        held = process_memory.hold(_ignore)
+        answer: object = None
         try:
             parser = self._parser()
-            parsed = parse(parser, self._body(), _headers())
+            parsed = parse(parser, self._body(held), _headers())
+            call = self._shell.submit(parsed)
+            if parsed.streams:
+                answer = self._answer_streamed(call, held)
+            else:
+                answer = self._answer_whole(call)
+            return answer
         except BadRequest as exc:
             return _bad_request(exc)
-        call = self._shell.submit(parsed)
-        if parsed.streams:
-            return self._answer_streamed(call)
-        return self._answer_whole(call)
+        finally:
+            if not isinstance(answer, _StreamedAnswer):
+                held.release()
 
     def _answer_whole(self, call: Call) -> bottle.HTTPResponse:
         parts: list[Deliver] = []
@@ -137,7 +148,9 @@
         response.set_header(REQUEST_ID_HEADER, call.parsed.request_id)
         return response
 
-    def _answer_streamed(self, call: Call) -> bottle.HTTPResponse | Iterator[bytes]:
+    def _answer_streamed(
+        self, call: Call, held: HeldMemory
+    ) -> bottle.HTTPResponse | Iterator[bytes]:
         effect = call.effects.get()
         if isinstance(effect, Conclude):
             try:
@@ -147,7 +160,7 @@
         bottle.response.status = effect.status
         bottle.response.content_type = effect.content_type
         bottle.response.set_header(REQUEST_ID_HEADER, call.parsed.request_id)
-        return _StreamedAnswer(call=call, shell=self._shell, first=effect)
+        return _StreamedAnswer(call=call, shell=self._shell, first=effect, held=held)
 
     # Requests
 
@@ -162,20 +175,24 @@
             )
         return RequestParser(rules=self._shell.rules)
 
-    def _body(self) -> bytes:
-        limit = self._cfg.max_body_bytes
-        if (bottle.request.content_length or 0) > limit:
-            raise _too_large(limit)
-        body = bottle.request.environ['wsgi.input'].read(limit + 1)
-        if len(body) > limit:
-            raise _too_large(limit)
-        return body
+    def _body(self, held: HeldMemory) -> bytes:
+        environ = bottle.request.environ
+        is_chunked = 'HTTP_TRANSFER_ENCODING' in environ
+        return read_body(
+            environ['wsgi.input'],
+            stated=None if is_chunked else max(0, bottle.request.content_length),
+            limit=self._cfg.max_body_bytes,
+            held=held,
+        )
 
 
 class _StreamedAnswer:
     """Iterates over the parts of an answer; the WSGI server calls `close`."""
 
-    def __init__(self, *, call: Call, shell: EntryShell, first: Deliver) -> None:
+    def __init__(
+        self, *, call: Call, shell: EntryShell, first: Deliver, held: HeldMemory
+    ) -> None:
+        self._held = held
         self._call = call
         self._shell = shell
         self._next_effect: Deliver | Conclude | None = first
@@ -213,9 +230,14 @@
 
     def close(self) -> None:
         """Close the call, also if the caller disconnected."""
+        self._held.release()
         self._shell.close_call(self._call)
 
 
+def _ignore() -> None:
+    """Leave a refusal to the next piece of the body."""
+
+
 def _unix_time_ms() -> int:
     return int(time.time() * 1000)
 
@@ -282,12 +304,6 @@
     return response
 
 
-def _too_large(limit: int) -> BadRequest:
-    return BadRequest(
-        code='body_too_large', detail=f'at most {limit} bytes', http_status=413
-    )
-
-
 def _default_error(error: bottle.HTTPError) -> str:
     bottle.response.content_type = 'application/json'
     document = {
--- a/pistachiopath/entry/main.py
+++ b/pistachiopath/entry/main.py
@@ -8,6 +8,7 @@
 
 import random
 
+from ..exchange.request_memory import process_memory
 from ..telemetry.traces import create_tracer
 from ..util.greenlet_errors import report_greenlet_errors
 from ..util.listen import make_server
@@ -17,6 +18,8 @@
 from .settings import EntrySettings
 from .shell import EntryShell
 
+MIB = 1024 * 1024
+
 
 def main() -> None:
     """Run the entry until stopped."""
@@ -25,6 +28,7 @@
         "Accepts callers' requests, binds them to targets and relays the answers.",
         EntrySettings,
     )
+    process_memory.set_budget(cfg.request_memory_mb * MIB)
     tracer = create_tracer('pistachiopath-entry', cfg.name, cfg.trace_file)
     shell = EntryShell(cfg=cfg, rng=random.SystemRandom(), tracer=tracer)
     caller_app = CallerApp(cfg=cfg, shell=shell)
--- a/tests/test_entry/test_http.py
+++ b/tests/test_entry/test_http.py
@@ -11,6 +11,7 @@
 from pistachiopath.entry.http import CallerApp, _StreamedAnswer
 from pistachiopath.entry.settings import EntrySettings
 from pistachiopath.errors.outcomes import Completed, Rejected, Unknown
+from pistachiopath.exchange.request_memory import RequestMemory
 
 
 class FakeShell:
@@ -44,7 +45,9 @@
 def stream(effects):
     shell = FakeShell()
     first, *rest = effects
-    return list(_StreamedAnswer(call=FakeCall(rest), shell=shell, first=first)), shell
+    held = RequestMemory().hold(lambda: None)
+    answer = _StreamedAnswer(call=FakeCall(rest), shell=shell, first=first, held=held)
+    return list(answer), shell
 
 
 def test_queued_parts_are_written_at_once():
