Exchange: an answer cut by a reset during an upload is not a whole one

Seen: a target read 1,000 bytes of an upload of 4 MiB, sent a head without a length and six bytes, and reset the connection; the six bytes were passed on as the whole answer. Cause: the kernel tells of a reset once. The greenlet that writes was told, and the one that reads saw a normal end. A failure to write now breaks an answer off whose end is not known when the stream ends.

--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -84,6 +84,7 @@
         self._writer: gevent.Greenlet | None = None
         self._ended = False
         self._reset: OSError | None = None
+        self._write_failure: OSError | None = None
         self._is_discarding = False
         self._discarded_bytes = 0
         self._interim_heads = 0
@@ -198,8 +199,10 @@
         try:
             for piece in pieces:
                 self._sock.sendall(piece)
-        except OSError:
-            # The reading greenlet reports the failure.
+        except OSError as exc:
+            # The reading greenlet reports the failure once it has read what arrived
+            # before: the kernel tells only one of both of a reset.
+            self._write_failure = exc
             self._ended = True
 
     def read_head(self) -> AnswerHead:
@@ -298,6 +301,8 @@
         except OSError as exc:
             raise self._broken_off(exc) from exc
         self._turns.received(len(data), began_at)
+        if not data and self._write_failure is not None:
+            raise self._broken_off(self._write_failure) from self._write_failure
         if not data:
             self._ended = True
         else:
