Exchange: a status above 599 is not an answer

Statuses 600, 700 and 999 were passed on to callers. They are garbled answers now, as bytes that are no response are, and both are logged.

--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 from ..errors.exchange import BrokenOff, ConnectFailed, Garbled, NumberTooLarge
 from ..transport.network import CONNECT_ERRORS, split_address
+from ..util.plain_text import shortened
 from ..util.turns import Turns
 from .answer import AnswerHead
 from .decimal import parse_decimal
@@ -21,6 +23,8 @@
 
     from .request import Headers
 
+logger = logging.getLogger(__name__)
+
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 # Larger requests are written by a separate greenlet, because a target may respond
@@ -38,6 +42,7 @@
 MAX_IDLE_TIMEOUT_S = 3600
 # Requests whose responses may still be repeated.
 MAX_REMEMBERED_IDS = 64
+MAX_STATUS = 599
 # Interim heads before one response.
 MAX_INTERIM_HEADS = 100
 # Interval at which arriving bytes are reported.
@@ -219,6 +224,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise self._broken_off(None)
+            self._check_status(event.status_code)
             head = AnswerHead(status=event.status_code, headers=list(event.headers))
             echoed = _header_value(head.headers, self._id_header)
             if not echoed and self._request_id and self.requests > 1:
@@ -287,6 +293,10 @@
             except h11.RemoteProtocolError as exc:
                 if self._ended:
                     raise self._broken_off(exc) from exc
+                logger.warning(
+                    'answer_unreadable',
+                    extra={'target': self.address, 'reason': shortened(str(exc))},
+                )
                 raise self._garbled(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
@@ -315,6 +325,15 @@
             self._report_heard_at = now + HEARD_INTERVAL_S
             self._on_heard(self.address, self.opened_at, now)
 
+    def _check_status(self, status: int) -> None:
+        """Raise `Garbled` for a status that HTTP does not define."""
+        if status > MAX_STATUS:
+            logger.warning(
+                'answer_status_invalid',
+                extra={'target': self.address, 'status': status},
+            )
+            raise self._garbled('status')
+
     def _count_interim_head(self) -> None:
         self._interim_heads += 1
         if self._interim_heads > MAX_INTERIM_HEADS:
--- a/tests/test_exchange/test_target_connection.py
+++ b/tests/test_exchange/test_target_connection.py
@@ -6,6 +6,7 @@
 import gevent.socket as gsocket
 import pytest
 
+from pistachiopath.agent.engine_answer import EngineRequests
 from pistachiopath.errors.exchange import BrokenOff, ConnectFailed, Garbled
 from pistachiopath.exchange import target_connection
 from pistachiopath.exchange.pool import ConnectionPool
@@ -303,3 +304,45 @@
         late, gone = (gevent.spawn(answer_after, s) for s in (3.1, 2 * LIMIT_S))
         assert late.get() == b'yes'
         assert gone.get() is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'logged'),
+    [(status, 'answer_status_invalid') for status in (600, 700, 999)]
+    + [(status, 'answer_unreadable') for status in (0, 99)],
+)
+def test_a_status_that_none_is_defined_for_is_garbled(status, logged, caplog):
+    # Guards against bytes that are passed on as an answer though no target sends them.
+    target = ScriptedTarget([b'HTTP/1.1 %03d X\r\nX-Id: 1\r\n\r\n' % status])
+    conn = connect(target)
+    send_request(conn)
+    with pytest.raises(Garbled):
+        conn.read_head()
+    assert logged in caplog.messages
+
+
+@pytest.mark.parametrize('status', [b'20', b'2000', b'2x0', b'', b'-200'])
+def test_a_status_that_is_not_three_digits_is_garbled(status):
+    # Guards against a parser that takes any number for a status.
+    target = ScriptedTarget([b'HTTP/1.1 %b OK\r\nX-Id: 1\r\n\r\n' % status])
+    conn = connect(target)
+    send_request(conn)
+    with pytest.raises(Garbled):
+        conn.read_head()
+
+
+def test_the_largest_status_is_passed_on():
+    # Guards against a bound on statuses that leaves out some that are defined.
+    target = ScriptedTarget([b'HTTP/1.1 599 X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n'])
+    conn = connect(target)
+    send_request(conn)
+    assert read_response(conn)[0].status == 599
+
+
+@pytest.mark.parametrize('status', [600, 999])
+def test_an_engine_has_no_answer_with_an_undefined_status(status):
+    # Guards against the same fault on the path through the agent.
+    target = ScriptedTarget([b'HTTP/1.1 %03d X\r\nContent-Length: 0\r\n\r\n' % status])
+    requests = EngineRequests(address=target.address)
+    with pytest.raises(Garbled):
+        requests.send('POST', '/', [], b'')
