--- a/pistachiopath/exchange/target_connection.py
+++ b/pistachiopath/exchange/target_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 from ..errors.exchange import BrokenOff, ConnectFailed, Garbled, NumberTooLarge
 from ..transport.network import CONNECT_ERRORS, split_address
+from ..util.plain_text import shortened
 from ..util.turns import Turns
 from .answer import AnswerHead
 from .decimal import parse_decimal
@@ -21,6 +23,8 @@
 
     from .request import Headers
 
+logger = logging.getLogger(__name__)
+
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 # Larger requests are written by a separate greenlet, because a target may respond
@@ -38,6 +42,7 @@
 MAX_IDLE_TIMEOUT_S = 3600
 # Requests whose responses may still be repeated.
 MAX_REMEMBERED_IDS = 64
+MAX_STATUS = 599
 # Interim heads before one response.
 MAX_INTERIM_HEADS = 100
 # Interval at which arriving bytes are reported.
@@ -84,6 +89,7 @@
         self._writer: gevent.Greenlet | None = None
         self._ended = False
         self._reset: OSError | None = None
+        self._write_failure: OSError | None = None
         self._is_discarding = False
         self._discarded_bytes = 0
         self._interim_heads = 0
@@ -171,16 +177,18 @@
             headers = [*headers, (b'content-length', b'%d' % len(body))]
         request = h11.Request(method=method, target=target, headers=headers)
         self._sent_events = [request, h11.Data(data=body), h11.EndOfMessage()]
-        data = b''.join(self._http.send(e) or b'' for e in self._sent_events)
-        if len(data) > MAX_INLINE_WRITE_BYTES:
+        pieces: list[bytes] = []
+        for event in self._sent_events:
+            pieces += self._http.send_with_data_passthrough(event) or ()
+        if sum(len(piece) for piece in pieces) > MAX_INLINE_WRITE_BYTES:
             # A target that reads late closes its window.  To the kernel that is
             # the same as a target that acknowledges nothing.
             self._set_unacknowledged_timeout(NO_TIMEOUT_MS)
-            self._writer = gevent.spawn(self._write, data)
+            self._writer = gevent.spawn(self._write, pieces)
             return
         self._set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT_MS)
         try:
-            self._sock.sendall(data)
+            self._sock.sendall(b''.join(pieces))
         except OSError as exc:
             raise self._broken_off(exc) from exc
 
@@ -191,11 +199,15 @@
             )
             self._unacknowledged_timeout_ms = timeout_ms
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, pieces: list[bytes]) -> None:
+        """Write a request piece by piece, without a copy of its body."""
         try:
-            self._sock.sendall(data)
-        except OSError:
-            # The reading greenlet reports the failure.
+            for piece in pieces:
+                self._sock.sendall(piece)
+        except OSError as exc:
+            # The reading greenlet reports the failure once it has read what arrived
+            # before: the kernel tells only one of both of a reset.
+            self._write_failure = exc
             self._ended = True
 
     def read_head(self) -> AnswerHead:
@@ -212,6 +224,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise self._broken_off(None)
+            self._check_status(event.status_code)
             head = AnswerHead(status=event.status_code, headers=list(event.headers))
             echoed = _header_value(head.headers, self._id_header)
             if not echoed and self._request_id and self.requests > 1:
@@ -243,6 +256,8 @@
             return False
         self._http.start_next_cycle()
         self._writer = None
+        # An idle connection holds no request.
+        self._sent_events = []
         self.idle_since = now
         self.idle_until = now + _idle_timeout_s(head)
         self._has_stated_timeout = bool(head.header(b'keep-alive'))
@@ -278,6 +293,10 @@
             except h11.RemoteProtocolError as exc:
                 if self._ended:
                     raise self._broken_off(exc) from exc
+                logger.warning(
+                    'answer_unreadable',
+                    extra={'target': self.address, 'reason': shortened(str(exc))},
+                )
                 raise self._garbled(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
@@ -292,6 +311,8 @@
         except OSError as exc:
             raise self._broken_off(exc) from exc
         self._turns.received(len(data), began_at)
+        if not data and self._write_failure is not None:
+            raise self._broken_off(self._write_failure) from self._write_failure
         if not data:
             self._ended = True
         else:
@@ -304,6 +325,15 @@
             self._report_heard_at = now + HEARD_INTERVAL_S
             self._on_heard(self.address, self.opened_at, now)
 
+    def _check_status(self, status: int) -> None:
+        """Raise `Garbled` for a status that HTTP does not define."""
+        if status > MAX_STATUS:
+            logger.warning(
+                'answer_status_invalid',
+                extra={'target': self.address, 'status': status},
+            )
+            raise self._garbled('status')
+
     def _count_interim_head(self) -> None:
         self._interim_heads += 1
         if self._interim_heads > MAX_INTERIM_HEADS:
--- a/pistachiopath/platform/settings.py
+++ b/pistachiopath/platform/settings.py
@@ -8,6 +8,11 @@
 from ..configuration.value_types import MAX_PORT, Address, OptionalAddress
 from ..rollouts.bounds import RolloutBounds
 
+MIB = 1024 * 1024
+# Part of the VM's memory for requests in progress: a VM may run two programs, each of
+# which takes 40 MB and some more for answers.
+REQUEST_SHARE = 1 / 8
+DEFAULT_REQUEST_MEMORY_MB = 16.0
 # Each kind of program has the first port or one of those after it.
 PROGRAM_PORTS = 3
 
@@ -30,6 +35,8 @@
     allowance, and `allowance_slack_tokens` is what they may admit beyond that.
     Rollouts of versions are possible where `exposure_share` is above 0; the others
     of their settings are described at `RolloutBounds`.
+    `memory_mb` is the VM's memory, and `request_memory_mb` what a program's requests in
+    progress may hold of it.
     """
 
     name: str
@@ -58,9 +65,17 @@
     exposure_slack: float = 50.0
     rollback_ms: float = 5000.0
     ack_ms: float = 5000.0
+    memory_mb: float = 0.0
+    request_memory_mb: float = 0.0
     log_level: str = 'info'
     traces_file: str = ''
 
+    @property
+    def request_memory_bytes(self) -> float:
+        """What requests in progress may hold in this process."""
+        stated_mb = self.request_memory_mb or self.memory_mb * REQUEST_SHARE
+        return (stated_mb or DEFAULT_REQUEST_MEMORY_MB) * MIB
+
     @property
     def control_port(self) -> int:
         """Port on which control nodes receive messages from other nodes."""
--- a/tools/check_purity.py
+++ b/tools/check_purity.py
@@ -21,6 +21,7 @@
     'quarantine',
     'replication',
     'rollouts',
+    'request_memory',
     'routes',
     'routing',
     'shares',
