--- a/tests/test_relay/test_version_mutations.py
+++ b/tests/test_relay/test_version_mutations.py
@@ -13,9 +13,9 @@
 from pistachiopath.relay.stream_versions import StreamVersions
 from pistachiopath.relay.work import Work
 from tests.harness.mutations import check_fails, each
+from tests.test_lifetimes import test_open_streams as note_checks
 
 from . import test_late_first_reports as late_checks
-from . import test_open_streams as note_checks
 from . import test_stream_versions as version_checks
 from .control_node import Control
 
