--- a/tests/test_system/platform_programs.py
+++ b/tests/test_system/platform_programs.py
@@ -109,11 +109,12 @@
 
     # Ordinary requests, one to each kind of address
 
-    def put_configuration(self) -> bool:
+    def put_configuration(self, padded_to=0) -> bool:
         """Send the configuration to the control node again."""
-        return self._call('PUT', self.control, wire.CONFIGURATION_PATH, document(1))
+        path = wire.CONFIGURATION_PATH
+        return self._call('PUT', self.control, path, document(1), padded_to)
 
-    def announce(self) -> bool:
+    def announce(self, padded_to=0) -> bool:
         """Announce the replica."""
         path = f'{wire.REPLICAS_PATH}i-{SERVICE}-1'
         host, port = self._replica.server_address
@@ -128,7 +129,7 @@
             'sequence': time.monotonic_ns(),
             'born': 1,
         }
-        return self._call('PUT', self.control, path, body)
+        return self._call('PUT', self.control, path, body, padded_to)
 
     def is_answered(self) -> bool:
         """Whether a caller's request is answered by the replica."""
@@ -152,8 +153,10 @@
         """Whether a program answers a request for its metrics."""
         return self._call('GET', self.metrics[role], '/metrics')
 
-    def _call(self, method: str, address: str, path: str, content=None) -> bool:
-        body = None if content is None else json.dumps(content)
+    def _call(
+        self, method: str, address: str, path: str, content=None, padded_to=0
+    ) -> bool:
+        body = None if content is None else json.dumps(content).ljust(padded_to)
         reply = self._request(method, address, path, body=body)
         return reply is not None and reply.status == 200
 
--- a/tests/test_system/test_large_requests.py
+++ b/tests/test_system/test_large_requests.py
@@ -16,6 +16,7 @@
 # The largest bodies that the configuration and the control nodes allow.
 BODY_BYTES = 4 * MIB
 CONTROL_BODY_BYTES = 7 * MIB
+ANNOUNCEMENT_BYTES = 256 * 1024
 CALLER_LINES = (
     f'Host: {HOST}',
     f'{wire.REQUEST_ID}: crowd',
@@ -120,3 +121,10 @@
     process = programs.processes[role]
     address = programs.nodes[role]
     check_crowd(process, address, data, lambda: programs.has_metrics(role))
+
+
+def test_the_largest_requests_are_served_in_calm(programs):
+    """Guards against bounds that refuse what the limits allow."""
+    assert programs.answer_size(b'a' * BODY_BYTES) == BODY_BYTES
+    assert programs.put_configuration(padded_to=CONTROL_BODY_BYTES)
+    assert programs.announce(padded_to=ANNOUNCEMENT_BYTES)
