Rollouts: a rate from like totals, one version for a repeated search

The rate compared the record's total, which counts entries that have ended, with what entries report now, so it could be too high after a change of the leader. A hedge that is sought again drew a new version each time and could exceed the canary's share. Orders are counted by their method.

--- a/pistachiopath/platform/control_api.py
+++ b/pistachiopath/platform/control_api.py
@@ -30,7 +30,7 @@
 
 # Clients try another control node after 1 second without an answer.
 ANSWER_TIMEOUT_S = 0.85
-METHODS = frozenset({b'GET', b'PUT', b'DELETE'})
+METHODS = frozenset({b'GET', b'PUT', b'POST', b'DELETE'})
 OTHER_METHOD = 'other'
 JSON_CONTENT_TYPE = (b'content-type', b'application/json')
 EMPTY_BODY = b'{}'
--- a/pistachiopath/relay/hedges.py
+++ b/pistachiopath/relay/hedges.py
@@ -92,6 +92,8 @@
         work.tries += 1
         moved = attrs.evolve(work, excluded=set(excluded), denied=set())
         candidate = self._placer.choose_other(moved)
+        # A search that is repeated keeps the version that was drawn.
+        work.split_choice = moved.split_choice
         if candidate is None:
             return None
         found = self._reserve(moved, candidate)
--- a/pistachiopath/rollouts/director.py
+++ b/pistachiopath/rollouts/director.py
@@ -271,10 +271,11 @@
     watched: _Watched, record: RolloutRecord, elapsed_s: float, now: float
 ) -> float:
     """Return the requests per second lately, 0 if it is not known yet."""
-    at, data = watched.history[0]
+    (at, earlier), (_, latest) = watched.history[0], watched.history[-1]
+    span_s = watched.history[-1][0] - at
     # A leader that has just begun holds no earlier totals to compare with.
-    if now - at >= RATE_AFTER_S and data.sent_all:
-        return (record.sent_all - data.sent_all) / (now - at)
+    if span_s >= RATE_AFTER_S and earlier.sent_all:
+        return (latest.sent_all - earlier.sent_all) / span_s
     if elapsed_s < RATE_AFTER_S:
         return 0.0
     return record.sent_all / elapsed_s
--- a/pistachiopath/rollouts/judgement.py
+++ b/pistachiopath/rollouts/judgement.py
@@ -14,7 +14,8 @@
 
     from .sums import Comparison, Sums
 
-# An engine that ends fails its runs together, up to 8 of them, with any version.
+# An engine that ends fails its runs together, up to its number of places, with any
+# version.
 MIN_FAILURES = 9
 # Where half of the answers fail, fewer are enough: routes may have few requests.
 MIN_FREQUENT_FAILURES = 5
@@ -26,10 +27,9 @@
 MIN_RATIO = 15.0
 # Share of failures of the old version on which no answers are known.
 PRIOR_FAILED, PRIOR_ANSWERED = 0.5, 24.5
-# Numbers of times, and the factor from which so many make a version bad.  Engines run
-# at 0.6 to 1.7 times the nominal speed, some are 2.5 times slower for 0.6 s, and the
-# canary has one or two of them: with a factor of 2 for 10 times, 2 of 12 good versions
-# were rolled back in simulation.
+# Numbers of times, and the factor from which so many make a version bad.  Engines
+# differ in speed by a factor of about three, and the canary has one or two of them, so
+# smaller factors roll good versions back.
 SLOW_FACTORS = ((30, 2.2), (10, 3.0))
 MIN_OLD_TIMES = 5
 # Standard errors by which the times exceed the half of the factor on a log scale.
