Exchange: the wait for memory does not count as a sender's silence

A body that waited longer than the head timeout for memory got 408 right after 100 Continue. Found by a reader of the diff; tests of request memory pass, none of its own yet.

--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -206,7 +206,10 @@
     ) -> None:
         """Read a piece of a body, once there is memory for it."""
         more = READ_BYTES if stated is None else min(READ_BYTES, stated - received)
+        began_at = time.monotonic()
         more = held.reserve(received, more, stated)
+        # The sender could not advance while its bytes were not read.
+        self._progress_at += time.monotonic() - began_at
         self._inbound.set_room(max(MAX_BUFFERED_BYTES, more))
         if self.http.they_are_waiting_for_100_continue:
             self._send_continue()
