--- a/pistachiopath/grants/watch.py
+++ b/pistachiopath/grants/watch.py
@@ -49,12 +49,19 @@
         # Time until which a load is awaited; -inf for a lost gate.
         self._reply_deadlines: dict[str, float] = {}
 
-    def tick(self, gates: dict[str, int], now: float) -> list[Send]:
+    def tick(
+        self,
+        gates: dict[str, int],
+        now: float,
+        always_asked: frozenset[str] = frozenset(),
+    ) -> list[Send]:
         """Renew the watches that are due.
 
-        `gates` maps the addresses of the gates in use to their slots.
+        `gates` maps the addresses of the gates in use to their slots.  Those in
+        `always_asked` are asked for places until they are lost.  The others count as
+        unreachable once a load that was due while they were watched is overdue.
         """
-        self._update_watched(gates)
+        self._update_watched(gates, always_asked)
         effects: list[Send] = []
         for address in self._watched | self._lost_gates():
             self._reply_deadlines.setdefault(address, now + REPLY_TIMEOUT_S)
@@ -65,7 +72,9 @@
                 effects.append(Send(to=address, call=0, body=body))
         return effects
 
-    def _update_watched(self, gates: dict[str, int]) -> None:
+    def _update_watched(
+        self, gates: dict[str, int], always_asked: frozenset[str]
+    ) -> None:
         """Choose the gates to watch anew if the gates in use have changed."""
         if gates.keys() == self._gates:
             return
@@ -76,7 +85,9 @@
         self._reply_deadlines = {
             address: deadline
             for address, deadline in self._reply_deadlines.items()
-            if address in self._watched or deadline == -math.inf
+            if address in self._watched
+            or address not in always_asked
+            or deadline == -math.inf
         }
         for by_address in (self._reply_deadlines, self._watch_at, self._loads):
             for address in [a for a in by_address if a not in gates]:
--- a/pistachiopath/relay/gate_link.py
+++ b/pistachiopath/relay/gate_link.py
@@ -44,12 +44,19 @@
         """Run the timers of the gates in this entry."""
         self._own_gates.tick(now)
 
-    def watch(self, gates: dict[str, int], now: float) -> list[Send]:
+    def watch(
+        self,
+        gates: dict[str, int],
+        now: float,
+        always_asked: frozenset[str] = frozenset(),
+    ) -> list[Send]:
         """Renew watches, and name held places to gates that may have lost them.
 
-        `gates` maps the addresses in use to their places.
+        `gates` maps the addresses in use to their places; those in `always_asked` are
+        asked for places until they are lost.
         """
-        return self.loads.tick(gates, now) + self._held.tick(now)
+        watches = self.loads.tick(gates, now, always_asked)
+        return watches + self._held.tick(now)
 
     def receive(self, gate: str, body: Message, now: float) -> None:
         """Handle a message of the gate beside an engine."""
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -102,7 +102,8 @@
         routes = self._routes.current
         if routes is not None:
             gates = self._targets.gates(routes)
-            self._send_all(self._gates.watch(gates, now))
+            always_asked = self._targets.final_urgent_gates(routes)
+            self._send_all(self._gates.watch(gates, now, always_asked))
 
     def _handle_news(self, sender: str, call: int, body: News, now: float) -> None:
         if self._rollouts is not None:
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -328,3 +328,11 @@
             if service is not None and service.has_engine:
                 gates[self.gate(record)] = record.slots or service.slots
         return gates
+
+    def final_urgent_gates(self, routes: RouteSet) -> frozenset[str]:
+        """Return the gates of services whose urgent streams can be sent only once."""
+        return frozenset(
+            self.gate(record)
+            for record in self.ready()
+            if routes.is_final_urgent(record.service)
+        )
--- a/tests/test_grants/test_watch.py
+++ b/tests/test_grants/test_watch.py
@@ -54,9 +54,11 @@
     # and served its engine by the entry's own few places.
     watch = LoadWatch(own_address='e1')
     few = dict(list(gates(30).items())[:MAX_WATCHED])
-    for effect in watch.tick(few, 10.0):
+    for effect in watch.tick(few, 10.0, frozenset(few)):
         watch.record_load(effect.to, LOAD, 10.01)
-    watched = {effect.to for effect in watch.tick(gates(30), 11.1)}
+    watched = {
+        effect.to for effect in watch.tick(gates(30), 11.1, frozenset(gates(30)))
+    }
     unwatched = set(few) - watched
     assert unwatched
     for gate in unwatched:
@@ -66,10 +68,10 @@
 def test_a_lost_gate_that_is_no_longer_watched_stays_lost_until_it_is_heard():
     watch = LoadWatch(own_address='e1')
     few = dict(list(gates(30).items())[:MAX_WATCHED])
-    watch.tick(few, 10.0)
+    watch.tick(few, 10.0, frozenset(few))
     for gate in few:
         watch.mark_lost(gate)
-    watch.tick(gates(30), 11.0)
+    watch.tick(gates(30), 11.0, frozenset(gates(30)))
     for gate in few:
         assert not watch.is_awaited(gate, 11.0)
         watch.record_load(gate, LOAD, 11.1)
