--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -215,6 +215,7 @@
 | **then** the same with the loads of {s.subset} targets, and changes of configuration as deltas | {s.entry_bytes:.0f} B/s | 3,000 B/s | {verdict(s.entry_bytes, BYTES_BUDGET)} |
 | **then** processor for control | {s.entry_cpu:.2%} of a core | 1.7% | {verdict(s.entry_cpu, CPU_BUDGET)} |
 | memory: {s.path['idle_rss_entry-a']:.0f} MB idle, configuration {s.configuration_mb:.1f}, targets {s.targets_mb:.1f}, prefix index {s.index_mb:.1f} | {s.entry_mb:.0f} MB | 64 MB | {verdict(s.entry_mb, MEMORY_BUDGET_MB)} |
+| **now** data path: requests in progress, at most 16 MB (or an eighth of the VM's memory) and the copy of one (4 MB) | 20 MB | beside control | bounded by [request-memory](design/request-memory.md) |
 | **now** whole configuration on each change | {s.full_bytes_now / 1000:.0f} KB/s, {s.full_cpu_now:.1%} of a core | 3 KB/s, 1.7% | {verdict(s.full_bytes_now, BYTES_BUDGET)} |
 
 Mechanisms: an entry takes views as differences ([views](design/views.md)), of
