--- a/pistachiopath/engine_state/current_speed.py
+++ b/pistachiopath/engine_state/current_speed.py
@@ -19,7 +19,7 @@
 # completed runs counts the maximum output, which many runs do not reach.
 BASELINE_HALF_LIFE_S = 8.0
 MIN_BASELINE_WINDOWS = 5
-# The same for prompts: those that were read within this time are taken together.
+# Prompts whose first events came within this time of the newest one are averaged.
 PROMPT_SPAN_S = 0.3
 MAX_PROMPTS = 32
 MIN_PROMPT_TOKENS = 200
--- a/pistachiopath/messages/rollouts.py
+++ b/pistachiopath/messages/rollouts.py
@@ -26,8 +26,7 @@
     the acceptance to the record.  `sent_new` and `sent_all` are lower bounds of the
     requests sent since the order, to the version and altogether.  `state` is a
     `RolloutState` value, and `stage` a `RolloutStage` value, which began `stage_ms`
-    after the acceptance.  The steps before and at the whole traffic last `step_ms`
-    and `full_ms`.
+    after the acceptance.  The stages `STEP` and `FULL` last `step_ms` and `full_ms`.
     """
 
     service: str
