Review: case 6, seeds without a disk that start together stay out of the group

A blank control node looks for its group only at the seeds of its settings (replication/group.py). Seeds without a disk that are killed together know nobody afterwards, and an empty machine of the core that is given these seeds never becomes a voter. The loss of one disk, which is to be borne, then leaves one voter of three.

--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -54,14 +54,14 @@
         self.settings = settings
         self.process: subprocess.Popen | None = None
         self.starts = 0
+        self.is_of_first_start = role == 'control'
         self._lab = lab
         self._path = lab.folder / f'{name}.toml'
         self.log = lab.folder / f'{name}.log'
 
     def start(self) -> None:
         """Start a process; only the first one is that of a new system."""
-        first = {'is_first_start': self.starts == 0 and self.role == 'control'}
-        self._path.write_text(toml(self.settings | first))
+        self.write_settings(is_first_start=self.starts == 0 and self.is_of_first_start)
         self.starts += 1
         kept = {k: v for k, v in os.environ.items() if k in ('PATH', 'HOME', 'LANG')}
         with self.log.open('ab') as log:
@@ -87,6 +87,11 @@
                 process_group=0,
             )
 
+    def write_settings(self, *, is_first_start: bool = False) -> None:
+        """Write the settings file."""
+        first = {'is_first_start': is_first_start}
+        self._path.write_text(toml(self.settings | first))
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -190,6 +195,26 @@
         name = f'agent-{ip.rpartition(".")[2]}'
         self._add(name, 'agent', ip, engine=engine)
 
+    def replace_control(self, number: int) -> str:
+        """Start an empty control node at a new address in place of one that is gone."""
+        ip = f'{self.network}.{60 + number}'
+        gone = self.programs[f'control-{number}'].settings
+        self.control_ips.remove(gone['ip'])
+        self.control_ips.append(ip)
+        name = f'control-{number}-new'
+        self._add(
+            name,
+            'control',
+            ip,
+            control=f'{ip}:{self.control_port}',
+            data_folder=str(self.folder / name),
+        )
+        program = self.programs[name]
+        program.settings['seeds'] = gone['seeds']
+        program.is_of_first_start = False
+        program.start()
+        return ip
+
     def __enter__(self) -> Lab:
         return self
 
