Review: case 7, an entry that was cut off forgets all control nodes

After 30 s without a message an entry forgets the control nodes that are not its seeds (directory/subscriber.py, _prune_sources). If its seeds are gone meanwhile, it follows nobody after a partition of 34 s and keeps its old configuration for good.

--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+from partition import NodeProxy, Partition
+
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = 'case.example'
 KEY = 'k3yc4s3n1n3'
@@ -127,6 +129,7 @@
         diskless: int = 0,
         memory_mb: int = MEMORY_MB,
         settings: dict | None = None,
+        is_proxied: bool = False,
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix='case-'))
         self.network = f'127.{random.randint(64, 190)}.{random.randint(1, 250)}'
@@ -144,9 +147,10 @@
         self.tasks: list[asyncio.Task] = []
         self.replicas: list[Replica] = []
         self.memory_mb = memory_mb
+        self.is_proxied = is_proxied
         ips = [f'{self.network}.{n}' for n in range(1, 41)]
         self.control_ips = ips[: controls + diskless]
-        self.seeds = [f'{ip}:{self.control_port}' for ip in ips[:3][:controls]]
+        self.seeds = self.seeds_at(self.control_ips[:controls])
         for number, ip in enumerate(self.control_ips):
             disk = self.folder / f'data-{number + 1}'
             self._add(
@@ -172,6 +176,7 @@
             'role': role,
             'zone': 'zone-a',
             'ip': ip,
+            'advertise_ip': self.advertised(ip),
             'ports': [self.nodes_port, self.nodes_port + 15],
             'seeds': self.seeds,
             'announce_ms': HEARTBEAT_MS,
@@ -190,6 +195,32 @@
             lab=self, name=name, role=role, settings=settings | own | self.extra
         )
 
+    def advertised(self, ip: str) -> str:
+        """Return the address at which other programs reach those of a machine."""
+        if not self.is_proxied:
+            return ip
+        network, _, number = ip.rpartition('.')
+        return f'{network}.{200 + int(number)}'
+
+    def seeds_at(self, ips: list[str]) -> list[str]:
+        """Return the seeds for control nodes on these machines."""
+        return [f'{self.advertised(ip)}:{self.control_port}' for ip in ips]
+
+    async def start_proxies(self, entry_ip: str) -> Partition:
+        """Start the proxies; return the partition of one entry."""
+        node = f'{self.advertised(entry_ip)}:{self.nodes_port + 1}'
+        partition = Partition(node=node)
+        for ip in self.control_ips:
+            for port in (self.nodes_port, self.nodes_port + 1):
+                proxy = NodeProxy(
+                    partition=partition,
+                    advertised=self.advertised(ip),
+                    ip=ip,
+                    port=port,
+                )
+                await proxy.start()
+        return partition
+
     def add_agent(self, ip: str, engine: str) -> None:
         """Add the agent beside a replica."""
         name = f'agent-{ip.rpartition(".")[2]}'
--- a/review/common2/streams.py
+++ b/review/common2/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from typing import TYPE_CHECKING
 
@@ -16,11 +17,24 @@
 DEADLINE_MS = 15000
 SERVICE = 'model'
 FIRST_VERSION = 'v1'
+REPORT_PATH = '/pistachiopath/report'
+# The engine of the service, as the configuration describes it.
+ENGINE = {
+    'slots': 24,
+    'kv_capacity': 236203,
+    'kv_token_bytes': 18432,
+    'bandwidth_mbps': 370000.0,
+    'moves': False,
+    'backups': False,
+    'stride': 4,
+    'most': 12,
+    'models': [{'name': 'm'}],
+}
 # How a connection that breaks off shows.
 ENDED = (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError)
 
 
-def stream_document(version: int, **engine: object) -> dict:
+def stream_document(version: int) -> dict:
     """Return a configuration with one route of streams that may be resumed."""
     content = document(version)
     content['routes'] = [
@@ -37,7 +51,7 @@
             'backend': SERVICE,
         }
     ]
-    content['backends'] = [content['backends'][0] | {'name': SERVICE} | engine]
+    content['backends'] = [content['backends'][0] | {'name': SERVICE, 'engine': ENGINE}]
     return content
 
 
@@ -49,6 +63,8 @@
 
     def __init__(self, *, lab: Lab, number: int, late_s: float = 0.0) -> None:
         super().__init__(lab=lab, service=SERVICE, number=number)
+        self.slots = ENGINE['slots']
+        lab.add_agent(self.ip, self.address)
         self.version = FIRST_VERSION
         self.late_s = late_s
         self.answer = self.stream_answer
@@ -102,6 +118,11 @@
 
     async def stream_answer(self, method, path, headers, body, reader, writer) -> None:  # noqa: ANN001, ARG002, PLR0913
         """Write the events behind the last one that the caller has."""
+        if path == REPORT_PATH:
+            data = json.dumps({'kv_used': 0, 'kv_total': 236203, 'runs': []}).encode()
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n')
+            writer.write(b'Content-Length: %d\r\n\r\n' % len(data) + data)
+            return
         request = headers.get('request-id', '')
         version = self.version
         if headers.get('expect-replica', self.name) != self.name:
