--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -19,6 +20,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -33,6 +35,8 @@
 TENANT = 'tenant-one'
 HEARTBEAT_MS = 1200
 MEMORY_MB = 150
+# Exit code of a case that could not run.
+EXIT_NOT_RUN = 2
 
 
 def free_port() -> int:
@@ -534,22 +538,37 @@
 
 
 async def _play(lab: Lab, play: Callable[[Lab, bool], Awaitable[int]]) -> int:
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await play(lab, os.environ.get('TROUBLE') != '0')
     finally:
-        for task in lab.tasks:
-            task.cancel()
+        for other in lab.tasks:
+            other.cancel()
         await asyncio.gather(*lab.tasks, return_exceptions=True)
         await asyncio.sleep(0.2)
 
 
 def run_case(
-    play: Callable[[Lab, bool], Awaitable[int]], folder: Path, **deployment: object
+    play: Callable[[Lab, bool], Awaitable[int]],
+    folder: Path,
+    *,
+    descriptors: int = 0,
+    **deployment: object,
 ) -> None:
-    """Play a case on a deployment, write its record and exit with its code."""
+    """Play a case on a deployment, write its record and exit with its code.
+
+    The code is 2 if the case could not run, also for want of `descriptors`.
+    """
+    code = EXIT_NOT_RUN
+    if resource.getrlimit(resource.RLIMIT_NOFILE)[0] < descriptors:
+        print('too few descriptors for this case')
+        sys.exit(code)
     with Lab(**deployment) as lab:
         try:
             code = asyncio.run(_play(lab, play))
+        except (Exception, asyncio.CancelledError):
+            traceback.print_exc()
         finally:
             lab.save(folder / 'record.txt')
     sys.exit(code)
