--- a/review/common2/crowd.py
+++ b/review/common2/crowd.py
@@ -103,10 +103,13 @@
 class OrdinaryCallers:
     """Callers that send a small request each, and what became of them."""
 
-    def __init__(self, *, lab: Lab, interval_s: float) -> None:
+    def __init__(
+        self, *, lab: Lab, interval_s: float, path: str = '/safe/small'
+    ) -> None:
         self.lab = lab
         self.results: list[tuple[float, float, object]] = []
         self._interval_s = interval_s
+        self._path = path
         self._pending: list[asyncio.Task] = []
 
     async def run(self, length_s: float) -> None:
@@ -127,7 +130,7 @@
                 status, _ = await call(
                     self.lab.callers(),
                     'POST',
-                    '/safe/small',
+                    self._path,
                     request_head(f'small-{number}'),
                     b'hello',
                 )
