--- a/review/6/run.py
+++ b/review/6/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import signal
 import sys
@@ -88,4 +89,11 @@
 
 
 if __name__ == '__main__':
-    run_case(play, FOLDER, controls=CORE, diskless=DISKLESS, entries=1)
+    run_case(
+        play,
+        FOLDER,
+        trouble=os.environ.get('TROUBLE') != '0',
+        controls=CORE,
+        diskless=DISKLESS,
+        entries=1,
+    )
--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -46,6 +46,22 @@
         return sock.getsockname()[1]
 
 
+def free_block() -> int:
+    """Return the first of the ports for messages between programs, all free."""
+    while True:
+        first = random.randint(20000, 29000)
+        socks = [socket.socket() for _ in range(3)]
+        try:
+            for offset, sock in enumerate(socks):
+                sock.bind(('127.0.0.1', first + offset))
+        except OSError:
+            continue
+        finally:
+            for sock in socks:
+                sock.close()
+        return first
+
+
 def toml(settings: dict) -> str:
     """Return settings as TOML; JSON writes these values in the same way."""
     return ''.join(f'{key} = {json.dumps(value)}\n' for key, value in settings.items())
@@ -143,7 +159,7 @@
         roles = ('control', 'entry', 'agent')
         self.metrics_ports = {role: free_port() for role in roles}
         self.replica_port = free_port()
-        self.nodes_port = random.randint(20000, 29000)
+        self.nodes_port = free_block()
         self.started_at = time.monotonic()
         self.record = []
         self.extra = settings or {}
@@ -537,11 +553,13 @@
     }
 
 
-async def _play(lab: Lab, play: Callable[[Lab, bool], Awaitable[int]]) -> int:
+async def _play(
+    lab: Lab, play: Callable[[Lab, bool], Awaitable[int]], trouble: bool
+) -> int:
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        return await play(lab, os.environ.get('TROUBLE') != '0')
+        return await play(lab, trouble)
     finally:
         for other in lab.tasks:
             other.cancel()
@@ -553,6 +571,7 @@
     play: Callable[[Lab, bool], Awaitable[int]],
     folder: Path,
     *,
+    trouble: bool,
     descriptors: int = 0,
     **deployment: object,
 ) -> None:
@@ -566,7 +585,7 @@
         sys.exit(code)
     with Lab(**deployment) as lab:
         try:
-            code = asyncio.run(_play(lab, play))
+            code = asyncio.run(_play(lab, play, trouble))
         except (Exception, asyncio.CancelledError):
             traceback.print_exc()
         finally:
