Control nodes: log lines and metrics of members that look for their group

Its logs can't tell apart why nodes stay outside of the group: a node without one says nothing, and a leader doesn't say whom it takes in.

Hypotheses, and the line that speaks for or against each:

Blank members ask in the wrong place: `group_search` with whom they ask and what came back. 2. The leader hears them and does not take them in (a pending change, a full group, an address that is still listed): `probe_not_admitted` with the reason. 3. They are taken in and never get a vote: `member_admitted` without `member_promoted`. 4. The leader speaks to their former ids and is ignored in silence: `append_for_other_member`.

New metrics: `group_search_s`, `group_members`, `group_voters_heard`.

--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -130,6 +130,7 @@
             propose=lambda change: self._loop.post(cfg.node_address, 0, change),
             metrics=metrics,
         )
+        self._metrics = metrics
         self._adopted_version = 0
         self._turns = TurnClock()
         self._timers = PeriodicLoop(
@@ -148,6 +149,7 @@
                 LoopPart(name='marks', run=self._resend_marks),
                 LoopPart(name='replicas', run=self._replicas.save),
                 LoopPart(name='rollouts', run=self._direct_rollouts),
+                LoopPart(name='group', run=self._measure_group),
             ],
             failures=failures,
         )
@@ -297,6 +299,15 @@
     def _direct_rollouts(self, now: float) -> None:
         self._network.send_all(self._rollouts.tick(now))
 
+    def _measure_group(self, now: float) -> None:
+        """Set the metrics of the replicas' group, as this node knows it."""
+        if self._metrics is None:
+            return
+        group = self.core.group
+        self._metrics.set('group_search_s', round(group.searching_s(now), 3))
+        self._metrics.set('group_members', len(group.replica.members))
+        self._metrics.set('group_voters_heard', group.heard_voters(now))
+
     def _on_link_lost(self, peer: str) -> None:
         self._lending.link_lost(peer)
         self.announcer.link_lost(peer)
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -5,9 +5,19 @@
 from typing import TYPE_CHECKING
 
 from ..effects import Send
-from ..messages.replication import Entry, Form, Member, Probe, ProbeReply
+from ..messages.replication import (
+    Append,
+    AppendPart,
+    Entry,
+    Form,
+    InstallSnapshot,
+    Member,
+    Probe,
+    ProbeReply,
+)
 from .effects import AppendEntries
 from .entry_kind import EntryKind
+from .group_log import GroupLog
 from .replica import Replica
 
 if TYPE_CHECKING:
@@ -18,7 +28,7 @@
     from .persisted import Persisted
     from .timing import Timing
 
-BLANK_REPLY_MAX_AGE_S = 1.0
+REPLY_MAX_AGE_S = 1.0
 PROMOTION_MAX_SILENCE_S = 1.0
 PROMOTION_MAX_LAG_ENTRIES = 256
 # A voter that is silent for this long is removed if a learner can replace it.
@@ -69,8 +79,9 @@
         self._diskless = diskless
         self.set_addresses(addresses)
         self._timing = timing
-        self._blank_replies: dict[str, tuple[float, ProbeReply]] = {}
+        self._replies: dict[str, tuple[float, ProbeReply]] = {}
         self._probe_at = now
+        self._log = GroupLog(member=persisted.member)
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses at which to look for the group."""
@@ -83,13 +94,22 @@
         """Tell whether this member's log is empty and has no snapshot."""
         return self.replica.log.last_index == 0
 
+    def heard_voters(self, now: float) -> int:
+        """Return how many voters the leader hears, itself included; 0 elsewhere."""
+        if not self.replica.is_settled:
+            return 0
+        silent = self._silent_members(now)
+        return sum(m.voter and m not in silent for m in self.replica.members)
+
     def tick(self, now: float, time_ms: int) -> list[Effect]:
         """Run the timers: elections, heartbeats, probes and membership repair."""
         replica = self.replica
         effects = replica.tick(now)
-        if self._needs_probe() and now >= self._probe_at:
+        if not self._needs_probe():
+            self._log.found(now, replica.leader)
+        elif now >= self._probe_at:
             self._probe_at = now + self._timing.probe_s
-            effects += self._probe()
+            effects += self._probe(now)
         if replica.is_settled:
             effects += self._repair(now, time_ms)
         return effects
@@ -104,6 +124,9 @@
             return self._on_probe_reply(body, now)
         if isinstance(body, Form):
             return self._on_form(body)
+        is_of_leader = isinstance(body, (Append, AppendPart, InstallSnapshot))
+        if is_of_leader and body.to_member != self.replica.member:
+            self._log.for_other_member(now, sender, body.to_member)
         return self.replica.receive(sender, body, now)
 
     def _needs_probe(self) -> bool:
@@ -116,11 +139,28 @@
 
     # Forming the first group
 
-    def _probe(self) -> list[Effect]:
+    def searching_s(self, now: float) -> float:
+        """Return for how long this member has looked for its group, in seconds."""
+        return self._log.searching_s(now)
+
+    def _probe(self, now: float) -> list[Effect]:
         addresses = {
             *self._other_addresses,
             *(m.address for m in self.replica.others()),
         }
+        self._replies = {
+            address: (at, reply)
+            for address, (at, reply) in self._replies.items()
+            if now - at < REPLY_MAX_AGE_S
+        }
+        blank = sum(reply.blank for _, reply in self._replies.values())
+        self._log.search(
+            now,
+            asked=sorted(addresses),
+            blank=blank,
+            with_log=len(self._replies) - blank,
+            last_index=self.replica.log.last_index,
+        )
         if not addresses:
             return self._form(()) if self._can_form and self.is_blank else []
         probe = Probe(
@@ -142,7 +182,7 @@
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
-            effects += self._admit_learner(probe, now, time_ms)
+            effects += self._admit_learner(sender, probe, now, time_ms)
         elif sender == probe.address:
             effects += self._pass_on(probe)
         return effects
@@ -161,22 +201,22 @@
         ]
 
     def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
-        if not reply.blank:
-            self._blank_replies.pop(reply.address, None)
-            return []
-        self._blank_replies[reply.address] = (now, reply)
-        all_blank = all(
-            a in self._blank_replies
-            and now - self._blank_replies[a][0] < BLANK_REPLY_MAX_AGE_S
-            for a in self._other_addresses
-        )
-        if not (self.is_blank and self._can_form and all_blank):
+        self._replies[reply.address] = (now, reply)
+        if not (self.is_blank and self._can_form and self._are_all_blank(now)):
             return []
-        replies = [self._blank_replies[a][1] for a in self._other_addresses]
+        replies = [self._replies[a][1] for a in self._other_addresses]
         if any(r.forms and r.address < self.replica.address for r in replies):
             return []
         return self._form(tuple(_member_of(reply) for reply in replies))
 
+    def _are_all_blank(self, now: float) -> bool:
+        """Tell whether all configured addresses replied lately that they are blank."""
+        found = [self._replies.get(address) for address in self._other_addresses]
+        return all(
+            entry and now - entry[0] < REPLY_MAX_AGE_S and entry[1].blank
+            for entry in found
+        )
+
     def _form(self, others: tuple[Member, ...]) -> list[Effect]:
         own = Member(member=self.replica.member, address=self.replica.address)
         form = Form(members=(own, *others))
@@ -195,7 +235,9 @@
 
     # Repair by the leader
 
-    def _admit_learner(self, probe: Probe, now: float, time_ms: int) -> list[Effect]:
+    def _admit_learner(
+        self, sender: str, probe: Probe, now: float, time_ms: int
+    ) -> list[Effect]:
         """Admit a probing member as a learner, replacing one at its address.
 
         One record removes the voter whose folder is lost and adds the learner.
@@ -203,13 +245,12 @@
         is known to be lost.
         """
         members = self.replica.members
-        if any(m.member == probe.member for m in members) or self._has_pending_change():
+        if any(m.member == probe.member for m in members):
             return []
         remaining = tuple(m for m in members if m.address != probe.address)
-        is_new = len(remaining) == len(members)
-        if is_new and (not self._voters or len(members) >= MAX_MEMBERS):
-            return []
-        if not any(m.voter for m in remaining):
+        refusal = self._refusal(remaining)
+        if refusal:
+            self._log.not_admitted(now, probe, refusal)
             return []
         learner = Member(
             member=probe.member,
@@ -217,8 +258,24 @@
             voter=False,
             diskless=probe.diskless,
         )
+        replaced = [m for m in members if m not in remaining]
+        self._log.admitted(learner, replaced, sender)
         return self._propose_members((*remaining, learner), now, time_ms)
 
+    def _refusal(self, remaining: tuple[Member, ...]) -> str:
+        """Return why no learner can be added to the remaining members, or ''."""
+        members = self.replica.members
+        is_new = len(remaining) == len(members)
+        if self._has_pending_change():
+            return 'a change of members is pending'
+        if is_new and not self._voters:
+            return 'the address is not configured'
+        if is_new and len(members) >= MAX_MEMBERS:
+            return 'the group is full'
+        if not any(m.voter for m in remaining):
+            return 'no voter would remain'
+        return ''
+
     def _repair(self, now: float, time_ms: int) -> list[Effect]:
         """Promote a learner that is ready, or remove a silent member."""
         if self._has_pending_change():
@@ -227,10 +284,14 @@
         promotable = [m for m in members if not m.voter and self._is_promotable(m, now)]
         silent = self._silent_members(now) if self._voters else []
         if promotable and self._needs_voter(silent):
+            self._log.promoted(promotable[0], self._lag(promotable[0]))
             return self._propose_members(self._with_vote(promotable[0]), now, time_ms)
+        if self._voters and self._needs_voter(silent):
+            self._log_missing_voters(silent, now)
         removable = [m for m in silent if not m.voter or self._extra_voters() > 0]
         if not removable:
             return []
+        self._log.removed(removable[0], self._silent_s(removable[0], now))
         remaining = tuple(m for m in members if m != removable[0])
         return self._propose_members(remaining, now, time_ms)
 
@@ -251,13 +312,28 @@
         """Return the members that have been silent for too long."""
         silent = []
         for member in self.replica.others():
-            progress = self.replica.progress_of(member.member)
-            silent_s = now - progress.last_reply_at if progress else 0.0
             limit_s = REPLACE_VOTER_AFTER_S if member.voter else REMOVE_LEARNER_AFTER_S
-            if silent_s >= limit_s:
+            if self._silent_s(member, now) >= limit_s:
                 silent.append(member)
         return silent
 
+    def _silent_s(self, member: Member, now: float) -> float:
+        progress = self.replica.progress_of(member.member)
+        return now - progress.last_reply_at if progress else 0.0
+
+    def _lag(self, member: Member) -> int:
+        progress = self.replica.progress_of(member.member)
+        return self.replica.commit - progress.match if progress else 0
+
+    def _log_missing_voters(self, silent: list[Member], now: float) -> None:
+        learners = [m for m in self.replica.members if not m.voter and not m.diskless]
+        self._log.voters_missing(
+            now,
+            wanted=self._voters,
+            silent=[m.address for m in silent if m.voter],
+            learners=[m.address for m in learners],
+        )
+
     def _with_vote(self, learner: Member) -> tuple[Member, ...]:
         voter = Member(member=learner.member, address=learner.address)
         return tuple(voter if m == learner else m for m in self.replica.members)
