--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -8,7 +8,6 @@
 from ..admission.allowance_lender import AllowanceLender
 from ..control.replica_loop import ReplicaLoop
 from ..directory.announcer import Announcer
-from ..directory.subscriber import Subscriber
 from ..messages.allowance import Borrow, UseReport
 from ..messages.directory import Announcements, Follow, News
 from ..messages.document import DocumentReply, PutReply
@@ -30,6 +29,7 @@
 from .noted_streams import NotedStreams
 from .operator_requests import OperatorRequests
 from .packing import unpack
+from .peers import ControlPeers
 from .rollout_control import RolloutControl
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
@@ -116,8 +116,12 @@
         self.noted_streams = NotedStreams()
         self._replicas = SavedReplicas(file=replicas, announcer=self.announcer)
         self._replicas.load(now)
-        self._peers = Subscriber(is_entry=False, own_address=cfg.node_address)
-        self._peers.set_seeds(cfg.seeds, now)
+        self._peers = ControlPeers(
+            address=cfg.node_address,
+            announcer=self.announcer,
+            seeds=cfg.seeds,
+            now=now,
+        )
         self.requests = OperatorRequests(
             client=DocumentClient(leader=lambda: self.core.leader),
             announcer=self.announcer,
@@ -220,7 +224,7 @@
         now = time.monotonic()
         match body:
             case Follow():
-                effects = self.announcer.follow(sender, body, now, call=call)
+                effects = self._peers.on_follow(sender, body, now, call=call)
                 self._network.send_all(effects)
             case Announcements():
                 self._network.send_all(self.announcer.merge_announcements(body, now))
@@ -233,7 +237,7 @@
             case WatchLoad():
                 self._handle_streams(sender, call, body, now)
             case News():
-                self._on_news(sender, body, now)
+                self._network.send_all(self._peers.on_news(sender, body, now))
             case RolloutTotals():
                 self._network.send_all(self._rollouts.on_totals(sender, body, now))
             case PutReply() | DocumentReply() | RolloutReply() | NotLeader():
@@ -241,19 +245,6 @@
             case _:
                 self._loop.post(sender, call, body)
 
-    def _on_news(self, sender: str, body: News, now: float) -> None:
-        """Merge the replica records of another control node.
-
-        A configuration is taken only from the replicated log.
-        """
-        self.announcer.control_seen(sender, now)
-        self._peers.on_news(sender, body, now)
-        if body.records:
-            announcements = Announcements(records=body.records)
-            self._network.send_all(
-                self.announcer.merge_announcements(announcements, now)
-            )
-
     def _handle_streams(
         self, sender: str, call: int, body: WatchLoad, now: float
     ) -> None:
--- a/tests/harness/configuration_fleet.py
+++ b/tests/harness/configuration_fleet.py
@@ -6,6 +6,7 @@
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.document.client import DocumentClient
 from pistachiopath.document.packing import pack
+from pistachiopath.document.peers import ControlPeers
 from pistachiopath.messages.directory import Announcements, Follow, News
 from pistachiopath.messages.document import (
     DocumentReply,
@@ -54,8 +55,9 @@
         self.announcer = Announcer(
             address=name, feed=len(world.nodes) + 1, silent_after_s=3.6, now=now
         )
-        self.peers = Subscriber(is_entry=False, own_address=name)
-        self.peers.set_seeds(world.control_names, now)
+        self.peers = ControlPeers(
+            address=name, announcer=self.announcer, seeds=world.control_names, now=now
+        )
         self.client = DocumentClient(leader=lambda: self.core.leader)
         self.replies = {}
         self.peak_bytes = 0
@@ -72,12 +74,11 @@
         now = self.world.net.now
         match body:
             case Follow():
-                self._carry_out(self.announcer.follow(sender, body, now))
+                self._carry_out(self.peers.on_follow(sender, body, now))
             case Announcements():
                 self._carry_out(self.announcer.merge_announcements(body, now))
             case News():
-                self.announcer.control_seen(sender, now)
-                self.peers.on_news(sender, body, now)
+                self._carry_out(self.peers.on_news(sender, body, now))
             case PutReply() | NotLeader() if call:
                 if self.client.complete(call, body, now):
                     self.replies[call]()
--- a/tests/harness/document_world.py
+++ b/tests/harness/document_world.py
@@ -102,6 +102,8 @@
 class DocumentWorld:
     """Control nodes, and an operator that checks their replies."""
 
+    node_class = DocumentNode
+
     def __init__(
         self,
         *,
@@ -127,7 +129,7 @@
             self.add(name, forms=True)
 
     def add(self, name, *, forms=False, seeds=None, diskless=False):
-        node = DocumentNode(
+        node = self.node_class(
             world=self,
             name=name,
             seeds=seeds or self.seeds,
