Control nodes: blank members ask whoever speaks to them for the group

With the next lost disk, which is to be borne, the acknowledged configuration could not be read by anyone: 503 to reads and orders.

Cause: a member without a leader asked its configured addresses and the members of its log. Blank seeds have no log and were configured with one another.

All four nodes write `group_search` with replies of blank nodes alone; the leader writes neither `member_admitted` nor `probe_not_admitted`; its records for their former folders reach them every 80 ms.

Now a member also asks the sender of such records, and the control nodes that it follows or that follow it, four at a time. That is safe as before: the leader takes in, and a first group needs the word of all configured addresses. Asking alone changes nothing.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -82,6 +82,10 @@
         for address in seeds:
             self._add_source(address, now)
 
+    def add_control(self, address: str, now: float) -> None:
+        """Follow a control node that was heard of otherwise than by news."""
+        self._add_source(address, now)
+
     def controls(self) -> tuple[str, ...]:
         """Return the control nodes that are followed."""
         return tuple(self._sources)
--- a/pistachiopath/document/peers.py
+++ b/pistachiopath/document/peers.py
@@ -30,6 +30,10 @@
         """Follow the control nodes at these addresses in addition to others."""
         self._subscriber.set_seeds(seeds, now)
 
+    def contacts(self) -> tuple[str, ...]:
+        """Return the other control nodes that are known."""
+        return self._subscriber.controls()
+
     def tick(self, now: float) -> list[Send]:
         """Return the follow requests that are due."""
         return self._subscriber.tick(now)
@@ -38,6 +42,8 @@
         self, sender: str, body: Follow, now: float, *, call: int = 0
     ) -> list[Send]:
         """Record a follower, an entry or another control node, and reply to it."""
+        if not body.is_entry:
+            self._subscriber.add_control(sender, now)
         return self._announcer.follow(sender, body, now, call=call)
 
     def on_news(self, sender: str, body: News, now: float) -> list[Send]:
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -18,6 +18,7 @@
 from .effects import AppendEntries
 from .entry_kind import EntryKind
 from .group_log import GroupLog
+from .group_search import GroupSearch
 from .replica import Replica
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
         self.replica = Replica(
             address=address, persisted=persisted, rng=rng, now=now, timing=timing
         )
-        self._other_addresses: tuple[str, ...] = ()
+        self._search = GroupSearch(own_address=address)
         self._can_form = False
         self._may_form = forms and not diskless
         self._voters = voters
@@ -85,9 +86,12 @@
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses at which to look for the group."""
-        own = self.replica.address
-        self._other_addresses = tuple(a for a in addresses if a != own)
-        self._can_form = self._may_form and own in addresses
+        self._search.set_configured(addresses)
+        self._can_form = self._may_form and self.replica.address in addresses
+
+    def set_contacts(self, addresses: tuple[str, ...]) -> None:
+        """Set further control nodes that are known, to be asked for the group."""
+        self._search.set_contacts(addresses)
 
     @property
     def is_blank(self) -> bool:
@@ -126,7 +130,7 @@
             return self._on_form(body)
         is_of_leader = isinstance(body, (Append, AppendPart, InstallSnapshot))
         if is_of_leader and body.to_member != self.replica.member:
-            self._log.for_other_member(now, sender, body.to_member)
+            self._on_append_for_other(sender, body.to_member, now)
         return self.replica.receive(sender, body, now)
 
     def _needs_probe(self) -> bool:
@@ -144,10 +148,8 @@
         return self._log.searching_s(now)
 
     def _probe(self, now: float) -> list[Effect]:
-        addresses = {
-            *self._other_addresses,
-            *(m.address for m in self.replica.others()),
-        }
+        members = [m.address for m in self.replica.others()]
+        addresses = self._search.next_addresses(members)
         self._replies = {
             address: (at, reply)
             for address, (at, reply) in self._replies.items()
@@ -156,7 +158,7 @@
         blank = sum(reply.blank for _, reply in self._replies.values())
         self._log.search(
             now,
-            asked=sorted(addresses),
+            asked=addresses,
             blank=blank,
             with_log=len(self._replies) - blank,
             last_index=self.replica.log.last_index,
@@ -168,7 +170,13 @@
             address=self.replica.address,
             diskless=self._diskless,
         )
-        return [Send(to=a, call=0, body=probe) for a in sorted(addresses)]
+        return [Send(to=a, call=0, body=probe) for a in addresses]
+
+    def _on_append_for_other(self, sender: str, to_member: str, now: float) -> None:
+        """Ask a leader for the group that still knows a former folder here."""
+        self._log.for_other_member(now, sender, to_member)
+        if self._search.note_leader(sender):
+            self._probe_at = now
 
     def _on_probe(
         self, sender: str, probe: Probe, now: float, time_ms: int
@@ -204,14 +212,14 @@
         self._replies[reply.address] = (now, reply)
         if not (self.is_blank and self._can_form and self._are_all_blank(now)):
             return []
-        replies = [self._replies[a][1] for a in self._other_addresses]
+        replies = [self._replies[a][1] for a in self._search.configured]
         if any(r.forms and r.address < self.replica.address for r in replies):
             return []
         return self._form(tuple(_member_of(reply) for reply in replies))
 
     def _are_all_blank(self, now: float) -> bool:
         """Tell whether all configured addresses replied lately that they are blank."""
-        found = [self._replies.get(address) for address in self._other_addresses]
+        found = [self._replies.get(address) for address in self._search.configured]
         return all(
             entry and now - entry[0] < REPLY_MAX_AGE_S and entry[1].blank
             for entry in found
--- a/tests/harness/peered_world.py
+++ b/tests/harness/peered_world.py
@@ -54,6 +54,7 @@
             return
         now = self.world.net.now
         self._send_all(self.peers.tick(now))
+        self.core.group.set_contacts(self.peers.contacts())
         self.announcer.prune(now)
         self.world.net.at(now + TIMERS_S, lambda: self._run_timers(generation))
 
