Directory: silence is no reason to forget a control node

Cause: `_prune_sources` forgot what nobody had listed for 30 s, also while nobody was heard who could have listed it.

Now the memory of control nodes is one class for entries and control nodes (`directory/sources.py`): one is remembered until 64 others were listed after it. Those that are no longer listed are asked every 5 s while another is heard, which also helps an entry that hears only a control node that was cut off itself; a new version is confirmed to those alone that are listed or seeds.

Beside it: the announcer's list of control nodes was filtered by age but never shortened; it is pruned now.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -206,9 +206,12 @@
         )
 
     def prune(self, now: float) -> None:
-        """Delete followers and replicas whose retention time is over."""
+        """Delete control nodes, followers and replicas whose retention time is over."""
         if self._listening.turn(now):
             self._end_standstill(now)
+        for address, seen_at in list(self._controls.items()):
+            if now - seen_at >= CONTROL_RETENTION_S:
+                del self._controls[address]
         for name, follower in list(self._followers.items()):
             if now - follower.last_follow_at >= FOLLOWER_RETENTION_S:
                 del self._followers[name]
--- a/pistachiopath/directory/source.py
+++ b/pistachiopath/directory/source.py
@@ -15,7 +15,8 @@
 MAIN_CONTROL_TIMEOUT_S = 1.2
 # The main control node replies within this time to a request that is due.
 MAIN_REPLY_TIMEOUT_S = MAIN_CONTROL_TIMEOUT_S - FOLLOW_INTERVAL_S
-CONTROL_RETENTION_S = 30.0
+# A control node that no other has listed for so long does not count as one of them.
+LISTING_LEASE_S = 30.0
 # Of the requests after a new link, the reply to the first has come by the last.
 FULL_POLLS = 2
 
@@ -68,7 +69,7 @@
 
     def is_listed(self, now: float) -> bool:
         """Return whether a control node has listed it lately."""
-        return now - self.last_listed_at < CONTROL_RETENTION_S
+        return now - self.last_listed_at < LISTING_LEASE_S
 
     def is_main_silent(self, now: float) -> bool:
         """Return whether it has not replied for too long to be the main control node.
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -18,6 +18,7 @@
     Question,
     Source,
 )
+from .sources import Sources
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,6 +49,8 @@
 # Control nodes pass gone replicas on for longer, so nothing is missed in a gap of
 # this length.
 MAX_NEWS_GAP_S = 60.0
+# A control node that others no longer list is asked this often, while any is heard.
+UNLISTED_FOLLOW_INTERVAL_S = 5.0
 # Unanswered requests to one control node whose times are kept.
 MAX_QUESTIONS = 64
 
@@ -59,7 +62,7 @@
     nodes of all entries are spread evenly.  A control node has them from the
     replicated log: it wants none, and polls all others equally often.  The version
     never decreases, and the state stays in use while no control node replies.
-    `now` is a monotonic clock in seconds.
+    `Sources` tells which are known.  `now` is a monotonic clock in seconds.
     """
 
     def __init__(self, *, is_entry: bool, own_address: str) -> None:
@@ -69,8 +72,7 @@
         self.entries = 0
         self._is_entry = is_entry
         self._own_address = own_address
-        self._seeds: tuple[str, ...] = ()
-        self._sources: dict[str, Source] = {}
+        self._sources = Sources(own_address=own_address)
         self._main = ''
         self._directory_since = math.inf
         self._news_at = -math.inf
@@ -78,23 +80,19 @@
 
     def set_seeds(self, seeds: tuple[str, ...], now: float) -> None:
         """Follow the control nodes at these addresses in addition to others."""
-        self._seeds = seeds
-        for address in seeds:
-            self._add_source(address, now)
+        self._sources.set_seeds(seeds, now)
 
     def add_control(self, address: str, now: float) -> None:
         """Follow a control node that was heard of otherwise than by news."""
-        self._add_source(address, now)
+        self._sources.add(address, now)
 
     def controls(self) -> tuple[str, ...]:
         """Return the control nodes that are followed."""
-        return tuple(self._sources)
+        return self._sources.addresses()
 
     def heard(self, now: float) -> tuple[str, ...]:
         """Return the control nodes that sent a message recently."""
-        return tuple(
-            address for address, source in self._sources.items() if source.is_heard(now)
-        )
+        return self._sources.heard(now)
 
     def live_controls(self, now: float) -> int:
         """Return how many control nodes sent a message recently."""
@@ -105,7 +103,7 @@
 
         Those that no control node has listed for a while do not count.
         """
-        listed = self._listed(now)
+        listed = self._sources.listed(now)
         heard = sum(s.is_heard(now) for s in listed)
         return heard / max(1, len(listed))
 
@@ -114,13 +112,10 @@
 
         They have answered a request that names replicas and was sent then or later.
         """
-        listed = self._listed(now)
+        listed = self._sources.listed(now)
         answered = sum(s.answered_at >= since for s in listed)
         return answered / max(1, len(listed))
 
-    def _listed(self, now: float) -> list[Source]:
-        return [s for s in self._sources.values() if s.is_listed(now)]
-
     def directory_age_s(self, now: float) -> float:
         """Return for how many seconds all replicas that announced themselves are known.
 
@@ -142,8 +137,9 @@
         """Return requests for when lifetimes of replicas announced themselves last."""
         asked = tuple(sorted(replicas))
         return [
-            self._follow(address, self._sources[address], now, asked=asked)
-            for address in self.heard(now)
+            self._follow(address, source, now, asked=asked)
+            for address, source in self._sources.items()
+            if source.is_heard(now)
         ]
 
     def contact_s(self, now: float) -> float:
@@ -176,7 +172,8 @@
 
     def tick(self, now: float) -> list[Send]:
         """Return the follow requests that are due."""
-        self._prune_sources(now)
+        self._sources.prune(now)
+        self._sources.log_contact(now, self.version)
         main = self.main(now)
         has_no_contact = not self.version and not self.live_controls(now)
         effects: list[Send] = []
@@ -189,7 +186,7 @@
             if is_content_late:
                 source.newer_version_since = now
             source.next_follow_at = now + self._follow_interval_s(
-                address, source, has_no_contact=has_no_contact
+                address, source, now, has_no_contact=has_no_contact
             )
             source.first_polls += not source.has_answered
             source.asked_at = min(source.asked_at, now)
@@ -207,25 +204,22 @@
         return CONTENT_TIMEOUT_S
 
     def _follow_interval_s(
-        self, address: str, source: Source, *, has_no_contact: bool
+        self, address: str, source: Source, now: float, *, has_no_contact: bool
     ) -> float:
         if has_no_contact:
             return INITIAL_FOLLOW_INTERVAL_S
+        if not self._sources.is_current(address, now) and self.live_controls(now):
+            return UNLISTED_FOLLOW_INTERVAL_S
         if not source.has_answered and source.first_polls < MAX_FIRST_POLLS:
             return FIRST_FOLLOW_INTERVAL_S
         is_not_main = self._is_entry and self._main and address != self._main
         return FOLLOW_OTHERS_INTERVAL_S if is_not_main else FOLLOW_INTERVAL_S
 
-    def _prune_sources(self, now: float) -> None:
-        for address, source in list(self._sources.items()):
-            if not source.is_listed(now) and address not in self._seeds:
-                del self._sources[address]
-
     def on_news(
         self, sender: str, body: News, now: float, *, call: int = 0
     ) -> list[Send]:
         """Merge a reply or push; return acknowledgements of a new version."""
-        source = self._add_source(sender, now)
+        source = self._sources.add(sender, now)
         if source is None:
             return []
         source.last_message_at = now
@@ -243,7 +237,7 @@
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
-            self._add_source(address, now)
+            self._sources.add(address, now)
         self.entries = body.entries
         if body.version <= self.version:
             source.newer_version_since = math.inf
@@ -253,7 +247,11 @@
             return []
         self.version = body.version
         self.content = body.content
-        return [self._follow(a, s, now) for a, s in self._sources.items()]
+        return [
+            self._follow(address, source, now)
+            for address, source in self._sources.items()
+            if self._sources.is_current(address, now)
+        ]
 
     def _follow_changes(
         self, sender: str, source: Source, body: News, now: float
@@ -294,13 +292,6 @@
         live = [s for s in self._sources.values() if s.is_heard(now)]
         return bool(live) and all(replica in source.silent for source in live)
 
-    def _add_source(self, address: str, now: float) -> Source | None:
-        if address == self._own_address:
-            return None
-        source = self._sources.setdefault(address, Source(last_listed_at=now))
-        source.last_listed_at = now
-        return source
-
     def _follow(
         self,
         address: str,
--- a/tests/test_directory/test_announcer.py
+++ b/tests/test_directory/test_announcer.py
@@ -76,7 +76,7 @@
 def test_an_entry_with_one_control_node_gets_announcements_made_at_the_other():
     nodes = Nodes()
     nodes.advance(1.0)
-    nodes.entries['e1']._sources.pop('c1')
+    nodes.entries['e1']._sources.forget('c1')
     nodes.announcers['c1']._followers.pop('e1')
     nodes.announce('c1', record())
     assert nodes.entries['e1'].directory.get('r1') is not None
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -1,19 +1,24 @@
 from __future__ import annotations
 
+from collections import Counter
+
+import attrs
 import pytest
 
 from pistachiopath.directory.source import (
-    CONTROL_RETENTION_S,
     FOLLOW_INTERVAL_S,
+    LISTING_LEASE_S,
     MAIN_CONTROL_TIMEOUT_S,
     MAIN_REPLY_TIMEOUT_S,
 )
+from pistachiopath.directory.sources import MAX_SOURCES
 from pistachiopath.directory.subscriber import (
     FIRST_FOLLOW_INTERVAL_S,
     FOLLOW_OTHERS_INTERVAL_S,
     INITIAL_FOLLOW_INTERVAL_S,
     MAX_FIRST_POLLS,
     MAX_NEWS_GAP_S,
+    UNLISTED_FOLLOW_INTERVAL_S,
     Subscriber,
 )
 from pistachiopath.messages.directory import News
@@ -139,7 +144,7 @@
     assert subscriber.heard_controls(0.2) == 1.0
     subscriber.set_seeds((CONTROL, 'c2:1'), 0.2)
     assert subscriber.heard_controls(0.3) == 0.5
-    late = CONTROL_RETENTION_S + 1
+    late = LISTING_LEASE_S + 1
     subscriber.on_news(CONTROL, news_message(1), late)
     assert subscriber.heard_controls(late) == 1.0
 
@@ -158,7 +163,7 @@
 def test_a_control_node_that_does_not_reply_is_left_in_time():
     subscriber = subscriber_with_seed()
     now = reply_until(subscriber, 0.0, 5.0)
-    heard_at = subscriber._sources[CONTROL].last_message_at
+    heard_at = subscriber._sources.get(CONTROL).last_message_at
     poll_times(subscriber, now, heard_at + MAIN_CONTROL_TIMEOUT_S + 0.05)
     assert subscriber.main(heard_at + MAIN_CONTROL_TIMEOUT_S + 0.05) == ''
 
@@ -170,3 +175,60 @@
             subscriber.on_news(CONTROL, news_message(1), now + 0.002)
         now += 0.01
     return now
+
+
+def news_listing(*controls):
+    return attrs.evolve(news_message(1), controls=controls)
+
+
+def polls(subscriber, now, until, news=None, step=0.1):
+    """Return whom the subscriber polls how often; `news` come from the seed."""
+    polled = Counter()
+    while now < until:
+        if news is not None:
+            subscriber.on_news(CONTROL, news, now)
+        polled.update(send.to for send in subscriber.tick(now))
+        now += step
+    return polled
+
+
+def test_a_node_that_was_cut_off_for_long_asks_all_control_nodes_that_it_knew():
+    # Regression (review/7): it forgot all but its seeds, and these were gone.
+    subscriber = subscriber_with_seed()
+    subscriber.on_news(CONTROL, news_listing(CONTROL, 'c2:1', 'c3:1'), 0.0)
+    polls(subscriber, 0.1, 3600.0, step=1.0)
+    polled = polls(subscriber, 3600.0, 3602.0)
+    assert min(polled[a] for a in (CONTROL, 'c2:1', 'c3:1')) >= 2
+
+
+def test_a_node_that_hears_only_one_that_was_cut_off_asks_the_others_now_and_then():
+    subscriber = subscriber_with_seed()
+    subscriber.on_news(CONTROL, news_listing(CONTROL, 'c2:1'), 0.0)
+    alone = news_listing(CONTROL)
+    polls(subscriber, 0.1, 2 * LISTING_LEASE_S, alone)
+    begin = 2 * LISTING_LEASE_S
+    polled = polls(subscriber, begin, begin + 4 * UNLISTED_FOLLOW_INTERVAL_S, alone)
+    assert 3 <= polled['c2:1'] <= 5
+    assert polled[CONTROL] > 30
+    subscriber.on_news('c2:1', news_listing('c2:1', 'c4:1'), begin + 30.0)
+    assert 'c4:1' in subscriber.controls()
+
+
+def test_of_many_control_nodes_those_listed_longest_ago_are_forgotten():
+    subscriber = subscriber_with_seed()
+    for number in range(2 * MAX_SOURCES):
+        now = number * LISTING_LEASE_S
+        subscriber.on_news(CONTROL, news_listing(CONTROL, f'n{number}:1'), now)
+        subscriber.tick(now)
+    known = subscriber.controls()
+    assert len(known) == MAX_SOURCES
+    assert {CONTROL, f'n{2 * MAX_SOURCES - 1}:1'} <= set(known)
+    assert 'n0:1' not in known
+
+
+def test_a_new_version_is_confirmed_to_none_but_the_control_nodes_that_are_listed():
+    subscriber = subscriber_with_seed()
+    subscriber.on_news(CONTROL, news_listing(CONTROL, 'c2:1'), 0.0)
+    late = LISTING_LEASE_S + 1.0
+    confirmations = subscriber.on_news(CONTROL, news_message(2), late)
+    assert {send.to for send in confirmations} == {CONTROL}
