Replication: a learner forgets a leader that it no longer hears

What callers would see: a control node without a vote that was cut off for over 15 s was removed from the group meanwhile. It went on naming the leader that it knew, so it never asked for the group again, stayed outside for good and answered 503 once another node led.

Cause: only voters forget a leader, when they start an election; `_needs_probe` asks for the group where no leader is known.

Now a member without a vote forgets the leader after two longest election timeouts without a message of it (1.2 s for the document's group).

Evidence: three tests of test_members.py fail before and pass after (a learner with and without a disk, cut off for 17 s, rejoins; a learner names no dead leader). 429 tests of document, replication and control pass.

--- a/pistachiopath/replication/replica.py
+++ b/pistachiopath/replication/replica.py
@@ -41,6 +41,10 @@
     from .persisted import Persisted
     from .progress import Progress
 
+# Longest election timeouts without a message of the leader after which a learner knows
+# none; the voters elect another one within the first.
+LEARNER_PATIENCE = 2
+
 
 class Replica:
     """Deterministic state machine of the replication protocol.
@@ -139,7 +143,9 @@
             self._check_quorum(now)
         if self.is_leader:
             self._replicator.send_due(now)
-        elif now >= self._election_at and self._is_voter():
+        elif not self._is_voter():
+            self._forget_silent_leader(now)
+        elif now >= self._election_at:
             self._start_election(now, pre=True)
         return self._take_effects()
 
@@ -264,6 +270,15 @@
             if peer.voter:
                 self.send(peer.address, request)
 
+    def _forget_silent_leader(self, now: float) -> None:
+        """Forget a leader that a member without a vote hears no more.
+
+        Voters find out by an election that they no longer belong to the group.
+        """
+        silent_s = now - self._leader_contact_at
+        if silent_s >= LEARNER_PATIENCE * self._timing.election_max_s:
+            self.leader = ''
+
     def _on_vote_request(self, sender: str, req: VoteRequest, now: float) -> None:
         is_up_to_date = (req.last_term, req.last_index) >= (
             self.log.last_term,
--- a/tests/test_document/test_members.py
+++ b/tests/test_document/test_members.py
@@ -155,3 +155,32 @@
     assert len(world.voters()) == 5
     members = {m.member for m in world.leader().replica.members}
     assert {world.nodes[name].replica.member for name in SEEDS} <= members
+
+
+@pytest.mark.parametrize('diskless', [True, False])
+def test_a_learner_removed_while_it_was_cut_off_rejoins(diskless):
+    # Regression: it kept the leader that it knew, so it never asked for the group.
+    world = formed_world()
+    world.add('c9', diskless=diskless)
+    world.run(3.0)
+    for other in SEEDS:
+        world.net.cuts |= {('c9', other), (other, 'c9')}
+    world.run(17.0)
+    assert 'c9' not in {m.address for m in world.leader().replica.members}
+    world.net.cuts = set()
+    world.run(3.0)
+    assert 'c9' in {m.address for m in world.leader().replica.members}
+    version = world.put()
+    world.run(0.5)
+    assert world.nodes['c9'].core.version == version
+
+
+def test_a_learner_names_no_leader_that_it_has_not_heard_for_long():
+    world = formed_world()
+    world.add('c9', diskless=True)
+    world.run(3.0)
+    assert world.nodes['c9'].core.leader == world.leader().name
+    for name in SEEDS:
+        world.nodes[name].kill()
+    world.run(3.0)
+    assert world.nodes['c9'].core.leader == ''
