Replication: only the addresses of the first start prove that there is no group

What callers would see: two groups of control nodes that both acknowledge configurations. Three of six nodes with a disk, none of them a seed, are cut off during the first start and are then named as seeds: all configured addresses are blank, so they form a group beside the living one.

Cause: `set_addresses` replaced the addresses whose empty folders prove that no group exists. A group is formed by one of the first start's addresses, so these alone prove it. The same class: a folder that is opened again after an error of the disk, blank then, counted as one of the first start.

Now `FirstGroup` keeps the addresses of the start, and a reply with a log from anywhere speaks against forming. Later addresses are only asked for the group.

Price: a first seed that is lost for good before the group has formed keeps it from forming, whoever takes its place.

--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -87,13 +87,14 @@
             silence_s=LINK_SILENCE_S,
             failures=failures,
         )
+        self._forms = cfg.forms
         self.core, folder = self._open()
         self._loop = ReplicaLoop(
             core=self.core,
             folder=folder,
             network=self._network,
             failures=failures,
-            reopen=self._open,
+            reopen=self._reopen,
         )
         self.announcer = Announcer(
             address=cfg.node_address,
@@ -167,18 +168,24 @@
         cfg = self._cfg
         group = Group(
             address=cfg.node_address,
-            addresses=self._seeds,
+            addresses=cfg.seeds,
             persisted=folder.load(),
             rng=self._rng,
             now=time.monotonic(),
             timing=DOCUMENT_TIMING,
-            forms=cfg.forms,
+            forms=self._forms,
             voters=2 * cfg.tolerated_losses + 1,
             diskless=cfg.diskless,
         )
+        group.set_addresses(self._seeds)
         self.core = DocumentCore(group=group, rollouts=cfg.rollouts)
         return self.core, folder
 
+    def _reopen(self) -> tuple[DocumentCore, DataFolder | MemoryFolder]:
+        """Open the folder again; one that held a log must not form a group blank."""
+        self._forms = self._forms and self.core.group.is_blank
+        return self._open()
+
     def start(self) -> None:
         """Listen for links and start the replica and the timers."""
         self._network.listen(self._cfg.listen_address or self._cfg.node_address)
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -17,6 +17,7 @@
 )
 from .effects import AppendEntries
 from .entry_kind import EntryKind
+from .first_group import FirstGroup
 from .group_log import GroupLog
 from .group_search import GroupSearch
 from .replica import Replica
@@ -29,7 +30,6 @@
     from .persisted import Persisted
     from .timing import Timing
 
-REPLY_MAX_AGE_S = 1.0
 PROMOTION_MAX_SILENCE_S = 1.0
 PROMOTION_MAX_LAG_ENTRIES = 256
 # A voter that is silent for this long is removed if a learner can replace it.
@@ -52,9 +52,9 @@
     learners.  A voter that has been silent for `REPLACE_VOTER_AFTER_S` is
     replaced if a learner is ready for promotion.  Members change one at a time.
 
-    Of the members that may form the first group, which `forms` tells, the one with
-    the lowest address does.  With
-    `diskless` it is never a voter: it follows the log and passes requests on.
+    `addresses` are those configured at the start, and with `forms` the member may form
+    the first group (`FirstGroup`).  With `diskless` it is never a voter: it follows the
+    log and passes requests on.
     """
 
     def __init__(
@@ -74,20 +74,19 @@
             address=address, persisted=persisted, rng=rng, now=now, timing=timing
         )
         self._search = GroupSearch(own_address=address)
-        self._can_form = False
-        self._may_form = forms and not diskless
+        self._first_group = FirstGroup(
+            address=address, addresses=addresses, may_form=forms and not diskless
+        )
         self._voters = voters
         self._diskless = diskless
         self.set_addresses(addresses)
         self._timing = timing
-        self._replies: dict[str, tuple[float, ProbeReply]] = {}
         self._probe_at = now
         self._log = GroupLog(member=persisted.member)
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses at which to look for the group."""
         self._search.set_configured(addresses)
-        self._can_form = self._may_form and self.replica.address in addresses
 
     def set_contacts(self, addresses: tuple[str, ...]) -> None:
         """Set further control nodes that are known, to be asked for the group."""
@@ -98,6 +97,10 @@
         """Tell whether this member's log is empty and has no snapshot."""
         return self.replica.log.last_index == 0
 
+    def searching_s(self, now: float) -> float:
+        """Return for how long this member has looked for its group, in seconds."""
+        return self._log.searching_s(now)
+
     def heard_voters(self, now: float) -> int:
         """Return how many voters the leader hears, itself included; 0 elsewhere."""
         if not self.replica.is_settled:
@@ -141,30 +144,24 @@
         """
         return self.is_blank or (self._voters > 0 and not self.replica.leader)
 
-    # Forming the first group
-
-    def searching_s(self, now: float) -> float:
-        """Return for how long this member has looked for its group, in seconds."""
-        return self._log.searching_s(now)
+    # Looking for the group, and forming the first one
 
     def _probe(self, now: float) -> list[Effect]:
-        members = [m.address for m in self.replica.others()]
-        addresses = self._search.next_addresses(members)
-        self._replies = {
-            address: (at, reply)
-            for address, (at, reply) in self._replies.items()
-            if now - at < REPLY_MAX_AGE_S
-        }
-        blank = sum(reply.blank for _, reply in self._replies.values())
+        if self.is_blank and self._first_group.is_alone:
+            return self._form(())
+        known = [m.address for m in self.replica.others()]
+        if self.is_blank:
+            known += self._first_group.addresses
+        addresses = self._search.next_addresses(known)
+        replies = self._first_group.replies(now)
+        blank = sum(reply.blank for reply in replies)
         self._log.search(
             now,
             asked=addresses,
             blank=blank,
-            with_log=len(self._replies) - blank,
+            with_log=len(replies) - blank,
             last_index=self.replica.log.last_index,
         )
-        if not addresses:
-            return self._form(()) if self._can_form and self.is_blank else []
         probe = Probe(
             member=self.replica.member,
             address=self.replica.address,
@@ -186,7 +183,7 @@
             address=self.replica.address,
             blank=self.is_blank,
             diskless=self._diskless,
-            forms=self._can_form,
+            forms=self._first_group.can_form,
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
@@ -209,21 +206,9 @@
         ]
 
     def _on_probe_reply(self, reply: ProbeReply, now: float) -> list[Effect]:
-        self._replies[reply.address] = (now, reply)
-        if not (self.is_blank and self._can_form and self._are_all_blank(now)):
-            return []
-        replies = [self._replies[a][1] for a in self._search.configured]
-        if any(r.forms and r.address < self.replica.address for r in replies):
-            return []
-        return self._form(tuple(_member_of(reply) for reply in replies))
-
-    def _are_all_blank(self, now: float) -> bool:
-        """Tell whether all configured addresses replied lately that they are blank."""
-        found = [self._replies.get(address) for address in self._search.configured]
-        return all(
-            entry and now - entry[0] < REPLY_MAX_AGE_S and entry[1].blank
-            for entry in found
-        )
+        self._first_group.note(reply, now)
+        others = self._first_group.others(now) if self.is_blank else ()
+        return self._form(others) if others else []
 
     def _form(self, others: tuple[Member, ...]) -> list[Effect]:
         own = Member(member=self.replica.member, address=self.replica.address)
@@ -365,13 +350,3 @@
             EntryKind.MEMBERS, now, time_ms, members=members
         )
         return effects + self.replica.flush(now)
-
-
-def _member_of(reply: ProbeReply) -> Member:
-    """Return the first group's member for a folder that is known to be empty."""
-    return Member(
-        member=reply.member,
-        address=reply.address,
-        voter=not reply.diskless,
-        diskless=reply.diskless,
-    )
--- a/pistachiopath/replication/group_search.py
+++ b/pistachiopath/replication/group_search.py
@@ -54,7 +54,7 @@
         return is_news
 
     def next_addresses(self, members: Iterable[str]) -> list[str]:
-        """Return whom to ask now, in order; `members` are addresses of the log."""
+        """Return whom to ask now, in order, those of `members` each time."""
         always = {*self.configured, *members}
         if self._leader_hint:
             always.add(self._leader_hint)
--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -13,6 +13,7 @@
 from pistachiopath.messages.allowance import AllowanceLeases, UseReport
 from pistachiopath.messages.directory import News
 from pistachiopath.storage.data_folder import DataFolder
+from pistachiopath.storage.memory_folder import MemoryFolder
 from pistachiopath.storage.record_file import RecordFile
 from pistachiopath.telemetry.metrics import Metrics
 from pistachiopath.util.loop_failures import LoopFailures
@@ -164,3 +165,11 @@
     assert control.failures('customers')
     leases = follower.leases
     wait_until(lambda: follower.leases > leases)
+
+
+def test_a_folder_that_is_opened_again_blank_forms_no_second_group(control):
+    # Regression: it was the process of the first start, so it formed a group again.
+    control.shell._open_folder = MemoryFolder
+    core, _ = control.shell._reopen()
+    core.tick(time.monotonic() + 10.0, 0)
+    assert core.group.is_blank
