Soak: seeds exchanged for nodes without a disk, which are killed together

It runs two control nodes without a disk besides now. The new kind `seeds_lost` names these as seeds for all programs and kills them together; they stay the seeds for the faults that follow. At the end of a run each control node has to answer a read (`control_nodes_serve`), which one outside of the group does not.

--- a/tests/test_soak/test_checks/test_configuration.py
+++ b/tests/test_soak/test_checks/test_configuration.py
@@ -111,3 +111,12 @@
     assert not found(history(denied, puts=PUTS, faults=[paused]))
     other = attrs.evolve(paused, target='entry-2')
     assert found(history(denied, puts=PUTS, faults=[other])) == IN_FORCE
+
+
+def test_a_control_node_that_does_not_answer_at_the_end_is_found():
+    outside = attrs.evolve(read(0, 90.0, status=503), node='control-4')
+    sound = read(2, 90.0)
+    assert found(history(puts=PUTS, last_reads=[sound, outside])) == {
+        'control_nodes_serve'
+    }
+    assert not found(history(puts=PUTS, last_reads=[sound]))
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -10,6 +10,8 @@
 RELEASE_LENGTH_S = 20
 UNREPORTED_SEED = 2
 UNREPORTED_LENGTH_S = 16
+LOST_SEEDS_SEED = 1
+LOST_SEEDS_LENGTH_S = 12
 
 
 def run_soak(folder, seed, length_s, *options):
@@ -35,3 +37,8 @@
 def test_no_stream_is_joined_of_two_versions_while_first_reports_are_late(tmp_path):
     only = ('--only', 'release_unreported')
     assert run_soak(tmp_path, UNREPORTED_SEED, UNREPORTED_LENGTH_S, *only) == 0
+
+
+def test_seeds_that_lost_their_logs_together_are_in_the_group_again(tmp_path):
+    only = ('--only', 'seeds_lost')
+    assert run_soak(tmp_path, LOST_SEEDS_SEED, LOST_SEEDS_LENGTH_S, *only) == 0
--- a/tools/soak/checks/__init__.py
+++ b/tools/soak/checks/__init__.py
@@ -12,7 +12,11 @@
 
 from .answers import answered, ended_early, one_version, whole_answers
 from .budgets import allowance_kept, retry_budget_kept
-from .configuration import configuration_in_force, configuration_kept
+from .configuration import (
+    configuration_in_force,
+    configuration_kept,
+    control_nodes_serve,
+)
 from .gone import gone_callers
 from .left_alone import backoff_kept, departure_kept, notice_kept
 from .requests import at_most_once, truthful_refusals, unchanged_requests
@@ -38,6 +42,7 @@
     retry_budget_kept,
     configuration_kept,
     configuration_in_force,
+    control_nodes_serve,
     recovery,
     level_resources,
     no_own_ends,
--- a/tools/soak/checks/configuration.py
+++ b/tools/soak/checks/configuration.py
@@ -41,6 +41,17 @@
         yield Violation(at=late[-1].ended_at, text=text)
 
 
+def control_nodes_serve(history: History) -> Iterator[Violation]:
+    """Yield control nodes that do not answer a read after the time to recover.
+
+    Such a node is outside of the control nodes' group.
+    """
+    for read in history.last_reads:
+        if read.status != 200:
+            text = f'{read.node} answers a read with {read.status} at the end'
+            yield Violation(at=read.ended_at, text=text)
+
+
 def _put_fault(history: History, put: Put) -> str:
     is_acked = put.acked_at < math.inf
     if not put.is_valid:
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -142,6 +142,11 @@
             self._spawn(self._caller(f'r{number}', CUSTOMER).read_long_stream)
         self._readers += count
 
+    def read_everywhere(self) -> None:
+        """Read the configuration back at all control nodes."""
+        names = self.topology.all_control_names
+        self.operator.read_everywhere({n: self.topology.link(n) for n in names})
+
     def _caller(self, name: str, customer: str) -> Caller:
         topology = self.topology
         return Caller(
--- a/tools/soak/fault_kind.py
+++ b/tools/soak/fault_kind.py
@@ -25,6 +25,7 @@
     CLOCK_STEPPED = 'clock_stepped', 'program', 1.0, 4.0
     AGENT_KILLED = 'agent_killed', 'agent', 0.3, 2.0
     AGENT_PAUSED = 'agent_paused', 'agent', 0.5, 3.0
+    SEEDS_LOST = 'seeds_lost', '', 1.5, 4.0
     SETTINGS_CHANGED = 'settings_changed', 'settings', 0.0, 0.0
 
     LINK_DELAYED = 'link_delayed', 'link', 1.0, 4.0
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -112,10 +112,11 @@
             settings['callers'] = topology.address(name)
             settings['readiness'] = topology.readiness(name)
         case 'control':
-            data_folder = folder / f'{name}.data'
-            data_folder.mkdir(exist_ok=True)
             settings['control'] = topology.address(name)
-            settings['data_folder'] = str(data_folder)
+            if name in topology.control_names:
+                data_folder = folder / f'{name}.data'
+                data_folder.mkdir(exist_ok=True)
+                settings['data_folder'] = str(data_folder)
         case 'agent':
             settings['engine'] = topology.link(name.removeprefix('agent-'))
     return settings
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -36,6 +36,7 @@
     faults: list[FaultRecord] = attrs.field(factory=list)
     puts: list[Put] = attrs.field(factory=list)
     reads: list[Read] = attrs.field(factory=list)
+    last_reads: list[Read] = attrs.field(factory=list)
     departures: list[Departure] = attrs.field(factory=list)
     software: list[SoftwareSpan] = attrs.field(factory=list)
     own_ends: list[OwnEnd] = attrs.field(factory=list)
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -91,6 +91,7 @@
             FaultKind.STORAGE_SLOW: self._disturb_program,
             FaultKind.STORAGE_FULL: self._disturb_program,
             FaultKind.CLOCK_STEPPED: self._disturb_program,
+            FaultKind.SEEDS_LOST: self._lose_seeds,
             FaultKind.SETTINGS_CHANGED: self._change_settings,
             FaultKind.RELEASE_IN_PAUSE: self._paused_release.carry_out,
             FaultKind.RELEASE_UNREPORTED: self._unreported_release.carry_out,
@@ -104,18 +105,35 @@
     # Programs
 
     def _kill(self, fault: Fault) -> None:
-        """Kill a program, or all control nodes, and start it again."""
+        """Kill a program, or all control nodes with a disk, and start it again."""
         names = (fault.target,) if fault.target else self._topology.control_names
+        self._kill_together(names, fault.for_s)
+
+    def _kill_together(self, names: tuple[str, ...], down_s: float) -> None:
         programs = [self._fleet.programs[name] for name in names]
         for program in programs:
             program.is_down = True
             program.signal(signal.SIGKILL)
         for program in programs:
             program.kill()
-        gevent.sleep(fault.for_s)
+        gevent.sleep(down_s)
         for program in programs:
             program.start()
 
+    def _lose_seeds(self, fault: Fault) -> None:
+        """Name the control nodes without a disk as the seeds; kill these together.
+
+        They stay the seeds afterwards.
+        """
+        names = self._topology.diskless_names
+        seeds = [self._topology.link(name) for name in names]
+        changes = [
+            gevent.spawn(program.change_settings, seeds=seeds)
+            for program in self._fleet.programs.values()
+        ]
+        gevent.joinall(changes, raise_error=True)
+        self._kill_together(names, fault.for_s)
+
     def _pause(self, fault: Fault) -> None:
         program = self._fleet.programs[fault.target]
         program.signal(signal.SIGSTOP)
--- a/tools/soak/operator.py
+++ b/tools/soak/operator.py
@@ -23,6 +23,8 @@
 READ_INTERVAL_S = 0.5
 RESEND_INTERVAL_S = 0.3
 RESEND_FOR_S = 30.0
+# At the end of a run each node gets so long to answer a read.
+LAST_READ_S = 2.0
 # These answers end a call at once.
 FINAL_STATUSES = frozenset({400, 409, 412, 413, 422})
 
@@ -90,23 +92,40 @@
 
     def read(self) -> None:
         """Read the configuration back at some node."""
-        node, address = self._pick()
-        sent_at = time.monotonic()
-        reply = call(address, 'GET', wire.CONFIGURATION_PATH)
-        read = Read(
-            node=node,
-            sent_at=sent_at,
-            ended_at=time.monotonic(),
-            status=reply.status,
-            version=_version(reply),
-            content=reply.body.decode('utf-8', 'replace') if reply.is_success else '',
-        )
-        self._history.reads.append(read)
+        self._history.reads.append(_read(*self._pick()))
+
+    def read_everywhere(self, nodes: dict[str, str]) -> None:
+        """Read the configuration back at each node, until it answers or time is up."""
+        reads = [gevent.spawn(_read_patiently, *node) for node in nodes.items()]
+        gevent.joinall(reads, raise_error=True)
+        self._history.last_reads += [read.value for read in reads]
 
     def _pick(self) -> tuple[str, str]:
         return self._rng.choice(list(self._controls.items()))
 
 
+def _read_patiently(node: str, address: str) -> Read:
+    until = time.monotonic() + LAST_READ_S
+    read = _read(node, address)
+    while not read.version and time.monotonic() < until:
+        gevent.sleep(RESEND_INTERVAL_S)
+        read = _read(node, address)
+    return read
+
+
+def _read(node: str, address: str) -> Read:
+    sent_at = time.monotonic()
+    reply = call(address, 'GET', wire.CONFIGURATION_PATH)
+    return Read(
+        node=node,
+        sent_at=sent_at,
+        ended_at=time.monotonic(),
+        status=reply.status,
+        version=_version(reply),
+        content=reply.body.decode('utf-8', 'replace') if reply.is_success else '',
+    )
+
+
 def _version(reply: Reply) -> int:
     """Return the version of a configuration that was read, 0 if there is none."""
     if not reply.is_success:
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -76,7 +76,9 @@
         '': ('',),
         'entry': topology.entry_names,
         'control': topology.control_names,
-        'program': topology.program_names,
+        'program': tuple(
+            n for n in topology.program_names if n not in topology.diskless_names
+        ),
         'agent': topology.agent_names,
         'settings': topology.entry_names + topology.control_names,
         'link': tuple(f'link-{name}' for name in topology.linked_names),
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -74,4 +74,5 @@
         Injector(deployment=deployment, rng=deployment.rng('faults')).run(plan)
         history.faults_until = time.monotonic()
         gevent.sleep(history.bounds.recover_s + SEEN_S)
+        deployment.read_everywhere()
         deployment.check_greenlets()
--- a/tools/soak/topology.py
+++ b/tools/soak/topology.py
@@ -15,6 +15,7 @@
 # So many replicas of the engine have no agent beside them.
 BARE_ENGINES = 1
 CONTROLS = 3
+DISKLESS_CONTROLS = 2
 
 # Blocks of 256 addresses: VMs of each kind, the proxies before them, and unused ones.
 EDGES, EDGE_LINKS, REPLICAS, REPLICA_LINKS, UNUSED = range(5)
@@ -45,6 +46,8 @@
     replicas through it.  Entries and control nodes reach one another through proxies
     too, at the addresses that they advertise.  An agent is on the VM where its
     replica's link listens, because entries look for it there; some have none.
+    Operators and replicas call the control nodes with a disk, `control_names`; those of
+    `diskless_names` are on VMs of their own.
     """
 
     network: str
@@ -52,6 +55,9 @@
     entry_names: tuple[str, ...]
     engine_names: tuple[str, ...]
     control_names: tuple[str, ...] = _names('control', CONTROLS)
+    diskless_names: tuple[str, ...] = _names('control', CONTROLS + DISKLESS_CONTROLS)[
+        CONTROLS:
+    ]
     callers_port: int = attrs.field(factory=_free_port)
     readiness_port: int = attrs.field(factory=_free_port)
     control_port: int = attrs.field(factory=_free_port)
@@ -84,17 +90,22 @@
     @property
     def program_names(self) -> tuple[str, ...]:
         """Names of all programs in the order in which they are started."""
-        return self.control_names + self.entry_names + self.agent_names
+        return self.all_control_names + self.entry_names + self.agent_names
+
+    @property
+    def all_control_names(self) -> tuple[str, ...]:
+        """Names of the control nodes with and without a disk."""
+        return self.control_names + self.diskless_names
 
     @property
     def node_names(self) -> tuple[str, ...]:
         """Names of the programs that others reach through a proxy."""
-        return self.control_names + self.entry_names
+        return self.all_control_names + self.entry_names
 
     @property
     def linked_names(self) -> tuple[str, ...]:
         """Names of everything that is reached through a link."""
-        return self.entry_names + self.control_names + self.replica_names
+        return self.entry_names + self.all_control_names + self.replica_names
 
     def ip(self, program: str) -> str:
         """Return the IP address of a program's VM."""
@@ -146,7 +157,8 @@
     def _port(self, name: str) -> int:
         if name in self.entry_names:
             return self.callers_port
-        return self.control_port if name in self.control_names else self.replica_port
+        is_control = name in self.all_control_names
+        return self.control_port if is_control else self.replica_port
 
 
 def split_address(address: str) -> tuple[str, int]:
