--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -19,6 +19,7 @@
 from .entry_kind import EntryKind
 from .first_group import FirstGroup
 from .group_log import GroupLog
+from .group_repair import GroupRepair
 from .group_search import GroupSearch
 from .replica import Replica
 
@@ -30,13 +31,6 @@
     from .persisted import Persisted
     from .timing import Timing
 
-PROMOTION_MAX_SILENCE_S = 1.0
-PROMOTION_MAX_LAG_ENTRIES = 256
-# A voter that is silent for this long is removed if a learner can replace it.
-REPLACE_VOTER_AFTER_S = 3.0
-REMOVE_LEARNER_AFTER_S = 15.0
-MAX_MEMBERS = 40
-
 
 class Group:
     """Wraps a `Replica` whose group forms and repairs itself.
@@ -50,7 +44,8 @@
     With `voters` above zero the group also admits members at addresses that
     are not configured.  It grows to that many voters and keeps the others as
     learners.  A voter that has been silent for `REPLACE_VOTER_AFTER_S` is
-    replaced if a learner is ready for promotion.  Members change one at a time.
+    replaced if a learner is ready for promotion.  Members change one at a time
+    (`GroupRepair`).
 
     `addresses` are those configured at the start, and with `forms` the member may form
     the first group (`FirstGroup`).  With `diskless` it is never a voter: it follows the
@@ -83,6 +78,7 @@
         self._timing = timing
         self._probe_at = now
         self._log = GroupLog(member=persisted.member)
+        self._repair = GroupRepair(replica=self.replica, voters=voters, log=self._log)
 
     def set_addresses(self, addresses: tuple[str, ...]) -> None:
         """Set the addresses at which to look for the group."""
@@ -105,8 +101,7 @@
         """Return how many voters the leader hears, itself included; 0 elsewhere."""
         if not self.replica.is_settled:
             return 0
-        silent = self._silent_members(now)
-        return sum(m.voter and m not in silent for m in self.replica.members)
+        return self._repair.heard_voters(now)
 
     def tick(self, now: float, time_ms: int) -> list[Effect]:
         """Run the timers: elections, heartbeats, probes and membership repair."""
@@ -118,7 +113,7 @@
             self._probe_at = now + self._timing.probe_s
             effects += self._probe(now)
         if replica.is_settled:
-            effects += self._repair(now, time_ms)
+            effects += self._repair.repair(now, time_ms)
         return effects
 
     def receive(
@@ -187,7 +182,7 @@
         )
         effects: list[Effect] = [Send(to=sender, call=0, body=reply)]
         if self.replica.is_settled:
-            effects += self._admit_learner(sender, probe, now, time_ms)
+            effects += self._repair.admit(sender, probe, now, time_ms)
         elif sender == probe.address:
             effects += self._pass_on(probe)
         return effects
@@ -225,128 +220,3 @@
         )
         self.replica.log.append(entry)
         return [AppendEntries(entries=(entry,))]
-
-    # Repair by the leader
-
-    def _admit_learner(
-        self, sender: str, probe: Probe, now: float, time_ms: int
-    ) -> list[Effect]:
-        """Admit a probing member as a learner, replacing one at its address.
-
-        One record removes the voter whose folder is lost and adds the learner.
-        This changes the voters only once, and no majority counts a folder that
-        is known to be lost.
-        """
-        members = self.replica.members
-        if any(m.member == probe.member for m in members):
-            return []
-        remaining = tuple(m for m in members if m.address != probe.address)
-        refusal = self._refusal(remaining)
-        if refusal:
-            self._log.not_admitted(now, probe, refusal)
-            return []
-        learner = Member(
-            member=probe.member,
-            address=probe.address,
-            voter=False,
-            diskless=probe.diskless,
-        )
-        replaced = [m for m in members if m not in remaining]
-        self._log.admitted(learner, replaced, sender)
-        return self._propose_members((*remaining, learner), now, time_ms)
-
-    def _refusal(self, remaining: tuple[Member, ...]) -> str:
-        """Return why no learner can be added to the remaining members, or ''."""
-        members = self.replica.members
-        is_new = len(remaining) == len(members)
-        if self._has_pending_change():
-            return 'a change of members is pending'
-        if is_new and not self._voters:
-            return 'the address is not configured'
-        if is_new and len(members) >= MAX_MEMBERS:
-            return 'the group is full'
-        if not any(m.voter for m in remaining):
-            return 'no voter would remain'
-        return ''
-
-    def _repair(self, now: float, time_ms: int) -> list[Effect]:
-        """Promote a learner that is ready, or remove a silent member."""
-        if self._has_pending_change():
-            return []
-        members = self.replica.members
-        promotable = [m for m in members if not m.voter and self._is_promotable(m, now)]
-        silent = self._silent_members(now) if self._voters else []
-        if promotable and self._needs_voter(silent):
-            self._log.promoted(promotable[0], self._lag(promotable[0]))
-            return self._propose_members(self._with_vote(promotable[0]), now, time_ms)
-        if self._voters and self._needs_voter(silent):
-            self._log_missing_voters(silent, now)
-        removable = [m for m in silent if not m.voter or self._extra_voters() > 0]
-        if not removable:
-            return []
-        self._log.removed(removable[0], self._silent_s(removable[0], now))
-        remaining = tuple(m for m in members if m != removable[0])
-        return self._propose_members(remaining, now, time_ms)
-
-    def _needs_voter(self, silent: list[Member]) -> bool:
-        """Tell whether to promote a learner, also to replace a silent voter.
-
-        The replacement votes before the silent voter is removed: its disk may
-        still be needed if others are lost meanwhile.
-        """
-        extra = self._extra_voters()
-        has_silent_voter = any(m.voter for m in silent)
-        return not self._voters or extra < 0 or (extra == 0 and has_silent_voter)
-
-    def _extra_voters(self) -> int:
-        return sum(m.voter for m in self.replica.members) - self._voters
-
-    def _silent_members(self, now: float) -> list[Member]:
-        """Return the members that have been silent for too long."""
-        silent = []
-        for member in self.replica.others():
-            limit_s = REPLACE_VOTER_AFTER_S if member.voter else REMOVE_LEARNER_AFTER_S
-            if self._silent_s(member, now) >= limit_s:
-                silent.append(member)
-        return silent
-
-    def _silent_s(self, member: Member, now: float) -> float:
-        progress = self.replica.progress_of(member.member)
-        return now - progress.last_reply_at if progress else 0.0
-
-    def _lag(self, member: Member) -> int:
-        progress = self.replica.progress_of(member.member)
-        return self.replica.commit - progress.match if progress else 0
-
-    def _log_missing_voters(self, silent: list[Member], now: float) -> None:
-        learners = [m for m in self.replica.members if not m.voter and not m.diskless]
-        self._log.voters_missing(
-            now,
-            wanted=self._voters,
-            silent=[m.address for m in silent if m.voter],
-            learners=[m.address for m in learners],
-        )
-
-    def _with_vote(self, learner: Member) -> tuple[Member, ...]:
-        voter = Member(member=learner.member, address=learner.address)
-        return tuple(voter if m == learner else m for m in self.replica.members)
-
-    def _has_pending_change(self) -> bool:
-        return self.replica.log.members_index > self.replica.commit
-
-    def _is_promotable(self, member: Member, now: float) -> bool:
-        if member.diskless:
-            return False
-        progress = self.replica.progress_of(member.member)
-        if progress is None or now - progress.last_reply_at > PROMOTION_MAX_SILENCE_S:
-            return False
-        lag = self.replica.commit - progress.match
-        return progress.match > 0 and lag <= PROMOTION_MAX_LAG_ENTRIES
-
-    def _propose_members(
-        self, members: tuple[Member, ...], now: float, time_ms: int
-    ) -> list[Effect]:
-        _, effects = self.replica.propose(
-            EntryKind.MEMBERS, now, time_ms, members=members
-        )
-        return effects + self.replica.flush(now)
