--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -65,7 +65,10 @@
         '--length', type=float, default=60.0, help='seconds in which faults take place'
     )
     parser.add_argument(
-        '--size', type=int, default=1, help='1: 9 programs, and 5 more for each further'
+        '--size',
+        type=int,
+        default=1,
+        help='1: 11 programs, and 5 more for each further',
     )
     parser.add_argument(
         '--all', action='store_true', help='plan also the kinds that are not borne yet'
