Replication: a late question for the group removes no member that is heard

What callers would see: the leader resigns and a change of members without need, or a vote less for half a second, in which the loss of a disk that is to be borne may stop the group.

Cause: a member that looks for its group is taken in in place of whoever has its address. Questions are passed on by other nodes, so one may come late, after the process that asked is gone and its successor is a member: the leader took the dead folder in and the living one out. If the address was the leader's own, it removed itself.

Now a member that replied within 0.3 s, and the leader itself, are not replaced; a process takes longer than that to start again, and asks again every 0.3 s. `probe_not_admitted` names the reason.

--- a/pistachiopath/replication/group_repair.py
+++ b/pistachiopath/replication/group_repair.py
@@ -14,6 +14,8 @@
     from .replica import Replica
 
 PROMOTION_MAX_SILENCE_S = 1.0
+# Replies come every heartbeat, and a process takes longer than this to start again.
+HEARD_MAX_SILENCE_S = 0.3
 PROMOTION_MAX_LAG_ENTRIES = 256
 # A voter that is silent for this long is removed if a learner can replace it.
 REPLACE_VOTER_AFTER_S = 3.0
@@ -51,7 +53,8 @@
         if any(m.member == probe.member for m in members):
             return []
         remaining = tuple(m for m in members if m.address != probe.address)
-        refusal = self._refusal(remaining)
+        replaced = [m for m in members if m not in remaining]
+        refusal = self._refusal(replaced, now)
         if refusal:
             self._log.not_admitted(now, probe, refusal)
             return []
@@ -61,24 +64,34 @@
             voter=False,
             diskless=probe.diskless,
         )
-        replaced = [m for m in members if m not in remaining]
         self._log.admitted(learner, replaced, sender)
         return self._propose_members((*remaining, learner), now, time_ms)
 
-    def _refusal(self, remaining: tuple[Member, ...]) -> str:
-        """Return why no learner can be added to the remaining members, or ''."""
+    def _refusal(self, replaced: list[Member], now: float) -> str:
+        """Return why no learner can be added in place of these members, or ''.
+
+        A question that was passed on late may name a former folder of a member that
+        is heard; a member whose folder is lost is not.
+        """
         members = self._replica.members
-        is_new = len(remaining) == len(members)
         if self._has_pending_change():
             return 'a change of members is pending'
-        if is_new and not self._voters:
+        if not replaced and not self._voters:
             return 'the address is not configured'
-        if is_new and len(members) >= MAX_MEMBERS:
+        if not replaced and len(members) >= MAX_MEMBERS:
             return 'the group is full'
-        if not any(m.voter for m in remaining):
+        if any(self._is_heard(m, now) for m in replaced):
+            return 'the member at the address is heard'
+        if not any(m.voter for m in members if m not in replaced):
             return 'no voter would remain'
         return ''
 
+    def _is_heard(self, member: Member, now: float) -> bool:
+        """Tell whether a member is this one, or replied a moment ago."""
+        if member.member == self._replica.member:
+            return True
+        return self._silent_s(member, now) < HEARD_MAX_SILENCE_S
+
     def repair(self, now: float, time_ms: int) -> list[Effect]:
         """Promote a learner that is ready, or remove a silent member."""
         if self._has_pending_change():
--- a/tests/test_document/test_members.py
+++ b/tests/test_document/test_members.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pistachiopath.messages.replication import Probe
 from tests.harness.document_faults import OTHERS, SEEDS
 from tests.harness.document_world import DocumentWorld
 
@@ -184,3 +185,19 @@
         world.nodes[name].kill()
     world.run(3.0)
     assert world.nodes['c9'].core.leader == ''
+
+
+@pytest.mark.parametrize('is_of_leader', [True, False])
+def test_a_late_question_of_a_former_folder_removes_no_member_that_is_heard(
+    is_of_leader,
+):
+    world = formed_world()
+    leader = world.leader()
+    other = next(name for name in SEEDS if name != leader.name)
+    address = leader.name if is_of_leader else other
+    question = Probe(member='former', address=address)
+    before = leader.replica.members
+    leader.receive('c9', 0, question)
+    world.run(0.5)
+    assert world.leader() is leader
+    assert leader.replica.members == before
