--- a/pistachiopath/replication/group_repair.py
+++ b/pistachiopath/replication/group_repair.py
@@ -14,7 +14,7 @@
     from .replica import Replica
 
 PROMOTION_MAX_SILENCE_S = 1.0
-# Replies come every heartbeat, and a process takes longer than this to start again.
+# Replies come every heartbeat.  A member that starts again sooner asks again.
 HEARD_MAX_SILENCE_S = 0.3
 PROMOTION_MAX_LAG_ENTRIES = 256
 # A voter that is silent for this long is removed if a learner can replace it.
