Directory: an entry that starts beside a cut-off control node finds the others (CONFIG)

Callers saw an old configuration: an entry that starts knows its seeds and what these list. If the only seed that it reaches is cut off from its group, that seed lists nobody, and publishes what its disk holds. The entry served by that for as long as the cut lasted, beside a living leader that it could have reached.

Cause: News lists the control nodes from which messages came in the last 20 s. The members stand in the log of c0, and it told nobody.

News now also names the members of the sender's log that it doesn't hear. They don't count as listed: the share of control nodes that have answered is a proof for resumed streams, which a member that is gone for good must not weaken. Where all members are heard, the field is empty. Nodes of an older build ignore it.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -63,6 +63,7 @@
         self._followers: dict[str, Follower] = {}
         self._transfers = ContentTransfers(followers=self._followers)
         self._controls: dict[str, float] = {}
+        self._members: tuple[str, ...] = ()
         self._last_announced_at: dict[str, float] = {}
         self._heard = HeardLifetimes()
         self._listening = ListeningSpan(standstill_s=STANDSTILL_S, since=now)
@@ -90,6 +91,10 @@
         """Record that another control node sent a message."""
         self._controls[address] = now
 
+    def set_members(self, addresses: tuple[str, ...]) -> None:
+        """Set the other control nodes that the replicated log names."""
+        self._members = addresses
+
     def announce(
         self, record: ReplicaRecord, now: float, *, sent_after: float = -math.inf
     ) -> list[Send]:
@@ -298,13 +303,15 @@
 
     def _push_to(self, name: str, now: float, *, with_content: bool) -> Send:
         follower = self._followers[name]
+        controls = self.controls(now)
         news = News(
             feed=self._feed,
             change=self.directory.change,
             version=self.version,
             content=self.content if with_content else b'',
             records=self.directory.since(follower.since),
-            controls=self.controls(now),
+            controls=controls,
+            members=tuple(a for a in self._members if a not in controls),
             entries=self.entries(now),
             silent=self.silent(now),
             directory_age_ms=int(self._directory_age_s(now) * 1000),
--- a/pistachiopath/directory/sources.py
+++ b/pistachiopath/directory/sources.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from .source import Source
+from .source import LISTING_LEASE_S, Source
 
 if TYPE_CHECKING:
     from collections.abc import ItemsView, ValuesView
@@ -49,6 +49,11 @@
         source.last_listed_at = now
         return source
 
+    def remember(self, address: str, now: float) -> None:
+        """Record a control node that others know of but do not hear."""
+        if address not in self._sources:
+            self.add(address, now - LISTING_LEASE_S)
+
     def get(self, address: str) -> Source | None:
         """Return what is known of a control node, or None."""
         return self._sources.get(address)
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -208,10 +208,10 @@
     ) -> float:
         if has_no_contact:
             return INITIAL_FOLLOW_INTERVAL_S
-        if not self._sources.is_current(address, now) and self.live_controls(now):
-            return UNLISTED_FOLLOW_INTERVAL_S
         if not source.has_answered and source.first_polls < MAX_FIRST_POLLS:
             return FIRST_FOLLOW_INTERVAL_S
+        if not self._sources.is_current(address, now) and self.live_controls(now):
+            return UNLISTED_FOLLOW_INTERVAL_S
         is_not_main = self._is_entry and self._main and address != self._main
         return FOLLOW_OTHERS_INTERVAL_S if is_not_main else FOLLOW_INTERVAL_S
 
@@ -238,6 +238,8 @@
             self.directory.merge(record, now)
         for address in body.controls:
             self._sources.add(address, now)
+        for address in body.members:
+            self._sources.remember(address, now)
         self.entries = body.entries
         if body.version <= self.version:
             source.newer_version_since = math.inf
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -264,6 +264,7 @@
     def _follow_peers(self, now: float) -> None:
         self._network.send_all(self._peers.tick(now))
         self.core.group.set_contacts(self._peers.contacts())
+        self.announcer.set_members(self.core.group.others())
 
     def _adopt_customers(self, now: float) -> None:
         """Lend by a committed document's accounts.
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -82,7 +82,8 @@
     `records` holds all changes from `first_change` to `change`, both inclusive; it is
     0 from older nodes, which do not say where their news begin.  `heard` tells what
     is known of the replicas that the follower asked for, and `rollouts` are those in
-    force, active or not.
+    force, active or not.  `members` holds the addresses of other control nodes that
+    the sender's log names, but from which no message arrived recently.
     """
 
     feed: int
@@ -97,6 +98,7 @@
     first_change: int = 0
     heard: tuple[HeardLifetime, ...] = independent_items(factory=tuple)
     rollouts: tuple[RolloutNotice, ...] = independent_items(factory=tuple)
+    members: tuple[str, ...] = ()
 
 
 @message
--- a/pistachiopath/replication/group.py
+++ b/pistachiopath/replication/group.py
@@ -88,6 +88,10 @@
         """Set further control nodes that are known, to be asked for the group."""
         self._search.set_contacts(addresses)
 
+    def others(self) -> tuple[str, ...]:
+        """Return the addresses of the other members that the log names."""
+        return tuple(m.address for m in self.replica.others())
+
     @property
     def is_blank(self) -> bool:
         """Tell whether this member's log is empty and has no snapshot."""
@@ -144,7 +148,7 @@
     def _probe(self, now: float) -> list[Effect]:
         if self.is_blank and self._first_group.is_alone:
             return self._form(())
-        known = [m.address for m in self.replica.others()]
+        known = [*self.others()]
         if self.is_blank:
             known += self._first_group.addresses
         addresses = self._search.next_addresses(known)
@@ -192,8 +196,8 @@
 
         The prober knows the configured addresses; the leader may be at another.
         """
-        members = [m.address for m in self.replica.others()]
-        addresses = [self.replica.leader] if self.replica.leader else members
+        leader = self.replica.leader
+        addresses = (leader,) if leader else self.others()
         return [
             Send(to=address, call=0, body=probe)
             for address in addresses
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -421,6 +421,7 @@
   firstChange @9 :Int64;
   heard @10 :List(HeardLifetime);
   rollouts @11 :List(RolloutNotice);
+  members @12 :List(Text);
 }
 
 struct Announcements {
--- a/tests/harness/peered_world.py
+++ b/tests/harness/peered_world.py
@@ -7,6 +7,7 @@
 from pistachiopath.messages.directory import Announcements, Follow, News
 
 from .document_world import DocumentNode, DocumentWorld
+from .following_entry import FollowingEntry
 
 TIMERS_S = 0.05
 SILENT_AFTER_S = 3.6
@@ -55,6 +56,9 @@
         now = self.world.net.now
         self._send_all(self.peers.tick(now))
         self.core.group.set_contacts(self.peers.contacts())
+        self.announcer.set_members(self.core.group.others())
+        content = self.core.content
+        self._send_all(self.announcer.publish(self.core.version, content, now))
         self.announcer.prune(now)
         self.world.net.at(now + TIMERS_S, lambda: self._run_timers(generation))
 
@@ -68,6 +72,19 @@
 
     node_class = PeeredNode
 
+    def __init__(self, **changes):
+        self.entries = {}
+        super().__init__(**changes)
+
+    def send(self, sender, send):
+        entry = self.entries.get(send.to)
+        if entry is None:
+            super().send(sender, send)
+            return
+        self.net.send(
+            sender, send.to, lambda: entry.receive(sender, send.call, send.body)
+        )
+
     def exchange_seeds(self, seeds):
         """Give all nodes other seeds, those that are down as well."""
         self.seeds = tuple(seeds)
@@ -83,6 +100,12 @@
         for name in names:
             self.nodes[name].start()
 
+    def add_entry(self, name):
+        """Start an entry that has the seeds of now in its settings."""
+        entry = FollowingEntry(world=self, name=name, seeds=self.seeds)
+        self.entries[name] = entry
+        return entry
+
     def remove(self, name):
         """Take a node away for good."""
         self.nodes.pop(name).kill(power=True)
--- a/tests/test_directory/test_announcer.py
+++ b/tests/test_directory/test_announcer.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from pistachiopath.directory.announcer import Announcer
+from pistachiopath.directory.announcer import CONTROL_RETENTION_S, Announcer
 from pistachiopath.directory.directory import GONE_RETENTION_S
 from pistachiopath.directory.subscriber import Subscriber
 from pistachiopath.messages.directory import Announcements, Follow, News
@@ -213,3 +213,16 @@
         address='c1', feed=1, silent_after_s=3.6, now=10.0, is_first_start=True
     )
     assert directory_age_s(announcer, 10.5) == 0.5 + GONE_RETENTION_S
+
+
+def test_members_of_the_group_are_named_until_they_are_seen():
+    announcer = Announcer(address='c1', feed=1, silent_after_s=3.6, now=0.0)
+    announcer.set_members(('c2', 'c3'))
+    announcer.control_seen('c2', 0.0)
+    follow = Follow(version=0, feed=0, since=0, is_entry=True, wants_content=False)
+    (reply,) = announcer.follow('e1', follow, 1.0)
+    assert reply.body.controls == ('c1', 'c2')
+    assert reply.body.members == ('c3',)
+    (reply,) = announcer.follow('e1', follow, CONTROL_RETENTION_S)
+    assert reply.body.controls == ('c1',)
+    assert reply.body.members == ('c2', 'c3')
--- a/tests/test_directory/test_subscriber.py
+++ b/tests/test_directory/test_subscriber.py
@@ -232,3 +232,24 @@
     late = LISTING_LEASE_S + 1.0
     confirmations = subscriber.on_news(CONTROL, news_message(2), late)
     assert {send.to for send in confirmations} == {CONTROL}
+
+
+def test_a_control_node_that_others_cannot_reach_is_asked_though_none_lists_it():
+    # Regression: the members that a cut-off control node knew of were not asked.
+    subscriber = subscriber_with_seed()
+    subscriber.on_news(CONTROL, news_message(1, members=('c2:1',)), 0.0)
+    assert {send.to for send in subscriber.tick(0.05)} == {CONTROL, 'c2:1'}
+    assert subscriber.heard_controls(0.05) == 1.0
+    subscriber.on_news('c2:1', news_message(2), 0.1)
+    assert subscriber.version == 2
+    assert subscriber.heard_controls(0.1) == 1.0
+    polled = poll_times_of(subscriber, 'c2:1', 0.1, 3.0)
+    assert len(polled) >= 2
+
+
+def test_a_member_that_is_gone_is_asked_now_and_then():
+    subscriber = subscriber_with_seed()
+    gone = news_message(1, members=('c2:1',))
+    polls(subscriber, 0.0, MAX_FIRST_POLLS * FIRST_FOLLOW_INTERVAL_S, gone)
+    polled = polls(subscriber, 10.0, 10.0 + 4 * UNLISTED_FOLLOW_INTERVAL_S, gone)
+    assert 3 <= polled['c2:1'] <= 5
--- a/tests/test_document/test_shell.py
+++ b/tests/test_document/test_shell.py
@@ -173,3 +173,10 @@
     core, _ = control.shell._reopen()
     core.tick(time.monotonic() + 10.0, 0)
     assert core.group.is_blank
+
+
+def test_entries_are_told_of_members_that_the_control_node_does_not_hear(
+    control, follower, monkeypatch
+):
+    monkeypatch.setattr(control.shell.core.group, 'others', lambda: ('127.0.0.9:1',))
+    wait_until(lambda: '127.0.0.9:1' in follower.subscriber.controls())
