Doubts: a break that was none does not clear an earlier one (ORDER)

A replica whose connection broke may have started again; a connection that it accepts within 0.5 s shows that it has not. The time of that was the newest break's, so a second break soon after a restart, a reset of the new process, and the connection after it cleared both: the entry took the new process for the lifetime on record, and a stream could go on there at another version. Of breaks that were read one after another within 0.5 s the last one counted as well, so that a connection 0.5 s after the first cleared it.

Evidence: breaks at 10.0 and 11.0, a connection at 11.1; and breaks at 10.0 and 10.4, a connection at 10.5: no doubt is left on the code before, one is now.

What can still be cleared (the earliest break of less than 0.5 s ago) is kept apart from what can't. The second half of test_a_replica_that_accepts_a_connection_right_after_a_break stated the fault, as its second break came 1 s after one that stood; it is now far from the first, and what it stated has a test of its own that says the opposite.

The doubts are made by the entry, for another part to ask them next.

--- a/pistachiopath/lifetimes/lifetime_doubts.py
+++ b/pistachiopath/lifetimes/lifetime_doubts.py
@@ -7,24 +7,52 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ..messages.directory import ReplicaRecord
 
 MAX_DOUBTS = 10_000
 # A replica that starts again takes longer until it accepts connections.
 RESTART_MIN_S = 0.5
+# Default of `doubt_s`.
+DOUBT_S = 3.6
+# An announcement may be on its way for this long, and arrive after its sender's end.
+MAX_REPORT_DELAY_S = 5.0
 
 
 @attrs.define(kw_only=True, frozen=True)
-class _Doubt:
-    """When a lifetime was doubted last, and since when it may have ended."""
+class _Break:
+    """A lifetime may have ended between `since` and `noted_at`."""
 
-    noted_at: float
     since: float
+    noted_at: float
 
-    @property
-    def is_late(self) -> bool:
-        """Return whether there was time for a restart before it was doubted."""
-        return self.noted_at - self.since >= RESTART_MIN_S
+    def joined(self, other: _Break | None) -> _Break:
+        """Return both as one."""
+        if other is None:
+            return self
+        return _Break(
+            since=min(self.since, other.since),
+            noted_at=max(self.noted_at, other.noted_at),
+        )
+
+
+@attrs.define(kw_only=True)
+class _Doubt:
+    """Breaks of a lifetime's connections.
+
+    `recent` is forgotten if the replica accepts a connection too early for a
+    restart, `standing` is not.
+    """
+
+    recent: _Break | None = None
+    standing: _Break | None = None
+
+    def breaks(self) -> Iterator[_Break]:
+        """Yield what is not forgotten."""
+        for found in (self.recent, self.standing):
+            if found is not None:
+                yield found
 
 
 class LifetimeDoubts:
@@ -35,7 +63,7 @@
     lifetime that it was.  `now` is a monotonic clock in seconds.
     """
 
-    def __init__(self, *, doubt_s: float) -> None:
+    def __init__(self, *, doubt_s: float = DOUBT_S) -> None:
         self._doubt_s = doubt_s
         self._doubts: dict[tuple[str, int], _Doubt] = {}
 
@@ -44,11 +72,13 @@
     ) -> None:
         """Record a connection that broke, maybe as early as `since`."""
         key = (record.replica, record.born_ms)
-        known = self._doubts.pop(key, None)
-        if known is not None and known.is_late and now - known.noted_at < self._doubt_s:
-            since = known.since
-        since = now if since is None else since
-        self._doubts[key] = _Doubt(noted_at=now, since=since)
+        doubt = self._doubts.pop(key, None) or _Doubt()
+        found = _Break(since=now if since is None else since, noted_at=now)
+        if doubt.recent is not None and now - doubt.recent.since >= RESTART_MIN_S:
+            doubt.standing = doubt.recent.joined(doubt.standing)
+            doubt.recent = None
+        doubt.recent = found.joined(doubt.recent)
+        self._doubts[key] = doubt
         while len(self._doubts) > MAX_DOUBTS:
             del self._doubts[next(iter(self._doubts))]
 
@@ -57,12 +87,17 @@
 
         Right after a break it is still the process that it was.
         """
-        key = (record.replica, record.born_ms)
-        doubt = self._doubts.get(key)
-        if doubt is not None and now - doubt.since < RESTART_MIN_S:
-            del self._doubts[key]
+        doubt = self._doubts.get((record.replica, record.born_ms))
+        if doubt is None or doubt.recent is None:
+            return
+        if now - doubt.recent.since < RESTART_MIN_S:
+            doubt.recent = None
 
     def holds(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether a lifetime may have ended."""
-        doubt = self._doubts.get((record.replica, record.born_ms))
-        return doubt is not None and now - doubt.noted_at < self._doubt_s
+        breaks = self._breaks(record.replica, record.born_ms)
+        return any(now - b.noted_at < self._doubt_s for b in breaks)
+
+    def _breaks(self, replica: str, born_ms: int) -> tuple[_Break, ...]:
+        doubt = self._doubts.get((replica, born_ms))
+        return tuple(doubt.breaks()) if doubt is not None else ()
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -13,6 +13,7 @@
 from ..grants.gate_log import GateLog
 from ..lifetimes.continuations import Continuations
 from ..lifetimes.known_lifetimes import KnownLifetimes
+from ..lifetimes.lifetime_doubts import LifetimeDoubts
 from ..lifetimes.open_streams import NOTE_INTERVAL_S, OpenStreams
 from ..lifetimes.process_spans import ProcessSpans
 from ..lifetimes.restart_watch import RestartWatch
@@ -111,6 +112,7 @@
         )
         self._turns = TurnClock()
         restarts = RestartWatch(started_at=time.monotonic())
+        doubts = LifetimeDoubts(doubt_s=DOUBT_PERIODS * cfg.announce_s)
         self._process_spans = ProcessSpans()
         self._departure = Departure(grace_s=cfg.grace_s, loads=self._gates.loads)
         self._pool = ConnectionPool(
@@ -134,12 +136,13 @@
             health=self._placement.health,
             turns=self._turns,
             restarts=restarts,
+            doubts=doubts,
             drain_s=cfg.drain_s,
-            doubt_s=DOUBT_PERIODS * cfg.announce_s,
         )
         self._rollouts = self._rollout_link(rng, session=started_ms)
         self._lifetimes = KnownLifetimes(
-            subscriber=self._subscriber, spans=self._process_spans
+            subscriber=self._subscriber,
+            spans=self._process_spans,
         )
         self._continuations = Continuations(
             lifetimes=self._lifetimes,
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -9,7 +9,7 @@
 import attrs
 
 from ..directory.replica_state import ReplicaState
-from ..lifetimes.lifetime_doubts import RESTART_MIN_S, LifetimeDoubts
+from ..lifetimes.lifetime_doubts import RESTART_MIN_S
 from ..routing.placement import Candidate
 from ..streams.service_version import version_of
 
@@ -18,6 +18,7 @@
 
     from ..directory.subscriber import Subscriber
     from ..grants.watch import LoadWatch
+    from ..lifetimes.lifetime_doubts import LifetimeDoubts
     from ..lifetimes.restart_watch import RestartWatch
     from ..messages.directory import ReplicaRecord
     from ..routes.route_set import RouteSet
@@ -35,9 +36,8 @@
 # Share of the time for which a draining replica serves, after this entry heard of
 # it, in which streams may go on there.
 DRAIN_SHARE = 0.5
-# Defaults of `drain_s` and `doubt_s`.
+# Default of `drain_s`.
 DRAIN_S = 2.0
-DOUBT_S = 3.6
 
 
 class Targets:
@@ -45,8 +45,8 @@
 
     The agent beside a replica listens at the replica's own IP address.  A replica
     that drains serves for `drain_s` after it was heard, and one whose connection
-    broke takes no resumed stream for `doubt_s`, or until it shows that it has not
-    started again.  `turns` tells when a break that is read now may have been, and
+    broke takes no resumed stream while `doubts` hold that it may have started
+    again.  `turns` tells when a break that is read now may have been, and
     `restarts` is told of all of them.
     """
 
@@ -60,8 +60,8 @@
         health: ReplicaHealth,
         turns: TurnClock,
         restarts: RestartWatch,
+        doubts: LifetimeDoubts,
         drain_s: float = DRAIN_S,
-        doubt_s: float = DOUBT_S,
     ) -> None:
         self._subscriber = subscriber
         self._loads = loads
@@ -71,7 +71,7 @@
         self._turns = turns
         self._restarts = restarts
         self._drain_s = drain_s
-        self._doubts = LifetimeDoubts(doubt_s=doubt_s)
+        self._doubts = doubts
         self._left: set[tuple[str, int]] = set()
         self._all_gates: dict[frozenset[str], frozenset[str]] = {}
         self._all_gates_key: tuple[int, RouteSet | None] = (0, None)
--- a/tests/test_relay/test_own_gates.py
+++ b/tests/test_relay/test_own_gates.py
@@ -5,6 +5,7 @@
 
 from pistachiopath.errors.relay import PlaceDenied
 from pistachiopath.grants.watch import LoadWatch
+from pistachiopath.lifetimes.lifetime_doubts import LifetimeDoubts
 from pistachiopath.lifetimes.restart_watch import RestartWatch
 from pistachiopath.messages.grants import GateLoad
 from pistachiopath.relay.own_gates import OwnGates
@@ -79,6 +80,7 @@
         health=ReplicaHealth(),
         turns=TurnClock(),
         restarts=RestartWatch(started_at=0.0),
+        doubts=LifetimeDoubts(),
     )
 
 
--- a/tests/test_relay/test_targets.py
+++ b/tests/test_relay/test_targets.py
@@ -4,10 +4,14 @@
 import math
 
 from pistachiopath.grants.watch import LoadWatch
-from pistachiopath.lifetimes.lifetime_doubts import RESTART_MIN_S
+from pistachiopath.lifetimes.lifetime_doubts import (
+    DOUBT_S,
+    RESTART_MIN_S,
+    LifetimeDoubts,
+)
 from pistachiopath.lifetimes.restart_watch import RestartWatch
 from pistachiopath.platform.configuration import decode_configuration
-from pistachiopath.relay.targets import DOUBT_S, DRAIN_S, DRAIN_SHARE, Targets
+from pistachiopath.relay.targets import DRAIN_S, DRAIN_SHARE, Targets
 from pistachiopath.routing.replica_health import ReplicaHealth
 from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
@@ -26,6 +30,7 @@
         health=health or ReplicaHealth(),
         turns=turns or Turns(),
         restarts=RestartWatch(started_at=0.0),
+        doubts=LifetimeDoubts(),
     )
 
 
@@ -112,9 +117,29 @@
     targets.doubt(record(), 10.0)
     targets.accepted('10.0.0.1:80', 10.0 + RESTART_MIN_S)
     assert not targets.may_resume(record(), 10.6)
+    targets.doubt(record(), 20.0)
+    targets.accepted('10.0.0.1:80', 20.1)
+    assert targets.may_resume(record(), 20.1)
+
+
+def test_a_possible_restart_is_forgotten_as_a_later_break_was_none():
+    # Regression: the connection after the second break cleared the first one too.
+    entry, targets = make_targets('r1')
+    entry.directory.merge(record(replica='r2', software_version='v2'), 0.0)
+    targets.doubt(record(), 10.0)
     targets.doubt(record(), 11.0)
     targets.accepted('10.0.0.1:80', 11.1)
-    assert targets.may_resume(record(), 11.1)
+    assert not targets.may_resume(record(), 11.1)
+    assert targets.may_resume(record(), 10.1 + DOUBT_S)
+
+
+def test_of_breaks_that_come_together_the_first_counts():
+    entry, targets = make_targets('r1')
+    entry.directory.merge(record(replica='r2', software_version='v2'), 0.0)
+    targets.doubt(record(), 10.0)
+    targets.doubt(record(), 10.4)
+    targets.accepted('10.0.0.1:80', 10.0 + RESTART_MIN_S)
+    assert not targets.may_resume(record(), 10.6)
 
 
 def test_a_replica_that_closed_an_idle_connection_early_may_have_restarted():
