--- a/pistachiopath/lifetimes/continuations.py
+++ b/pistachiopath/lifetimes/continuations.py
@@ -114,6 +114,7 @@
                 'software_version': version_of(record).version,
                 'has_gate': work.has_gate,
                 'is_proven': is_proven,
+                'is_doubted': self._lifetimes.is_doubted(record),
                 'opened_ms_ago': int((now - target.opened_at) * 1000),
                 'ran_ms': int(self._lifetimes.span_s(record, target.opened_at) * 1000),
                 'waited_ms': int((now - asked_at) * 1000),
--- a/pistachiopath/lifetimes/known_lifetimes.py
+++ b/pistachiopath/lifetimes/known_lifetimes.py
@@ -15,6 +15,7 @@
 
     from ..directory.subscriber import Subscriber
     from ..messages.directory import HeardLifetime, ReplicaRecord
+    from .lifetime_doubts import LifetimeDoubts
     from .process_spans import ProcessSpans
 
 # Streams and their callers' returns are over by then.
@@ -55,12 +56,17 @@
     earlier lifetime by its announcements only.  As one process runs at a time, a
     lifetime that was known before a process was reached, and that announced itself
     afterwards, is that process.  A lifetime runs without a gap, so it ran at any time
-    between two of its announcements.  Times are seconds of a monotonic clock.
+    between two of its announcements.  One that arrives soon after a connection broke
+    may have been sent before, by a process that has ended: `doubts` tell.  Times are
+    seconds of a monotonic clock.
     """
 
-    def __init__(self, *, subscriber: Subscriber, spans: ProcessSpans) -> None:
+    def __init__(
+        self, *, subscriber: Subscriber, spans: ProcessSpans, doubts: LifetimeDoubts
+    ) -> None:
         self._subscriber = subscriber
         self._spans = spans
+        self._doubts = doubts
         self._by_address: dict[str, list[_Lifetime]] = {}
         self._runs: dict[str, dict[int, _Run]] = {}
         # Upper bounds of the time of a replica's last announcement.
@@ -128,8 +134,8 @@
         span = self._spans.around(address, opened_at)
         if span.until > self._ended_by(lifetime, address):
             return False
-        announced_at = self._find_run(lifetime.replica, lifetime.born_ms).until
-        return max(lifetime.known_at, span.since) <= min(announced_at, span.until)
+        ran_until = self._ran_until(lifetime.replica, lifetime.born_ms)
+        return max(lifetime.known_at, span.since) <= min(ran_until, span.until)
 
     def _ended_by(self, lifetime: _Lifetime, address: str) -> float:
         """Return when a later lifetime at the address was known, infinity if never."""
@@ -144,7 +150,8 @@
         run = self._find_run(replica, born_ms)
         if run.since > since:
             return False
-        return until <= run.until or self._was_heard(replica, born_ms, until)
+        ran_until = self._ran_until(replica, born_ms)
+        return until <= ran_until or self._was_heard(replica, born_ms, until)
 
     def is_current(self, replica: str, born_ms: int) -> bool:
         """Return whether no later lifetime of a replica is known."""
@@ -166,12 +173,21 @@
 
     def has_reported(self, record: ReplicaRecord, since: float) -> bool:
         """Return whether a lifetime ran at a time after `since`, or left as planned."""
-        run = self._find_run(record.replica, record.born_ms)
+        replica, born_ms = record.replica, record.born_ms
         if record.state == ReplicaState.GONE:
-            return run.has_left
-        return run.until >= since or self._was_heard(
-            record.replica, record.born_ms, since
-        )
+            return self._find_run(replica, born_ms).has_left
+        ran_until = self._ran_until(replica, born_ms)
+        return ran_until >= since or self._was_heard(replica, born_ms, since)
+
+    def is_doubted(self, record: ReplicaRecord) -> bool:
+        """Return whether a lifetime's last announcement may be from before a break."""
+        run = self._find_run(record.replica, record.born_ms)
+        return self._ran_until(record.replica, record.born_ms) < run.until
+
+    def _ran_until(self, replica: str, born_ms: int) -> float:
+        """Return until when a lifetime is known to have run."""
+        announced_at = self._find_run(replica, born_ms).until
+        return self._doubts.known_until(replica, born_ms, announced_at)
 
     def _was_heard(self, replica: str, born_ms: int, since: float) -> bool:
         """Return whether a process that is proven has written here since a time."""
--- a/pistachiopath/lifetimes/lifetime_doubts.py
+++ b/pistachiopath/lifetimes/lifetime_doubts.py
@@ -98,6 +98,17 @@
         breaks = self._breaks(record.replica, record.born_ms)
         return any(now - b.noted_at < self._doubt_s for b in breaks)
 
+    def known_until(self, replica: str, born_ms: int, announced_at: float) -> float:
+        """Return until when a lifetime ran that announced itself last at a time.
+
+        What arrived soon after a break may have been sent before it.
+        """
+        until = announced_at
+        for found in self._breaks(replica, born_ms):
+            if announced_at < found.noted_at + MAX_REPORT_DELAY_S:
+                until = min(until, found.since)
+        return until
+
     def _breaks(self, replica: str, born_ms: int) -> tuple[_Break, ...]:
         doubt = self._doubts.get((replica, born_ms))
         return tuple(doubt.breaks()) if doubt is not None else ()
--- a/pistachiopath/relay/crashes.py
+++ b/pistachiopath/relay/crashes.py
@@ -104,6 +104,7 @@
                 self._record_delivered(work, now)
             case Lost(broken_off=True):
                 self._record_broken_off(work, record, now)
+                self._check_replica(record)
             case NotRun(reason=reason) if reason == REFUSED:
                 self._record_crash(lifetime, now, 'refused')
 
@@ -202,7 +203,6 @@
         self._watch.broke_off(
             lifetime, work.fingerprint, work.sent_at, now, parts=work.shared_parts
         )
-        self._check_replica(record)
 
     def _is_leaving(self, record: ReplicaRecord) -> bool:
         """Return whether this lifetime has said that it leaves."""
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -143,6 +143,7 @@
         self._lifetimes = KnownLifetimes(
             subscriber=self._subscriber,
             spans=self._process_spans,
+            doubts=doubts,
         )
         self._continuations = Continuations(
             lifetimes=self._lifetimes,
--- a/tests/test_exchange/sockets.py
+++ b/tests/test_exchange/sockets.py
@@ -77,12 +77,17 @@
 
     A script is a list of connections, each a list of responses.  `CLOSE`
     closes the connection, `RESET` resets it, and `MUTE` sends no response.  A
-    response may be a `Paused`.  Until it listens, connections are refused.
+    response may be a `Paused`.  Until it listens, and after the last connection,
+    connections are refused.  With `succeeds` it has the address of a target before.
     """
 
-    def __init__(self, *connections, listens_after_s=0.0):
+    def __init__(self, *connections, listens_after_s=0.0, succeeds=None):
         self._listener = gsocket.socket()
-        self._listener.bind((LOOPBACK, 0))
+        port = 0
+        if succeeds is not None:
+            port = int(succeeds.address.rpartition(':')[2])
+            self._listener.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_REUSEADDR, 1)
+        self._listener.bind((LOOPBACK, port))
         self._listens_after_s = listens_after_s
         if not listens_after_s:
             self._listener.listen(16)
--- a/tests/test_lifetimes/test_known_lifetimes.py
+++ b/tests/test_lifetimes/test_known_lifetimes.py
@@ -6,6 +6,11 @@
 
 from pistachiopath.directory.directory import Directory
 from pistachiopath.lifetimes.known_lifetimes import RETENTION_S, KnownLifetimes
+from pistachiopath.lifetimes.lifetime_doubts import (
+    MAX_REPORT_DELAY_S,
+    RESTART_MIN_S,
+    LifetimeDoubts,
+)
 from pistachiopath.lifetimes.process_spans import ProcessSpans
 from pistachiopath.messages.directory import HeardLifetime
 from pistachiopath.streams.service_version import version_of
@@ -22,7 +27,10 @@
     def __init__(self):
         self.directory = Directory()
         self.spans = ProcessSpans()
-        self.lifetimes = KnownLifetimes(subscriber=self, spans=self.spans)
+        self.doubts = LifetimeDoubts()
+        self.lifetimes = KnownLifetimes(
+            subscriber=self, spans=self.spans, doubts=self.doubts
+        )
 
     def announce(self, known, now):
         self.directory.merge(known, now)
@@ -131,3 +139,49 @@
     known.spans.heard(ADDRESS, 300.0, 304.0)
     known.answer(FIRST, 303.0, 0.5)
     assert known.lifetimes.is_proven(FIRST, 300.0)
+
+
+def view_after_a_break():
+    """Return a view of FIRST, whose connection broke at 10.0."""
+    known = view()
+    known.spans.heard(ADDRESS, 2.0, 9.9)
+    known.doubts.note(FIRST, 10.0)
+    return known
+
+
+def test_a_late_announcement_proves_a_lifetime_that_ended_with_its_connection():
+    # Regression (review/8): it was on its way while the replica started again.
+    known = view_after_a_break()
+    known.spans.heard(ADDRESS, 10.8, 12.5)
+    known.answer(FIRST, 12.0, 0.1)
+    assert not known.lifetimes.is_proven(FIRST, 10.8)
+    assert not known.lifetimes.ran(FIRST.replica, FIRST.born_ms, 5.0, 11.0)
+    assert not known.lifetimes.has_reported(FIRST, 11.0)
+    # What the process before wrote is still settled.
+    assert known.lifetimes.version_at(FIRST, 2.0) == version_of(FIRST)
+    assert known.lifetimes.ran(FIRST.replica, FIRST.born_ms, 5.0, 10.0)
+
+
+def test_a_break_without_an_end_hides_a_lifetime_for_good():
+    known = view_after_a_break()
+    later = 10.0 + MAX_REPORT_DELAY_S
+    known.spans.heard(ADDRESS, 10.8, later + 1.0)
+    known.answer(FIRST, later + 0.6, 0.5)
+    assert known.lifetimes.is_proven(FIRST, 10.8)
+
+
+def test_a_break_hides_a_lifetime_though_it_accepted_a_connection_at_once():
+    known = view_after_a_break()
+    known.doubts.accepted(FIRST, 10.0 + RESTART_MIN_S / 2)
+    known.spans.heard(ADDRESS, 10.3, 12.5)
+    known.answer(FIRST, 12.0, 0.1)
+    assert known.lifetimes.is_proven(FIRST, 10.3)
+
+
+def test_a_new_lifetime_is_doubted_for_the_break_of_the_one_before():
+    known = view_after_a_break()
+    known.spans.heard(ADDRESS, 10.8, 12.5)
+    known.announce(SECOND, 11.5)
+    known.answer(SECOND, 12.4, 0.1)
+    assert known.lifetimes.is_proven(SECOND, 10.8)
+    assert not known.lifetimes.is_proven(FIRST, 10.8)
--- a/tests/test_relay/test_late_first_reports.py
+++ b/tests/test_relay/test_late_first_reports.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pistachiopath.lifetimes.known_lifetimes import KnownLifetimes
+from pistachiopath.lifetimes.lifetime_doubts import RESTART_MIN_S
 from tests.test_exchange.sockets import MUTE, RESET, Paused, ScriptedTarget
 from tools.free_address import free_address
 
@@ -139,6 +140,27 @@
     assert entry.resume(last_event=3).startswith(b'HTTP/1.1 200')
 
 
+def test_a_stream_goes_on_at_another_version_as_a_report_of_the_one_before_is_late():
+    # The replica starts again, and reports of its former lifetime still arrive.
+    before = ScriptedTarget([Paused(half(), 0.3), RESET])
+    entry = Entry(free_address())
+    begun = begin_stream(entry, before)
+    read_to_end(begun)
+    gevent.sleep(RESTART_MIN_S)
+    after = ScriptedTarget([rest()], succeeds=before)
+    assert entry.resume().startswith(b'HTTP/1.1 503')
+    assert after.requests == []
+
+
+def test_a_stream_of_a_replica_that_only_reset_its_connections_is_refused():
+    target = ScriptedTarget([Paused(half(), 0.3), RESET], [rest()], [rest()])
+    entry = Entry(free_address())
+    begun = begin_stream(entry, target)
+    read_to_end(begun)
+    gevent.sleep(RESTART_MIN_S)
+    assert entry.resume().startswith(b'HTTP/1.1 200')
+
+
 def test_a_stream_that_an_unreported_lifetime_began_is_refused_after_its_report():
     # Its replica is the very process that began it, and its gate outlived the entry.
     gate_address = start_gate()
--- a/tests/test_relay/test_version_deduction.py
+++ b/tests/test_relay/test_version_deduction.py
@@ -8,6 +8,7 @@
 
 from pistachiopath.directory.directory import Directory
 from pistachiopath.lifetimes.known_lifetimes import KnownLifetimes
+from pistachiopath.lifetimes.lifetime_doubts import LifetimeDoubts
 from pistachiopath.lifetimes.process_spans import ProcessSpans
 from pistachiopath.lifetimes.version_deduction import Certainty, VersionDeduction
 from pistachiopath.messages.directory import UNHEARD_MS, HeardLifetime
@@ -33,7 +34,9 @@
         self.checked = []
         self.now = time.monotonic()
         self.spans = ProcessSpans()
-        self.lifetimes = KnownLifetimes(subscriber=self, spans=self.spans)
+        self.lifetimes = KnownLifetimes(
+            subscriber=self, spans=self.spans, doubts=LifetimeDoubts()
+        )
         self.deduction = VersionDeduction(
             subscriber=self,
             lifetimes=self.lifetimes,
