--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -9,6 +9,7 @@
 
 from ..errors.exchange import BadHttp, CallerLeft
 from ..util.turns import Turns
+from .chunk_merger import ChunkMerger
 from .inbound import MAX_BUFFERED_BYTES, READ_BYTES
 from .limits import UNBOUNDED, BodyBound, usual_body
 from .request import HttpRequest
@@ -22,6 +23,7 @@
 
 # The colon, space and line end of a header line.
 HEADER_OVERHEAD_BYTES = 4
+HEAD_END = b'\r\n\r\n'
 # While requests wait for memory, a body must advance by so much within the time that it
 # otherwise has for any byte: tiny pieces could hold the memory for ever.
 PROGRESS_BYTES = 16 * 1024
@@ -60,6 +62,8 @@
         self._limits = get_limits()
         self._has_read_request = False
         self._turns = Turns()
+        # What is done with the bytes of a body before they are parsed.
+        self._merge: Callable[[bytes], bytes] = bytes
         self.http = self._new_parser()
 
     @property
@@ -83,7 +87,7 @@
         if self.http.their_state is not h11.DONE:
             return False
         self._inbound.poll()
-        return self._inbound.has_data or bool(self.http.trailing_data[0])
+        return self._inbound.has_data or bool(self._unparsed)
 
     def read(self) -> HttpRequest | None:
         """Return the next request, or None if there will be none.
@@ -125,10 +129,10 @@
         self._adopt_limits()
         deadline = time.monotonic() + self._limits.header_timeout_s
         while True:
-            if data:
-                self.http.receive_data(data)
+            following = self._receive_head(data)
             event = self._next_event()
             if isinstance(event, h11.Request):
+                self._begin_body(event, following)
                 self._check_head(event)
                 return event
             if event is not h11.NEED_DATA:
@@ -139,6 +143,25 @@
             if not data:
                 return None
 
+    def _receive_head(self, data: bytes) -> bytes:
+        """Pass on the bytes of a head for parsing; return those that follow it."""
+        before = self._unparsed[1 - len(HEAD_END) :]
+        at = (before + data).find(HEAD_END)
+        end = len(data) if at < 0 else at + len(HEAD_END) - len(before)
+        if data:
+            self.http.receive_data(data[:end])
+        return data[end:]
+
+    def _begin_body(self, head: h11.Request, data: bytes) -> None:
+        """Pass on the bytes that follow a head for parsing."""
+        self._merge = bytes
+        if any(name == b'transfer-encoding' for name, _ in head.headers):
+            merger = ChunkMerger()
+            merger.merge(self._unparsed)
+            self._merge = merger.merge
+        if data:
+            self.http.receive_data(self._merge(data))
+
     def _await_request(self) -> bytes | None:
         """Return the first bytes of the next request.
 
@@ -165,14 +188,20 @@
         if limits == self._limits:
             return
         self._limits = limits
-        unread, _ = self.http.trailing_data
+        unread = self._unparsed
         self.http = self._new_parser()
         if unread:
             self.http.receive_data(unread)
 
     def _has_partial_head(self) -> bool:
         """Return whether a part of a request head has arrived."""
-        return bool(self.http.trailing_data[0])
+        return bool(self._unparsed)
+
+    @property
+    def _unparsed(self) -> bytes:
+        """What has arrived behind the last event."""
+        unread, _ = self.http.trailing_data
+        return unread
 
     def _read_body(self, head: h11.Request) -> bytes:
         self._bound = self._body_limit(head.method, head.target)
@@ -189,7 +218,8 @@
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                self._receive_body(held, len(body), stated)
+                data = self._receive_body(held, len(body), stated)
+                self.http.receive_data(self._merge(data))
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._inbound.set_room(MAX_BUFFERED_BYTES)
@@ -203,10 +233,11 @@
 
     def _receive_body(
         self, held: HeldMemory, received: int, stated: int | None
-    ) -> None:
-        """Read a piece of a body, once there is memory for it."""
+    ) -> bytes:
+        """Return a piece of a body, once there is memory for it."""
         more = READ_BYTES if stated is None else min(READ_BYTES, stated - received)
         began_at = time.monotonic()
+        self._turns.rest()
         more = held.reserve(received, more, stated)
         # The sender could not advance while its bytes were not read.
         self._progress_at += time.monotonic() - began_at
@@ -225,7 +256,7 @@
             raise BadHttp(status=408, reason='body_timeout')
         if not data:
             raise CallerLeft
-        self.http.receive_data(data)
+        return data
 
     def _check_head(self, head: h11.Request) -> None:
         """Check the size of a head that arrived in one piece.
--- a/pistachiopath/util/turns.py
+++ b/pistachiopath/util/turns.py
@@ -15,6 +15,26 @@
 # Between two limited turns of all such readers together.
 LIMITED_PAUSE_S = 0.02
 
+# Share of the time in which all together may read further pieces of messages.
+REST_SHARE = 0.5
+# Time that they may work before one has to rest.
+UNRESTED_S = 0.05
+
+
+class _SharedWork:
+    """The time that the readers of the process have worked lately."""
+
+    def __init__(self) -> None:
+        self._rested_at = 0.0
+
+    def rest_s(self, worked_s: float, now: float) -> float:
+        """Return for how long to rest after some work, in seconds."""
+        self._rested_at = max(self._rested_at, now) + worked_s / REST_SHARE
+        return max(0.0, self._rested_at - now - UNRESTED_S)
+
+
+_shared_work = _SharedWork()
+
 
 class _LimitedTurns:
     """The times of the limited turns of all readers of the process."""
@@ -39,7 +59,9 @@
     peer that writes without end would stop the process.  `take` is called before
     each piece of work, and `received` after each read.  With `is_limited`, readers
     that never wait get a quarter of the time together, however many they are, so
-    that the rest is left for the others.
+    that the rest is left for the others.  `rest` is called before a further piece of
+    a message is read: messages that take much work for few bytes get half of the time
+    together, as readers that wait for each piece would never be limited.
 
     >>> turns = Turns()
     >>> turns.take()
@@ -49,6 +71,8 @@
         self._is_limited = is_limited
         self._began_at = time.monotonic()
         self._bytes = 0
+        self._worked_s = 0.0
+        self._working_since = self._began_at
 
     def received(self, size: int, began_at: float) -> None:
         """Record a read of `size` bytes that began at a monotonic time in seconds."""
@@ -57,12 +81,24 @@
             self._began_at = now
             self._bytes = 0
         self._bytes += size
+        self._working_since = now
+
+    def rest(self) -> None:
+        """Let the others run if all readers together have worked for long."""
+        now = time.monotonic()
+        worked_s = self._worked_s + now - self._working_since
+        self._worked_s = 0.0
+        rest_s = _shared_work.rest_s(worked_s, now)
+        if rest_s:
+            gevent.sleep(rest_s)
 
     def take(self) -> None:
         """Let the others run if this turn is over."""
         now = time.monotonic()
         if now - self._began_at < TURN_S:
             return
+        self._worked_s += now - self._working_since
         is_limited = self._is_limited and self._bytes > MAX_UNLIMITED_BYTES
         gevent.sleep(_limited_turns.reserve(now) if is_limited else 0)
         self._began_at = time.monotonic()
+        self._working_since = self._began_at
--- a/tests/test_exchange/test_request_reader.py
+++ b/tests/test_exchange/test_request_reader.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+import h11
 import pytest
 
 from pistachiopath.exchange.limits import ExchangeLimits
@@ -173,3 +174,18 @@
         assert sock.recv(65536).startswith(b'HTTP/1.1 100')
         sock.sendall(body)
     assert b'hello' in sock.recv(65536)
+
+
+def test_each_chunk_of_a_byte_costs_a_step_of_the_parser(monkeypatch):
+    # Regression (review/9): bodies in such chunks kept an entry from all else.
+    steps = []
+    next_event = h11.Connection.next_event
+    monkeypatch.setattr(
+        h11.Connection, 'next_event', lambda self: steps.append(1) or next_event(self)
+    )
+    server = EchoServer()
+    body = b'1\r\ny\r\n' * 20_000
+    head, _, _ = CHUNKED.partition(b'3\r\n')
+    response = server.send_parts(head, body, b'0\r\n\r\n')
+    assert response.endswith(b'y' * 20_000)
+    assert len(steps) < 200
