Turns: a pipelined request does not pay for the run of the one before it

Found by reading again. The work of a reader counted from its last read. Where the next request had arrived behind the one before, there was no read between them, so the time for which the first one ran counted as work of the second one's body, and all readers of bodies rested for twice as long. A client could do that on purpose.

A message now begins with a clean count.

A doubt of which nothing stands any more is deleted, as it was before.

--- a/pistachiopath/exchange/request_reader.py
+++ b/pistachiopath/exchange/request_reader.py
@@ -97,6 +97,7 @@
         and `BadHttp` for a request that can't be accepted; the connection must be
         closed after the response to it.
         """
+        self._turns.begin()
         head = self._read_head()
         if head is None:
             return None
--- a/pistachiopath/lifetimes/lifetime_doubts.py
+++ b/pistachiopath/lifetimes/lifetime_doubts.py
@@ -90,8 +90,11 @@
         doubt = self._doubts.get((record.replica, record.born_ms))
         if doubt is None or doubt.recent is None:
             return
-        if now - doubt.recent.since < RESTART_MIN_S:
-            doubt.recent = None
+        if now - doubt.recent.since >= RESTART_MIN_S:
+            return
+        doubt.recent = None
+        if doubt.standing is None:
+            del self._doubts[record.replica, record.born_ms]
 
     def holds(self, record: ReplicaRecord, now: float) -> bool:
         """Return whether a lifetime may have ended."""
--- a/pistachiopath/util/turns.py
+++ b/pistachiopath/util/turns.py
@@ -74,6 +74,11 @@
         self._worked_s = 0.0
         self._working_since = self._began_at
 
+    def begin(self) -> None:
+        """Begin a message; what was done since the last read is not part of it."""
+        self._worked_s = 0.0
+        self._working_since = time.monotonic()
+
     def received(self, size: int, began_at: float) -> None:
         """Record a read of `size` bytes that began at a monotonic time in seconds."""
         now = time.monotonic()
--- a/tests/test_util/test_turns.py
+++ b/tests/test_util/test_turns.py
@@ -48,18 +48,30 @@
     assert sum(worked) <= 1.2 * most
 
 
-def test_work_is_counted_while_the_reader_waits():
-    shared = _SharedWork()
+def test_the_wait_for_a_piece_counts_as_work():
     reader = Turns()
+    reader.begin()
     reader.rest()
-    gevent.sleep(0.1)
-    reader.received(1, time.monotonic() - 0.1)
+    waiting_since = time.monotonic()
+    gevent.sleep(2 * UNRESTED_S)
+    reader.received(1, waiting_since)
+    assert rest_of(reader) < UNRESTED_S
+
+
+def test_the_time_between_two_messages_counts_as_work():
+    # Regression: a pipelined request paid for the run of the one before it.
+    reader = Turns()
+    reader.begin()
+    gevent.sleep(2 * UNRESTED_S)
+    reader.begin()
+    assert rest_of(reader) < UNRESTED_S
+
+
+def rest_of(reader):
+    """Return for how long a reader rests, in seconds."""
     began_at = time.monotonic()
-    for _ in range(10):
-        reader.rest()
-        reader.received(1, time.monotonic())
-    assert time.monotonic() - began_at < UNRESTED_S
-    assert not shared.rest_s(0.0, time.monotonic())
+    reader.rest()
+    return time.monotonic() - began_at
 
 
 def test_what_was_worked_long_ago_is_rested_for():
