Turns: a log line says that readers of bodies rest

Since readers of further pieces of bodies may have to wait for their share of the time, and nothing told an operator so: a slow upload looked like a slow sender. Behaviour is unchanged; tests/test_util and the tests of docs pass.

--- a/pistachiopath/util/turns.py
+++ b/pistachiopath/util/turns.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import time
 
 import gevent
 
+logger = logging.getLogger(__name__)
+
 # Longest time for which a reader keeps all others of the process waiting.
 TURN_S = 0.005
 # A read that takes longer has waited, so the others have run meanwhile.
@@ -19,6 +22,7 @@
 REST_SHARE = 0.5
 # Time that they may work before one has to rest.
 UNRESTED_S = 0.05
+LOG_INTERVAL_S = 1.0
 
 
 class _SharedWork:
@@ -26,11 +30,22 @@
 
     def __init__(self) -> None:
         self._rested_at = 0.0
+        self._logged_at = -LOG_INTERVAL_S
 
     def rest_s(self, worked_s: float, now: float) -> float:
         """Return for how long to rest after some work, in seconds."""
         self._rested_at = max(self._rested_at, now) + worked_s / REST_SHARE
-        return max(0.0, self._rested_at - now - UNRESTED_S)
+        rest_s = max(0.0, self._rested_at - now - UNRESTED_S)
+        if rest_s and now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            logger.warning(
+                'readers_rest',
+                extra={
+                    'rest_ms': round(rest_s * 1000, 1),
+                    'worked_ms': round(worked_s * 1000, 1),
+                },
+            )
+        return rest_s
 
 
 _shared_work = _SharedWork()
--- a/tests/test_util/test_turns.py
+++ b/tests/test_util/test_turns.py
@@ -80,3 +80,10 @@
     assert not shared.rest_s(0.1 * UNRESTED_S * REST_SHARE, 10.001)
     assert shared.rest_s(0.01, 10.001) == pytest.approx(0.01 / REST_SHARE - 0.001)
     assert not shared.rest_s(0.01, 11.0)
+
+
+def test_rests_are_not_logged_or_each_of_them_is(caplog):
+    shared = _SharedWork()
+    for step in range(20):
+        shared.rest_s(0.1, 10.0 + step / 10)
+    assert caplog.messages == ['readers_rest', 'readers_rest']
