--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -72,6 +72,9 @@
     def version_at(self, record, opened_at):
         return version_of(record)
 
+    def is_doubted(self, record):
+        return False
+
     def span_s(self, record, opened_at):
         return 0.0
 
