Turns: a standstill of the process is not taken for work of a reader

Found by reading: the work of a reader is the time since its last read or turn. If the process is stopped in between, all of that counted, and the readers of all bodies rested for twice as long after it: uploads would have stood for seconds after a freeze of some seconds.

--- a/pistachiopath/util/turns.py
+++ b/pistachiopath/util/turns.py
@@ -22,6 +22,8 @@
 REST_SHARE = 0.5
 # Time that they may work before one has to rest.
 UNRESTED_S = 0.05
+# A step between two turns takes no longer, unless the process stands still.
+MAX_STEP_S = 0.02
 LOG_INTERVAL_S = 1.0
 
 
@@ -106,9 +108,9 @@
     def rest(self) -> None:
         """Let the others run if all readers together have worked for long."""
         now = time.monotonic()
-        worked_s = self._worked_s + now - self._working_since
+        self._count_work(now)
+        rest_s = _shared_work.rest_s(self._worked_s, now)
         self._worked_s = 0.0
-        rest_s = _shared_work.rest_s(worked_s, now)
         if rest_s:
             gevent.sleep(rest_s)
 
@@ -117,8 +119,12 @@
         now = time.monotonic()
         if now - self._began_at < TURN_S:
             return
-        self._worked_s += now - self._working_since
+        self._count_work(now)
         is_limited = self._is_limited and self._bytes > MAX_UNLIMITED_BYTES
         gevent.sleep(_limited_turns.reserve(now) if is_limited else 0)
         self._began_at = time.monotonic()
         self._working_since = self._began_at
+
+    def _count_work(self, now: float) -> None:
+        """Count the work since the last read or turn."""
+        self._worked_s += min(MAX_STEP_S, now - self._working_since)
--- a/tests/test_util/test_turns.py
+++ b/tests/test_util/test_turns.py
@@ -67,6 +67,14 @@
     assert rest_of(reader) < UNRESTED_S
 
 
+def test_a_standstill_of_the_process_counts_as_work():
+    # Regression: after a freeze all bodies rested for twice as long.
+    reader = Turns()
+    reader.begin()
+    time.sleep(4 * UNRESTED_S)
+    assert rest_of(reader) < UNRESTED_S
+
+
 def rest_of(reader):
     """Return for how long a reader rests, in seconds."""
     began_at = time.monotonic()
