--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -95,10 +95,10 @@
         return self.process is not None and self.process.poll() is None
 
     def memory_mb(self) -> float:
-        """Return the resident memory of the process."""
+        """Return the resident memory that the process shares with no file."""
         text = Path(f'/proc/{self.process.pid}/status').read_text()
         for line in text.splitlines():
-            if line.startswith('VmRSS'):
+            if line.startswith('RssAnon'):
                 return int(line.split()[1]) / 1024
         return 0.0
 
@@ -454,7 +454,8 @@
 class Platform:
     """Does to a program what the provider does: ends it above `memory_mb`, starts it.
 
-    Only the resident memory of the process is counted, not what waits in the kernel.
+    Only the anonymous resident memory is counted: neither the pages of the interpreter
+    and of libraries, which processes share, nor what waits in the kernel.
     """
 
     RESTART_S = 1.0
