--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -17,6 +17,8 @@
 import time
 from pathlib import Path
 
+from .cut import Cut, start_proxy
+
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = 'case.example'
 KEY = 'k3y0fth3c4s3'
@@ -24,6 +26,10 @@
 GRACE_S = 8
 PORTS = (7600, 7615)
 CALLERS, READINESS, CONTROL, APP = 8221, 8224, 8229, 8080
+# Each kind of program has the first port for messages or one of those after it.
+NODE_ROLES = ('control', 'entry')
+# Distance of the address of a program from that of the proxy before it.
+LINKS = 100
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
@@ -113,15 +119,17 @@
         controls: int = 3,
         entries: int = 1,
         memory_mb: int = 150,
+        cut: Cut | None = None,
         **extra: object,
     ) -> None:
+        self.cut = cut
         self.record = Record(Path(folder))
         self._folder = Path(tempfile.mkdtemp(prefix='case-'))
         pid = os.getpid()
         self.net = f'127.{20 + pid % 200}.{pid // 200 % 250}'
         control_ips = [f'{self.net}.{n}' for n in range(1, controls + 1)]
         entry_ips = [f'{self.net}.{n}' for n in range(11, 11 + entries)]
-        self.seeds = [f'{ip}:{CONTROL}' for ip in control_ips]
+        self.seeds = [f'{self.link_ip(ip)}:{CONTROL}' for ip in control_ips]
         self.extra = extra
         self.memory_mb = memory_mb
         self.controls = [self._program('control', ip) for ip in control_ips]
@@ -133,6 +141,17 @@
     def ip(self, number: int) -> str:
         return f'{self.net}.{number}'
 
+    def link_ip(self, ip: str) -> str:
+        """Return the address at which other programs reach the one at `ip`."""
+        if self.cut is None:
+            return ip
+        host, _, number = ip.rpartition('.')
+        return f'{host}.{int(number) + LINKS}'
+
+    def node_link(self, program: Program) -> str:
+        port = PORTS[0] + NODE_ROLES.index(program.role)
+        return f'{self.link_ip(program.ip)}:{port}'
+
     def _program(self, role: str, ip: str) -> Program:
         settings: dict[str, object] = {
             'name': f'edge-{ip}',
@@ -152,6 +171,8 @@
             'allowance_overage': 0.1,
             'allowance_slack_tokens': 110000,
         } | self.extra
+        if self.cut is not None:
+            settings['advertise_ip'] = self.link_ip(ip)
         if role == 'control':
             data = self._folder / f'data-{ip}'
             data.mkdir()
@@ -161,7 +182,13 @@
         return Program(role, ip, settings, self._folder)
 
     async def __aenter__(self) -> Rig:
-        for program in (*self.controls, *self.entries):
+        programs = (*self.controls, *self.entries)
+        if self.cut is not None:
+            for program in programs:
+                host, _, port = self.node_link(program).rpartition(':')
+                link, target = (host, int(port)), (program.ip, int(port))
+                self.servers.append(await start_proxy(self.cut, link, target))
+        for program in programs:
             program.start()
         return self
 
@@ -359,6 +386,7 @@
         self.announces = True
         self.version = 'v1'
         self.slots = 8
+        self.reports_to = rig.controls
         self.server: asyncio.AbstractServer | None = None
 
     async def start(self) -> None:
@@ -384,9 +412,12 @@
 
     async def tell(self) -> bool:
         """Send one status report; return whether any control node acknowledged it."""
-        for program in self.rig.controls:
+        return await self.send_report(self.report())
+
+    async def send_report(self, body: dict) -> bool:
+        for program in self.reports_to:
             status, _ = await self.rig.call(
-                program.ip, 'PUT', f'/pistachiopath/replicas/{self.id}', self.report()
+                program.ip, 'PUT', f'/pistachiopath/replicas/{self.id}', body
             )
             if status == 200:
                 return True
