--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+PYTHONPATH=. timeout -k 5 115 python3 -B "$folder/run.py"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
