--- a/review/15/run.py
+++ b/review/15/run.py
@@ -20,7 +20,7 @@
 
 async def case() -> bool:
     folder = str(Path(__file__).parent)
-    async with Rig(folder, entries=2) as rig:
+    async with Rig(folder, entries=3) as rig:
         servers = [StreamServer(rig, 'model', 50 + n) for n in range(SERVERS)]
         for server in servers:
             await server.start()
@@ -28,7 +28,7 @@
         await rig.wait_ready()
         # Entries that have just started refuse callers that come back.
         await asyncio.sleep(8)
-        first, second = rig.entries
+        first, second, _ = rig.entries
         if TROUBLE:
             for server in servers:
                 server.crash()
--- a/review/common3/streams.py
+++ b/review/common3/streams.py
@@ -152,7 +152,7 @@
             self.versions.add(line[6:])
 
 
-def stream_route(service: str) -> dict:
+def stream_route(service: str, *, attempts: int = 2) -> dict:
     return {
         'path_prefix': '/stream/',
         'route_type': 'streaming',
@@ -160,4 +160,5 @@
         'session_affinity': True,
         'timeout_ms': DEADLINE_MS,
         'backend': service,
+        'attempts': attempts,
     }
