Streams: a resumable stream begins only at a version that most control nodes know

A control node and an entry are cut off, and replicas of a new version report to that control node alone. The entry begins streams there and is killed. Callers come back in the other part, whose entries knew of one version, and took the answers of two of three control nodes for all there is.

Now a version is established once more than half of the whole group of control nodes know it, and resumable streams begin at established versions only. A deduction needs the answers of a majority of that group, so one of those that answer knows of the version: two majorities have a member in common. Control nodes that nobody hears stay members of the group for as long as the log names them, and one that started after the stream doesn't count. An entry that hears both parts passes a record on to the part without it. Where no present replica has an established version, streams begin at any: refusing all would be worse.

Two stand-ins of an entry's view learned the question that is new.

--- a/pistachiopath/directory/announcer.py
+++ b/pistachiopath/directory/announcer.py
@@ -9,7 +9,7 @@
 import attrs
 
 from ..effects import Send
-from ..messages.directory import Announcements, News
+from ..messages.directory import Announcements, EstablishedVersion, News
 from ..util.listening_span import ListeningSpan
 from ..util.plain_text import shortened
 from .content_transfers import ContentTransfers
@@ -22,6 +22,7 @@
 
     from ..messages.directory import Follow, ReplicaRecord
     from ..messages.rollouts import RolloutNotice
+    from ..streams.service_version import ServiceVersion
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +68,10 @@
         self._last_announced_at: dict[str, float] = {}
         self._heard = HeardLifetimes()
         self._listening = ListeningSpan(standstill_s=STANDSTILL_S, since=now)
+        # Set where other control nodes are followed.
+        self.is_established: Callable[[ServiceVersion, float], bool] = (
+            lambda version, now: False
+        )
         # Set where rollouts are in force.
         self.rollouts: Callable[[float], tuple[RolloutNotice, ...]] = lambda now: ()
 
@@ -186,7 +191,11 @@
         answers = tuple(
             self._heard.find(body.asked[:MAX_ASKED], now, quiet_since=self._quiet_since)
         )
-        news = attrs.evolve(reply.body, heard=answers)
+        news = attrs.evolve(
+            reply.body,
+            heard=answers,
+            established=() if since else self._established(now),
+        )
         return [
             attrs.evolve(reply, call=call, body=news),
             *(
@@ -195,6 +204,13 @@
             ),
         ]
 
+    def _established(self, now: float) -> tuple[EstablishedVersion, ...]:
+        return tuple(
+            EstablishedVersion(service=v.service, software_version=v.version)
+            for v in self.directory.all_versions()
+            if self.is_established(v, now)
+        )
+
     def link_lost(self, address: str) -> None:
         """Take what a follower has not confirmed for lost; send it again."""
         follower = self._followers.get(address)
--- a/pistachiopath/directory/directory.py
+++ b/pistachiopath/directory/directory.py
@@ -61,11 +61,18 @@
 
     def versions(self, service: str) -> frozenset[ServiceVersion]:
         """Return the versions of a service's replicas, gone ones included."""
+        return frozenset(self._by_service().get(service, ()))
+
+    def all_versions(self) -> frozenset[ServiceVersion]:
+        """Return the versions of all services' replicas, gone ones included."""
+        return frozenset().union(*self._by_service().values())
+
+    def _by_service(self) -> dict[str, set[ServiceVersion]]:
         if not self._versions:
             for record in self._records.values():
                 version = version_of(record)
                 self._versions.setdefault(version.service, set()).add(version)
-        return frozenset(self._versions.get(service, ()))
+        return self._versions
 
     def draining_since(self, replica: str) -> float | None:
         """Return when a replica that was ready was first heard to be draining."""
@@ -106,15 +113,20 @@
         self.merge(attrs.evolve(current, state=ReplicaState.GONE), now)
         return self._records[replica]
 
-    def prune(self, now: float) -> None:
-        """Delete replicas that have been gone for `GONE_RETENTION_S`."""
-        for replica, gone_at in list(self._gone_at.items()):
-            if now - gone_at >= GONE_RETENTION_S:
-                del self._gone_at[replica]
-                del self._records[replica]
-                del self._changes[replica]
-                self._draining_since.pop(replica, None)
-                self._versions.clear()
+    def prune(self, now: float) -> bool:
+        """Delete replicas that have been gone for `GONE_RETENTION_S`.
+
+        Return whether there were any.
+        """
+        old = [r for r, at in self._gone_at.items() if now - at >= GONE_RETENTION_S]
+        for replica in old:
+            del self._gone_at[replica]
+            del self._records[replica]
+            del self._changes[replica]
+            self._draining_since.pop(replica, None)
+        if old:
+            self._versions.clear()
+        return bool(old)
 
     def _update(
         self, current: ReplicaRecord, merged: ReplicaRecord, now: float
--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -19,11 +19,13 @@
     Source,
 )
 from .sources import Sources
+from .version_quorum import VersionQuorum
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..messages.directory import News
+    from ..streams.service_version import ServiceVersion
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +75,9 @@
         self._is_entry = is_entry
         self._own_address = own_address
         self._sources = Sources(own_address=own_address)
+        self._quorum = VersionQuorum(own_address='' if is_entry else own_address)
+        # The directory's change up to which all versions are established.
+        self._established_until = 0
         self._main = ''
         self._directory_since = math.inf
         self._news_at = -math.inf
@@ -116,6 +121,40 @@
         answered = sum(s.answered_at >= since for s in listed)
         return answered / max(1, len(listed))
 
+    def answered_by_majority(self, since: float, now: float, *, begin: float) -> bool:
+        """Return whether the news of more than half of the control nodes are newer.
+
+        As `answered_controls`, of those whose directories go back to `begin`.  Control
+        nodes that are not heard count as members of the group for as long as others
+        name them.
+        """
+        answered = [
+            address
+            for address, source in self._sources.items()
+            if source.answered_at >= since and source.directory_since <= begin
+        ]
+        return self._quorum.is_majority(answered, self.heard(now))
+
+    def is_established(self, version: ServiceVersion, now: float) -> bool:
+        """Return whether more than half of the control nodes know a version."""
+        return self._quorum.is_established(version, self.heard(now))
+
+    def lacking(self, version: ServiceVersion, now: float) -> list[str]:
+        """Return the control nodes that are heard and do not know a version."""
+        return self._quorum.lacking(version, self.heard(now))
+
+    def has_unestablished(self, now: float) -> bool:
+        """Return whether a version of any service is not established."""
+        change = self.directory.change
+        if self._established_until == change:
+            return False
+        heard = self.heard(now)
+        versions = self.directory.all_versions()
+        if not all(self._quorum.is_established(v, heard) for v in versions):
+            return True
+        self._established_until = change
+        return False
+
     def directory_age_s(self, now: float) -> float:
         """Return for how many seconds all replicas that announced themselves are known.
 
@@ -173,6 +212,8 @@
     def tick(self, now: float) -> list[Send]:
         """Return the follow requests that are due."""
         self._sources.prune(now)
+        if self.directory.prune(now):
+            self._quorum.keep(self.directory.all_versions().__contains__)
         self._sources.log_contact(now, self.version)
         main = self.main(now)
         has_no_contact = not self.version and not self.live_controls(now)
@@ -234,6 +275,7 @@
         has_all = self._follow_changes(sender, source, body, now)
         if has_all and question is not None and question.is_detailed:
             source.answered_at = max(source.answered_at, question.sent_at)
+        self._quorum.heard(sender, body)
         for record in body.records:
             self.directory.merge(record, now)
         for address in body.controls:
--- a/pistachiopath/document/peers.py
+++ b/pistachiopath/document/peers.py
@@ -24,6 +24,7 @@
     ) -> None:
         self._announcer = announcer
         self._subscriber = Subscriber(is_entry=False, own_address=address)
+        announcer.is_established = self._subscriber.is_established
         self.set_seeds(seeds, now)
 
     def set_seeds(self, seeds: tuple[str, ...], now: float) -> None:
--- a/pistachiopath/lifetimes/version_deduction.py
+++ b/pistachiopath/lifetimes/version_deduction.py
@@ -25,8 +25,6 @@
 # A stream that is resumed began at most this many times the route's timeout ago:
 # a caller comes back within its deadline.
 HORIZON_TIMEOUTS = 2.0
-# With fewer of the control nodes nothing is deduced.
-MIN_ANSWERED = 0.5
 MAX_CHECKS = 1000
 # For so long it is believed whether a replica accepts connections.
 CHECK_INTERVAL_S = 1.0
@@ -37,8 +35,8 @@
 
     OTHERS: another version is known, or may have begun it.  WAITS: some control
     nodes have not answered, or replicas not reported, since the return.  MOST: as
-    CERTAIN, by more than half of the control nodes.  CERTAIN: all that is needed is
-    known.
+    CERTAIN, by more than half of the control nodes, of which one at least knows each
+    version at which streams have begun.  CERTAIN: all that is needed is known.
     """
 
     OTHERS = 'others'
@@ -111,7 +109,7 @@
         versions = self._subscriber.directory.versions(service)
         if len(versions) != 1:
             return Deduction(certainty=Certainty.OTHERS, reason='versions')
-        found = self._look_at_controls(returned_at, now)
+        found = self._look_at_controls(begun_at, returned_at, now)
         if found.is_of_most:
             lacking = self._look_at_replicas(service, begun_at, returned_at)
             found = lacking or found
@@ -131,12 +129,17 @@
         }
         return unreported or {record.replica for record in records}
 
-    def _look_at_controls(self, returned_at: float, now: float) -> Deduction:
-        """Return how many control nodes have told since the return what they know."""
-        answered = self._subscriber.answered_controls(returned_at, now)
-        if answered == 1.0:
+    def _look_at_controls(
+        self, begun_at: float, returned_at: float, now: float
+    ) -> Deduction:
+        """Return how many control nodes have told since the return what they know.
+
+        A majority suffices, as streams begin at established versions only.
+        """
+        controls = self._subscriber
+        is_most = controls.answered_by_majority(returned_at, now, begin=begun_at)
+        if is_most and controls.answered_controls(returned_at, now) == 1.0:
             return Deduction(certainty=Certainty.CERTAIN)
-        is_most = answered > MIN_ANSWERED
         certainty = Certainty.MOST if is_most else Certainty.WAITS
         return Deduction(certainty=certainty, reason='controls')
 
--- a/pistachiopath/messages/directory.py
+++ b/pistachiopath/messages/directory.py
@@ -70,6 +70,14 @@
     has_left: bool = False
 
 
+@message
+class EstablishedVersion(Message):
+    """A version of a service that more than half of the control nodes know."""
+
+    service: str
+    software_version: str
+
+
 @message
 class News(Message):
     """Changes since the last change that a follower received.
@@ -83,7 +91,8 @@
     0 from older nodes, which do not say where their news begin.  `heard` tells what
     is known of the replicas that the follower asked for, and `rollouts` are those in
     force, active or not.  `members` holds the addresses of other control nodes that
-    the sender's log names, but from which no message arrived recently.
+    the sender's log names, but from which no message arrived recently.  `established`
+    is sent to a follower that has received nothing yet.
     """
 
     feed: int
@@ -99,6 +108,7 @@
     heard: tuple[HeardLifetime, ...] = independent_items(factory=tuple)
     rollouts: tuple[RolloutNotice, ...] = independent_items(factory=tuple)
     members: tuple[str, ...] = ()
+    established: tuple[EstablishedVersion, ...] = independent_items(factory=tuple)
 
 
 @message
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -239,6 +239,7 @@
                 is_at_work=self._lifetimes.is_at_work,
                 await_replica=self._startup.await_replica,
                 rollouts=self._rollouts,
+                established=self._targets.established,
             ),
             retries=Retries(
                 limits=cfg.retry_budget,
@@ -365,7 +366,6 @@
             'lifetimes': self._lifetimes.prune,
             'placement': self._prune_placement,
             'notices': self._notices.prune,
-            'directory': self._subscriber.directory.prune,
         }
         return [
             LoopPart(name=name, run=run, interval_s=PRUNE_INTERVAL_S)
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from ..directory.version_spread import VersionSpread
 from ..messages.allowance import AllowanceLeases, Borrowed
 from ..messages.directory import News
 from ..messages.grants import Denied, GateLoad, Granted
@@ -67,6 +68,7 @@
         self._restarts = restarts
         self._send_all = send_all
         self._rollouts = rollouts
+        self._spread = VersionSpread(subscriber=subscriber)
 
     def handle(self, sender: str, call: int, body: Message) -> None:
         """Handle a message; those that do not concern an entry are ignored."""
@@ -95,7 +97,7 @@
 
     def follow_controls(self, now: float) -> None:
         """Renew the subscriptions at the control nodes that are due."""
-        self._send_all(self._subscriber.tick(now))
+        self._send_all(self._subscriber.tick(now) + self._spread.tick(now))
 
     def watch_gates(self, now: float) -> None:
         """Renew the watches that are due of the gates that the routes lead to."""
--- a/pistachiopath/relay/placer.py
+++ b/pistachiopath/relay/placer.py
@@ -56,8 +56,9 @@
     `is_quarantined` while it waits for a place waits no longer.  `check_wait`
     raises `TurnedAway` for one that must not wait any longer.  `is_at_work` tells
     whether a replica was heard of at its present lifetime just now.
-    `await_replica` waits after a start for the first replica of a service, and
-    `rollouts` splits new requests between versions.
+    `await_replica` waits after a start for the first replica of a service, `rollouts`
+    splits new requests between versions, and `established` returns the candidates at
+    which a resumable stream may begin.
     """
 
     def __init__(
@@ -72,6 +73,9 @@
         is_at_work: Callable[[ReplicaRecord, float], bool] = lambda record, now: True,
         await_replica: Callable[[Work], None] = lambda work: None,
         rollouts: RolloutLink | None = None,
+        established: Callable[[str, list[Candidate], float], list[Candidate]] = (
+            lambda service, found, now: found
+        ),
     ) -> None:
         self._places = places
         self._placement = placement
@@ -82,6 +86,7 @@
         self._is_at_work = is_at_work
         self._await_replica = await_replica
         self._rollouts = rollouts
+        self._established = established
         self._serials = itertools.count(1)
 
     def choose(self, work: Work) -> Candidate:
@@ -173,6 +178,8 @@
         service = work.admitted.service
         found = self._targets.candidates(service, excluded, now)
         if work.stream_version is None:
+            if work.stream:
+                found = self._established(service, found, now)
             if self._rollouts is None:
                 return found
             return self._rollouts.split(work, found, now, is_placed=is_placed)
--- a/pistachiopath/relay/targets.py
+++ b/pistachiopath/relay/targets.py
@@ -98,6 +98,26 @@
         """Return the replicas of a service that accept new requests."""
         return self._candidates(self.ready(), service, excluded, now)
 
+    def established(
+        self, service: str, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return the candidates at which a resumable stream may begin.
+
+        More than half of the control nodes know their version, so that it is not
+        missed when the stream's caller returns elsewhere.  While no present replica of
+        the service has such a version, it begins at any.
+        """
+        if not self._subscriber.has_unestablished(now):
+            return candidates
+        usable = {
+            version
+            for version in {version_of(r) for r in self.ready() if r.service == service}
+            if self._subscriber.is_established(version, now)
+        }
+        if not usable:
+            return candidates
+        return [c for c in candidates if version_of(c.record) in usable]
+
     def draining(self, service: str, excluded: set[str], now: float) -> list[Candidate]:
         """Return the replicas of a service that drain and may still go on with streams.
 
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -422,6 +422,7 @@
   heard @10 :List(HeardLifetime);
   rollouts @11 :List(RolloutNotice);
   members @12 :List(Text);
+  established @13 :List(EstablishedVersion);
 }
 
 struct Announcements {
@@ -720,6 +721,11 @@
   hasLeft @5 :Bool;
 }
 
+struct EstablishedVersion {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+}
+
 struct StreamNotes {
   service @0 :Text;
   softwareVersion @1 :Text;
--- a/tests/test_relay/test_known_versions.py
+++ b/tests/test_relay/test_known_versions.py
@@ -34,6 +34,9 @@
     def answered_controls(self, since, now):
         return self.answered
 
+    def answered_by_majority(self, since, now, *, begin):
+        return self.answered > 0.5
+
     def controls(self):
         return ()
 
--- a/tests/test_relay/test_version_deduction.py
+++ b/tests/test_relay/test_version_deduction.py
@@ -54,6 +54,9 @@
     def answered_controls(self, since, now):
         return self.answered
 
+    def answered_by_majority(self, since, now, *, begin):
+        return self.answered > 0.5
+
     def know(self, name, **changes):
         details = {'born_ms': 1000, 'service': 'model', 'software_version': 'v1'}
         known = record(replica=name, address=f'{name}:1', **details | changes)
