Streams: the process that began a stream is noted before its version is proven

Cause: a stream was noted by its version, once that was proven. What the entry knew until then, the process at the other end of its connection, ended with it, so the later report could be matched with nothing.

Now the entry notes the process. The control node that holds the notes opens a connection of its own to it, which shows from when until when that process has run; that both lead to the same process follows from times of the entry's own clock. Who is asked later decides by the reports that were sent in that time, that is, that arrived 5 s or more after its beginning: earlier ones may be of a process that has ended. The refused caller is told by Retry-After when such a report may have come. An entry that hears no majority of the control nodes notes its streams, though it knows of one version only: others may know more.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -135,6 +135,11 @@
         ]
         return self._quorum.is_majority(answered, self.heard(now))
 
+    def hears_majority(self, now: float) -> bool:
+        """Return whether more than half of the control nodes are heard."""
+        heard = self.heard(now)
+        return self._quorum.is_majority(heard, heard)
+
     def is_established(self, version: ServiceVersion, now: float) -> bool:
         """Return whether more than half of the control nodes know a version."""
         return self._quorum.is_established(version, self.heard(now))
--- a/pistachiopath/document/noted_streams.py
+++ b/pistachiopath/document/noted_streams.py
@@ -7,13 +7,13 @@
 from ..messages.streams import StreamOrigin, StreamOrigins
 from ..streams.memory import StreamMemory
 from ..streams.name import DIGEST_BYTES, stream_digest
-from ..streams.origin import Origin
+from ..streams.origin import BEGAN, Origin
 from ..streams.service_version import ServiceVersion
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
-    from ..messages.streams import StreamNotes
+    from ..messages.streams import ProcessNotes, StreamNotes
 
 MAX_STREAMS_PER_MESSAGE = 1000
 
@@ -21,12 +21,19 @@
 class NotedStreams:
     """Remembers the software versions that began streams, by their digests.
 
-    Each of these streams has brought an event.  `now` is a monotonic clock in
+    Each of these streams has brought an event.  Of some only the process is known that
+    brought it, and not its version: `span` returns from when until when the process
+    that a witness leads to is known to have run.  `now` is a monotonic clock, in
     seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        span: Callable[[int, float], tuple[float, float] | None] = lambda *_: None,
+    ) -> None:
         self._memory = StreamMemory()
+        self._span = span
 
     def __len__(self) -> int:
         return len(self._memory)
@@ -41,6 +48,21 @@
             for digest in _split(batch.digests):
                 self._memory.note(digest.hex(), origin)
 
+    def note_processes(self, notes: Iterable[ProcessNotes], now: float) -> None:
+        """Record the streams that processes have begun whose version is not known."""
+        for batch in notes:
+            origin = Origin(
+                version=ServiceVersion(service=batch.service, version=''),
+                attempt=BEGAN,
+                is_confirmed=False,
+                noted_at=now,
+                replica=batch.replica,
+                address=batch.address,
+                witness=batch.witness,
+            )
+            for digest in _split(batch.digests):
+                self._memory.note(digest.hex(), origin)
+
     def find(self, streams: tuple[str, ...], now: float) -> StreamOrigins:
         """Return what is known of streams."""
         found = (self._find(name, now) for name in streams[:MAX_STREAMS_PER_MESSAGE])
@@ -50,6 +72,9 @@
         origin = self._memory.find(stream_digest(stream).hex(), now)
         if origin is None:
             return None
+        span = self._span(origin.witness, now) if origin.address else (now, now)
+        if span is None:
+            return None
         return StreamOrigin(
             stream=stream,
             service=origin.version.service,
@@ -57,6 +82,10 @@
             attempt=origin.attempt,
             is_confirmed=origin.is_confirmed,
             age_ms=int((now - origin.noted_at) * 1000),
+            replica=origin.replica,
+            address=origin.address,
+            opened_ms=int((now - span[0]) * 1000),
+            alive_ms=int((now - span[1]) * 1000) + 1,
         )
 
 
--- a/pistachiopath/document/shell.py
+++ b/pistachiopath/document/shell.py
@@ -16,6 +16,7 @@
 from ..messages.replication import NotLeader
 from ..messages.rollout_orders import RolloutReply
 from ..messages.rollout_totals import RolloutTotals
+from ..messages.streams import StreamOrigins
 from ..quarantine.crash_watch import CrashWatch
 from ..replication.group import Group
 from ..transport.handshake import ROLE_NODE, Identity
@@ -30,6 +31,7 @@
 from .operator_requests import OperatorRequests
 from .packing import unpack
 from .peers import ControlPeers
+from .process_witnesses import ProcessWitnesses
 from .rollout_control import RolloutControl
 from .saved_replicas import SavedReplicas
 from .timing import DOCUMENT_TIMING
@@ -40,6 +42,7 @@
 
     from ..messages.base import Message
     from ..messages.directory import ReplicaRecord
+    from ..messages.streams import ProcessNotes
     from ..routes.customer_account import CustomerAccount
     from ..storage.data_folder import DataFolder
     from ..storage.memory_folder import MemoryFolder
@@ -114,7 +117,11 @@
             crashes=CrashWatch(),
             controls=lambda: self.announcer.controls(time.monotonic())[1:],
         )
-        self.noted_streams = NotedStreams()
+        self._turns = TurnClock()
+        self._witnesses = ProcessWitnesses(
+            may_have_come_at=self._turns.may_have_come_at
+        )
+        self.noted_streams = NotedStreams(span=self._witnesses.span)
         self._replicas = SavedReplicas(file=replicas, announcer=self.announcer)
         self._replicas.load(now)
         self._peers = ControlPeers(
@@ -137,7 +144,6 @@
         )
         self._metrics = metrics
         self._adopted_version = 0
-        self._turns = TurnClock()
         self._timers = PeriodicLoop(
             name='control_timers',
             interval_s=TICK_INTERVAL_S,
@@ -155,6 +161,7 @@
                 LoopPart(name='replicas', run=self._replicas.save),
                 LoopPart(name='rollouts', run=self._direct_rollouts),
                 LoopPart(name='group', run=self._measure_group),
+                LoopPart(name='witnesses', run=self._witnesses.prune),
             ],
             failures=failures,
         )
@@ -197,6 +204,7 @@
         self._network.close(drain_s=0.1)
         self._timers.stop()
         self._loop.stop()
+        self._witnesses.close()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seed addresses of the control nodes."""
@@ -257,10 +265,27 @@
     ) -> None:
         """Note streams of an entry, or tell it their origins."""
         self.noted_streams.note(body.notes, now)
+        if body.processes:
+            self._handle_processes(sender, call, body.processes, now)
         if body.streams:
             found = self.noted_streams.find(body.streams, now)
             self._network.send(sender, call, found)
 
+    def _handle_processes(
+        self, sender: str, call: int, notes: tuple[ProcessNotes, ...], now: float
+    ) -> None:
+        """Note streams of known processes, and witness the others."""
+        known = [note for note in notes if note.witness]
+        for note in known:
+            self._witnesses.keep(note.witness, now)
+        self.noted_streams.note_processes(known, now)
+        self._witnesses.ask(
+            [note for note in notes if not note.witness],
+            lambda witnessed: self._network.send(
+                sender, call, StreamOrigins(origins=(), witnessed=witnessed)
+            ),
+        )
+
     def _follow_peers(self, now: float) -> None:
         self._network.send_all(self._peers.tick(now))
         self.core.group.set_contacts(self._peers.contacts())
--- a/pistachiopath/lifetimes/known_lifetimes.py
+++ b/pistachiopath/lifetimes/known_lifetimes.py
@@ -9,6 +9,7 @@
 
 from ..directory.replica_state import ReplicaState
 from ..streams.service_version import ServiceVersion, version_of
+from .lifetime_doubts import MAX_REPORT_DELAY_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -16,7 +17,7 @@
     from ..directory.subscriber import Subscriber
     from ..messages.directory import HeardLifetime, ReplicaRecord
     from .lifetime_doubts import LifetimeDoubts
-    from .process_spans import ProcessSpans
+    from .process_spans import ProcessSpan, ProcessSpans
 
 # Streams and their callers' returns are over by then.
 RETENTION_S = 120.0
@@ -130,6 +131,24 @@
                 return lifetime.version
         return None
 
+    def version_of_process(
+        self, replica: str, address: str, span: ProcessSpan
+    ) -> ServiceVersion | None:
+        """Return the proven version of a process that another node has witnessed.
+
+        Nothing is known here of what ran before it, so an announcement counts only if
+        it was sent while the process ran, however long it was on its way.
+        """
+        for lifetime in self._by_address.get(address, ()):
+            if lifetime.replica != replica:
+                continue
+            if span.until > self._ended_by(lifetime, address):
+                continue
+            ran_until = self._ran_until(replica, lifetime.born_ms) - MAX_REPORT_DELAY_S
+            if lifetime.known_at <= span.until and span.since <= ran_until:
+                return lifetime.version
+        return None
+
     def _is_process(self, lifetime: _Lifetime, address: str, opened_at: float) -> bool:
         span = self._spans.around(address, opened_at)
         if span.until > self._ended_by(lifetime, address):
--- a/pistachiopath/lifetimes/open_streams.py
+++ b/pistachiopath/lifetimes/open_streams.py
@@ -17,6 +17,7 @@
 from ..streams.service_version import ServiceVersion
 from ..util.later import call_later
 from ..util.rendezvous import by_weight
+from .stream_start import StreamStart
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,7 +26,9 @@
 
     from ..directory.subscriber import Subscriber
     from ..messages.base import Message
+    from ..messages.streams import WitnessedProcess
     from ..telemetry.metrics import Metrics
+    from .open_processes import OpenProcesses
     from .restart_watch import RestartWatch
 
 logger = logging.getLogger(__name__)
@@ -36,6 +39,8 @@
 REPEAT_INTERVAL_S = STREAM_RETENTION_S / 2
 # Streams that break off together share a message.
 FLUSH_S = 0.02
+# After a reply, bytes of the same process are awaited for this long.
+WITNESS_FLUSH_S = 0.12
 MAX_STREAMS_PER_MESSAGE = 1000
 
 
@@ -44,12 +49,17 @@
     """A stream, and when and where it was noted last.
 
     `version` is what the replica was taken for, and `proven` returns the version that
-    is certain, None if none is.  At `ended_at` its answer ended before the stream was
-    complete.
+    is certain, None if none is.  `start` is where the stream began, None if this entry
+    did not deliver its first event, and `has_gate` tells whether a gate holds it.
+    `is_settled` tells whether its version was noted, not its process alone.  At
+    `ended_at` its answer ended before the stream was complete.
     """
 
     version: ServiceVersion
     proven: Callable[[], ServiceVersion | None]
+    start: StreamStart | None = None
+    has_gate: bool = False
+    is_settled: bool = False
     holder: str = ''
     noted_at: float = 0.0
     ended_at: float = math.inf
@@ -63,6 +73,9 @@
     While a service has one version, and none of its replicas has started again lately,
     others deduce the version, and only streams are noted whose answers broke off, and
     these at once.  What is open is noted again when the control node is lost.
+
+    A gate holds the version of its streams itself.  Of a stream whose version is not
+    proven yet, gate or none, the process that began it is noted (`ProcessNotes`).
     """
 
     def __init__(
@@ -73,14 +86,18 @@
         restarts: RestartWatch,
         send: Callable[[str, int, Message], None],
         metrics: Metrics,
+        processes: OpenProcesses | None = None,
     ) -> None:
         self._own_address = own_address
         self._subscriber = subscriber
         self._restarts = restarts
         self._send = send
         self._metrics = metrics
+        self._processes = processes
         self._holder = ''
         self._streams: dict[str, _OpenStream] = {}
+        # Of each service, in the tick that goes on.
+        self._deduced: dict[str, bool] = {}
         self._flush: gevent.Greenlet | None = None
 
     def __len__(self) -> int:
@@ -91,12 +108,18 @@
         stream: str,
         version: ServiceVersion,
         proven: Callable[[], ServiceVersion | None],
+        *,
+        start: StreamStart | None = None,
+        has_gate: bool = False,
     ) -> None:
-        """Record a stream that has begun, or goes on, and that no gate holds.
+        """Record a stream that has begun, or goes on.
 
-        It is noted once `proven` returns the version that is certain.
+        It is noted once `proven` returns the version that is certain.  Until then the
+        process is noted at which it began.
         """
-        self._streams[stream] = _OpenStream(version=version, proven=proven)
+        self._streams[stream] = _OpenStream(
+            version=version, proven=proven, start=start, has_gate=has_gate
+        )
         if len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
 
@@ -116,14 +139,35 @@
         if peer == self._holder:
             for noted in self._streams.values():
                 noted.holder = ''
+            self._forget_processes()
+
+    def witnessed(
+        self,
+        holder: str,
+        call: int,
+        found: Iterable[WitnessedProcess],
+        now: float,
+    ) -> None:
+        """Handle a reply: the holder has connections to processes."""
+        if self._processes is None or holder != self._holder:
+            return
+        self._processes.witnessed(call, found, now)
+        # Bytes that show the same process come soon.
+        self._flush = self._flush or call_later(WITNESS_FLUSH_S, self._note_ended)
+
+    def _forget_processes(self) -> None:
+        if self._processes is not None:
+            self._processes.forget()
 
     def tick(self, now: float) -> None:
         """Send the notes that are due."""
         self._choose_holder(now)
+        self._deduced.clear()
         due = [name for name in self._streams if self._is_due(name, now)]
         if self._holder:
             for start in range(0, len(due), MAX_STREAMS_PER_MESSAGE):
                 self._note(due[start : start + MAX_STREAMS_PER_MESSAGE], now)
+            self._note_processes(now)
         self._drop_ended(now)
 
     def _note_ended(self) -> None:
@@ -141,21 +185,63 @@
         holder = ranked[0] if ranked else ''
         if holder != self._holder:
             self._holder = holder
+            self._forget_processes()
             logger.info('stream_holder', extra={'holder': holder})
 
     def _is_due(self, stream: str, now: float) -> bool:
         noted = self._streams[stream]
-        if noted.ended_at == math.inf and self._is_deduced(noted.version.service, now):
+        if not self._is_wanted(noted, now):
             return False
         is_old = now - noted.noted_at >= REPEAT_INTERVAL_S
-        if not is_old and noted.holder == self._holder:
+        is_noted = noted.is_settled and noted.holder == self._holder
+        if is_noted and not is_old:
             return False
         version = noted.proven()
         noted.version = version or noted.version
+        if version is not None and noted.has_gate:
+            # The gate holds the version.
+            noted.is_settled, noted.holder = True, self._holder
+            return False
         return version is not None
 
+    def _is_wanted(self, noted: _OpenStream, now: float) -> bool:
+        """Return whether others may need to be told of a stream."""
+        if noted.ended_at < math.inf:
+            return True
+        service = noted.version.service
+        if service not in self._deduced:
+            self._deduced[service] = self._is_deduced(service, now)
+        return not self._deduced[service]
+
+    def _note_processes(self, now: float) -> None:
+        """Note the processes that began the streams whose version is not proven."""
+        if self._processes is None:
+            return
+        begun = {
+            name: noted.start
+            for name, noted in self._streams.items()
+            if noted.start is not None
+            and not noted.is_settled
+            and noted.holder != self._holder
+            and self._is_wanted(noted, now)
+        }
+        call, notes, names = self._processes.notes(begun, now)
+        for name in names:
+            self._streams[name].holder = self._holder
+            self._streams[name].noted_at = now
+        if notes:
+            self._send(self._holder, call, WatchLoad(slots=0, processes=notes))
+        if names:
+            logger.info(
+                'processes_noted',
+                extra={'holder': self._holder, 'streams': len(names)},
+            )
+
     def _is_deduced(self, service: str, now: float) -> bool:
         """Return whether others can deduce the version of a service's streams."""
+        if not self._subscriber.hears_majority(now):
+            # Others may know of versions that this entry has not heard of.
+            return False
         has_one_version = len(self._subscriber.directory.versions(service)) <= 1
         return has_one_version and not self._restarts.is_recent(service, now)
 
@@ -164,6 +250,7 @@
         for name in streams:
             noted = self._streams[name]
             noted.holder, noted.noted_at = self._holder, now
+            noted.is_settled = True
             by_version.setdefault(noted.version, []).append(name)
         notes = tuple(
             StreamNotes(
--- a/pistachiopath/lifetimes/stream_finder.py
+++ b/pistachiopath/lifetimes/stream_finder.py
@@ -58,8 +58,12 @@
         """Use an origin if it counts more than the one known so far."""
         if self.origin is None:
             self.found_at = now
+        is_newer = bool(origin.address) and self.origin is not None
         if self.origin is None or origin.rank > self.origin.rank:
             self.origin = origin
+        elif is_newer and origin.rank == self.origin.rank:
+            # The process has been seen for longer by now.
+            self.origin = origin
 
     def forget_replies(self, gates: frozenset[str], now: float) -> None:
         """Let these gates be asked again some time after they replied."""
@@ -214,4 +218,8 @@
         replica=origin.replica,
         born_ms=origin.born_ms,
         granted_at=asked_at - origin.granted_ms / 1000,
+        address=origin.address,
+        # The reply may have waited on both ways, so neither bound says too much.
+        opened_at=now - origin.opened_ms / 1000,
+        alive_until=asked_at - origin.alive_ms / 1000,
     )
--- a/pistachiopath/messages/grants.py
+++ b/pistachiopath/messages/grants.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .base import Message, independent_items, message
-from .streams import StreamNotes
+from .streams import ProcessNotes, StreamNotes
 
 
 @message
@@ -90,8 +90,8 @@
     With `streams` it asks for the origins of these streams instead.  A gate of an
     older build replies with its load to that, whereas it would close the link on a
     message of a type that it does not know.  For the same reason a control node is
-    sent `notes` of streams with it, and asked for their origins.  One of an older
-    build ignores both.
+    sent `notes` of streams with it, and of `processes` that began streams, and asked
+    for their origins.  One of an older build ignores all of them.
 
     With `held` it names requests that still have their places, to a gate that may
     have lost the link to the entry and would free them.
@@ -102,6 +102,7 @@
     streams: tuple[str, ...] = ()
     notes: tuple[StreamNotes, ...] = independent_items(factory=tuple)
     held: tuple[str, ...] = ()
+    processes: tuple[ProcessNotes, ...] = independent_items(factory=tuple)
 
 
 @message
--- a/pistachiopath/relay/entry.py
+++ b/pistachiopath/relay/entry.py
@@ -14,6 +14,7 @@
 from ..lifetimes.continuations import Continuations
 from ..lifetimes.known_lifetimes import KnownLifetimes
 from ..lifetimes.lifetime_doubts import LifetimeDoubts
+from ..lifetimes.open_processes import OpenProcesses
 from ..lifetimes.open_streams import NOTE_INTERVAL_S, OpenStreams
 from ..lifetimes.process_spans import ProcessSpans
 from ..lifetimes.restart_watch import RestartWatch
@@ -159,6 +160,7 @@
             restarts=restarts,
             send=self._network.send,
             metrics=metrics,
+            processes=OpenProcesses(spans=self._process_spans),
         )
         search = OriginSearch(
             subscriber=self._subscriber,
--- a/pistachiopath/relay/message_handler.py
+++ b/pistachiopath/relay/message_handler.py
@@ -79,7 +79,7 @@
             case Granted() | Denied() | GateLoad():
                 self._gates.receive(sender, body, now)
             case StreamOrigins():
-                self._finder.receive(sender, call, body)
+                self._handle_origins(sender, call, body, now)
             case AllowanceLeases():
                 self._lender.handle_leases(sender, body, now)
             case Borrowed():
@@ -87,6 +87,15 @@
             case CrashMarks():
                 self._crashes.handle_marks(body, now)
 
+    def _handle_origins(
+        self, sender: str, call: int, body: StreamOrigins, now: float
+    ) -> None:
+        """Pass on what a node knows of streams, or of processes that began them."""
+        if body.witnessed:
+            self._open_streams.witnessed(sender, call, body.witnessed, now)
+        else:
+            self._finder.receive(sender, call, body)
+
     def handle_lost(self, peer: str) -> None:
         """Handle a lost link to another node."""
         self._subscriber.link_lost(peer)
--- a/pistachiopath/relay/origin_search.py
+++ b/pistachiopath/relay/origin_search.py
@@ -10,8 +10,10 @@
 
 from ..lifetimes.continuations import ASK_INTERVAL_S
 from ..lifetimes.origin_source import OriginSource
+from ..lifetimes.process_spans import ProcessSpan
 from ..lifetimes.version_deduction import Certainty, Deduction
 from ..streams.origin import Origin
+from ..streams.service_version import ServiceVersion
 from .patience import patience_s
 from .targets import DIRECTORY_FILL_S
 from .work import Work
@@ -39,7 +41,9 @@
     The stream was begun before `returned_at`, and the search at `began_at`, both in
     seconds of a monotonic clock.  `awaits_proof` tells whether a holder has named a
     lifetime that the next report may prove, and `asked_at` is when control nodes were
-    asked last what replicas have reported.
+    asked last what replicas have reported.  If a holder has named the process that
+    began the stream, `process_version` is its proven version, and `process_since` is
+    since when it is known to have run.
     """
 
     work: Work
@@ -49,6 +53,8 @@
     source: OriginSource = OriginSource.NONE
     deduction: Deduction = Deduction(certainty=Certainty.WAITS)
     awaits_proof: bool = False
+    process_version: ServiceVersion | None = None
+    process_since: float = -math.inf
     asked_at: float = -math.inf
 
     @property
@@ -96,6 +102,8 @@
             deduce=lambda: self._deduce(search),
             asks_again=lambda: frozenset(self._subscriber.heard(time.monotonic())),
         )
+        if search.origin is not None and search.origin.address:
+            search.origin = attrs.evolve(search.origin, version=search.process_version)
         if search.origin is None and search.deduction.is_of_most:
             search.origin = search.deduction.origin(now)
         search.source = self._source(search.origin)
@@ -119,6 +127,8 @@
 
     def _is_proven(self, search: Search, origin: Origin) -> bool:
         """Return whether an origin that is not confirmed is right; ask if it may be."""
+        if origin.address:
+            return self._is_process_proven(search, origin)
         is_proven = self._lifetimes.ran(
             origin.replica, origin.born_ms, origin.granted_at, search.returned_at
         )
@@ -129,6 +139,18 @@
             self._continuations.ask([origin.replica], time.monotonic())
         return is_proven
 
+    def _is_process_proven(self, search: Search, origin: Origin) -> bool:
+        """Return whether the version of the process that began a stream is proven."""
+        span = ProcessSpan(since=origin.opened_at, until=origin.alive_until)
+        search.process_version = self._lifetimes.version_of_process(
+            origin.replica, origin.address, span
+        )
+        search.process_since = origin.opened_at
+        search.awaits_proof = search.process_version is None
+        if search.awaits_proof:
+            self._continuations.ask([origin.replica], time.monotonic())
+        return not search.awaits_proof
+
     def _deduce(self, search: Search) -> Origin | None:
         """Return the origin once it is certain; ask for what is missing."""
         admitted = search.work.admitted
--- a/pistachiopath/relay/stream_versions.py
+++ b/pistachiopath/relay/stream_versions.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..errors.relay import TurnedAway
+from ..lifetimes.lifetime_doubts import MAX_REPORT_DELAY_S
 from ..lifetimes.origin_source import OriginSource
 from ..lifetimes.stream_start import StreamStart
 from ..streams.memory import MAX_STREAMS, STREAM_RETENTION_S, StreamMemory
@@ -77,7 +78,7 @@
         search = self._find(work)
         if search.origin is None:
             self._log(search, refused='version_unknown')
-            raise _refusal(work, 'version_unknown')
+            raise _refusal(work, 'version_unknown', wait_s=self._proof_wait_s(search))
         if not work.go_on_at(search.origin.version):
             self._log(search, refused='service_gone')
             raise _refusal(work, 'service_gone')
@@ -85,7 +86,7 @@
 
     def goes_on(self, work: Work) -> None:
         """Record that a stream is about to go on at a replica."""
-        if work.stream and work.stream_version is not None and not work.has_gate:
+        if work.stream and work.stream_version is not None:
             self._note_open(work)
 
     def begun(self, work: Work, record: ReplicaRecord, opened_at: float) -> None:
@@ -111,8 +112,7 @@
             },
         )
         self._note(work)
-        if not work.has_gate:
-            self._note_open(work)
+        self._note_open(work)
 
     def is_settled(self, work: Work) -> bool:
         """Return whether it is known which lifetime began the stream.
@@ -145,6 +145,8 @@
             work.stream,
             version,
             lambda: self._continuations.version(start) if start else version,
+            start=start,
+            has_gate=work.has_gate,
         )
 
     def ended(self, work: Work) -> None:
@@ -189,6 +191,14 @@
             self._returns.note(work.stream, now, now)
         return self._search.run(work, returned_at)
 
+    def _proof_wait_s(self, search: Search) -> float:
+        """Return after how long a report may prove what began the stream.
+
+        A caller that comes back earlier would be refused again.
+        """
+        proven_at = search.process_since + MAX_REPORT_DELAY_S
+        return max(RETRY_AFTER_S, proven_at - time.monotonic())
+
     def _log(self, search: Search, *, refused: str = '') -> None:
         """Log a caller's return with half of a stream, allowed or refused."""
         now = time.monotonic()
@@ -217,10 +227,10 @@
         )
 
 
-def _refusal(work: Work, reason: str) -> TurnedAway:
+def _refusal(work: Work, reason: str, *, wait_s: float = RETRY_AFTER_S) -> TurnedAway:
     remaining_s = work.remaining_s(time.monotonic())
     return TurnedAway(
         status=503,
         reason=reason,
-        retry_after_s=retry_after_s(RETRY_AFTER_S, remaining_s),
+        retry_after_s=retry_after_s(wait_s, remaining_s),
     )
--- a/pistachiopath/streams/origin.py
+++ b/pistachiopath/streams/origin.py
@@ -6,6 +6,10 @@
 
 from .service_version import ServiceVersion
 
+# Stands for the attempt of a process that has brought the first event: whatever attempt
+# that was, it counts more than one that is not confirmed.
+BEGAN = 1_000_000
+
 
 @attrs.define(kw_only=True, frozen=True)
 class Origin:
@@ -17,6 +21,10 @@
     the lifetime `born_ms` of `replica` when it asked for the place.  `noted_at` and
     `granted_at`, the time of that place, are in seconds of a monotonic clock.
     `holder` is the node that told it, empty if none did.
+
+    With an `address`, what began the stream is the process of `replica` there, and its
+    version is not known yet.  At the holder, `witness` is the connection that leads to
+    it.  Elsewhere the process ran at least from `opened_at` until `alive_until`.
     """
 
     version: ServiceVersion
@@ -27,6 +35,10 @@
     replica: str = ''
     born_ms: int = 0
     granted_at: float = 0.0
+    address: str = ''
+    witness: int = 0
+    opened_at: float = 0.0
+    alive_until: float = 0.0
 
     @property
     def rank(self) -> tuple[bool, int]:
--- a/pistachiopath/transport/messages.capnp
+++ b/pistachiopath/transport/messages.capnp
@@ -492,6 +492,7 @@
   streams @2 :List(Text);
   notes @3 :List(StreamNotes);
   held @4 :List(Text);
+  processes @5 :List(ProcessNotes);
 }
 
 struct GateLoad {
@@ -541,6 +542,7 @@
 
 struct StreamOrigins {
   origins @0 :List(StreamOrigin);
+  witnessed @1 :List(WitnessedProcess);
 }
 
 struct AppendPart {
@@ -732,6 +734,15 @@
   digests @2 :Data;
 }
 
+struct ProcessNotes {
+  service @0 :Text;
+  replica @1 :Text;
+  address @2 :Text;
+  ranMs @3 :Int64;
+  witness @4 :Int64;
+  digests @5 :Data;
+}
+
 struct TierLoad {
   tier @0 :Int64;
   waiting @1 :Int64;
@@ -780,6 +791,15 @@
   replica @6 :Text;
   bornMs @7 :Int64;
   grantedMs @8 :Int64;
+  address @9 :Text;
+  openedMs @10 :Int64;
+  aliveMs @11 :Int64;
+}
+
+struct WitnessedProcess {
+  address @0 :Text;
+  witness @1 :Int64;
+  openedMs @2 :Int64;
 }
 
 struct Envelope {
--- a/tests/test_lifetimes/test_known_lifetimes.py
+++ b/tests/test_lifetimes/test_known_lifetimes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from pistachiopath.directory.directory import Directory
 from pistachiopath.lifetimes.known_lifetimes import RETENTION_S, KnownLifetimes
@@ -11,7 +12,7 @@
     RESTART_MIN_S,
     LifetimeDoubts,
 )
-from pistachiopath.lifetimes.process_spans import ProcessSpans
+from pistachiopath.lifetimes.process_spans import ProcessSpan, ProcessSpans
 from pistachiopath.messages.directory import HeardLifetime
 from pistachiopath.streams.service_version import version_of
 from tests.test_directory.records import record
@@ -185,3 +186,61 @@
     known.answer(SECOND, 12.4, 0.1)
     assert known.lifetimes.is_proven(SECOND, 10.8)
     assert not known.lifetimes.is_proven(FIRST, 10.8)
+
+
+# A process that another node has witnessed, and that began a stream.
+SPAN = ProcessSpan(since=20.0, until=40.0)
+
+
+def witnessed(known):
+    """Return the proven version of the process."""
+    return known.lifetimes.version_of_process(FIRST.replica, ADDRESS, SPAN)
+
+
+def test_a_report_that_was_sent_before_a_process_began_proves_it():
+    known = view()
+    known.answer(FIRST, 20.0 + MAX_REPORT_DELAY_S, 0.1)
+    assert witnessed(known) is None
+    known.answer(FIRST, 20.0 + MAX_REPORT_DELAY_S, 0.0)
+    assert witnessed(known) == version_of(FIRST)
+
+
+def test_a_process_whose_first_report_came_late_stays_unknown():
+    known = view()
+    known.announce(SECOND, 23.0)
+    known.answer(SECOND, 23.0, 0.0)
+    # A report of the lifetime may have been sent before the process began.
+    assert witnessed(known) is None
+    known.answer(SECOND, 26.0, 0.0)
+    assert witnessed(known) == version_of(SECOND)
+
+
+def test_a_process_that_ended_before_its_first_report_is_taken_for_the_next():
+    known = view()
+    known.announce(SECOND, 41.0)
+    known.answer(SECOND, 50.0, 0.0)
+    assert witnessed(known) is None
+
+
+def test_a_lifetime_that_was_replaced_meanwhile_proves_the_process():
+    # The first report of the middle lifetime arrives after that of the last one.
+    known = view()
+    known.announce(attrs.evolve(SECOND, born_ms=9500, software_version='v3'), 22.0)
+    known.announce(SECOND, 23.0)
+    known.answer(SECOND, 40.0, 0.0)
+    assert witnessed(known) is None
+
+
+@pytest.mark.parametrize(
+    'changes', [{'replica': 'another'}, {'address': 'elsewhere:80'}], ids=str
+)
+def test_a_lifetime_of_another_replica_or_address_proves_the_process(changes):
+    known = view()
+    other = attrs.evolve(SECOND, **changes)
+    known.announce(other, 21.0)
+    known.answer(other, 40.0, 0.0)
+    assert witnessed(known) is None
+
+
+def test_a_process_without_any_report_is_taken_for_the_lifetime_on_record():
+    assert witnessed(view()) is None
--- a/tests/test_lifetimes/test_open_streams.py
+++ b/tests/test_lifetimes/test_open_streams.py
@@ -40,6 +40,7 @@
     def __init__(self, *addresses, versions=(V1, V2)):
         self.addresses = addresses
         self.known = versions
+        self.is_majority = True
         self.now = 0.0
         self.directory = self
         self.sent = []
@@ -56,6 +57,9 @@
     def heard(self, now):
         return self.addresses
 
+    def hears_majority(self, now):
+        return self.is_majority
+
     def versions(self, service):
         return frozenset(self.known)
 
--- a/tests/test_relay/streams.py
+++ b/tests/test_relay/streams.py
@@ -56,7 +56,7 @@
 class NoNotes:
     """Notes that go nowhere."""
 
-    def begun(self, stream, version, is_settled):
+    def begun(self, stream, version, is_settled, *, start=None, has_gate=False):
         pass
 
     def ended(self, stream, *, is_complete, now):
