Deduction: control nodes that have all answered need not go back to the stream

The age matters where a part of the control nodes answers: one that lost its memory could be the only one of its majority among them. If all answer, none is left that knows more, and the entry's own directory still has to go back.

--- a/pistachiopath/directory/subscriber.py
+++ b/pistachiopath/directory/subscriber.py
@@ -121,7 +121,9 @@
         answered = sum(s.answered_at >= since for s in listed)
         return answered / max(1, len(listed))
 
-    def answered_by_majority(self, since: float, now: float, *, begin: float) -> bool:
+    def answered_by_majority(
+        self, since: float, now: float, *, begin: float = math.inf
+    ) -> bool:
         """Return whether the news of more than half of the control nodes are newer.
 
         As `answered_controls`, of those whose directories go back to `begin`.  Control
--- a/pistachiopath/lifetimes/version_deduction.py
+++ b/pistachiopath/lifetimes/version_deduction.py
@@ -134,12 +134,14 @@
     ) -> Deduction:
         """Return how many control nodes have told since the return what they know.
 
-        A majority suffices, as streams begin at established versions only.
+        A majority suffices, as streams begin at established versions only.  Unless all
+        have told, it consists of control nodes that have known since then.
         """
         controls = self._subscriber
-        is_most = controls.answered_by_majority(returned_at, now, begin=begun_at)
-        if is_most and controls.answered_controls(returned_at, now) == 1.0:
+        has_majority = controls.answered_by_majority(returned_at, now)
+        if has_majority and controls.answered_controls(returned_at, now) == 1.0:
             return Deduction(certainty=Certainty.CERTAIN)
+        is_most = controls.answered_by_majority(returned_at, now, begin=begun_at)
         certainty = Certainty.MOST if is_most else Certainty.WAITS
         return Deduction(certainty=certainty, reason='controls')
 
