Streams: those that a gate holds are not asked about before a report is due

So streams of gates are looked at 1.5 s after they began, or once they break off. A late first report is still found; an entry that is lost earlier leaves such a stream unknown, as before.

--- a/pistachiopath/lifetimes/open_streams.py
+++ b/pistachiopath/lifetimes/open_streams.py
@@ -39,6 +39,8 @@
 REPEAT_INTERVAL_S = STREAM_RETENTION_S / 2
 # Streams that break off together share a message.
 FLUSH_S = 0.02
+# A replica that reports in time has done so, once at least, within this time.
+REPORT_WAIT_S = 1.5
 # After a reply, bytes of the same process are awaited for this long.
 WITNESS_FLUSH_S = 0.12
 MAX_STREAMS_PER_MESSAGE = 1000
@@ -50,7 +52,8 @@
 
     `version` is what the replica was taken for, and `proven` returns the version that
     is certain, None if none is.  `start` is where the stream began, None if this entry
-    did not deliver its first event, and `has_gate` tells whether a gate holds it.
+    did not deliver its first event, and `has_gate` tells whether a gate holds it.  It
+    was recorded at `begun_at`.
     `is_settled` tells whether its version was noted, not its process alone.  At
     `ended_at` its answer ended before the stream was complete.
     """
@@ -59,6 +62,7 @@
     proven: Callable[[], ServiceVersion | None]
     start: StreamStart | None = None
     has_gate: bool = False
+    begun_at: float = -math.inf
     is_settled: bool = False
     holder: str = ''
     noted_at: float = 0.0
@@ -118,7 +122,11 @@
         process is noted at which it began.
         """
         self._streams[stream] = _OpenStream(
-            version=version, proven=proven, start=start, has_gate=has_gate
+            version=version,
+            proven=proven,
+            start=start,
+            has_gate=has_gate,
+            begun_at=start.begun_at if start else -math.inf,
         )
         if len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
@@ -208,6 +216,9 @@
         """Return whether others may need to be told of a stream."""
         if noted.ended_at < math.inf:
             return True
+        if noted.has_gate and now - noted.begun_at < REPORT_WAIT_S:
+            # Its gate is told of the version as soon as a report in time proves it.
+            return False
         service = noted.version.service
         if service not in self._deduced:
             self._deduced[service] = self._is_deduced(service, now)
--- a/tests/test_lifetimes/test_open_streams.py
+++ b/tests/test_lifetimes/test_open_streams.py
@@ -11,13 +11,16 @@
     FLUSH_S,
     MAX_STREAMS_PER_MESSAGE,
     REPEAT_INTERVAL_S,
+    REPORT_WAIT_S,
     OpenStreams,
 )
 from pistachiopath.lifetimes.restart_watch import RestartWatch
+from pistachiopath.lifetimes.stream_start import StreamStart
 from pistachiopath.streams.memory import MAX_STREAMS, STREAM_RETENTION_S
 from pistachiopath.streams.name import DIGEST_BYTES
 from pistachiopath.streams.service_version import ServiceVersion
 from pistachiopath.telemetry.metrics import Metrics
+from tests.test_directory.records import record
 
 OWN = '10.0.0.1:7681'
 V1 = ServiceVersion(service='model', version='v1')
@@ -247,3 +250,26 @@
     assert len(controls.streams) == 1
     controls.tick(STREAM_RETENTION_S + 0.2)
     assert len(controls.streams) == 0
+
+
+def test_young_streams_of_gates_cost_questions():
+    controls = Controls('10.0.0.2:7682')
+    asked = []
+    start = StreamStart(record=record(), opened_at=9.0, begun_at=10.0)
+
+    def proven():
+        asked.append(controls.now)
+
+    controls.streams.begun('c/a', V1, proven, start=start, has_gate=True)
+    controls.tick(10.0 + REPORT_WAIT_S - 0.1)
+    assert asked == []
+    controls.tick(10.0 + REPORT_WAIT_S)
+    assert len(asked) == 1
+
+
+def test_a_stream_of_a_gate_whose_version_is_proven_is_noted():
+    controls = Controls('10.0.0.2:7682')
+    start = StreamStart(record=record(), opened_at=9.0, begun_at=10.0)
+    controls.streams.begun('c/a', V1, v1, start=start, has_gate=True)
+    controls.tick(20.0)
+    assert controls.sent == []
